--- /dev/null
+++ b/crates/dogwoodway_caller/src/api.rs
@@ -0,0 +1,228 @@
+//! Routes, authentication and limits of the HTTP interface.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use dogwoodway_http::{Body, Handler, full_body, json_response, text_response};
+use dogwoodway_types::{ClassName, IdempotencyKey, RequestId, ServiceWork, TeamName, Timestamp};
+use http_body_util::{BodyExt, Limited};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, body::Incoming, header};
+use serde_json::json;
+
+use crate::{
+    AnswerEvent, CallerRequest, CallerWork, Dispatcher, Readiness, chat,
+    error::{error_response, invalid_request},
+};
+
+/// Path below which plain services are called.
+const SERVICES_PATH: &str = "/services";
+
+/// Limits on what a caller may send.
+#[derive(Clone, Copy, Debug)]
+pub struct CallerLimits {
+    /// Largest request body, in bytes.
+    pub body_bytes: usize,
+}
+
+impl Default for CallerLimits {
+    fn default() -> CallerLimits {
+        CallerLimits { body_bytes: 8 << 20 }
+    }
+}
+
+/// The HTTP interface towards callers.
+pub struct CallerApi {
+    dispatcher: Arc<dyn Dispatcher>,
+    limits: CallerLimits,
+    next_id: Box<dyn Fn() -> RequestId + Send + Sync>,
+}
+
+impl CallerApi {
+    /// Builds the interface; `next_id` makes request ids.
+    pub fn new<F>(dispatcher: Arc<dyn Dispatcher>, limits: CallerLimits, next_id: F) -> CallerApi
+    where
+        F: Fn() -> RequestId + Send + Sync + 'static,
+    {
+        CallerApi { dispatcher, limits, next_id: Box::new(next_id) }
+    }
+
+    /// Turns the interface into the handler of an HTTP server.
+    pub fn into_handler(self) -> Handler {
+        let api = Arc::new(self);
+        Arc::new(move |req| {
+            let api = api.clone();
+            Box::pin(async move { api.handle(req).await })
+        })
+    }
+
+    async fn handle(&self, req: Request<Incoming>) -> Response<Body> {
+        match (req.method(), req.uri().path()) {
+            (&Method::GET, "/healthz") => text_response(StatusCode::OK, "ok"),
+            (&Method::GET, "/readyz") => self.readyz().await,
+            (&Method::GET, "/metrics") => text_response(StatusCode::OK, &self.dispatcher.metrics()),
+            (&Method::GET, "/v1/models") => self.models(&req).await,
+            (&Method::POST, "/v1/chat/completions") => self.chat(req).await,
+            (_, path) if path.starts_with(SERVICES_PATH) => self.service(req).await,
+            _ => invalid_request(StatusCode::NOT_FOUND, "not-found", "there is no such path"),
+        }
+    }
+
+    async fn readyz(&self) -> Response<Body> {
+        match self.dispatcher.readiness().await {
+            Readiness::Ready => text_response(StatusCode::OK, "ready"),
+            Readiness::NotReady(why) => text_response(StatusCode::SERVICE_UNAVAILABLE, &why),
+        }
+    }
+
+    async fn models(&self, req: &Request<Incoming>) -> Response<Body> {
+        let team = match self.authenticate(req.headers()).await {
+            Ok(team) => team,
+            Err(resp) => return *resp,
+        };
+        let models = self.dispatcher.models(team).await;
+        let data: Vec<_> = models
+            .iter()
+            .map(|m| json!({"id": m, "object": "model", "created": 0, "owned_by": "dogwoodway"}))
+            .collect();
+        json_response(StatusCode::OK, &json!({"object": "list", "data": data}))
+    }
+
+    async fn chat(&self, req: Request<Incoming>) -> Response<Body> {
+        let (mut caller, body) = match self.receive(req).await {
+            Ok(received) => received,
+            Err(resp) => return *resp,
+        };
+        let chat = match chat::parse(&body) {
+            Ok(chat) => chat,
+            Err(e) => {
+                return invalid_request(StatusCode::BAD_REQUEST, "bad-request", &e.to_string());
+            }
+        };
+        caller.work = CallerWork::Chat {
+            model: chat.model.clone(),
+            messages: chat.messages.clone(),
+            max_tokens: chat.max_tokens,
+        };
+        let id = caller.id;
+        let answer = self.dispatcher.submit(caller);
+        chat::respond(id, &chat, answer).await
+    }
+
+    async fn service(&self, req: Request<Incoming>) -> Response<Body> {
+        let method = req.method().as_str().to_owned();
+        let path = req.uri().path_and_query().map_or("", |p| p.as_str());
+        let path = path[SERVICES_PATH.len()..].to_owned();
+        let content_type = header_text(req.headers(), header::CONTENT_TYPE.as_str());
+        let content_type = content_type.unwrap_or_default().to_owned();
+        let (mut caller, body) = match self.receive(req).await {
+            Ok(received) => received,
+            Err(resp) => return *resp,
+        };
+        let body = body.to_vec();
+        caller.work = CallerWork::Service(ServiceWork { method, path, content_type, body });
+        let id = caller.id;
+        let mut answer = self.dispatcher.submit(caller);
+        let mut response = None;
+        while let Some(event) = answer.recv().await {
+            match event {
+                AnswerEvent::Response { status, content_type, body } => {
+                    response = Some(service_response(status, &content_type, body, id));
+                }
+                AnswerEvent::End { .. } => break,
+                AnswerEvent::Error(outcome) => {
+                    return error_response(&outcome, id, Timestamp::now());
+                }
+                AnswerEvent::Started { .. } | AnswerEvent::Text(_) => {}
+            }
+        }
+        response.unwrap_or_else(|| chat::lost_answer(id))
+    }
+
+    /// Authenticates a request and reads its headers and body.
+    async fn receive(
+        &self,
+        req: Request<Incoming>,
+    ) -> Result<(CallerRequest, Bytes), Box<Response<Body>>> {
+        let (parts, body) = req.into_parts();
+        let team = self.authenticate(&parts.headers).await?;
+        let caller = CallerRequest {
+            id: (self.next_id)(),
+            team,
+            class: checked_header::<ClassName>(&parts.headers, "x-dogwoodway-class")?,
+            key: checked_header::<IdempotencyKey>(&parts.headers, "idempotency-key")?,
+            deadline: deadline(&parts.headers)?,
+            work: CallerWork::Service(ServiceWork {
+                method: String::new(),
+                path: String::new(),
+                content_type: String::new(),
+                body: Vec::new(),
+            }),
+        };
+        let body = Limited::new(body, self.limits.body_bytes).collect().await.map_err(|e| {
+            let code = StatusCode::PAYLOAD_TOO_LARGE;
+            Box::new(invalid_request(code, "body-not-read", &e.to_string()))
+        })?;
+        Ok((caller, body.to_bytes()))
+    }
+
+    async fn authenticate(&self, headers: &HeaderMap) -> Result<TeamName, Box<Response<Body>>> {
+        let value = header_text(headers, header::AUTHORIZATION.as_str());
+        let key = value.and_then(|v| v.strip_prefix("Bearer "));
+        let team = match key {
+            Some(key) => self.dispatcher.authenticate(key.to_owned()).await,
+            None => None,
+        };
+        team.ok_or_else(|| {
+            let message = "the bearer key is missing or unknown";
+            Box::new(invalid_request(StatusCode::UNAUTHORIZED, "bad-key", message))
+        })
+    }
+}
+
+fn service_response(
+    status: u16,
+    content_type: &str,
+    body: Vec<u8>,
+    id: RequestId,
+) -> Response<Body> {
+    let mut resp = Response::new(full_body(body));
+    *resp.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    if let Ok(value) = header::HeaderValue::from_str(content_type) {
+        resp.headers_mut().insert(header::CONTENT_TYPE, value);
+    }
+    if let Ok(value) = header::HeaderValue::from_str(&id.to_string()) {
+        resp.headers_mut().insert("x-request-id", value);
+    }
+    resp
+}
+
+fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+fn checked_header<T>(headers: &HeaderMap, name: &str) -> Result<Option<T>, Box<Response<Body>>>
+where
+    T: for<'a> TryFrom<&'a str, Error = dogwoodway_types::IdError>,
+{
+    let Some(text) = header_text(headers, name) else { return Ok(None) };
+    match T::try_from(text) {
+        Ok(value) => Ok(Some(value)),
+        Err(e) => {
+            let message = format!("header {name}: {e}");
+            Err(Box::new(invalid_request(StatusCode::BAD_REQUEST, "bad-header", &message)))
+        }
+    }
+}
+
+/// Reads the `x-dogwoodway-deadline-ms` header: milliseconds since the Unix epoch.
+fn deadline(headers: &HeaderMap) -> Result<Option<Timestamp>, Box<Response<Body>>> {
+    const NAME: &str = "x-dogwoodway-deadline-ms";
+    let Some(text) = header_text(headers, NAME) else { return Ok(None) };
+    match text.parse::<u64>() {
+        Ok(millis) if millis < u64::MAX / 1_000 => Ok(Some(Timestamp::from_millis(millis))),
+        _ => {
+            let message = format!("header {NAME}: {text:?} is no number of milliseconds");
+            Err(Box::new(invalid_request(StatusCode::BAD_REQUEST, "bad-header", &message)))
+        }
+    }
+}
--- /dev/null
+++ b/crates/dogwoodway_caller/src/chat.rs
@@ -0,0 +1,247 @@
+//! The OpenAI chat-completion protocol.
+
+use std::fmt;
+
+use bytes::Bytes;
+use dogwoodway_http::{Body, BodySender, channel_body, json_response, sse_event};
+use dogwoodway_types::{
+    ChatMessage, FinishReason, IdError, ModelName, Outcome, RequestId, Timestamp, Usage,
+};
+use hyper::{Response, StatusCode, header};
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::{
+    Answer, AnswerEvent,
+    error::{error_body, error_response},
+};
+
+/// Tokens generated when the caller names no limit.
+const DEFAULT_MAX_TOKENS: u32 = 512;
+
+/// A checked chat-completion request.
+#[derive(Clone, Debug)]
+pub(crate) struct ChatRequest {
+    pub(crate) model: ModelName,
+    pub(crate) messages: Vec<ChatMessage>,
+    pub(crate) max_tokens: u32,
+    pub(crate) stream: bool,
+}
+
+/// The reason why a chat-completion request is refused.
+#[derive(Debug)]
+pub(crate) enum ChatError {
+    Json(serde_json::Error),
+    Model(IdError),
+    NoMessages,
+    NoTokens,
+    Content(usize),
+}
+
+impl fmt::Display for ChatError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ChatError::Json(e) => write!(f, "the body is not a valid request: {e}"),
+            ChatError::Model(e) => write!(f, "model: {e}"),
+            ChatError::NoMessages => write!(f, "messages: at least one is needed"),
+            ChatError::NoTokens => write!(f, "max_tokens: must be at least 1"),
+            ChatError::Content(i) => write!(f, "messages[{i}].content: must be text"),
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct RawChatRequest {
+    model: String,
+    messages: Vec<RawMessage>,
+    max_tokens: Option<u32>,
+    max_completion_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Deserialize)]
+struct RawMessage {
+    role: String,
+    content: Value,
+}
+
+impl TryFrom<RawChatRequest> for ChatRequest {
+    type Error = ChatError;
+
+    fn try_from(raw: RawChatRequest) -> Result<ChatRequest, ChatError> {
+        let model = ModelName::try_from(raw.model).map_err(ChatError::Model)?;
+        if raw.messages.is_empty() {
+            return Err(ChatError::NoMessages);
+        }
+        let limit = raw.max_completion_tokens.or(raw.max_tokens);
+        let max_tokens = limit.unwrap_or(DEFAULT_MAX_TOKENS);
+        if max_tokens == 0 {
+            return Err(ChatError::NoTokens);
+        }
+        let messages = raw.messages.into_iter().enumerate().map(|(i, msg)| {
+            let content = message_text(&msg.content).ok_or(ChatError::Content(i))?;
+            Ok(ChatMessage { role: msg.role, content })
+        });
+        let messages = messages.collect::<Result<_, _>>()?;
+        Ok(ChatRequest { model, messages, max_tokens, stream: raw.stream })
+    }
+}
+
+/// Parses the body of a chat-completion request.
+pub(crate) fn parse(body: &[u8]) -> Result<ChatRequest, ChatError> {
+    let raw: RawChatRequest = serde_json::from_slice(body).map_err(ChatError::Json)?;
+    ChatRequest::try_from(raw)
+}
+
+/// Answers a chat completion: an error response if it fails before its first event.
+pub(crate) async fn respond(
+    id: RequestId,
+    chat: &ChatRequest,
+    mut answer: Answer,
+) -> Response<Body> {
+    let cached_tokens = match answer.recv().await {
+        Some(AnswerEvent::Started { cached_tokens }) => cached_tokens,
+        Some(AnswerEvent::Error(outcome)) => {
+            return error_response(&outcome, id, Timestamp::now());
+        }
+        _ => return lost_answer(id),
+    };
+    let mut resp = match chat.stream {
+        true => stream_response(id, chat, answer),
+        false => whole_response(id, chat, answer).await,
+    };
+    let headers = resp.headers_mut();
+    headers.insert("x-dogwoodway-cached-tokens", header::HeaderValue::from(cached_tokens));
+    if let Ok(value) = header::HeaderValue::from_str(&id.to_string()) {
+        headers.insert("x-request-id", value);
+    }
+    resp
+}
+
+/// The response when an answer ended without a final event.
+pub(crate) fn lost_answer(id: RequestId) -> Response<Body> {
+    let outcome = Outcome::Unknown { message: "the answer ended too early".to_owned() };
+    error_response(&outcome, id, Timestamp::now())
+}
+
+/// Reads a message's content: plain text, or a list of text parts.
+fn message_text(content: &Value) -> Option<String> {
+    match content {
+        Value::String(text) => Some(text.clone()),
+        Value::Array(parts) => {
+            parts.iter().map(|part| part.get("text").and_then(Value::as_str)).collect()
+        }
+        _ => None,
+    }
+}
+
+fn stream_response(id: RequestId, chat: &ChatRequest, mut answer: Answer) -> Response<Body> {
+    let (tx, body) = channel_body();
+    let model = chat.model.clone();
+    tokio::spawn(async move {
+        let _ = send_chunk(&tx, id, &model, json!({"role": "assistant", "content": ""})).await;
+        while let Some(event) = answer.recv().await {
+            let sent = match event {
+                AnswerEvent::Text(text) => {
+                    send_chunk(&tx, id, &model, json!({"content": text})).await
+                }
+                AnswerEvent::End { finish, usage } => {
+                    let _ =
+                        send(&tx, &chunk(id, &model, json!({}), Some(finish), Some(usage))).await;
+                    let _ = tx.send(sse_event("[DONE]")).await;
+                    return;
+                }
+                AnswerEvent::Error(outcome) => {
+                    let _ = send(&tx, &error_body(&outcome, id)).await;
+                    return;
+                }
+                AnswerEvent::Started { .. } | AnswerEvent::Response { .. } => Ok(()),
+            };
+            if sent.is_err() {
+                return;
+            }
+        }
+        let outcome = Outcome::Unknown { message: "the answer ended too early".to_owned() };
+        let _ = send(&tx, &error_body(&outcome, id)).await;
+    });
+    let mut resp = Response::new(body);
+    let headers = resp.headers_mut();
+    headers.insert(header::CONTENT_TYPE, header::HeaderValue::from_static("text/event-stream"));
+    headers.insert(header::CACHE_CONTROL, header::HeaderValue::from_static("no-cache"));
+    resp
+}
+
+/// The caller has gone.
+struct CallerGone;
+
+async fn send_chunk(
+    tx: &BodySender,
+    id: RequestId,
+    model: &ModelName,
+    delta: Value,
+) -> Result<(), CallerGone> {
+    send(tx, &chunk(id, model, delta, None, None)).await
+}
+
+async fn send(tx: &BodySender, value: &Value) -> Result<(), CallerGone> {
+    let event: Bytes = sse_event(&value.to_string());
+    tx.send(event).await.map_err(|_| CallerGone)
+}
+
+fn chunk(
+    id: RequestId,
+    model: &ModelName,
+    delta: Value,
+    finish: Option<FinishReason>,
+    usage: Option<Usage>,
+) -> Value {
+    let mut value = json!({
+        "id": completion_id(id), "object": "chat.completion.chunk", "created": created(),
+        "model": model,
+        "choices": [{"index": 0, "delta": delta, "finish_reason": finish}],
+    });
+    if let Some(usage) = usage {
+        value["usage"] = usage_json(usage);
+    }
+    value
+}
+
+async fn whole_response(id: RequestId, chat: &ChatRequest, mut answer: Answer) -> Response<Body> {
+    let mut text = String::new();
+    while let Some(event) = answer.recv().await {
+        match event {
+            AnswerEvent::Text(part) => text.push_str(&part),
+            AnswerEvent::End { finish, usage } => {
+                let message = json!({"role": "assistant", "content": text});
+                let value = json!({
+                    "id": completion_id(id), "object": "chat.completion", "created": created(),
+                    "model": chat.model,
+                    "choices": [{"index": 0, "message": message, "finish_reason": finish}],
+                    "usage": usage_json(usage),
+                });
+                return json_response(StatusCode::OK, &value);
+            }
+            AnswerEvent::Error(outcome) => return error_response(&outcome, id, Timestamp::now()),
+            AnswerEvent::Started { .. } | AnswerEvent::Response { .. } => {}
+        }
+    }
+    lost_answer(id)
+}
+
+fn usage_json(usage: Usage) -> Value {
+    json!({
+        "prompt_tokens": usage.prompt_tokens,
+        "completion_tokens": usage.completion_tokens,
+        "total_tokens": usage.prompt_tokens + usage.completion_tokens,
+        "prompt_tokens_details": {"cached_tokens": usage.cached_tokens},
+    })
+}
+
+fn completion_id(id: RequestId) -> String {
+    format!("chatcmpl-{id}")
+}
+
+fn created() -> u64 {
+    Timestamp::now().as_millis() / 1_000
+}
--- /dev/null
+++ b/crates/dogwoodway_caller/src/lib.rs
@@ -0,0 +1,16 @@
+//! HTTP interface towards callers.
+//!
+//! Callers speak the OpenAI chat-completion protocol, streamed or not, or call a plain service
+//! through `/services/`. What a request is worth and where it runs is decided behind
+//! [`Dispatcher`].
+
+mod api;
+mod chat;
+mod dispatcher;
+mod error;
+
+pub use crate::{
+    api::{CallerApi, CallerLimits},
+    dispatcher::{Answer, AnswerEvent, CallerRequest, CallerWork, Dispatcher, Readiness},
+    error::error_response,
+};
--- /dev/null
+++ b/crates/dogwoodway_control/src/lib.rs
@@ -0,0 +1,13 @@
+//! Pure state machine over the records of the platform log.
+//!
+//! Every reader feeds the same records in log order and reaches the same state. Nothing here does
+//! I/O or reads a clock.
+
+mod configuration;
+
+pub use crate::configuration::{Base, ConfigChange, ConfigRecord, ConfigState, Verdict};
+
+/// The names that most users of this crate need.
+pub mod prelude {
+    pub use crate::{ConfigChange, ConfigRecord, ConfigState, Verdict};
+}
--- /dev/null
+++ b/crates/dogwoodway_engine/src/client.rs
@@ -0,0 +1,105 @@
+//! The model engine over HTTP.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use dogwoodway_http::{HttpClient, HttpError, SseReader};
+use dogwoodway_types::AttemptId;
+use futures::{FutureExt, future::BoxFuture};
+use hyper::{Method, StatusCode};
+
+use crate::{EngineError, EngineEvent, EngineRequest, EngineStatus, EngineStream, ModelEngine};
+
+const CONTROL_TIMEOUT_MS: u64 = 1_000;
+
+/// Client of an engine at a base URL.
+#[derive(Clone, Debug)]
+pub struct HttpEngine {
+    http: HttpClient,
+    base_url: String,
+}
+
+impl HttpEngine {
+    /// Builds a client; `base_url` has no slash at its end.
+    ///
+    /// ```
+    /// let _engine = dogwoodway_engine::HttpEngine::new("http://127.0.0.1:8000".to_owned());
+    /// ```
+    pub fn new(base_url: String) -> HttpEngine {
+        HttpEngine { http: HttpClient::new(), base_url }
+    }
+}
+
+impl ModelEngine for HttpEngine {
+    fn generate(
+        &self,
+        req: EngineRequest,
+    ) -> BoxFuture<'_, Result<Box<dyn EngineStream>, EngineError>> {
+        async move {
+            let url = format!("{}/v1/chat/completions", self.base_url);
+            let body = serde_json::to_vec(&req).map_err(|e| EngineError::Refused(e.to_string()))?;
+            let resp = self
+                .http
+                .open(Method::POST, &url, "application/json", Bytes::from(body), &[])
+                .await
+                .map_err(engine_error)?;
+            match resp.status() {
+                StatusCode::OK => {
+                    let stream: Box<dyn EngineStream> =
+                        Box::new(HttpEngineStream { events: SseReader::new(resp.into_body()) });
+                    Ok(stream)
+                }
+                status if status.is_client_error() => {
+                    Err(EngineError::Refused(format!("status {status}")))
+                }
+                status => Err(EngineError::Lost(format!("status {status}"))),
+            }
+        }
+        .boxed()
+    }
+
+    fn cancel(&self, request_id: AttemptId) -> BoxFuture<'_, Result<(), EngineError>> {
+        async move {
+            let url = format!("{}/v1/requests/{request_id}", self.base_url);
+            let limit = Duration::from_millis(CONTROL_TIMEOUT_MS);
+            let reply = self.http.call(Method::DELETE, &url, "", Bytes::new(), limit).await;
+            reply.map(|_| ()).map_err(engine_error)
+        }
+        .boxed()
+    }
+
+    fn status(&self) -> BoxFuture<'_, Result<EngineStatus, EngineError>> {
+        async move {
+            let url = format!("{}/status", self.base_url);
+            let limit = Duration::from_millis(CONTROL_TIMEOUT_MS);
+            self.http.json(Method::GET, &url, &(), limit).await.map_err(engine_error)
+        }
+        .boxed()
+    }
+}
+
+struct HttpEngineStream {
+    events: SseReader,
+}
+
+impl EngineStream for HttpEngineStream {
+    fn next(&mut self) -> BoxFuture<'_, Result<EngineEvent, EngineError>> {
+        async move {
+            let Some(data) = self.events.next().await.map_err(engine_error)? else {
+                return Err(EngineError::Lost("the answer ended too early".to_owned()));
+            };
+            serde_json::from_str(&data).map_err(|e| EngineError::Lost(e.to_string()))
+        }
+        .boxed()
+    }
+}
+
+fn engine_error(e: HttpError) -> EngineError {
+    match e {
+        HttpError::Unreachable(_) => EngineError::Unreachable(e.to_string()),
+        HttpError::BadRequest(_) => EngineError::Refused(e.to_string()),
+        HttpError::Lost(_) | HttpError::Status(..) | HttpError::BadAnswer(_) => {
+            EngineError::Lost(e.to_string())
+        }
+    }
+}
--- /dev/null
+++ b/crates/dogwoodway_http/src/client.rs
@@ -0,0 +1,198 @@
+//! HTTP client with pooled connections.
+
+use std::{fmt, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming, header};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde::{Serialize, de::DeserializeOwned};
+
+/// Largest answer that is read into memory, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
+const CONNECT_TIMEOUT_MS: u64 = 1_000;
+
+/// The reason why a call has no usable answer.
+#[derive(Debug)]
+pub enum HttpError {
+    /// The call could not be built.
+    BadRequest(String),
+    /// No connection was made; the call never reached the server.
+    Unreachable(String),
+    /// The connection was lost or the deadline passed; the call may have taken effect.
+    Lost(String),
+    /// The server answered with an error status.
+    Status(StatusCode, String),
+    /// The answer could not be decoded.
+    BadAnswer(String),
+}
+
+impl fmt::Display for HttpError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            HttpError::BadRequest(e) => write!(f, "bad request: {e}"),
+            HttpError::Unreachable(e) => write!(f, "unreachable: {e}"),
+            HttpError::Lost(e) => write!(f, "connection lost: {e}"),
+            HttpError::Status(status, body) => write!(f, "status {status}: {body}"),
+            HttpError::BadAnswer(e) => write!(f, "bad answer: {e}"),
+        }
+    }
+}
+
+impl std::error::Error for HttpError {}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct HttpReply {
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// Content type, empty if the server named none.
+    pub content_type: String,
+    /// Body of the answer.
+    pub body: Bytes,
+}
+
+/// A client that keeps connections open between calls.
+#[derive(Clone, Debug)]
+pub struct HttpClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for HttpClient {
+    fn default() -> HttpClient {
+        HttpClient::new()
+    }
+}
+
+impl HttpClient {
+    /// Builds a client.
+    ///
+    /// ```
+    /// let client = dogwoodway_http::HttpClient::new();
+    /// let _second = client.clone();
+    /// ```
+    pub fn new() -> HttpClient {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
+        HttpClient { client: Client::builder(TokioExecutor::new()).build(connector) }
+    }
+
+    /// Sends a request and returns as soon as the answer's headers are there.
+    ///
+    /// # Errors
+    ///
+    /// [`HttpError::Unreachable`] only if the request cannot have reached the server.
+    pub async fn open(
+        &self,
+        method: Method,
+        url: &str,
+        content_type: &str,
+        body: Bytes,
+        headers: &[(&str, String)],
+    ) -> Result<Response<Incoming>, HttpError> {
+        let mut req = Request::builder().method(method).uri(url);
+        for (name, value) in headers {
+            req = req.header(*name, value);
+        }
+        if !content_type.is_empty() {
+            req = req.header(header::CONTENT_TYPE, content_type);
+        }
+        let req = req.body(Full::new(body)).map_err(|e| HttpError::BadRequest(e.to_string()))?;
+        self.client.request(req).await.map_err(|e| match e.is_connect() {
+            true => HttpError::Unreachable(e.to_string()),
+            false => HttpError::Lost(e.to_string()),
+        })
+    }
+
+    /// Sends a request and reads the whole answer, whatever its status, within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// [`HttpError::Lost`] when the limit has passed.
+    pub async fn call(
+        &self,
+        method: Method,
+        url: &str,
+        content_type: &str,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<HttpReply, HttpError> {
+        self.call_with_headers(method, url, content_type, body, &[], limit).await
+    }
+
+    /// Does what [`HttpClient::call`] does, with further headers.
+    ///
+    /// # Errors
+    ///
+    /// [`HttpError::Lost`] when the limit has passed.
+    pub async fn call_with_headers(
+        &self,
+        method: Method,
+        url: &str,
+        content_type: &str,
+        body: Bytes,
+        headers: &[(&str, String)],
+        limit: Duration,
+    ) -> Result<HttpReply, HttpError> {
+        let exchange = async {
+            let resp = self.open(method, url, content_type, body, headers).await?;
+            read_reply(resp).await
+        };
+        match tokio::time::timeout(limit, exchange).await {
+            Ok(reply) => reply,
+            Err(_) => Err(HttpError::Lost("no answer in time".to_owned())),
+        }
+    }
+
+    /// Sends a JSON value and decodes the JSON answer within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// [`HttpError::Status`] when the server answers with any but a 2xx status.
+    pub async fn json<Req, Resp>(
+        &self,
+        method: Method,
+        url: &str,
+        req: &Req,
+        limit: Duration,
+    ) -> Result<Resp, HttpError>
+    where
+        Req: Serialize + Sync + ?Sized,
+        Resp: DeserializeOwned,
+    {
+        let body = match method {
+            Method::GET => Bytes::new(),
+            _ => encode(req)?,
+        };
+        let reply = self.call(method, url, "application/json", body, limit).await?;
+        if !reply.status.is_success() {
+            let text = String::from_utf8_lossy(&reply.body).into_owned();
+            return Err(HttpError::Status(reply.status, text));
+        }
+        serde_json::from_slice(&reply.body).map_err(|e| HttpError::BadAnswer(e.to_string()))
+    }
+}
+
+fn encode<T>(value: &T) -> Result<Bytes, HttpError>
+where
+    T: Serialize + ?Sized,
+{
+    match serde_json::to_vec(value) {
+        Ok(json) => Ok(Bytes::from(json)),
+        Err(e) => Err(HttpError::BadRequest(e.to_string())),
+    }
+}
+
+async fn read_reply(resp: Response<Incoming>) -> Result<HttpReply, HttpError> {
+    let status = resp.status();
+    let content_type = resp.headers().get(header::CONTENT_TYPE);
+    let content_type = content_type.and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned();
+    let body = Limited::new(resp.into_body(), MAX_ANSWER_BYTES).collect().await;
+    let body = body.map_err(|e| HttpError::Lost(e.to_string()))?.to_bytes();
+    Ok(HttpReply { status, content_type, body })
+}
--- /dev/null
+++ b/crates/dogwoodway_http/src/server.rs
@@ -0,0 +1,81 @@
+//! HTTP server loop with limits and graceful shutdown.
+
+use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
+
+use futures::future::BoxFuture;
+use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::GracefulShutdown,
+};
+use tokio::{net::TcpListener, sync::Semaphore};
+
+use crate::Body;
+
+/// Answers one request.
+pub type Handler =
+    Arc<dyn Fn(Request<Incoming>) -> BoxFuture<'static, Response<Body>> + Send + Sync>;
+
+/// Limits of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerLimits {
+    /// Most connections open at once; more wait to be accepted.
+    pub connections: usize,
+    /// Milliseconds in which a client must send the headers of a request.
+    pub header_read_ms: u64,
+    /// Bytes that the headers of a request may take.
+    pub header_bytes: usize,
+}
+
+impl Default for ServerLimits {
+    fn default() -> ServerLimits {
+        ServerLimits { connections: 4_096, header_read_ms: 10_000, header_bytes: 64 << 10 }
+    }
+}
+
+/// Serves connections until `shutdown` resolves, then waits for the open ones to finish.
+///
+/// No connection is cut off: the caller bounds the wait by dropping the future.
+pub async fn serve<F>(listener: TcpListener, limits: ServerLimits, handler: Handler, shutdown: F)
+where
+    F: Future<Output = ()> + Send,
+{
+    let graceful = GracefulShutdown::new();
+    let slots = Arc::new(Semaphore::new(limits.connections));
+    let mut shutdown = std::pin::pin!(shutdown);
+    loop {
+        let Ok(slot) = slots.clone().acquire_owned().await else { break };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = &mut shutdown => break,
+        };
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                log::warn!("accept failed: {e}");
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                continue;
+            }
+        };
+        let _ = stream.set_nodelay(true);
+        let handler = handler.clone();
+        let service = service_fn(move |req| {
+            let answer = handler(req);
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+        let conn = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(Duration::from_millis(limits.header_read_ms))
+            .max_buf_size(limits.header_bytes)
+            .serve_connection(TokioIo::new(stream), service);
+        let conn = graceful.watch(conn);
+        tokio::spawn(async move {
+            if let Err(e) = conn.await {
+                log::debug!("connection ended: {e}");
+            }
+            drop(slot);
+        });
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
--- /dev/null
+++ b/crates/dogwoodway_http/src/sse.rs
@@ -0,0 +1,69 @@
+//! Server-sent events.
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::HttpError;
+
+/// Largest event that is accepted, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// Formats one event.
+///
+/// ```
+/// assert_eq!(dogwoodway_http::sse_event("[DONE]"), "data: [DONE]\n\n");
+/// ```
+pub fn sse_event(data: &str) -> Bytes {
+    Bytes::from(format!("data: {data}\n\n"))
+}
+
+/// Reads the data of events from a streamed answer.
+#[derive(Debug)]
+pub struct SseReader {
+    body: Incoming,
+    buf: Vec<u8>,
+}
+
+impl SseReader {
+    /// Starts to read a body.
+    pub fn new(body: Incoming) -> SseReader {
+        SseReader { body, buf: Vec::new() }
+    }
+
+    /// Returns the data of the next event, or `None` at the end of the body.
+    ///
+    /// # Errors
+    ///
+    /// [`HttpError::Lost`] if the connection broke, also in the middle of an event.
+    pub async fn next(&mut self) -> Result<Option<String>, HttpError> {
+        loop {
+            if let Some(data) = self.take_event()? {
+                return Ok(Some(data));
+            }
+            let Some(frame) = self.body.frame().await else {
+                return match self.buf.is_empty() {
+                    true => Ok(None),
+                    false => Err(HttpError::Lost("the stream ended inside an event".to_owned())),
+                };
+            };
+            let frame = frame.map_err(|e| HttpError::Lost(e.to_string()))?;
+            if let Ok(data) = frame.into_data() {
+                self.buf.extend_from_slice(&data);
+            }
+            if self.buf.len() > MAX_EVENT_BYTES {
+                return Err(HttpError::BadAnswer("an event is too large".to_owned()));
+            }
+        }
+    }
+
+    fn take_event(&mut self) -> Result<Option<String>, HttpError> {
+        let Some(end) = self.buf.windows(2).position(|w| w == b"\n\n") else {
+            return Ok(None);
+        };
+        let event: Vec<u8> = self.buf.drain(..end + 2).collect();
+        let event = String::from_utf8(event).map_err(|e| HttpError::BadAnswer(e.to_string()))?;
+        let data = event.lines().filter_map(|line| line.strip_prefix("data:"));
+        Ok(Some(data.map(str::trim_start).collect::<Vec<_>>().join("\n")))
+    }
+}
--- /dev/null
+++ b/crates/dogwoodway_log/src/client.rs
@@ -0,0 +1,82 @@
+//! The platform log over HTTP.
+
+use std::time::Duration;
+
+use dogwoodway_http::{HttpClient, HttpError};
+use dogwoodway_types::LogOffset;
+use futures::{FutureExt, future::BoxFuture};
+use hyper::Method;
+use serde_json::Value;
+
+use crate::{AppendAnswer, AppendRequest, LogError, PlatformLog, ReadAnswer, StreamName};
+
+/// Longest wait for the answer to an append, and beyond its own wait to a read.
+const ANSWER_TIMEOUT_MS: u64 = 2_000;
+
+/// Client of a log service at a base URL.
+#[derive(Clone, Debug)]
+pub struct HttpLog {
+    http: HttpClient,
+    base_url: String,
+}
+
+impl HttpLog {
+    /// Builds a client; `base_url` has no slash at its end.
+    ///
+    /// ```
+    /// let _log = dogwoodway_log::HttpLog::new("http://127.0.0.1:7001".to_owned());
+    /// ```
+    pub fn new(base_url: String) -> HttpLog {
+        HttpLog { http: HttpClient::new(), base_url }
+    }
+
+    fn records_url(&self, stream: StreamName) -> String {
+        format!("{}/streams/{}/records", self.base_url, stream.as_str())
+    }
+}
+
+impl PlatformLog for HttpLog {
+    fn append(
+        &self,
+        stream: StreamName,
+        records: Vec<Value>,
+    ) -> BoxFuture<'_, Result<AppendAnswer, LogError>> {
+        async move {
+            let url = self.records_url(stream);
+            let limit = Duration::from_millis(ANSWER_TIMEOUT_MS);
+            let req = AppendRequest { records };
+            self.http.json(Method::POST, &url, &req, limit).await.map_err(log_error)
+        }
+        .boxed()
+    }
+
+    fn read(
+        &self,
+        stream: StreamName,
+        from: LogOffset,
+        limit: u32,
+        wait_ms: u64,
+    ) -> BoxFuture<'_, Result<ReadAnswer, LogError>> {
+        async move {
+            let url = self.records_url(stream);
+            let url = format!("{url}?from={from}&limit={limit}&wait_ms={wait_ms}");
+            let limit = Duration::from_millis(wait_ms + ANSWER_TIMEOUT_MS);
+            self.http.json(Method::GET, &url, &(), limit).await.map_err(log_error)
+        }
+        .boxed()
+    }
+}
+
+fn log_error(e: HttpError) -> LogError {
+    match e {
+        HttpError::BadRequest(_) | HttpError::Unreachable(_) => {
+            LogError::Unavailable(e.to_string())
+        }
+        HttpError::Status(status, _) if status != hyper::StatusCode::GATEWAY_TIMEOUT => {
+            LogError::Unavailable(e.to_string())
+        }
+        HttpError::Lost(_) | HttpError::Status(..) | HttpError::BadAnswer(_) => {
+            LogError::Unknown(e.to_string())
+        }
+    }
+}
--- /dev/null
+++ b/crates/dogwoodway_peer/src/agent.rs
@@ -0,0 +1,60 @@
+//! The border trait of an agent.
+
+use std::fmt;
+
+use dogwoodway_types::{AgentIncarnation, AttemptId, Timestamp};
+use futures::future::BoxFuture;
+
+use crate::{
+    AgentDescription, FramesReply, ProbeReply, ProbeRequest, RunRequest, SettleReply, StartReply,
+};
+
+/// The reason why a call to a peer has no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PeerError {
+    /// The call never reached the peer.
+    Unreachable(String),
+    /// The call may have reached the peer.
+    Lost(String),
+}
+
+impl fmt::Display for PeerError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            PeerError::Unreachable(e) => write!(f, "the peer is unreachable: {e}"),
+            PeerError::Lost(e) => write!(f, "the peer's answer was lost: {e}"),
+        }
+    }
+}
+
+impl std::error::Error for PeerError {}
+
+/// Answer of a call to a peer.
+pub type PeerResult<T> = Result<T, PeerError>;
+
+/// What an agent does for entries.
+pub trait AgentApi: Send + Sync {
+    /// Asks the agent to describe itself.
+    fn describe(&self) -> BoxFuture<'_, PeerResult<AgentDescription>>;
+
+    /// Asks how the agent would serve a prompt.
+    fn probe(&self, req: ProbeRequest) -> BoxFuture<'_, PeerResult<ProbeReply>>;
+
+    /// Starts an attempt.
+    fn start(&self, req: RunRequest) -> BoxFuture<'_, PeerResult<StartReply>>;
+
+    /// Waits for frames with a sequence number of at least `from`.
+    fn frames(&self, attempt: AttemptId, from: u64) -> BoxFuture<'_, PeerResult<FramesReply>>;
+
+    /// Asks what became of an attempt; if it has not started, it never will. `start_before` is
+    /// the one of the attempt's [`RunRequest`].
+    fn settle(
+        &self,
+        attempt: AttemptId,
+        agent: AgentIncarnation,
+        start_before: Timestamp,
+    ) -> BoxFuture<'_, PeerResult<SettleReply>>;
+
+    /// Cancels an attempt.
+    fn cancel(&self, attempt: AttemptId) -> BoxFuture<'_, PeerResult<()>>;
+}
--- /dev/null
+++ b/crates/dogwoodway_peer/src/server.rs
@@ -0,0 +1,155 @@
+//! Server side of [`AgentApi`].
+
+use std::{future::Future, net::SocketAddr, sync::Arc};
+
+use dogwoodway_types::{AgentIncarnation, AttemptId, Timestamp};
+use futures::StreamExt;
+use tarpc::{
+    ClientMessage, Response,
+    context::Context,
+    serde_transport::tcp,
+    server::{BaseChannel, Channel},
+    tokio_serde::formats::Bincode,
+};
+
+use crate::{
+    AgentApi, AgentDescription, FramesReply, PeerError, ProbeReply, ProbeRequest, RunRequest,
+    SettleReply, StartReply,
+};
+
+/// Largest message between peers, in bytes.
+pub(crate) const MAX_MESSAGE_BYTES: usize = 64 << 20;
+
+/// Longest wait of [`AgentApi::frames`] for a new frame.
+pub(crate) const FRAMES_WAIT_MS: u64 = 2_000;
+
+/// The RPC form of [`AgentApi`].
+#[tarpc::service]
+pub(crate) trait AgentRpc {
+    /// See [`AgentApi::describe`].
+    async fn describe() -> AgentDescription;
+    /// See [`AgentApi::probe`].
+    async fn probe(req: ProbeRequest) -> ProbeReply;
+    /// See [`AgentApi::start`].
+    async fn start(req: RunRequest) -> StartReply;
+    /// See [`AgentApi::frames`].
+    async fn frames(attempt: AttemptId, from: u64) -> FramesReply;
+    /// See [`AgentApi::settle`].
+    async fn settle(
+        attempt: AttemptId,
+        agent: AgentIncarnation,
+        start_before: Timestamp,
+    ) -> SettleReply;
+    /// See [`AgentApi::cancel`].
+    async fn cancel(attempt: AttemptId);
+}
+
+/// A bound address on which an agent will be served.
+pub struct AgentListener {
+    incoming: Incoming,
+}
+
+type Incoming = tcp::Incoming<
+    ClientMessage<AgentRpcRequest>,
+    Response<AgentRpcResponse>,
+    BincodeCodec,
+    fn() -> BincodeCodec,
+>;
+
+type BincodeCodec = Bincode<ClientMessage<AgentRpcRequest>, Response<AgentRpcResponse>>;
+
+impl AgentListener {
+    /// Binds an address; port 0 stands for any free port.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub async fn bind(address: SocketAddr) -> std::io::Result<AgentListener> {
+        let codec: fn() -> BincodeCodec = Bincode::default;
+        let mut incoming = tcp::listen(address, codec).await?;
+        incoming.config_mut().max_frame_length(MAX_MESSAGE_BYTES);
+        Ok(AgentListener { incoming })
+    }
+
+    /// Returns the bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.incoming.local_addr()
+    }
+
+    /// Serves an agent until `shutdown` resolves.
+    pub async fn serve<F>(mut self, agent: Arc<dyn AgentApi>, shutdown: F)
+    where
+        F: Future<Output = ()> + Send,
+    {
+        let mut shutdown = std::pin::pin!(shutdown);
+        loop {
+            let transport = tokio::select! {
+                transport = self.incoming.next() => transport,
+                () = &mut shutdown => return,
+            };
+            let transport = match transport {
+                Some(Ok(transport)) => transport,
+                Some(Err(e)) => {
+                    log::warn!("accept failed: {e}");
+                    continue;
+                }
+                None => return,
+            };
+            let _ = transport.get_ref().set_nodelay(true);
+            let server = AgentServer { agent: agent.clone() };
+            let calls = BaseChannel::with_defaults(transport).execute(server.serve());
+            tokio::spawn(calls.for_each(|call| async move {
+                tokio::spawn(call);
+            }));
+        }
+    }
+}
+
+#[derive(Clone)]
+struct AgentServer {
+    agent: Arc<dyn AgentApi>,
+}
+
+impl AgentRpc for AgentServer {
+    async fn describe(self, _: Context) -> AgentDescription {
+        local(self.agent.describe().await)
+    }
+
+    async fn probe(self, _: Context, req: ProbeRequest) -> ProbeReply {
+        local(self.agent.probe(req).await)
+    }
+
+    async fn start(self, _: Context, req: RunRequest) -> StartReply {
+        local(self.agent.start(req).await)
+    }
+
+    async fn frames(self, _: Context, attempt: AttemptId, from: u64) -> FramesReply {
+        let wait = std::time::Duration::from_millis(FRAMES_WAIT_MS);
+        match tokio::time::timeout(wait, self.agent.frames(attempt, from)).await {
+            Ok(reply) => local(reply),
+            Err(_) => FramesReply::Frames(Vec::new()),
+        }
+    }
+
+    async fn settle(
+        self,
+        _: Context,
+        attempt: AttemptId,
+        agent: AgentIncarnation,
+        start_before: Timestamp,
+    ) -> SettleReply {
+        local(self.agent.settle(attempt, agent, start_before).await)
+    }
+
+    async fn cancel(self, _: Context, attempt: AttemptId) {
+        local(self.agent.cancel(attempt).await);
+    }
+}
+
+/// Unwraps an answer of the agent in this process, which fails only if its actor has stopped.
+fn local<T>(answer: Result<T, PeerError>) -> T {
+    match answer {
+        Ok(value) => value,
+        Err(e) => panic!("the agent's own actor has stopped: {e}"),
+    }
+}
--- /dev/null
+++ b/crates/dogwoodway_standin/src/lib.rs
@@ -0,0 +1,34 @@
+//! Stand-ins of the outside systems and the load tool, never shipped.
+//!
+//! Each stand-in is a small HTTP server. `POST /fault` sets its faults; see [`Faults`].
+
+mod demo;
+mod engine;
+mod fault;
+mod log_service;
+mod service;
+mod vm_list;
+
+pub use crate::{
+    demo::{DemoTargets, run_demo},
+    engine::{EngineOptions, engine_handler},
+    fault::Faults,
+    log_service::log_handler,
+    service::service_handler,
+    vm_list::vm_list_handler,
+};
+
+use dogwoodway_http::{Body, text_response};
+use http_body_util::BodyExt;
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use serde::de::DeserializeOwned;
+
+/// Reads the JSON body of a request.
+pub(crate) async fn read_json<T>(req: Request<Incoming>) -> Result<T, Box<Response<Body>>>
+where
+    T: DeserializeOwned,
+{
+    let bad = |e: String| Box::new(text_response(StatusCode::BAD_REQUEST, &e));
+    let body = req.into_body().collect().await.map_err(|e| bad(e.to_string()))?;
+    serde_json::from_slice(&body.to_bytes()).map_err(|e| bad(e.to_string()))
+}
--- /dev/null
+++ b/crates/dogwoodway_standin/src/log_service.rs
@@ -0,0 +1,119 @@
+//! Stand-in of the platform's log.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use dogwoodway_http::{Body, Handler, json_response, text_response};
+use dogwoodway_log::{AppendAnswer, AppendRequest, LogRecord, ReadAnswer};
+use dogwoodway_types::LogOffset;
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use tokio::sync::Notify;
+
+use crate::{fault::FaultSwitch, read_json};
+
+#[derive(Debug, Default)]
+struct Stream {
+    oldest: u64,
+    records: VecDeque<LogRecord>,
+}
+
+#[derive(Debug, Default)]
+struct LogService {
+    streams: Mutex<HashMap<String, Stream>>,
+    appended: Notify,
+    faults: FaultSwitch,
+}
+
+/// Builds the handler of a log that keeps the newest `retained` records of each stream.
+///
+/// ```
+/// let _handler = dogwoodway_standin::log_handler(10);
+/// ```
+pub fn log_handler(retained: usize) -> Handler {
+    let log = Arc::new(LogService::default());
+    Arc::new(move |req| {
+        let log = log.clone();
+        Box::pin(async move { log.handle(req, retained).await })
+    })
+}
+
+impl LogService {
+    async fn handle(&self, req: Request<Incoming>, retained: usize) -> Response<Body> {
+        let path = req.uri().path().to_owned();
+        if path == "/fault" {
+            return self.faults.set(req).await;
+        }
+        if let Err(resp) = self.faults.before().await {
+            return *resp;
+        }
+        let stream = path.strip_prefix("/streams/").and_then(|p| p.strip_suffix("/records"));
+        let Some(stream) = stream else {
+            return text_response(StatusCode::NOT_FOUND, "no such path");
+        };
+        match *req.method() {
+            Method::POST => match read_json::<AppendRequest>(req).await {
+                Ok(append) => self.faults.after(self.append(stream, append, retained)),
+                Err(resp) => *resp,
+            },
+            _ => self.read(stream, req.uri().query().unwrap_or_default()).await,
+        }
+    }
+
+    fn append(&self, stream: &str, append: AppendRequest, retained: usize) -> Response<Body> {
+        let mut streams = self.streams.lock().unwrap_or_else(PoisonError::into_inner);
+        let stream = streams.entry(stream.to_owned()).or_default();
+        let first = stream.next();
+        for data in append.records {
+            let offset = LogOffset(stream.next());
+            stream.records.push_back(LogRecord { offset, data });
+        }
+        while stream.records.len() > retained {
+            stream.records.pop_front();
+            stream.oldest += 1;
+        }
+        drop(streams);
+        self.appended.notify_waiters();
+        json_response(StatusCode::OK, &AppendAnswer { first: LogOffset(first) })
+    }
+
+    async fn read(&self, stream: &str, query: &str) -> Response<Body> {
+        let param = |name: &str| {
+            let pair = query.split('&').filter_map(|p| p.split_once('=')).find(|(k, _)| *k == name);
+            pair.and_then(|(_, v)| v.parse::<u64>().ok())
+        };
+        let from = param("from").unwrap_or(1);
+        let limit = param("limit").unwrap_or(100) as usize;
+        let wait = Duration::from_millis(param("wait_ms").unwrap_or(0));
+        let deadline = tokio::time::Instant::now() + wait;
+        loop {
+            let mut appended = std::pin::pin!(self.appended.notified());
+            appended.as_mut().enable();
+            let answer = self.read_now(stream, from, limit);
+            if !answer.records.is_empty()
+                || tokio::time::timeout_at(deadline, appended).await.is_err()
+            {
+                return json_response(StatusCode::OK, &answer);
+            }
+        }
+    }
+
+    fn read_now(&self, stream: &str, from: u64, limit: usize) -> ReadAnswer {
+        let mut streams = self.streams.lock().unwrap_or_else(PoisonError::into_inner);
+        let stream = streams.entry(stream.to_owned()).or_default();
+        let found = stream.records.iter().filter(|record| record.offset.0 >= from).take(limit);
+        ReadAnswer {
+            oldest: LogOffset(stream.oldest + 1),
+            next: LogOffset(stream.next()),
+            records: found.cloned().collect(),
+        }
+    }
+}
+
+impl Stream {
+    fn next(&self) -> u64 {
+        self.oldest + self.records.len() as u64 + 1
+    }
+}
--- /dev/null
+++ b/crates/dogwoodway_standin/src/main.rs
@@ -0,0 +1,125 @@
+//! The stand-ins as processes.
+
+use std::{net::SocketAddr, path::PathBuf, process::ExitCode};
+
+use clap::{Parser, Subcommand};
+use dogwoodway_http::{Handler, ServerLimits, serve};
+use dogwoodway_standin::{
+    DemoTargets, EngineOptions, engine_handler, log_handler, run_demo, service_handler,
+    vm_list_handler,
+};
+use dogwoodway_types::{ModelName, WeightsVersion};
+use dogwoodway_vms::Vm;
+
+/// Stand-ins of the systems around dogwoodway, for demos, tests and experiments.
+#[derive(Debug, Parser)]
+struct Cli {
+    /// Address to listen on.
+    #[arg(long, global = true, default_value = "127.0.0.1:0")]
+    listen: SocketAddr,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// A model engine.
+    Engine {
+        /// Model loaded.
+        #[arg(long)]
+        model: ModelName,
+        /// Weights version loaded.
+        #[arg(long, default_value_t = 1)]
+        weights: u32,
+        /// Requests that run together.
+        #[arg(long, default_value_t = 16)]
+        max_batch: u32,
+        /// Microseconds to compute one prompt token.
+        #[arg(long, default_value_t = 50)]
+        prefill_us: u32,
+        /// Microseconds to generate one token.
+        #[arg(long, default_value_t = 5_000)]
+        decode_us: u32,
+        /// Pieces that the cache holds.
+        #[arg(long, default_value_t = 200)]
+        cache_pieces: usize,
+    },
+    /// A plain service.
+    Service,
+    /// The platform's log.
+    Log {
+        /// Records kept of each stream.
+        #[arg(long, default_value_t = 100_000)]
+        retained: usize,
+    },
+    /// Sends the requests of the demonstration and checks the answers.
+    Demo {
+        /// Base URL of an entry; may be repeated.
+        #[arg(long = "entry")]
+        entries: Vec<String>,
+        /// Base URL of a plain-service stand-in; may be repeated.
+        #[arg(long = "service")]
+        services: Vec<String>,
+        /// Bearer key.
+        #[arg(long)]
+        key: String,
+        /// Model to ask for.
+        #[arg(long)]
+        model: String,
+    },
+    /// The platform's list of VMs.
+    Vms {
+        /// YAML file with the VMs at the start.
+        #[arg(long)]
+        file: PathBuf,
+    },
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let cli = Cli::parse();
+    if let Command::Demo { entries, services, key, model } = cli.command {
+        return match run_demo(DemoTargets { entries, services, key, model }).await {
+            true => ExitCode::SUCCESS,
+            false => ExitCode::FAILURE,
+        };
+    }
+    let handler = match handler(cli.command) {
+        Ok(handler) => handler,
+        Err(e) => {
+            eprintln!("dogwoodway-standin: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let listener = match tokio::net::TcpListener::bind(cli.listen).await {
+        Ok(listener) => listener,
+        Err(e) => {
+            eprintln!("dogwoodway-standin: {} could not be bound: {e}", cli.listen);
+            return ExitCode::FAILURE;
+        }
+    };
+    if let Ok(address) = listener.local_addr() {
+        println!("listening on {address}");
+    }
+    serve(listener, ServerLimits::default(), handler, std::future::pending()).await;
+    ExitCode::SUCCESS
+}
+
+fn handler(command: Command) -> Result<Handler, String> {
+    match command {
+        Command::Engine { model, weights, max_batch, prefill_us, decode_us, cache_pieces } => {
+            let version = WeightsVersion(weights);
+            let options =
+                EngineOptions { model, version, max_batch, prefill_us, decode_us, cache_pieces };
+            Ok(engine_handler(options))
+        }
+        Command::Demo { .. } => Err("the demonstration is no server".to_owned()),
+        Command::Service => Ok(service_handler()),
+        Command::Log { retained } => Ok(log_handler(retained)),
+        Command::Vms { file } => {
+            let text = std::fs::read_to_string(file).map_err(|e| e.to_string())?;
+            let vms: Vec<Vm> = serde_yaml_ng::from_str(&text).map_err(|e| e.to_string())?;
+            Ok(vm_list_handler(vms))
+        }
+    }
+}
--- /dev/null
+++ b/crates/dogwoodway_types/src/id.rs
@@ -0,0 +1,180 @@
+//! Checked names and numeric identifiers.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Longest name, in bytes.
+const MAX_NAME_BYTES: usize = 100;
+
+/// The reason why a text is no valid name.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum IdError {
+    /// The text is empty.
+    Empty,
+    /// The text is longer than 100 bytes.
+    TooLong(usize),
+    /// The text holds a character other than letters, digits, `.`, `_`, `-`, `/` and `:`.
+    BadCharacter(char),
+}
+
+impl fmt::Display for IdError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            IdError::Empty => write!(f, "a name must not be empty"),
+            IdError::TooLong(n) => write!(f, "a name has at most {MAX_NAME_BYTES} bytes, not {n}"),
+            IdError::BadCharacter(c) => {
+                write!(f, "a name holds letters, digits and . _ - / : only, not {c:?}")
+            }
+        }
+    }
+}
+
+impl std::error::Error for IdError {}
+
+fn check_name(text: &str) -> Result<(), IdError> {
+    if text.is_empty() {
+        return Err(IdError::Empty);
+    }
+    if text.len() > MAX_NAME_BYTES {
+        return Err(IdError::TooLong(text.len()));
+    }
+    match text.chars().find(|c| !(c.is_ascii_alphanumeric() || "._-/:".contains(*c))) {
+        Some(c) => Err(IdError::BadCharacter(c)),
+        None => Ok(()),
+    }
+}
+
+macro_rules! names {
+    ($($(#[$doc:meta])* $name:ident;)*) => {$(
+        $(#[$doc])*
+        ///
+        /// ```
+        #[doc = concat!("use dogwoodway_types::", stringify!($name), ";")]
+        #[doc = concat!("assert!(", stringify!($name), "::try_from(\"a-1\").is_ok());")]
+        #[doc = concat!("assert!(", stringify!($name), "::try_from(\"a b\").is_err());")]
+        /// ```
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(String);
+
+        impl $name {
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = IdError;
+
+            fn try_from(text: String) -> Result<Self, IdError> {
+                check_name(&text)?;
+                Ok($name(text))
+            }
+        }
+
+        impl TryFrom<&str> for $name {
+            type Error = IdError;
+
+            fn try_from(text: &str) -> Result<Self, IdError> {
+                $name::try_from(text.to_owned())
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> String {
+                name.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl std::str::FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, IdError> {
+                $name::try_from(text)
+            }
+        }
+    )*};
+}
+
+names! {
+    /// Names a team, the customer that requests are billed to.
+    TeamName;
+    /// Names a traffic class.
+    ClassName;
+    /// Names a selector.
+    SelectorName;
+    /// Names a backend server: a model engine, a plain service or a KV store.
+    BackendServerName;
+    /// Names an availability zone, as `region/zone` or just `zone`.
+    AvailabilityZone;
+    /// Names a model.
+    ModelName;
+    /// Names a configuration change, so that a repeated append is harmless.
+    ChangeId;
+    /// Names a request of one team that must not run twice.
+    IdempotencyKey;
+}
+
+macro_rules! numbers {
+    ($($(#[$doc:meta])* $name:ident($repr:ty);)*) => {$(
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize,
+            Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $repr);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}", self.0)
+            }
+        }
+    )*};
+}
+
+numbers! {
+    /// Identifies one process lifetime of an agent.
+    AgentIncarnation(u64);
+    /// Identifies one process lifetime of a model engine; its cache starts empty.
+    EngineIncarnation(u64);
+    /// Position of a record in a log stream; offsets start at 1, and 0 is before all records.
+    LogOffset(u64);
+    /// Version of a model's weights.
+    WeightsVersion(u32);
+    /// One generated token, as the engine's vocabulary numbers it.
+    Token(u32);
+}
+
+macro_rules! wide_ids {
+    ($($(#[$doc:meta])* $name:ident;)*) => {$(
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize,
+            Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u128);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{:032x}", self.0)
+            }
+        }
+    )*};
+}
+
+wide_ids! {
+    /// Identifies a caller's request at the entry that accepted it.
+    RequestId;
+    /// Identifies one attempt to run a request on one backend server.
+    AttemptId;
+}
--- /dev/null
+++ b/crates/dogwoodway_types/src/time.rs
@@ -0,0 +1,73 @@
+//! Points in time.
+
+use std::{
+    fmt,
+    ops::{Add, Sub},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use serde::{Deserialize, Serialize};
+
+/// A point in time, in microseconds since the Unix epoch.
+///
+/// Deadlines are kept as a `Timestamp`. Pure code receives the current time as an argument; only
+/// the border of a process calls [`Timestamp::now`].
+///
+/// ```
+/// use std::time::Duration;
+/// use dogwoodway_types::Timestamp;
+///
+/// let now = Timestamp::from_millis(5);
+/// let deadline = now + Duration::from_millis(3);
+/// assert_eq!(deadline - now, Duration::from_millis(3));
+/// assert_eq!(now - deadline, Duration::ZERO);
+/// ```
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Timestamp(pub u64);
+
+impl Timestamp {
+    /// A time after all others.
+    pub const MAX: Timestamp = Timestamp(u64::MAX);
+
+    /// Reads the system clock.
+    pub fn now() -> Timestamp {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Timestamp(u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX))
+    }
+
+    /// Returns the time that lies `millis` milliseconds after the Unix epoch.
+    pub const fn from_millis(millis: u64) -> Timestamp {
+        Timestamp(millis * 1_000)
+    }
+
+    /// Returns the milliseconds since the Unix epoch, rounded down.
+    pub const fn as_millis(self) -> u64 {
+        self.0 / 1_000
+    }
+}
+
+impl Add<Duration> for Timestamp {
+    type Output = Timestamp;
+
+    fn add(self, span: Duration) -> Timestamp {
+        Timestamp(self.0.saturating_add(u64::try_from(span.as_micros()).unwrap_or(u64::MAX)))
+    }
+}
+
+/// The span from `rhs` to `self`, zero if `rhs` is later.
+impl Sub for Timestamp {
+    type Output = Duration;
+
+    fn sub(self, rhs: Timestamp) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(rhs.0))
+    }
+}
+
+impl fmt::Display for Timestamp {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:06}", self.0 / 1_000_000, self.0 % 1_000_000)
+    }
+}
--- /dev/null
+++ b/src/agent.rs
@@ -0,0 +1,115 @@
+//! The agent beside a backend server: the only door to it.
+
+mod actor;
+mod front;
+mod run;
+
+use std::{path::Path, process::ExitCode, sync::Arc, time::Duration};
+
+use dogwoodway_engine::{HttpEngine, ModelEngine};
+use dogwoodway_log::{HttpLog, PlatformLog};
+use dogwoodway_peer::AgentListener;
+use dogwoodway_service::{HttpService, PlainService};
+use kameo::actor::{ActorRef, Spawn};
+
+use crate::{
+    agent::{
+        actor::{AgentActor, Drained, Leave, SeeConfig, SeeEngine, Sweep},
+        front::AgentFront,
+        run::Backend,
+    },
+    cli::EXIT_FAILURE,
+    config_follower::{self, ConfigWatch},
+    settings::{self, AgentSettings, BackendRole},
+    shutdown,
+};
+
+const ENGINE_STATUS_MS: u64 = 250;
+
+const SWEEP_MS: u64 = 1_000;
+
+/// Time that entries have to read the last frames of ended attempts.
+const LAST_FRAMES_MS: u64 = 1_000;
+
+/// Runs an agent until it is asked to stop and its attempts have ended.
+pub(crate) async fn run(path: &Path) -> ExitCode {
+    let settings = match settings::load_agent(path) {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("dogwoodway: {e}");
+            return EXIT_FAILURE;
+        }
+    };
+    let listener = match AgentListener::bind(settings.listen).await {
+        Ok(listener) => listener,
+        Err(e) => {
+            eprintln!("dogwoodway: {} could not be bound: {e}", settings.listen);
+            return EXIT_FAILURE;
+        }
+    };
+    println!("listening on {}", listener.address());
+    let log: Arc<dyn PlatformLog> = Arc::new(HttpLog::new(settings.log_url.clone()));
+    let config = config_follower::follow(log);
+    let backend = backend(&settings);
+    let actor = AgentActor::spawn(AgentActor::new(settings, backend.clone()));
+    spawn_watchers(&actor, config, backend);
+    let front = Arc::new(AgentFront::new(actor.clone()));
+    listener.serve(front, drained(actor)).await;
+    ExitCode::SUCCESS
+}
+
+fn backend(settings: &AgentSettings) -> Backend {
+    let url = settings.backend_url.clone();
+    match settings.kind {
+        BackendRole::Engine => {
+            let engine: Arc<dyn ModelEngine> = Arc::new(HttpEngine::new(url));
+            Backend::Engine(engine)
+        }
+        BackendRole::Service => {
+            let service: Arc<dyn PlainService> = Arc::new(HttpService::new(url));
+            Backend::Service(service)
+        }
+    }
+}
+
+fn spawn_watchers(actor: &ActorRef<AgentActor>, mut config: ConfigWatch, backend: Backend) {
+    let agent = actor.clone();
+    tokio::spawn(async move {
+        loop {
+            let seen = config.borrow_and_update().clone();
+            if let Some(cfg) = seen
+                && agent.tell(SeeConfig(cfg)).await.is_err()
+            {
+                return;
+            }
+            if config.changed().await.is_err() {
+                return;
+            }
+        }
+    });
+    let agent = actor.clone();
+    if let Backend::Engine(engine) = backend {
+        tokio::spawn(async move {
+            while agent.tell(SeeEngine(engine.status().await.ok())).await.is_ok() {
+                tokio::time::sleep(Duration::from_millis(ENGINE_STATUS_MS)).await;
+            }
+        });
+    }
+    let agent = actor.clone();
+    tokio::spawn(async move {
+        while agent.tell(Sweep).await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(SWEEP_MS)).await;
+        }
+    });
+}
+
+/// Resolves when shutdown was requested and no attempt runs any more.
+async fn drained(actor: ActorRef<AgentActor>) {
+    shutdown::requested().await;
+    log::info!("shutdown requested; no new work is taken");
+    let _ = actor.tell(Leave).await;
+    while let Ok(false) = actor.ask(Drained).await {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(LAST_FRAMES_MS)).await;
+}
--- /dev/null
+++ b/src/agent/front.rs
@@ -0,0 +1,72 @@
+//! The agent's side of the RPC interface.
+
+use dogwoodway_peer::{
+    AgentApi, AgentDescription, FramesReply, PeerError, PeerResult, ProbeReply, ProbeRequest,
+    RunRequest, SettleReply, StartReply,
+};
+use dogwoodway_types::{AgentIncarnation, AttemptId, Timestamp};
+use futures::{FutureExt, future::BoxFuture};
+use kameo::actor::ActorRef;
+use tokio::sync::oneshot;
+
+use crate::agent::actor::{AgentActor, Cancel, Describe, Probe, ReadFrames, Settle, Start};
+
+/// Hands RPC calls to the agent's actor.
+pub(crate) struct AgentFront {
+    actor: ActorRef<AgentActor>,
+}
+
+impl AgentFront {
+    /// Builds the front of an actor.
+    pub(crate) fn new(actor: ActorRef<AgentActor>) -> AgentFront {
+        AgentFront { actor }
+    }
+}
+
+impl AgentApi for AgentFront {
+    fn describe(&self) -> BoxFuture<'_, PeerResult<AgentDescription>> {
+        async move { known(self.actor.ask(Describe).await.map_err(stopped)?) }.boxed()
+    }
+
+    fn probe(&self, req: ProbeRequest) -> BoxFuture<'_, PeerResult<ProbeReply>> {
+        async move { known(self.actor.ask(Probe(req)).await.map_err(stopped)?) }.boxed()
+    }
+
+    fn start(&self, req: RunRequest) -> BoxFuture<'_, PeerResult<StartReply>> {
+        async move { Ok(*self.actor.ask(Start(req)).await.map_err(stopped)?) }.boxed()
+    }
+
+    fn frames(&self, id: AttemptId, from: u64) -> BoxFuture<'_, PeerResult<FramesReply>> {
+        async move {
+            let (tx, rx) = oneshot::channel();
+            self.actor.tell(ReadFrames { id, from, tx }).await.map_err(stopped)?;
+            Ok(rx.await.unwrap_or(FramesReply::NoAttempt))
+        }
+        .boxed()
+    }
+
+    fn settle(
+        &self,
+        id: AttemptId,
+        agent: AgentIncarnation,
+        start_before: Timestamp,
+    ) -> BoxFuture<'_, PeerResult<SettleReply>> {
+        async move {
+            let msg = Settle { id, agent, start_before };
+            Ok(*self.actor.ask(msg).await.map_err(stopped)?)
+        }
+        .boxed()
+    }
+
+    fn cancel(&self, attempt: AttemptId) -> BoxFuture<'_, PeerResult<()>> {
+        async move { self.actor.tell(Cancel(attempt)).await.map_err(stopped) }.boxed()
+    }
+}
+
+fn known<T>(reply: Option<T>) -> PeerResult<T> {
+    reply.ok_or_else(|| PeerError::Lost("the engine has not been reached yet".to_owned()))
+}
+
+fn stopped<E>(_: E) -> PeerError {
+    PeerError::Lost("the agent's actor has stopped".to_owned())
+}
--- /dev/null
+++ b/src/agent/run.rs
@@ -0,0 +1,123 @@
+//! Runs one attempt on the backend server.
+
+use std::sync::Arc;
+
+use dogwoodway_engine::{EngineError, EngineEvent, EngineRequest, ModelEngine};
+use dogwoodway_http::HttpError;
+use dogwoodway_peer::RunRequest;
+use dogwoodway_service::PlainService;
+use dogwoodway_types::{
+    ChatWork, FinishReason, FrameKind, NotRunReason, Outcome, ServiceWork, Timestamp, Usage, Work,
+};
+use kameo::actor::ActorRef;
+
+use crate::agent::actor::{AgentActor, Cached, Push};
+
+/// Predicted wait for each attempt that runs already.
+pub(crate) const WAIT_US_PER_ATTEMPT: u64 = 2_000;
+
+/// The backend server beside an agent.
+#[derive(Clone)]
+pub(crate) enum Backend {
+    /// A model engine.
+    Engine(Arc<dyn ModelEngine>),
+    /// A plain service.
+    Service(Arc<dyn PlainService>),
+}
+
+/// Runs an attempt and pushes its frames, the last one included.
+pub(crate) async fn run(backend: Backend, req: RunRequest, actor: ActorRef<AgentActor>) {
+    let id = req.attempt;
+    let last = match (backend, req.work.clone()) {
+        (Backend::Engine(engine), Work::Chat(chat)) => run_chat(&*engine, req, chat, &actor).await,
+        (Backend::Service(service), Work::Service(work)) => {
+            run_service(&*service, &req, work, &actor).await
+        }
+        (Backend::Engine(_), Work::Service(_)) | (Backend::Service(_), Work::Chat(_)) => {
+            not_run(NotRunReason::StaleBackendServer)
+        }
+    };
+    let _ = actor.tell(Push { id, kind: last }).await;
+}
+
+async fn run_chat(
+    engine: &dyn ModelEngine,
+    req: RunRequest,
+    chat: ChatWork,
+    actor: &ActorRef<AgentActor>,
+) -> FrameKind {
+    let pieces = chat.prefix.hashes.clone();
+    let engine_req = EngineRequest {
+        request_id: req.attempt,
+        model: chat.model,
+        version: chat.version,
+        messages: chat.messages,
+        cache_keys: chat.prefix.hashes,
+        piece_tokens: chat.prefix.tokens,
+        max_tokens: chat.max_tokens,
+        resume_after: chat.resume_after,
+        priority: req.priority,
+    };
+    let mut stream = match engine.generate(engine_req).await {
+        Ok(stream) => stream,
+        Err(EngineError::Unreachable(_) | EngineError::Refused(_)) => {
+            return not_run(NotRunReason::StaleBackendServer);
+        }
+        Err(e @ EngineError::Lost(_)) => return lost(&e.to_string()),
+    };
+    loop {
+        let kind = match stream.next().await {
+            Ok(EngineEvent::Started { engine: incarnation, version, cached_tokens }) => {
+                if Some(incarnation) != req.engine || version != chat.version {
+                    let _ = engine.cancel(req.attempt).await;
+                    return lost("another engine answered than the request was routed to");
+                }
+                let pieces = pieces.clone();
+                let _ = actor.tell(Cached { engine: incarnation, pieces }).await;
+                FrameKind::Started { engine: incarnation, version, cached_tokens }
+            }
+            Ok(EngineEvent::Token { token, text, .. }) => FrameKind::Token { token, text },
+            Ok(EngineEvent::End { finish, usage }) => return FrameKind::End { finish, usage },
+            Err(e) => return lost(&e.to_string()),
+        };
+        if actor.tell(Push { id: req.attempt, kind }).await.is_err() {
+            return lost("the agent stops");
+        }
+    }
+}
+
+async fn run_service(
+    service: &dyn PlainService,
+    req: &RunRequest,
+    work: ServiceWork,
+    actor: &ActorRef<AgentActor>,
+) -> FrameKind {
+    let limit = req.deadline - Timestamp::now();
+    let reply = match service.call(work, limit).await {
+        Ok(reply) => reply,
+        Err(HttpError::Unreachable(_) | HttpError::BadRequest(_)) => {
+            return not_run(NotRunReason::StaleBackendServer);
+        }
+        Err(e) => {
+            let outcome = Outcome::Unknown { message: e.to_string() };
+            return FrameKind::Error { outcome, backend_lost: true };
+        }
+    };
+    let kind = FrameKind::Response {
+        status: reply.status.as_u16(),
+        content_type: reply.content_type,
+        body: reply.body.to_vec(),
+    };
+    let _ = actor.tell(Push { id: req.attempt, kind }).await;
+    FrameKind::End { finish: FinishReason::Stop, usage: Usage::default() }
+}
+
+fn not_run(reason: NotRunReason) -> FrameKind {
+    let outcome = Outcome::NotRun { reason, retry_at: None };
+    FrameKind::Error { outcome, backend_lost: false }
+}
+
+fn lost(message: &str) -> FrameKind {
+    let outcome = Outcome::Failed { message: message.to_owned() };
+    FrameKind::Error { outcome, backend_lost: true }
+}
--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,62 @@
+//! The entry: serves callers, decides, streams answers back.
+
+mod dispatch;
+mod membership;
+mod router;
+
+use std::{path::Path, process::ExitCode, sync::Arc};
+
+use dogwoodway_caller::{CallerApi, CallerLimits};
+use dogwoodway_http::{ServerLimits, serve};
+use dogwoodway_log::{HttpLog, PlatformLog};
+use dogwoodway_types::RequestId;
+use dogwoodway_vms::HttpVmList;
+use kameo::actor::Spawn;
+use tokio::net::TcpListener;
+
+use crate::{
+    cli::EXIT_FAILURE,
+    config_follower,
+    entry::{dispatch::EntryDispatcher, router::Router},
+    settings, shutdown,
+};
+
+/// Runs an entry until it is asked to stop and its requests have ended.
+pub(crate) async fn run(path: &Path) -> ExitCode {
+    let settings = match settings::load_entry(path) {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("dogwoodway: {e}");
+            return EXIT_FAILURE;
+        }
+    };
+    let listener = match TcpListener::bind(settings.listen).await {
+        Ok(listener) => listener,
+        Err(e) => {
+            eprintln!("dogwoodway: {} could not be bound: {e}", settings.listen);
+            return EXIT_FAILURE;
+        }
+    };
+    match listener.local_addr() {
+        Ok(address) => println!("listening on {address}"),
+        Err(e) => log::warn!("the bound address is not known: {e}"),
+    }
+    let log: Arc<dyn PlatformLog> = Arc::new(HttpLog::new(settings.log_url.clone()));
+    let config = config_follower::follow(log);
+    let router = Router::spawn(Router::new(config.clone()));
+    membership::follow(Arc::new(HttpVmList::new(settings.vms_url.clone())), &router);
+    let metrics = metrics_exporter_prometheus::PrometheusBuilder::new();
+    let metrics = match metrics.install_recorder() {
+        Ok(metrics) => metrics,
+        Err(e) => {
+            eprintln!("dogwoodway: metrics could not be set up: {e}");
+            return EXIT_FAILURE;
+        }
+    };
+    let dispatcher = EntryDispatcher::new(settings, config, router, metrics);
+    let next_id = || RequestId(rand::random());
+    let api = CallerApi::new(Arc::new(dispatcher), CallerLimits::default(), next_id);
+    let handler = api.into_handler();
+    serve(listener, ServerLimits::default(), handler, shutdown::requested()).await;
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/src/logging.rs
@@ -0,0 +1,45 @@
+//! Structured logs on standard error.
+
+use log::kv::{Key, Value, VisitSource};
+
+use crate::cli::LogFormat;
+
+/// Sets up the process-wide logger.
+///
+/// # Errors
+///
+/// Fails if a logger is already set.
+pub(crate) fn init(format: LogFormat, level: log::LevelFilter) -> Result<(), log::SetLoggerError> {
+    let dispatch = fern::Dispatch::new()
+        .level(level.min(log::LevelFilter::Warn))
+        .level_for("dogwoodway", level)
+        .chain(std::io::stderr());
+    match format {
+        LogFormat::Json => dispatch.format(|out, message, record| {
+            let mut line = serde_json::Map::new();
+            line.insert("at".to_owned(), dogwoodway_types::Timestamp::now().to_string().into());
+            line.insert("level".to_owned(), record.level().as_str().into());
+            line.insert("target".to_owned(), record.target().into());
+            line.insert("message".to_owned(), message.to_string().into());
+            let _ = record.key_values().visit(&mut Fields(&mut line));
+            out.finish(format_args!("{}", serde_json::Value::Object(line)));
+        }),
+        LogFormat::Text => dispatch.format(|out, message, record| {
+            let mut fields = serde_json::Map::new();
+            let _ = record.key_values().visit(&mut Fields(&mut fields));
+            let fields: String = fields.iter().map(|(k, v)| format!(" {k}={v}")).collect();
+            let now = dogwoodway_types::Timestamp::now();
+            out.finish(format_args!("{now} {:5} {message}{fields}", record.level()));
+        }),
+    }
+    .apply()
+}
+
+struct Fields<'a>(&'a mut serde_json::Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
+        self.0.insert(key.as_str().to_owned(), value.to_string().into());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/tests/fleet/mod.rs
@@ -0,0 +1,298 @@
+//! A small fleet of real processes on loopback: stand-ins, agents and entries.
+//!
+//! Processes are killed when the fleet is dropped. Each listens on a port of its own choice and
+//! keeps it over restarts.
+
+#![allow(dead_code)]
+
+use std::{
+    fmt::Write as _,
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+
+use dogwoodway_http::{HttpClient, HttpReply};
+use dogwoodway_types::{ConfigEdit, KeyHash};
+use hyper::Method;
+use serde_json::{Value, json};
+
+/// Bearer key of the team `demo`.
+pub(crate) const KEY: &str = "sk-demo";
+
+const PEPPER: &str = "pepper";
+
+const ANSWER_TIMEOUT_MS: u64 = 60_000;
+
+/// A process of the fleet.
+pub(crate) struct Process {
+    program: PathBuf,
+    args: Vec<String>,
+    settings: Option<(PathBuf, String)>,
+    child: Child,
+    /// Address that it listens on.
+    pub(crate) address: SocketAddr,
+}
+
+impl Process {
+    fn spawn(program: PathBuf, args: Vec<String>, settings: Option<(PathBuf, String)>) -> Process {
+        if let Some((path, text)) = &settings {
+            std::fs::write(path, text).expect("settings can be written");
+        }
+        let mut command = Command::new(&program);
+        command.args(&args).stdout(Stdio::piped());
+        if std::env::var_os("FLEET_LOGS").is_none() {
+            command.stderr(Stdio::null());
+        }
+        let mut child = command.spawn().unwrap_or_else(|e| {
+            panic!("{} does not start ({e}); run cargo build --workspace", program.display())
+        });
+        let mut line = String::new();
+        let out = child.stdout.as_mut().expect("standard output is piped");
+        BufReader::new(out).read_line(&mut line).expect("standard output is text");
+        let address = line.trim().strip_prefix("listening on ").and_then(|a| a.parse().ok());
+        let address = address.unwrap_or_else(|| panic!("{args:?} did not start: {line:?}"));
+        Process { program, args, settings, child, address }
+    }
+
+    /// Kills the process at once.
+    pub(crate) fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts a new incarnation on the same address.
+    pub(crate) fn restart(&mut self) {
+        self.kill();
+        let mut args = self.args.clone();
+        if let Some(listen) = args.iter_mut().find(|arg| *arg == "127.0.0.1:0") {
+            *listen = self.address.to_string();
+        }
+        let settings = self
+            .settings
+            .clone()
+            .map(|(path, text)| (path, text.replace("127.0.0.1:0", &self.address.to_string())));
+        *self = Process::spawn(self.program.clone(), args, settings);
+    }
+
+    /// Sends a signal, such as `STOP`, `CONT` or `TERM`.
+    pub(crate) fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args([&format!("-{name}"), &pid]).status();
+        assert!(status.is_ok_and(|s| s.success()), "signal {name} was not sent");
+    }
+
+    /// Waits for the process to end and returns whether it succeeded.
+    pub(crate) fn wait(&mut self) -> bool {
+        self.child.wait().is_ok_and(|status| status.success())
+    }
+
+    /// Returns the base URL of the process.
+    pub(crate) fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Sizes of a fleet.
+#[derive(Clone, Copy)]
+pub(crate) struct FleetOptions {
+    pub(crate) engines: usize,
+    pub(crate) services: usize,
+    pub(crate) entries: usize,
+    pub(crate) decode_us: u32,
+}
+
+impl Default for FleetOptions {
+    fn default() -> FleetOptions {
+        FleetOptions { engines: 2, services: 2, entries: 2, decode_us: 2_000 }
+    }
+}
+
+/// Stand-ins, agents and entries as separate processes.
+pub(crate) struct Fleet {
+    pub(crate) log: Process,
+    pub(crate) vms: Process,
+    pub(crate) engines: Vec<Process>,
+    pub(crate) services: Vec<Process>,
+    /// Agents of the engines, then those of the services.
+    pub(crate) agents: Vec<Process>,
+    pub(crate) entries: Vec<Process>,
+    pub(crate) http: HttpClient,
+    dir: PathBuf,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+impl Fleet {
+    /// Starts a fleet, publishes the usual configuration and waits until both kinds of requests
+    /// are served through every entry.
+    pub(crate) async fn start(options: FleetOptions) -> Fleet {
+        let dir = std::env::temp_dir().join(format!("dogwoodway-{:016x}", rand::random::<u64>()));
+        std::fs::create_dir_all(&dir).expect("the temporary folder can be made");
+        let log = standin(&["log"]);
+        let decode = options.decode_us.to_string();
+        let engine = ["engine", "--model", "demo-model", "--decode-us", &decode];
+        let engines: Vec<_> = (0..options.engines).map(|_| standin(&engine)).collect();
+        let services: Vec<_> = (0..options.services).map(|_| standin(&["service"])).collect();
+        let backends = engines.iter().map(|e| ("engine", e)).enumerate();
+        let backends = backends.chain(services.iter().map(|s| ("service", s)).enumerate());
+        let mut agents = Vec::new();
+        let mut list = String::new();
+        for (i, (kind, backend)) in backends {
+            let text = format!(
+                "listen: 127.0.0.1:0\nzone: zone-{i}\nname: {kind}-{i}\nkind: {kind}\n\
+                 backend_url: {}\nlog_url: {}\nlabels: {{pool: {kind}}}\n",
+                backend.url(),
+                log.url()
+            );
+            let agent = role("agent", dir.join(format!("{kind}-{i}.yaml")), text);
+            let address = agent.address;
+            let _ = writeln!(
+                list,
+                "- {{address: \"{address}\", zone: zone-{i}, role: agent, state: live}}"
+            );
+            agents.push(agent);
+        }
+        let vms_file = dir.join("vms.yaml");
+        std::fs::write(&vms_file, list).expect("the list can be written");
+        let vms = standin(&["vms", "--file", &vms_file.display().to_string()]);
+        let entries = (0..options.entries).map(|i| {
+            let text = format!(
+                "listen: 127.0.0.1:0\nzone: zone-{i}\nlog_url: {}\nvms_url: {}\n\
+                 key_pepper: {PEPPER}\n",
+                log.url(),
+                vms.url()
+            );
+            role("entry", dir.join(format!("entry-{i}.yaml")), text)
+        });
+        let entries = entries.collect();
+        let http = HttpClient::new();
+        let fleet = Fleet { log, vms, engines, services, agents, entries, http, dir };
+        fleet.publish(&usual_config()).await;
+        fleet.wait_until_served(options).await;
+        fleet
+    }
+
+    /// Publishes edits through the operator's command.
+    pub(crate) async fn publish(&self, edits: &[ConfigEdit]) {
+        let file = self.dir.join(format!("edits-{:016x}.yaml", rand::random::<u64>()));
+        let text = serde_yaml_ng::to_string(edits).expect("edits are YAML");
+        std::fs::write(&file, text).expect("edits can be written");
+        let status = Command::new(env!("CARGO_BIN_EXE_dogwoodway"))
+            .args(["publish", "--author", "test", "--log-url", &self.log.url(), "-f"])
+            .arg(&file)
+            .stdout(Stdio::null())
+            .status();
+        assert!(status.is_ok_and(|s| s.success()), "the edits were not accepted");
+    }
+
+    /// Sends a chat completion and returns its whole answer.
+    pub(crate) async fn chat(&self, entry: usize, body: &Value) -> HttpReply {
+        self.post(entry, "/v1/chat/completions", body, &[]).await
+    }
+
+    /// Sends a `POST` with the team's key.
+    pub(crate) async fn post(
+        &self,
+        entry: usize,
+        path: &str,
+        body: &Value,
+        headers: &[(&str, &str)],
+    ) -> HttpReply {
+        let url = format!("{}{path}", self.entries[entry].url());
+        let mut all = vec![("authorization", format!("Bearer {KEY}"))];
+        all.extend(headers.iter().map(|(k, v)| (*k, (*v).to_owned())));
+        let reply = self.http.call_with_headers(
+            Method::POST,
+            &url,
+            "application/json",
+            body.to_string().into(),
+            &all,
+            Duration::from_millis(ANSWER_TIMEOUT_MS),
+        );
+        reply.await.expect("the entry answers")
+    }
+
+    /// Returns the bodies of all calls that the services ran.
+    pub(crate) async fn service_calls(&self) -> Vec<String> {
+        let mut calls = Vec::new();
+        for service in &self.services {
+            let url = format!("{}/calls", service.url());
+            let limit = Duration::from_millis(ANSWER_TIMEOUT_MS);
+            let found: Vec<String> =
+                self.http.json(Method::GET, &url, &(), limit).await.expect("the service answers");
+            calls.extend(found);
+        }
+        calls
+    }
+
+    async fn wait_until_served(&self, options: FleetOptions) {
+        for entry in 0..options.entries {
+            let mut waiting = options.engines > 0;
+            while waiting {
+                let reply = self.chat(entry, &chat_body("ready?", 1)).await;
+                waiting = !reply.status.is_success();
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+            let mut waiting = options.services > 0;
+            while waiting {
+                let reply = self.post(entry, "/services/ping", &json!("ready?"), &[]).await;
+                waiting = !reply.status.is_success();
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+/// Builds a chat-completion request.
+pub(crate) fn chat_body(prompt: &str, max_tokens: u32) -> Value {
+    json!({
+        "model": "demo-model", "max_tokens": max_tokens,
+        "messages": [
+            {"role": "system", "content": "You compare tonewood."},
+            {"role": "user", "content": prompt},
+        ],
+    })
+}
+
+/// The configuration that a fleet starts with.
+pub(crate) fn usual_config() -> Vec<ConfigEdit> {
+    let hash = String::from(KeyHash::new(PEPPER, KEY));
+    let text = format!(
+        "- !team {{name: demo, keys: [{hash}], tokens_per_minute: 100000000, max_in_flight: 1000}}
+- !class {{name: lookup, priority: 5, repeatable: true, answer_within_ms: 30000}}
+- !class {{name: ping, paths: [/ping], priority: 5, repeatable: true, answer_within_ms: 5000}}
+- !class {{name: reservation, paths: [/reservations], priority: 5, repeatable: false, \
+         answer_within_ms: 10000}}
+- !selector {{name: chat, model: demo-model, labels: {{pool: engine}}}}
+- !selector {{name: services, labels: {{pool: service}}}}
+"
+    );
+    serde_yaml_ng::from_str(&text).expect("the usual configuration is valid")
+}
+
+fn standin(args: &[&str]) -> Process {
+    let mut program = PathBuf::from(env!("CARGO_BIN_EXE_dogwoodway"));
+    program.set_file_name("dogwoodway-standin");
+    let listen = ["--listen", "127.0.0.1:0"];
+    let args = listen.iter().chain(args).map(|arg| (*arg).to_owned()).collect();
+    Process::spawn(program, args, None)
+}
+
+fn role(name: &str, settings: PathBuf, text: String) -> Process {
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_dogwoodway"));
+    let args = vec![name.to_owned(), "--settings".to_owned(), settings.display().to_string()];
+    Process::spawn(program, args, Some((settings, text)))
+}
--- /dev/null
+++ b/tests/whole_path.rs
@@ -0,0 +1,36 @@
+//! The whole path as separate processes.
+
+mod fleet;
+
+use dogwoodway_types::Timestamp;
+use serde_json::{Value, json};
+
+use crate::fleet::{Fleet, FleetOptions, chat_body};
+
+#[tokio::test]
+async fn chat_is_answered_whole_and_the_second_time_from_the_cache() {
+    let fleet = Fleet::start(FleetOptions::default()).await;
+    let prompt = format!("{} {}", Timestamp::now(), "billet ".repeat(4_000));
+    let first = fleet.chat(0, &chat_body(&prompt, 30)).await;
+    let second = fleet.chat(1, &chat_body(&prompt, 30)).await;
+    let (first, second): (Value, Value) = (
+        serde_json::from_slice(&first.body).unwrap(),
+        serde_json::from_slice(&second.body).unwrap(),
+    );
+    assert_eq!(first["usage"]["completion_tokens"], 30);
+    let text = |v: &Value| v["choices"][0]["message"]["content"].as_str().unwrap().to_owned();
+    assert_eq!(text(&first).split_whitespace().count(), 30);
+    assert_eq!(text(&first), text(&second));
+    let cached = |v: &Value| v["usage"]["prompt_tokens_details"]["cached_tokens"].as_u64().unwrap();
+    assert!(cached(&first) < 10);
+    assert_eq!(cached(&second), second["usage"]["prompt_tokens"].as_u64().unwrap());
+}
+
+#[tokio::test]
+async fn service_call_runs_once() {
+    let fleet = Fleet::start(FleetOptions::default()).await;
+    let reply = fleet.post(0, "/services/reservations", &json!({"billet": 17}), &[]).await;
+    assert_eq!(reply.status, 200);
+    let calls = fleet.service_calls().await;
+    assert_eq!(calls.iter().filter(|body| body.contains("17")).count(), 1);
+}
