Refuse malformed requests and settings with all their faults named

Cause: a large announced body was read before it was refused, a body that stopped held its connection for ever, an unknown model was told as overload, a settings file was refused for its first fault only, and metrics were open to callers on the callers' port. Ruled out: a limit in the HTTP server alone, which cannot answer with a typed error. Conclusion: metrics moved to an address of their own; all faults are listed at once.

--- a/crates/dogwoodway_caller/src/api.rs
+++ b/crates/dogwoodway_caller/src/api.rs
@@ -1,12 +1,16 @@
 //! Routes, authentication and limits of the HTTP interface.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use dogwoodway_http::{Body, Handler, full_body, json_response, text_response};
 use dogwoodway_types::{ClassName, IdempotencyKey, RequestId, ServiceWork, TeamName, Timestamp};
-use http_body_util::{BodyExt, Limited};
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, body::Incoming, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode,
+    body::{Body as _, Incoming},
+    header,
+};
 use serde_json::json;
 
 use crate::{
@@ -22,11 +26,13 @@
 pub struct CallerLimits {
     /// Largest request body, in bytes.
     pub body_bytes: usize,
+    /// Milliseconds in which a caller must send the whole body.
+    pub body_read_ms: u64,
 }
 
 impl Default for CallerLimits {
     fn default() -> CallerLimits {
-        CallerLimits { body_bytes: 8 << 20 }
+        CallerLimits { body_bytes: 8 << 20, body_read_ms: 30_000 }
     }
 }
 
@@ -59,7 +65,6 @@
         match (req.method(), req.uri().path()) {
             (&Method::GET, "/healthz") => text_response(StatusCode::OK, "ok"),
             (&Method::GET, "/readyz") => self.readyz().await,
-            (&Method::GET, "/metrics") => text_response(StatusCode::OK, &self.dispatcher.metrics()),
             (&Method::GET, "/v1/models") => self.models(&req).await,
             (&Method::POST, "/v1/chat/completions") => self.chat(req).await,
             (_, path) if path.starts_with(SERVICES_PATH) => self.service(req).await,
@@ -98,6 +103,10 @@
                 return invalid_request(StatusCode::BAD_REQUEST, "bad-request", &e.to_string());
             }
         };
+        if !self.dispatcher.models(caller.team.clone()).await.contains(&chat.model) {
+            let message = format!("model: {} is not offered to the team", chat.model);
+            return invalid_request(StatusCode::NOT_FOUND, "model-not-found", &message);
+        }
         caller.work = CallerWork::Chat {
             model: chat.model.clone(),
             messages: chat.messages.clone(),
@@ -158,11 +167,33 @@
                 body: Vec::new(),
             }),
         };
-        let body = Limited::new(body, self.limits.body_bytes).collect().await.map_err(|e| {
-            let code = StatusCode::PAYLOAD_TOO_LARGE;
-            Box::new(invalid_request(code, "body-not-read", &e.to_string()))
-        })?;
-        Ok((caller, body.to_bytes()))
+        let body = self.read_body(body).await?;
+        Ok((caller, body))
+    }
+
+    async fn read_body(&self, body: Incoming) -> Result<Bytes, Box<Response<Body>>> {
+        let limit = self.limits.body_bytes;
+        let too_large = || {
+            let message = format!("the body may have at most {limit} bytes");
+            Box::new(invalid_request(StatusCode::PAYLOAD_TOO_LARGE, "body-too-large", &message))
+        };
+        if body.size_hint().lower() > limit as u64 {
+            return Err(too_large());
+        }
+        let read = Limited::new(body, limit).collect();
+        match tokio::time::timeout(Duration::from_millis(self.limits.body_read_ms), read).await {
+            Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Err(e)) if e.is::<LengthLimitError>() => Err(too_large()),
+            Ok(Err(e)) => {
+                let message = format!("the body broke off: {e}");
+                Err(Box::new(invalid_request(StatusCode::BAD_REQUEST, "body-not-read", &message)))
+            }
+            Err(_) => {
+                let message = "the body was not sent in time";
+                let status = StatusCode::REQUEST_TIMEOUT;
+                Err(Box::new(invalid_request(status, "body-too-slow", message)))
+            }
+        }
     }
 
     async fn authenticate(&self, headers: &HeaderMap) -> Result<TeamName, Box<Response<Body>>> {
--- a/crates/dogwoodway_caller/src/dispatcher.rs
+++ b/crates/dogwoodway_caller/src/dispatcher.rs
@@ -96,7 +96,4 @@
 
     /// Tells whether the node can serve.
     fn readiness(&self) -> BoxFuture<'_, Readiness>;
-
-    /// Renders the node's metrics in the Prometheus text format.
-    fn metrics(&self) -> String;
 }
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -20,6 +20,7 @@
     },
     cli::EXIT_FAILURE,
     config_follower::{self, ConfigWatch},
+    metrics_page,
     settings::{self, AgentSettings, BackendRole},
     shutdown,
 };
@@ -48,6 +49,10 @@
         }
     };
     println!("listening on {}", listener.address());
+    if let Err(e) = metrics_page::start(settings.metrics_listen).await {
+        eprintln!("dogwoodway: metrics could not be served: {e}");
+        return EXIT_FAILURE;
+    }
     let log: Arc<dyn PlatformLog> = Arc::new(HttpLog::new(settings.log_url.clone()));
     let config = config_follower::follow(log);
     let backend = backend(&settings);
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -18,7 +18,7 @@
     cli::EXIT_FAILURE,
     config_follower,
     entry::{dispatch::EntryDispatcher, router::Router},
-    settings, shutdown,
+    metrics_page, settings, shutdown,
 };
 
 /// Runs an entry until it is asked to stop and its requests have ended.
@@ -45,15 +45,11 @@
     let config = config_follower::follow(log);
     let router = Router::spawn(Router::new(config.clone()));
     membership::follow(Arc::new(HttpVmList::new(settings.vms_url.clone())), &router);
-    let metrics = metrics_exporter_prometheus::PrometheusBuilder::new();
-    let metrics = match metrics.install_recorder() {
-        Ok(metrics) => metrics,
-        Err(e) => {
-            eprintln!("dogwoodway: metrics could not be set up: {e}");
-            return EXIT_FAILURE;
-        }
-    };
-    let dispatcher = EntryDispatcher::new(settings, config, router, metrics);
+    if let Err(e) = metrics_page::start(settings.metrics_listen).await {
+        eprintln!("dogwoodway: metrics could not be served: {e}");
+        return EXIT_FAILURE;
+    }
+    let dispatcher = EntryDispatcher::new(settings, config, router);
     let next_id = || RequestId(rand::random());
     let api = CallerApi::new(Arc::new(dispatcher), CallerLimits::default(), next_id);
     let handler = api.into_handler();
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -14,12 +14,12 @@
 };
 use futures::{FutureExt, future::BoxFuture};
 use kameo::actor::ActorRef;
-use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::sync::mpsc;
 
 use crate::{
     config_follower::ConfigWatch,
     entry::router::{Eligible, EligibleAgent, FindEligible, Router},
+    metrics_page,
     settings::EntrySettings,
 };
 
@@ -42,7 +42,6 @@
 /// Runs callers' requests on the agents of the fleet.
 pub(crate) struct EntryDispatcher {
     core: Arc<Core>,
-    metrics: PrometheusHandle,
 }
 
 struct Core {
@@ -57,9 +56,8 @@
         settings: EntrySettings,
         config: ConfigWatch,
         router: ActorRef<Router>,
-        metrics: PrometheusHandle,
     ) -> EntryDispatcher {
-        EntryDispatcher { core: Arc::new(Core { settings, config, router }), metrics }
+        EntryDispatcher { core: Arc::new(Core { settings, config, router }) }
     }
 }
 
@@ -93,7 +91,7 @@
             let closed = tx.clone();
             let (id, team) = (req.id, req.team.clone());
             let outcome = core.serve(req, tx).await;
-            metrics::counter!("dogwoodway_requests_total", "outcome" => outcome_label(&outcome))
+            metrics::counter!(metrics_page::REQUESTS, "outcome" => outcome_label(&outcome))
                 .increment(1);
             log::info!(request:% = id, team:%, outcome:? ; "request ended");
             if outcome != Outcome::Answered {
@@ -112,10 +110,6 @@
         }
         .boxed()
     }
-
-    fn metrics(&self) -> String {
-        self.metrics.render()
-    }
 }
 
 fn outcome_label(outcome: &Outcome) -> &'static str {
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,6 +5,7 @@
 mod config_follower;
 mod entry;
 mod logging;
+mod metrics_page;
 mod operator;
 mod settings;
 mod shutdown;
--- /dev/null
+++ b/src/metrics_page.rs
@@ -0,0 +1,52 @@
+//! Metrics in the Prometheus text format, on an address for operators.
+
+use std::{fmt, net::SocketAddr, sync::Arc};
+
+use dogwoodway_http::{Handler, ServerLimits, serve, text_response};
+use hyper::StatusCode;
+use metrics::{Unit, describe_counter};
+use metrics_exporter_prometheus::{BuildError, PrometheusBuilder};
+use tokio::net::TcpListener;
+
+/// Requests of callers that have ended, by outcome.
+pub(crate) const REQUESTS: &str = "dogwoodway_requests_total";
+
+/// The reason why metrics cannot be served.
+#[derive(Debug)]
+pub(crate) enum MetricsError {
+    /// A recorder is installed already.
+    Recorder(BuildError),
+    /// The address could not be bound.
+    Bind(std::io::Error),
+}
+
+impl fmt::Display for MetricsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            MetricsError::Recorder(e) => write!(f, "{e}"),
+            MetricsError::Bind(e) => write!(f, "the address could not be bound: {e}"),
+        }
+    }
+}
+
+/// Installs the process-wide recorder and serves `GET /metrics` at `address`, if one is set.
+pub(crate) async fn start(address: Option<SocketAddr>) -> Result<(), MetricsError> {
+    let page = PrometheusBuilder::new().install_recorder().map_err(MetricsError::Recorder)?;
+    describe();
+    let Some(address) = address else { return Ok(()) };
+    let listener = TcpListener::bind(address).await.map_err(MetricsError::Bind)?;
+    let handler: Handler = Arc::new(move |req| {
+        let resp = match req.uri().path() {
+            "/metrics" => text_response(StatusCode::OK, &page.render()),
+            _ => text_response(StatusCode::NOT_FOUND, "metrics are at /metrics"),
+        };
+        Box::pin(std::future::ready(resp))
+    });
+    let limits = ServerLimits::default();
+    tokio::spawn(serve(listener, limits, handler, std::future::pending()));
+    Ok(())
+}
+
+fn describe() {
+    describe_counter!(REQUESTS, Unit::Count, "Requests of callers that have ended, by outcome");
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,9 +1,14 @@
 //! Settings files of the serving roles.
 
+mod field;
+
 use std::{collections::BTreeMap, fmt, net::SocketAddr, path::Path};
 
 use dogwoodway_types::{AvailabilityZone, BackendServerName};
 use serde::{Deserialize, de::DeserializeOwned};
+use serde_yaml_ng::Value;
+
+use crate::settings::field::Fields;
 
 /// The reason why a settings file is refused; names all its faults.
 #[derive(Debug)]
@@ -19,8 +24,9 @@
 /// One invalid field.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) struct FieldError {
-    pub(crate) field: &'static str,
-    pub(crate) value: String,
+    pub(crate) field: String,
+    /// Value in the file, absent if the field is missing.
+    pub(crate) value: Option<String>,
     pub(crate) allowed: String,
 }
 
@@ -30,23 +36,34 @@
             SettingsError::Io(e) => write!(f, "the settings file could not be read: {e}"),
             SettingsError::Yaml(e) => write!(f, "the settings file is not valid: {e}"),
             SettingsError::Fields(errors) => {
-                let lines = errors.iter().map(|e| {
-                    format!("{}: {:?} is not allowed; expected {}", e.field, e.value, e.allowed)
-                });
-                f.write_str(&lines.collect::<Vec<_>>().join("\n"))
+                write!(f, "the settings file is not valid:")?;
+                errors.iter().try_for_each(|e| write!(f, "\n  {e}"))
             }
         }
     }
 }
 
+impl fmt::Display for FieldError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.value {
+            Some(value) => {
+                write!(f, "{}: {value:?} is not allowed; expected {}", self.field, self.allowed)
+            }
+            None => write!(f, "{}: is missing; expected {}", self.field, self.allowed),
+        }
+    }
+}
+
 #[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
 struct RawEntry {
-    listen: String,
-    zone: String,
-    log_url: String,
-    vms_url: String,
-    key_pepper: String,
+    listen: Option<String>,
+    zone: Option<String>,
+    log_url: Option<String>,
+    vms_url: Option<String>,
+    key_pepper: Option<String>,
+    metrics_listen: Option<String>,
+    #[serde(flatten)]
+    unknown: BTreeMap<String, Value>,
 }
 
 /// Checked settings of an entry.
@@ -62,21 +79,28 @@
     pub(crate) vms_url: String,
     /// Secret under which bearer keys are hashed.
     pub(crate) key_pepper: String,
+    /// Address on which metrics are served.
+    pub(crate) metrics_listen: Option<SocketAddr>,
 }
 
 impl TryFrom<RawEntry> for EntrySettings {
     type Error = SettingsError;
 
     fn try_from(raw: RawEntry) -> Result<EntrySettings, SettingsError> {
-        let mut faults = Vec::new();
-        let listen = address("listen", &raw.listen, &mut faults);
-        let zone = name::<AvailabilityZone>("zone", &raw.zone, &mut faults);
-        let log_url = base_url("log_url", raw.log_url, &mut faults);
-        let vms_url = base_url("vms_url", raw.vms_url, &mut faults);
-        match (listen, zone, faults.is_empty()) {
-            (Some(listen), Some(zone), true) => {
-                let key_pepper = raw.key_pepper;
-                Ok(EntrySettings { listen, zone, log_url, vms_url, key_pepper })
+        let mut fields = Fields::default();
+        let listen = fields.address("listen", raw.listen);
+        let zone = fields.name::<AvailabilityZone>("zone", raw.zone);
+        let log_url = fields.base_url("log_url", raw.log_url);
+        let vms_url = fields.base_url("vms_url", raw.vms_url);
+        let key_pepper = fields.text("key_pepper", raw.key_pepper);
+        let metrics_listen = fields.optional_address("metrics_listen", raw.metrics_listen);
+        fields.refuse_unknown(&raw.unknown);
+        let faults = fields.into_faults();
+        match (listen, zone, log_url, vms_url, key_pepper) {
+            (Some(listen), Some(zone), Some(log_url), Some(vms_url), Some(key_pepper))
+                if faults.is_empty() =>
+            {
+                Ok(EntrySettings { listen, zone, log_url, vms_url, key_pepper, metrics_listen })
             }
             _ => Err(SettingsError::Fields(faults)),
         }
@@ -84,8 +108,7 @@
 }
 
 /// Kind of the backend server beside an agent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "kebab-case")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum BackendRole {
     /// A model engine.
     Engine,
@@ -94,16 +117,18 @@
 }
 
 #[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
 struct RawAgent {
-    listen: String,
-    zone: String,
-    name: String,
-    kind: BackendRole,
-    backend_url: String,
-    log_url: String,
+    listen: Option<String>,
+    zone: Option<String>,
+    name: Option<String>,
+    kind: Option<String>,
+    backend_url: Option<String>,
+    log_url: Option<String>,
     #[serde(default)]
     labels: BTreeMap<String, String>,
+    metrics_listen: Option<String>,
+    #[serde(flatten)]
+    unknown: BTreeMap<String, Value>,
 }
 
 /// Checked settings of an agent.
@@ -123,23 +148,44 @@
     pub(crate) log_url: String,
     /// Labels of the backend server, which published ones replace.
     pub(crate) labels: BTreeMap<String, String>,
+    /// Address on which metrics are served.
+    pub(crate) metrics_listen: Option<SocketAddr>,
 }
 
 impl TryFrom<RawAgent> for AgentSettings {
     type Error = SettingsError;
 
     fn try_from(raw: RawAgent) -> Result<AgentSettings, SettingsError> {
-        let mut faults = Vec::new();
-        let listen = address("listen", &raw.listen, &mut faults);
-        let zone = name::<AvailabilityZone>("zone", &raw.zone, &mut faults);
-        let server = name::<BackendServerName>("name", &raw.name, &mut faults);
-        let backend_url = base_url("backend_url", raw.backend_url, &mut faults);
-        let log_url = base_url("log_url", raw.log_url, &mut faults);
-        match (listen, zone, server, faults.is_empty()) {
-            (Some(listen), Some(zone), Some(name), true) => {
-                let (kind, labels) = (raw.kind, raw.labels);
-                Ok(AgentSettings { listen, zone, name, kind, backend_url, log_url, labels })
-            }
+        let mut fields = Fields::default();
+        let listen = fields.address("listen", raw.listen);
+        let zone = fields.name::<AvailabilityZone>("zone", raw.zone);
+        let name = fields.name::<BackendServerName>("name", raw.name);
+        let kinds = [("engine", BackendRole::Engine), ("service", BackendRole::Service)];
+        let kind = fields.choice("kind", raw.kind, &kinds);
+        let backend_url = fields.base_url("backend_url", raw.backend_url);
+        let log_url = fields.base_url("log_url", raw.log_url);
+        let metrics_listen = fields.optional_address("metrics_listen", raw.metrics_listen);
+        fields.refuse_unknown(&raw.unknown);
+        let faults = fields.into_faults();
+        let labels = raw.labels;
+        match (listen, zone, name, kind, backend_url, log_url) {
+            (
+                Some(listen),
+                Some(zone),
+                Some(name),
+                Some(kind),
+                Some(backend_url),
+                Some(log_url),
+            ) if faults.is_empty() => Ok(AgentSettings {
+                listen,
+                zone,
+                name,
+                kind,
+                backend_url,
+                log_url,
+                labels,
+                metrics_listen,
+            }),
             _ => Err(SettingsError::Fields(faults)),
         }
     }
@@ -162,34 +208,3 @@
     let text = std::fs::read_to_string(path).map_err(SettingsError::Io)?;
     serde_yaml_ng::from_str(&text).map_err(SettingsError::Yaml)
 }
-
-fn address(field: &'static str, text: &str, faults: &mut Vec<FieldError>) -> Option<SocketAddr> {
-    let parsed = text.parse().ok();
-    if parsed.is_none() {
-        let allowed = "an IP address and port, such as 127.0.0.1:8080".to_owned();
-        faults.push(FieldError { field, value: text.to_owned(), allowed });
-    }
-    parsed
-}
-
-fn name<T>(field: &'static str, text: &str, faults: &mut Vec<FieldError>) -> Option<T>
-where
-    T: for<'a> TryFrom<&'a str, Error = dogwoodway_types::IdError>,
-{
-    match T::try_from(text) {
-        Ok(name) => Some(name),
-        Err(e) => {
-            faults.push(FieldError { field, value: text.to_owned(), allowed: e.to_string() });
-            None
-        }
-    }
-}
-
-fn base_url(field: &'static str, text: String, faults: &mut Vec<FieldError>) -> String {
-    let host = text.strip_prefix("http://").unwrap_or_default();
-    if host.is_empty() || host.ends_with('/') {
-        let allowed = "a base URL such as http://127.0.0.1:7001, without a slash at its end";
-        faults.push(FieldError { field, value: text.clone(), allowed: allowed.to_owned() });
-    }
-    text
-}
