Give the engine stand-in a believable model of batching and caching

Cause: the stand-in computed each prompt in one sleep and decoded each answer on its own, so that load, priorities and cache pressure had no effect that a policy could be measured by.

The engine now runs steps: waiting requests join the batch by priority, prompt computation shares each step with decoding, pieces enter a bounded least-recently-used cache as they are computed. Cache events can be read late and with gaps, the reported load lags, and all times can be divided by a stated speed.

Ruled out: one task for each request with semaphores, since a running prompt could then not be overtaken.

--- a/crates/dogwoodway_engine/src/client.rs
+++ b/crates/dogwoodway_engine/src/client.rs
@@ -8,7 +8,9 @@
 use futures::{FutureExt, future::BoxFuture};
 use hyper::{Method, StatusCode};
 
-use crate::{EngineError, EngineEvent, EngineRequest, EngineStatus, EngineStream, ModelEngine};
+use crate::{
+    CacheEvents, EngineError, EngineEvent, EngineRequest, EngineStatus, EngineStream, ModelEngine,
+};
 
 const CONTROL_TIMEOUT_MS: u64 = 1_000;
 
@@ -76,6 +78,15 @@
         }
         .boxed()
     }
+
+    fn cache_events(&self, from: u64) -> BoxFuture<'_, Result<CacheEvents, EngineError>> {
+        async move {
+            let url = format!("{}/events?from={from}", self.base_url);
+            let limit = Duration::from_millis(CONTROL_TIMEOUT_MS);
+            self.http.json(Method::GET, &url, &(), limit).await.map_err(engine_error)
+        }
+        .boxed()
+    }
 }
 
 struct HttpEngineStream {
--- a/crates/dogwoodway_engine/src/model_engine.rs
+++ b/crates/dogwoodway_engine/src/model_engine.rs
@@ -9,6 +9,8 @@
 use futures::future::BoxFuture;
 use serde::{Deserialize, Serialize};
 
+use crate::CacheEvents;
+
 /// Body of `POST /v1/chat/completions` to an engine; always answered as a stream of
 /// [`EngineEvent`]. `DELETE /v1/requests/{request_id}` cancels it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -124,4 +126,7 @@
 
     /// Asks for the engine's identity and load.
     fn status(&self) -> BoxFuture<'_, Result<EngineStatus, EngineError>>;
+
+    /// Asks for cache events from number `from` on.
+    fn cache_events(&self, from: u64) -> BoxFuture<'_, Result<CacheEvents, EngineError>>;
 }
--- a/crates/dogwoodway_standin/src/lib.rs
+++ b/crates/dogwoodway_standin/src/lib.rs
@@ -11,7 +11,10 @@
 
 pub use crate::{
     demo::{DemoTargets, run_demo},
-    engine::{EngineOptions, engine_handler},
+    engine::{
+        Batch, BatchLimits, CacheChange, EngineOptions, Journal, JournalKind, JournalRecord,
+        PieceCache, Plan, Scheduled, engine_handler,
+    },
     fault::Faults,
     log_service::log_handler,
     service::service_handler,
--- a/crates/dogwoodway_standin/src/main.rs
+++ b/crates/dogwoodway_standin/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf, process::ExitCode};
 
-use clap::{Parser, Subcommand};
+use clap::{Args, Parser, Subcommand};
 use dogwoodway_http::{Handler, ServerLimits, serve};
 use dogwoodway_standin::{
     DemoTargets, EngineOptions, engine_handler, log_handler, run_demo, service_handler,
@@ -24,26 +24,7 @@
 #[derive(Debug, Subcommand)]
 enum Command {
     /// A model engine.
-    Engine {
-        /// Model loaded.
-        #[arg(long)]
-        model: ModelName,
-        /// Weights version loaded.
-        #[arg(long, default_value_t = 1)]
-        weights: u32,
-        /// Requests that run together.
-        #[arg(long, default_value_t = 16)]
-        max_batch: u32,
-        /// Microseconds to compute one prompt token.
-        #[arg(long, default_value_t = 50)]
-        prefill_us: u32,
-        /// Microseconds to generate one token.
-        #[arg(long, default_value_t = 5_000)]
-        decode_us: u32,
-        /// Pieces that the cache holds.
-        #[arg(long, default_value_t = 200)]
-        cache_pieces: usize,
-    },
+    Engine(EngineArgs),
     /// A plain service.
     Service,
     /// The platform's log.
@@ -75,6 +56,57 @@
     },
 }
 
+#[derive(Debug, Args)]
+struct EngineArgs {
+    /// Model loaded.
+    #[arg(long)]
+    model: ModelName,
+    /// Weights version loaded.
+    #[arg(long, default_value_t = 1)]
+    weights: u32,
+    /// Requests that run together.
+    #[arg(long, default_value_t = 16)]
+    max_batch: u32,
+    /// Microseconds to compute one prompt token.
+    #[arg(long, default_value_t = 50)]
+    prefill_us: u32,
+    /// Microseconds of one decoding step of the whole batch.
+    #[arg(long, default_value_t = 5_000)]
+    decode_us: u32,
+    /// Pieces that the cache holds.
+    #[arg(long, default_value_t = 200)]
+    cache_pieces: usize,
+    /// Milliseconds after which a cache event can be read.
+    #[arg(long, default_value_t = 200)]
+    event_lag_ms: u32,
+    /// Every how many-th cache event is lost; 0 for none.
+    #[arg(long, default_value_t = 0)]
+    event_gap: u32,
+    /// Milliseconds by which the reported load lags.
+    #[arg(long, default_value_t = 250)]
+    load_lag_ms: u32,
+    /// Factor by which the engine runs faster than its stated times.
+    #[arg(long, default_value_t = 1.0)]
+    speed: f64,
+}
+
+impl From<EngineArgs> for EngineOptions {
+    fn from(args: EngineArgs) -> EngineOptions {
+        EngineOptions {
+            model: args.model,
+            version: WeightsVersion(args.weights),
+            max_batch: args.max_batch,
+            prefill_us: args.prefill_us,
+            decode_us: args.decode_us,
+            cache_pieces: args.cache_pieces,
+            event_lag_ms: args.event_lag_ms,
+            event_gap: args.event_gap,
+            load_lag_ms: args.load_lag_ms,
+            speed: args.speed,
+        }
+    }
+}
+
 #[tokio::main]
 async fn main() -> ExitCode {
     let cli = Cli::parse();
@@ -107,12 +139,7 @@
 
 fn handler(command: Command) -> Result<Handler, String> {
     match command {
-        Command::Engine { model, weights, max_batch, prefill_us, decode_us, cache_pieces } => {
-            let version = WeightsVersion(weights);
-            let options =
-                EngineOptions { model, version, max_batch, prefill_us, decode_us, cache_pieces };
-            Ok(engine_handler(options))
-        }
+        Command::Engine(args) => Ok(engine_handler(args.into())),
         Command::Demo { .. } => Err("the demonstration is no server".to_owned()),
         Command::Service => Ok(service_handler()),
         Command::Log { retained } => Ok(log_handler(retained)),
