Measure slopes, and ask for the list of VMs by its entity tag

Cause: every node reads the whole list of VMs each second; at 1,280 VMs of about 90 bytes that alone is ten times the 12 KB/s that a node may spend on control. Ruled out: reading it rarely, which delays the news that a VM leaves.

--- a/crates/dogwoodway_http/src/client.rs
+++ b/crates/dogwoodway_http/src/client.rs
@@ -52,6 +52,8 @@
     pub status: StatusCode,
     /// Content type, empty if the server named none.
     pub content_type: String,
+    /// Version tag of the content, empty if the server named none.
+    pub etag: String,
     /// Body of the answer.
     pub body: Bytes,
 }
@@ -190,9 +192,12 @@
 
 async fn read_reply(resp: Response<Incoming>) -> Result<HttpReply, HttpError> {
     let status = resp.status();
-    let content_type = resp.headers().get(header::CONTENT_TYPE);
-    let content_type = content_type.and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned();
+    let text = |name: header::HeaderName| {
+        let value = resp.headers().get(name).and_then(|value| value.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    };
+    let (content_type, etag) = (text(header::CONTENT_TYPE), text(header::ETAG));
     let body = Limited::new(resp.into_body(), MAX_ANSWER_BYTES).collect().await;
     let body = body.map_err(|e| HttpError::Lost(e.to_string()))?.to_bytes();
-    Ok(HttpReply { status, content_type, body })
+    Ok(HttpReply { status, content_type, etag, body })
 }
--- a/crates/dogwoodway_standin/src/demo.rs
+++ b/crates/dogwoodway_standin/src/demo.rs
@@ -197,7 +197,7 @@
 async fn read(resp: Response<Incoming>) -> Result<HttpReply, String> {
     let status = resp.status();
     let body = resp.into_body().collect().await.map_err(|e| e.to_string())?.to_bytes();
-    Ok(HttpReply { status, content_type: String::new(), body })
+    Ok(HttpReply { status, content_type: String::new(), etag: String::new(), body })
 }
 
 fn print_rows(rows: &[Row]) {
--- a/crates/dogwoodway_standin/src/lib.rs
+++ b/crates/dogwoodway_standin/src/lib.rs
@@ -8,6 +8,7 @@
 mod log_service;
 mod overhead;
 mod service;
+mod slopes;
 mod vm_list;
 
 pub use crate::{
@@ -20,6 +21,7 @@
     log_service::log_handler,
     overhead::{Overhead, OverheadTargets, measure_overhead},
     service::service_handler,
+    slopes::{Fit, ProcessUsage, Slope, process_usage, state_slopes},
     vm_list::vm_list_handler,
 };
 
--- a/crates/dogwoodway_standin/src/main.rs
+++ b/crates/dogwoodway_standin/src/main.rs
@@ -6,7 +6,7 @@
 use dogwoodway_http::{Handler, ServerLimits, serve};
 use dogwoodway_standin::{
     DemoTargets, EngineOptions, OverheadTargets, engine_handler, log_handler, measure_overhead,
-    run_demo, service_handler, vm_list_handler,
+    process_usage, run_demo, service_handler, state_slopes, vm_list_handler,
 };
 use dogwoodway_types::{ModelName, WeightsVersion};
 use dogwoodway_vms::Vm;
@@ -48,6 +48,17 @@
         #[arg(long)]
         model: String,
     },
+    /// Measures how state and processor time grow with sizes; prints JSON.
+    Slopes,
+    /// Observes a process; prints its processor time, memory and traffic as JSON.
+    Usage {
+        /// Process to observe.
+        #[arg(long)]
+        pid: u32,
+        /// Seconds to observe.
+        #[arg(long, default_value_t = 20)]
+        seconds: u32,
+    },
     /// Measures what entry and agent add to the time to first token; prints JSON.
     Overhead {
         /// Base URL of an entry.
@@ -142,6 +153,10 @@
             let targets = OverheadTargets { entry, engine, key, model, streams, pairs };
             print_result(measure_overhead(targets).await)
         }
+        Command::Slopes => print_result(Ok(state_slopes())),
+        Command::Usage { pid, seconds } => {
+            print_result(process_usage(pid, seconds).await.map_err(|e| e.to_string()))
+        }
         server => serve_standin(cli.listen, server).await,
     }
 }
@@ -187,7 +202,10 @@
 fn handler(command: Command) -> Result<Handler, String> {
     match command {
         Command::Engine(args) => Ok(engine_handler(args.into())),
-        Command::Demo { .. } | Command::Overhead { .. } => Err("not a server".to_owned()),
+        Command::Demo { .. }
+        | Command::Overhead { .. }
+        | Command::Slopes
+        | Command::Usage { .. } => Err("not a server".to_owned()),
         Command::Service => Ok(service_handler()),
         Command::Log { retained } => Ok(log_handler(retained)),
         Command::Vms { file } => {
--- /dev/null
+++ b/crates/dogwoodway_standin/src/slopes.rs
@@ -0,0 +1,14 @@
+//! Measures how state, processor time and messages grow with what a node knows.
+//!
+//! Each [`Slope`] is a least-squares line through at least four sizes, measured in this process;
+//! what a whole process uses is read by [`process_usage`].
+
+mod fit;
+mod process;
+mod state;
+
+pub use crate::slopes::{
+    fit::{Fit, Slope},
+    process::{ProcessUsage, process_usage},
+    state::state_slopes,
+};
--- /dev/null
+++ b/crates/dogwoodway_standin/src/slopes/state.rs
@@ -0,0 +1,110 @@
+//! Growth of state held in memory and of the processor time of pure functions.
+
+use std::{collections::BTreeMap, hint::black_box, time::Instant};
+
+use dogwoodway_control::ConfigState;
+use dogwoodway_routing::prefix_index::PrefixIndex;
+use dogwoodway_types::{
+    EngineIncarnation, KeyHash, LogOffset, PieceHash, Selector, SelectorName, Team, TeamName,
+    Timestamp,
+};
+
+use crate::slopes::{Slope, process::resident_kb};
+
+/// Measures all slopes of this process. Sizes are far above the target's, so that pages of memory
+/// do not blur them.
+pub fn state_slopes() -> Vec<Slope> {
+    let slopes = [
+        Slope::measure(
+            "configuration in memory",
+            "bytes/team",
+            &[2_000, 4_000, 8_000, 16_000],
+            |teams| resident_bytes(|| configuration(teams)),
+        ),
+        Slope::measure("configuration encoded", "bytes/team", &[150, 300, 600, 1_200], |teams| {
+            encoded_bytes(&configuration(teams))
+        }),
+        Slope::measure(
+            "prefix index in memory",
+            "bytes/block",
+            &[50_000, 100_000, 200_000, 400_000],
+            |blocks| resident_bytes(|| index(blocks)),
+        ),
+        Slope::measure(
+            "prefix index update",
+            "ns/event",
+            &[50_000, 100_000, 200_000, 400_000],
+            |events| elapsed_ns(|| index(events)),
+        ),
+    ];
+    slopes.into_iter().flatten().collect()
+}
+
+/// Returns by how much the resident memory grows when a value is built.
+fn resident_bytes<T, F>(build: F) -> f64
+where
+    F: FnOnce() -> T,
+{
+    let pid = std::process::id();
+    let before = resident_kb(pid).unwrap_or(0);
+    let value = black_box(build());
+    let after = resident_kb(pid).unwrap_or(0);
+    // Freed memory would be used again by the next value and hide its growth.
+    std::mem::forget(value);
+    (after.saturating_sub(before) * 1_024) as f64
+}
+
+fn elapsed_ns<T, F>(build: F) -> f64
+where
+    F: FnOnce() -> T,
+{
+    let started_at = Instant::now();
+    black_box(build());
+    started_at.elapsed().as_nanos() as f64
+}
+
+fn encoded_bytes(state: &ConfigState) -> f64 {
+    serde_json::to_vec(state).map_or(0.0, |json| json.len() as f64)
+}
+
+/// Builds a configuration with one selector for each team.
+fn configuration(teams: u32) -> ConfigState {
+    let mut state = ConfigState::default();
+    for i in 0..teams {
+        let name = format!("team-{i}");
+        let (Ok(team), Ok(selector)) =
+            (TeamName::try_from(name.as_str()), SelectorName::try_from(name.as_str()))
+        else {
+            continue;
+        };
+        let cfg = &mut state.configuration;
+        cfg.offset = LogOffset(u64::from(i));
+        cfg.selectors.insert(
+            selector.clone(),
+            Selector {
+                name: selector,
+                teams: vec![team.clone()],
+                classes: Vec::new(),
+                model: None,
+                version: None,
+                labels: BTreeMap::from([("pool".to_owned(), name.clone())]),
+                priority: None,
+            },
+        );
+        let keys = vec![KeyHash::new("pepper", &name)];
+        let team_value =
+            Team { name: team.clone(), keys, tokens_per_minute: 1_000_000, max_in_flight: 100 };
+        cfg.teams.insert(team, team_value);
+    }
+    state
+}
+
+fn index(blocks: u32) -> PrefixIndex {
+    let mut index = PrefixIndex::default();
+    for i in 0..blocks {
+        let piece =
+            PieceHash(u128::from(i).wrapping_mul(0x9E37_79B9_7F4A_7C15_F39C_C060_5CED_C835));
+        index.insert(EngineIncarnation(1), &[piece], Timestamp(u64::from(i)));
+    }
+    index
+}
--- a/crates/dogwoodway_vms/src/lib.rs
+++ b/crates/dogwoodway_vms/src/lib.rs
@@ -3,11 +3,18 @@
 //! The list lags behind: a live VM may be missing, and a dead one may still be listed. It only
 //! adds and removes addresses; what runs at an address is asked there.
 
-use std::{fmt, net::SocketAddr, time::Duration};
+use std::{
+    fmt,
+    net::SocketAddr,
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
 
+use bytes::Bytes;
 use dogwoodway_http::HttpClient;
 use dogwoodway_types::AvailabilityZone;
 use futures::{FutureExt, future::BoxFuture};
+use hyper::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 
 const ANSWER_TIMEOUT_MS: u64 = 2_000;
@@ -64,10 +71,21 @@
 }
 
 /// The list over HTTP: `GET /vms` answers a JSON array of [`Vm`].
-#[derive(Clone, Debug)]
+///
+/// The answer's entity tag is sent back with the next question, so that an unchanged list, the
+/// usual case, costs a few bytes instead of its whole length.
+#[derive(Debug)]
 pub struct HttpVmList {
     http: HttpClient,
     base_url: String,
+    last: Mutex<Option<TaggedList>>,
+}
+
+/// A list as read before, with its entity tag.
+#[derive(Clone, Debug)]
+struct TaggedList {
+    etag: String,
+    vms: Vec<Vm>,
 }
 
 impl HttpVmList {
@@ -77,18 +95,35 @@
     /// let _vms = dogwoodway_vms::HttpVmList::new("http://127.0.0.1:7002".to_owned());
     /// ```
     pub fn new(base_url: String) -> HttpVmList {
-        HttpVmList { http: HttpClient::new(), base_url }
+        HttpVmList { http: HttpClient::new(), base_url, last: Mutex::new(None) }
+    }
+
+    async fn read(&self) -> Result<Vec<Vm>, VmListError> {
+        let url = format!("{}/vms", self.base_url);
+        let limit = Duration::from_millis(ANSWER_TIMEOUT_MS);
+        let last = self.last.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let tag = last.iter().map(|last| ("if-none-match", last.etag.clone()));
+        let headers: Vec<_> = tag.collect();
+        let reply =
+            self.http.call_with_headers(Method::GET, &url, "", Bytes::new(), &headers, limit);
+        let reply = reply.await.map_err(|e| VmListError(e.to_string()))?;
+        match (reply.status, last) {
+            (StatusCode::NOT_MODIFIED, Some(last)) => Ok(last.vms),
+            (StatusCode::OK, _) => {
+                let vms: Vec<Vm> =
+                    serde_json::from_slice(&reply.body).map_err(|e| VmListError(e.to_string()))?;
+                let tagged = TaggedList { etag: reply.etag, vms: vms.clone() };
+                let tagged = Some(tagged).filter(|tagged| !tagged.etag.is_empty());
+                *self.last.lock().unwrap_or_else(PoisonError::into_inner) = tagged;
+                Ok(vms)
+            }
+            (status, _) => Err(VmListError(format!("status {status}"))),
+        }
     }
 }
 
 impl VmList for HttpVmList {
     fn list(&self) -> BoxFuture<'_, Result<Vec<Vm>, VmListError>> {
-        async move {
-            let url = format!("{}/vms", self.base_url);
-            let limit = Duration::from_millis(ANSWER_TIMEOUT_MS);
-            let list = self.http.json(hyper::Method::GET, &url, &(), limit).await;
-            list.map_err(|e| VmListError(e.to_string()))
-        }
-        .boxed()
+        self.read().boxed()
     }
 }
