Import prefixes from the store of kept KV cache, export shared ones

Cause: an engine that restarts, or a prefix moved to another engine, recomputes what the store could hold. Ruled out: import on every miss (short prefixes are computed quicker than moved), export of every piece (a case never comes again), and any decision at the entry, which knows neither the engine's cache nor the store. Before: after a crash a prompt of 7,000 tokens finds 6 of them cached (the system message alone). The rates that decide are assumed still, not measured at the engine.

--- a/crates/dogwoodway_engine/src/client.rs
+++ b/crates/dogwoodway_engine/src/client.rs
@@ -9,11 +9,14 @@
 use hyper::{Method, StatusCode};
 
 use crate::{
-    CacheEvents, EngineError, EngineEvent, EngineRequest, EngineStatus, EngineStream, ModelEngine,
+    CacheEvents, EngineError, EngineEvent, EngineRequest, EngineStatus, EngineStream, KvMoved,
+    KvOrder, ModelEngine,
 };
 
 const CONTROL_TIMEOUT_MS: u64 = 1_000;
 
+const KV_TIMEOUT_MS: u64 = 2_000;
+
 /// Client of an engine at a base URL.
 #[derive(Clone, Debug)]
 pub struct HttpEngine {
@@ -32,6 +35,14 @@
     }
 }
 
+impl HttpEngine {
+    async fn move_kv(&self, direction: &str, order: KvOrder) -> Result<KvMoved, EngineError> {
+        let url = format!("{}/kv/{direction}", self.base_url);
+        let limit = Duration::from_millis(KV_TIMEOUT_MS);
+        self.http.json(Method::POST, &url, &order, limit).await.map_err(engine_error)
+    }
+}
+
 impl ModelEngine for HttpEngine {
     fn generate(
         &self,
@@ -87,6 +98,14 @@
         }
         .boxed()
     }
+
+    fn import(&self, order: KvOrder) -> BoxFuture<'_, Result<KvMoved, EngineError>> {
+        self.move_kv("import", order).boxed()
+    }
+
+    fn export(&self, order: KvOrder) -> BoxFuture<'_, Result<KvMoved, EngineError>> {
+        self.move_kv("export", order).boxed()
+    }
 }
 
 struct HttpEngineStream {
--- a/crates/dogwoodway_engine/src/lib.rs
+++ b/crates/dogwoodway_engine/src/lib.rs
@@ -5,11 +5,13 @@
 
 mod cache_event;
 mod client;
+mod kv_order;
 mod model_engine;
 
 pub use crate::{
     cache_event::{CacheEvent, CacheEventKind, CacheEvents},
     client::HttpEngine,
+    kv_order::{KvMoved, KvOrder},
     model_engine::{
         EngineError, EngineEvent, EngineRequest, EngineStatus, EngineStream, ModelEngine,
     },
--- a/crates/dogwoodway_engine/src/model_engine.rs
+++ b/crates/dogwoodway_engine/src/model_engine.rs
@@ -9,7 +9,7 @@
 use futures::future::BoxFuture;
 use serde::{Deserialize, Serialize};
 
-use crate::CacheEvents;
+use crate::{CacheEvents, KvMoved, KvOrder};
 
 /// Body of `POST /v1/chat/completions` to an engine; always answered as a stream of
 /// [`EngineEvent`]. `DELETE /v1/requests/{request_id}` cancels it.
@@ -129,4 +129,10 @@
 
     /// Asks for cache events from number `from` on.
     fn cache_events(&self, from: u64) -> BoxFuture<'_, Result<CacheEvents, EngineError>>;
+
+    /// Orders the engine to import pieces from the store of kept KV cache.
+    fn import(&self, order: KvOrder) -> BoxFuture<'_, Result<KvMoved, EngineError>>;
+
+    /// Orders the engine to export pieces to the store of kept KV cache.
+    fn export(&self, order: KvOrder) -> BoxFuture<'_, Result<KvMoved, EngineError>>;
 }
--- a/crates/dogwoodway_routing/src/lib.rs
+++ b/crates/dogwoodway_routing/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here does I/O or reads a clock; the current time is an argument.
 
 pub mod attempt;
+pub mod kv_transfer;
 pub mod placement;
 pub mod prefix_index;
 
--- a/crates/dogwoodway_standin/src/engine.rs
+++ b/crates/dogwoodway_standin/src/engine.rs
@@ -7,6 +7,7 @@
 mod batch;
 mod cache;
 mod journal;
+mod kv;
 mod load;
 mod server;
 
@@ -40,6 +41,10 @@
     pub event_gap: u32,
     /// Milliseconds by which the reported load lags.
     pub load_lag_ms: u32,
+    /// Base URL of the store of kept KV cache.
+    pub kv_store_url: Option<String>,
+    /// Microseconds to import one prompt token.
+    pub import_us: u32,
     /// Factor by which the engine runs faster than its stated times.
     pub speed: f64,
 }
--- a/crates/dogwoodway_standin/src/engine/batch.rs
+++ b/crates/dogwoodway_standin/src/engine/batch.rs
@@ -89,6 +89,16 @@
         (self.running.len(), self.waiting.len())
     }
 
+    /// Returns how many pieces from the start of a prompt are cached.
+    pub fn matched(&self, prompt: &[PieceHash]) -> usize {
+        self.cache.matched(prompt)
+    }
+
+    /// Caches pieces that were computed elsewhere and returns the cache's changes.
+    pub fn keep_imported(&mut self, pieces: &[PieceHash]) -> Vec<CacheChange> {
+        pieces.iter().flat_map(|piece| self.cache.keep(*piece)).collect()
+    }
+
     /// Schedules waiting requests and plans the next step; `None` when there is nothing to do.
     pub fn plan(&mut self) -> Option<Plan> {
         let mut plan = Plan::default();
--- a/crates/dogwoodway_standin/src/engine/server.rs
+++ b/crates/dogwoodway_standin/src/engine/server.rs
@@ -10,7 +10,7 @@
 use dogwoodway_http::{
     Body, BodySender, Handler, channel_body, json_response, sse_event, text_response,
 };
-use dogwoodway_types::{AttemptId, EngineIncarnation, Timestamp};
+use dogwoodway_types::{AttemptId, EngineIncarnation, PieceHash, Timestamp};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming, header};
 use tokio::{
     sync::{Notify, mpsc},
@@ -99,6 +99,8 @@
                 Ok(req) => self.generate(req),
                 Err(resp) => *resp,
             },
+            (&Method::POST, "/kv/import") => self.import(req).await,
+            (&Method::POST, "/kv/export") => self.export(req).await,
             (&Method::DELETE, path) => {
                 let id = path.rsplit('/').next().unwrap_or_default();
                 self.cancel(id);
@@ -124,7 +126,26 @@
         f(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    fn status(&self) -> EngineStatus {
+    /// Returns the engine's properties.
+    pub(super) fn options(&self) -> &EngineOptions {
+        &self.options
+    }
+
+    /// Returns how many pieces from the start of a prompt are cached.
+    pub(super) fn matched(&self, prompt: &[PieceHash]) -> usize {
+        self.with_state(|s| s.batch.matched(prompt))
+    }
+
+    /// Caches pieces that were computed elsewhere.
+    pub(super) fn keep_imported(&self, pieces: &[PieceHash]) {
+        self.with_state(|s| {
+            let changes = s.batch.keep_imported(pieces);
+            s.journal.push_changes(Timestamp::now(), s.incarnation, &changes);
+        });
+    }
+
+    /// Returns what the engine says of itself.
+    pub(super) fn status(&self) -> EngineStatus {
         let then = millis_ago(self.options.load_lag_ms);
         let (incarnation, (running, waiting)) =
             self.with_state(|s| (s.incarnation, s.load.as_of(then)));
--- a/crates/dogwoodway_standin/src/lib.rs
+++ b/crates/dogwoodway_standin/src/lib.rs
@@ -5,6 +5,7 @@
 mod demo;
 mod engine;
 mod fault;
+mod kv_store;
 mod log_service;
 mod overhead;
 mod service;
@@ -18,6 +19,7 @@
         PieceCache, Plan, Scheduled, engine_handler,
     },
     fault::Faults,
+    kv_store::kv_store_handler,
     log_service::log_handler,
     overhead::{Overhead, OverheadTargets, measure_overhead},
     service::service_handler,
--- a/crates/dogwoodway_standin/src/main.rs
+++ b/crates/dogwoodway_standin/src/main.rs
@@ -5,8 +5,8 @@
 use clap::{Args, Parser, Subcommand};
 use dogwoodway_http::{Handler, ServerLimits, serve};
 use dogwoodway_standin::{
-    DemoTargets, EngineOptions, OverheadTargets, engine_handler, log_handler, measure_overhead,
-    process_usage, run_demo, service_handler, state_slopes, vm_list_handler,
+    DemoTargets, EngineOptions, OverheadTargets, engine_handler, kv_store_handler, log_handler,
+    measure_overhead, process_usage, run_demo, service_handler, state_slopes, vm_list_handler,
 };
 use dogwoodway_types::{ModelName, WeightsVersion};
 use dogwoodway_vms::Vm;
@@ -27,6 +27,8 @@
     Engine(EngineArgs),
     /// A plain service.
     Service,
+    /// The store of kept KV cache.
+    KvStore,
     /// The platform's log.
     Log {
         /// Records kept of each stream.
@@ -120,6 +122,12 @@
     /// Factor by which the engine runs faster than its stated times.
     #[arg(long, default_value_t = 1.0)]
     speed: f64,
+    /// Base URL of the store of kept KV cache.
+    #[arg(long)]
+    kv_store_url: Option<String>,
+    /// Microseconds to import one prompt token.
+    #[arg(long, default_value_t = 5)]
+    import_us: u32,
 }
 
 impl From<EngineArgs> for EngineOptions {
@@ -134,6 +142,8 @@
             event_lag_ms: args.event_lag_ms,
             event_gap: args.event_gap,
             load_lag_ms: args.load_lag_ms,
+            kv_store_url: args.kv_store_url,
+            import_us: args.import_us,
             speed: args.speed,
         }
     }
@@ -207,6 +217,7 @@
         | Command::Slopes
         | Command::Usage { .. } => Err("not a server".to_owned()),
         Command::Service => Ok(service_handler()),
+        Command::KvStore => Ok(kv_store_handler()),
         Command::Log { retained } => Ok(log_handler(retained)),
         Command::Vms { file } => {
             let text = std::fs::read_to_string(file).map_err(|e| e.to_string())?;
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -2,11 +2,13 @@
 
 mod actor;
 mod front;
+mod kv_engine;
 mod run;
 
 use std::{path::Path, process::ExitCode, sync::Arc, time::Duration};
 
 use dogwoodway_engine::{HttpEngine, ModelEngine};
+use dogwoodway_kvstore::HttpKvStore;
 use dogwoodway_log::{HttpLog, PlatformLog};
 use dogwoodway_peer::AgentListener;
 use dogwoodway_service::{HttpService, PlainService};
@@ -16,6 +18,7 @@
     agent::{
         actor::{AgentActor, Drained, Leave, SeeConfig, SeeEngine, Sweep},
         front::AgentFront,
+        kv_engine::KvEngine,
         run::Backend,
     },
     cli::EXIT_FAILURE,
@@ -67,7 +70,10 @@
     let url = settings.backend_url.clone();
     match settings.kind {
         BackendRole::Engine => {
-            let engine: Arc<dyn ModelEngine> = Arc::new(HttpEngine::new(url));
+            let mut engine: Arc<dyn ModelEngine> = Arc::new(HttpEngine::new(url));
+            if let Some(url) = settings.kv_store_url.clone() {
+                engine = Arc::new(KvEngine::new(engine, Arc::new(HttpKvStore::new(url))));
+            }
             Backend::Engine(engine)
         }
         BackendRole::Service => {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -124,6 +124,7 @@
     kind: Option<String>,
     backend_url: Option<String>,
     log_url: Option<String>,
+    kv_store_url: Option<String>,
     #[serde(default)]
     labels: BTreeMap<String, String>,
     metrics_listen: Option<String>,
@@ -146,6 +147,8 @@
     pub(crate) backend_url: String,
     /// Base URL of the platform's log.
     pub(crate) log_url: String,
+    /// Base URL of the store of kept KV cache, if there is one.
+    pub(crate) kv_store_url: Option<String>,
     /// Labels of the backend server, which published ones replace.
     pub(crate) labels: BTreeMap<String, String>,
     /// Address on which metrics are served.
@@ -164,6 +167,7 @@
         let kind = fields.choice("kind", raw.kind, &kinds);
         let backend_url = fields.base_url("backend_url", raw.backend_url);
         let log_url = fields.base_url("log_url", raw.log_url);
+        let kv_store_url = raw.kv_store_url.and_then(|u| fields.base_url("kv_store_url", Some(u)));
         let metrics_listen = fields.optional_address("metrics_listen", raw.metrics_listen);
         fields.refuse_unknown(&raw.unknown);
         let faults = fields.into_faults();
@@ -183,6 +187,7 @@
                 kind,
                 backend_url,
                 log_url,
+                kv_store_url,
                 labels,
                 metrics_listen,
             }),
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -108,11 +108,12 @@
     pub(crate) services: usize,
     pub(crate) entries: usize,
     pub(crate) decode_us: u32,
+    pub(crate) kv_store: bool,
 }
 
 impl Default for FleetOptions {
     fn default() -> FleetOptions {
-        FleetOptions { engines: 2, services: 2, entries: 2, decode_us: 2_000 }
+        FleetOptions { engines: 2, services: 2, entries: 2, decode_us: 2_000, kv_store: false }
     }
 }
 
@@ -120,6 +121,7 @@
 pub(crate) struct Fleet {
     pub(crate) log: Process,
     pub(crate) vms: Process,
+    pub(crate) kv_store: Option<Process>,
     pub(crate) engines: Vec<Process>,
     pub(crate) services: Vec<Process>,
     /// Agents of the engines, then those of the services.
@@ -143,7 +145,14 @@
         std::fs::create_dir_all(&dir).expect("the temporary folder can be made");
         let log = standin(&["log"]);
         let decode = options.decode_us.to_string();
-        let engine = ["engine", "--model", "demo-model", "--decode-us", &decode];
+        let kv_store = options.kv_store.then(|| standin(&["kv-store"]));
+        let kv_url = kv_store.as_ref().map(Process::url);
+        let mut engine = vec!["engine", "--model", "demo-model", "--decode-us", &decode];
+        let mut agent_settings = String::new();
+        if let Some(url) = &kv_url {
+            engine.extend(["--kv-store-url", url]);
+            let _ = writeln!(agent_settings, "kv_store_url: {url}");
+        }
         let engines: Vec<_> = (0..options.engines).map(|_| standin(&engine)).collect();
         let services: Vec<_> = (0..options.services).map(|_| standin(&["service"])).collect();
         let backends = engines.iter().map(|e| ("engine", e)).enumerate();
@@ -153,7 +162,7 @@
         for (i, (kind, backend)) in backends {
             let text = format!(
                 "listen: 127.0.0.1:0\nzone: zone-{i}\nname: {kind}-{i}\nkind: {kind}\n\
-                 backend_url: {}\nlog_url: {}\nlabels: {{pool: {kind}}}\n",
+                 backend_url: {}\nlog_url: {}\nlabels: {{pool: {kind}}}\n{agent_settings}",
                 backend.url(),
                 log.url()
             );
@@ -179,7 +188,7 @@
         });
         let entries = entries.collect();
         let http = HttpClient::new();
-        let fleet = Fleet { log, vms, engines, services, agents, entries, http, dir };
+        let fleet = Fleet { log, vms, kv_store, engines, services, agents, entries, http, dir };
         fleet.publish(&usual_config()).await;
         fleet.wait_until_served(options).await;
         fleet
