Decide placement, queueing and team budgets by pure functions

Ruled out: strict priorities (a patient job starves), a token bucket of a whole window (lets twice the budget pass in a window), a static share for each entry (unused shares are lost).

Each fast structure equals a naive one over 256 cases; over 24 cases of 150 s with four entries, one cut off from the owner and the owner restarted once, no 60 s window holds more than 105% of the budget.

--- a/crates/dogwoodway_routing/src/lib.rs
+++ b/crates/dogwoodway_routing/src/lib.rs
@@ -3,13 +3,21 @@
 //! Nothing here does I/O or reads a clock; the current time is an argument.
 
 pub mod attempt;
+#[cfg(feature = "baselines")]
+pub mod baseline;
+pub mod budget;
+pub mod heat;
 pub mod kv_transfer;
 pub mod placement;
 pub mod prefix_index;
+pub mod queue;
+pub mod rate;
+pub mod rendezvous;
 
 /// The names that most users of this crate need.
 pub mod prelude {
     pub use crate::{
-        attempt::AttemptTable, placement::rendezvous_order, prefix_index::PrefixIndex,
+        attempt::AttemptTable, heat::HeatTable, prefix_index::PrefixIndex, queue::WorkQueue,
+        rate::PrefillRate,
     };
 }
--- a/crates/dogwoodway_routing/src/placement.rs
+++ b/crates/dogwoodway_routing/src/placement.rs
@@ -1,26 +1,74 @@
 //! Placement of a prompt: which backend servers to probe, and which of them to take.
+//!
+//! A router keeps no index of cached pieces. Rendezvous hashing on the deepest shared level of the
+//! prompt names the servers that are likely to hold it; their agents tell what they hold and how
+//! long the prompt would wait; the lowest cost is taken.
 
-use dogwoodway_types::{BackendServerName, PieceHash};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use dogwoodway_types::{PieceHash, PrefixChain};
 
-/// Orders backend servers by rendezvous hashing, the same on every router: the first is the
-/// prefix's home. Returns indices into `names`.
+use crate::rendezvous::{self, Server, mix};
+
+/// Servers that are probed for one placement.
+pub const MAX_PROBES: usize = 4;
+
+/// Probes of the servers that are likely to hold the prefix.
+const HOME_PROBES: usize = 3;
+
+/// Servers over which the hottest prefix is spread.
+const MAX_WIDTH: usize = 32;
+
+/// Weight of the computing time that a request costs others, in percent of its own first-token
+/// time.
+const RECOMPUTE_PRICE_PERCENT: u64 = 300;
+
+/// Returns the hash at the end of the deepest level that other prompts may share: the last one
+/// before the case at hand.
 ///
 /// ```
-/// use dogwoodway_routing::placement::rendezvous_order;
-/// use dogwoodway_types::{BackendServerName, PieceHash};
+/// use dogwoodway_routing::placement::shared_level;
+/// use dogwoodway_types::{PieceHash, PrefixChain};
 ///
-/// let names = ["a", "b", "c"].map(|n| BackendServerName::try_from(n).unwrap());
-/// let order = rendezvous_order(PieceHash(7), &names);
-/// assert_eq!(order.len(), 3);
-/// assert_eq!(order, rendezvous_order(PieceHash(7), &names));
+/// let hashes = [1, 2, 3].map(PieceHash).to_vec();
+/// let chain = PrefixChain { hashes, tokens: vec![10; 3], levels: vec![0, 1, 2] };
+/// assert_eq!(shared_level(&chain), Some(PieceHash(2)));
 /// ```
-pub fn rendezvous_order(key: PieceHash, names: &[BackendServerName]) -> Vec<usize> {
-    let seed = key.0 as u64 ^ (key.0 >> 64) as u64;
-    let weight = |i: usize| xxh3_64_with_seed(names[i].as_str().as_bytes(), seed);
-    let mut order: Vec<usize> = (0..names.len()).collect();
-    order.sort_by_cached_key(|&i| std::cmp::Reverse(weight(i)));
-    order
+pub fn shared_level(chain: &PrefixChain) -> Option<PieceHash> {
+    let level = match chain.levels.as_slice() {
+        [] => return None,
+        [only] => *only,
+        [.., level, _] => *level,
+    };
+    chain.hashes.get(level as usize).copied()
+}
+
+/// Names the servers to probe, as indices into `servers`, the most likely holder first.
+///
+/// `width` is the number of servers over which the prefix is spread; a wide prefix gets some of
+/// them, chosen by `seed`. One more server is chosen by `seed` alone, as a way out when all
+/// holders are busy; requests with different seeds do not crowd on the same one.
+///
+/// ```
+/// use dogwoodway_routing::{placement::shortlist, rendezvous::{Server, ServerKey}};
+/// use dogwoodway_types::PieceHash;
+///
+/// let servers: Vec<_> = (0..9).map(|n| Server { key: ServerKey(n), weight: 1 }).collect();
+/// let probes = shortlist(PieceHash(1), 1, &servers, 42);
+/// assert!(probes.len() >= 2 && probes.len() <= 4);
+/// ```
+pub fn shortlist(key: PieceHash, width: usize, servers: &[Server], seed: u64) -> Vec<usize> {
+    let width = width.clamp(1, MAX_WIDTH);
+    let homes = rendezvous::top(key, servers, width.max(HOME_PROBES - 1));
+    let mut probes = match homes.len() <= HOME_PROBES {
+        true => homes,
+        false => sample(&homes, HOME_PROBES, seed),
+    };
+    if let Some(count) = u64::try_from(servers.len()).ok().filter(|n| *n > 0) {
+        let free = (mix(seed ^ 0x5bd1) % count) as usize;
+        if !probes.contains(&free) {
+            probes.push(free);
+        }
+    }
+    probes
 }
 
 /// What a probe told about one candidate.
@@ -30,21 +78,39 @@
     pub wait_us: u64,
     /// Prompt tokens that it would have to compute.
     pub uncached_tokens: u32,
+    /// Measured nanoseconds to compute one prompt token.
+    pub prefill_ns: u32,
 }
 
-/// Microseconds to compute one prompt token, as assumed before it is measured.
-const PREFILL_US_PER_TOKEN: u64 = 50;
+impl Candidate {
+    /// Returns the predicted time to the first token plus the price of recomputation.
+    pub fn cost_us(&self) -> u64 {
+        let prefill_us = u64::from(self.uncached_tokens) * u64::from(self.prefill_ns) / 1_000;
+        self.wait_us + prefill_us + prefill_us * RECOMPUTE_PRICE_PERCENT / 100
+    }
+}
 
-/// Returns the candidate with the lowest predicted time to the first token; the earliest of equals.
+/// Returns the candidate with the lowest cost; the earliest of equals.
 ///
 /// ```
 /// use dogwoodway_routing::placement::{Candidate, choose};
 ///
-/// let far = Candidate { wait_us: 0, uncached_tokens: 4_000 };
-/// let near = Candidate { wait_us: 50_000, uncached_tokens: 10 };
+/// let far = Candidate { wait_us: 0, uncached_tokens: 4_000, prefill_ns: 50_000 };
+/// let near = Candidate { wait_us: 50_000, uncached_tokens: 10, prefill_ns: 50_000 };
 /// assert_eq!(choose(&[far, near]), Some(1));
 /// ```
 pub fn choose(candidates: &[Candidate]) -> Option<usize> {
-    let cost = |c: &Candidate| c.wait_us + u64::from(c.uncached_tokens) * PREFILL_US_PER_TOKEN;
-    (0..candidates.len()).min_by_key(|&i| cost(&candidates[i]))
+    (0..candidates.len()).min_by_key(|&i| candidates[i].cost_us())
+}
+
+/// Chooses `n` of the items by a seed.
+fn sample(items: &[usize], n: usize, seed: u64) -> Vec<usize> {
+    let mut items = items.to_vec();
+    for i in 0..n.min(items.len()) {
+        let rest = (items.len() - i) as u64;
+        let other = i + (mix(seed.wrapping_add(i as u64)) % rest) as usize;
+        items.swap(i, other);
+    }
+    items.truncate(n);
+    items
 }
--- /dev/null
+++ b/crates/dogwoodway_routing/tests/budget.rs
@@ -0,0 +1,190 @@
+//! Team budgets against naive ones, over several entries, one of which is cut off.
+
+use std::{collections::VecDeque, time::Duration};
+
+use dogwoodway_routing::budget::{
+    GrantRole, SlidingWindow, TeamBudget, TeamLimits, WINDOW, Wallet,
+};
+use dogwoodway_types::{EntryIncarnation, Timestamp};
+use proptest::prelude::*;
+
+const LIMITS: TeamLimits = TeamLimits { tokens: 600_000, in_flight: 400 };
+
+proptest! {
+    #[test]
+    fn window_equals_a_naive_one(
+        steps in prop::collection::vec((0..9_000u64, 0..500u64, 0..300u64), 0..120),
+    ) {
+        let mut now = Timestamp::from_millis(1_000_000);
+        let mut window = SlidingWindow::new(now, 0);
+        let mut naive: VecDeque<(u64, u64)> = VecDeque::new();
+        for (pass_ms, added, back) in steps {
+            now = now + Duration::from_millis(pass_ms);
+            let second = now.as_millis() / 1_000;
+            naive.retain(|(at, _)| *at + 60 >= second);
+            window.add(now, added);
+            naive.push_back((second, added));
+            window.take_back(now, back);
+            let mut left = back;
+            for (_, tokens) in &mut naive {
+                let taken = left.min(*tokens);
+                *tokens -= taken;
+                left -= taken;
+            }
+            prop_assert_eq!(window.used(now), naive.iter().map(|(_, tokens)| tokens).sum::<u64>());
+        }
+    }
+}
+
+/// A request that runs.
+struct Running {
+    entry: usize,
+    taken_at: Timestamp,
+    ends_at: Timestamp,
+    taken: u64,
+    used: u64,
+}
+
+/// Four entries that draw on one budget; the last one reaches only the fallback.
+struct Entries {
+    wallets: [Wallet; 4],
+    owner: TeamBudget,
+    fallback: TeamBudget,
+    running: Vec<Running>,
+    used: Vec<(Timestamp, u64)>,
+}
+
+impl Entries {
+    fn new(now: Timestamp) -> Entries {
+        Entries {
+            wallets: [Wallet::default(); 4],
+            owner: TeamBudget::new(now, LIMITS),
+            fallback: TeamBudget::new(now, LIMITS),
+            running: Vec::new(),
+            used: Vec::new(),
+        }
+    }
+
+    fn arrive(&mut self, now: Timestamp, entry: usize, estimate: u64, used: u64, run: Duration) {
+        let id = EntryIncarnation(entry as u64);
+        let wallet = &mut self.wallets[entry];
+        let is_admitted = match wallet.take(now, id, estimate) {
+            Ok(()) => true,
+            Err(ask) => {
+                let grant = match entry {
+                    3 => self.fallback.grant(now, LIMITS, GrantRole::Fallback, ask),
+                    _ => self.owner.grant(now, LIMITS, GrantRole::Owner, ask),
+                };
+                wallet.receive(now, grant);
+                match wallet.take(now, id, estimate) {
+                    Ok(()) => true,
+                    Err(ask) => {
+                        wallet.not_received(ask);
+                        false
+                    }
+                }
+            }
+        };
+        if is_admitted {
+            let (taken_at, ends_at) = (now, now + run);
+            self.running.push(Running { entry, taken_at, ends_at, taken: estimate, used });
+        }
+    }
+
+    fn pass(&mut self, now: Timestamp) {
+        let (ended, running) =
+            std::mem::take(&mut self.running).into_iter().partition(|r| r.ends_at <= now);
+        self.running = running;
+        let ended: Vec<Running> = ended;
+        for r in ended {
+            self.wallets[r.entry].settle(now, r.taken_at, r.taken, r.used);
+            self.used.push((r.ends_at, r.used));
+        }
+    }
+
+    /// Returns the most tokens used in any window.
+    fn worst_window(&self) -> u64 {
+        let in_window = |from: Timestamp| {
+            let used = self.used.iter().filter(|(at, _)| *at >= from && *at < from + WINDOW);
+            used.map(|(_, tokens)| tokens).sum::<u64>()
+        };
+        self.used.iter().map(|(at, _)| in_window(*at)).max().unwrap_or(0)
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+
+    #[test]
+    fn budget_holds_over_four_entries_of_which_one_is_cut_off(
+        seed_steps in prop::collection::vec((0..4usize, 200..2_000u64, 50..150u64, 10..2_000u64), 3_000),
+        restart_at in 0..3_000usize,
+    ) {
+        let mut now = Timestamp::from_millis(10_000_000);
+        let mut entries = Entries::new(now);
+        for (i, (entry, estimate, percent, run_ms)) in seed_steps.into_iter().enumerate() {
+            now = now + Duration::from_millis(50);
+            entries.pass(now);
+            if i == restart_at {
+                entries.owner = TeamBudget::new(now, LIMITS);
+            }
+            let used = estimate * percent / 100;
+            entries.arrive(now, entry, estimate, used, Duration::from_millis(run_ms));
+        }
+        let worst = entries.worst_window();
+        prop_assert!(worst * 100 <= LIMITS.tokens * 105, "{} tokens in a window", worst);
+    }
+}
+
+#[test]
+fn share_that_other_entries_leave_unused_is_lent_out_and_comes_back() {
+    let mut now = Timestamp::from_millis(10_000_000);
+    let mut entries = Entries::new(now);
+    let mut used_by = [[0_u64; 3]; 2];
+    for step in 0..6_000_usize {
+        now = now + Duration::from_millis(50);
+        entries.pass(now);
+        let phase = step / 3_000;
+        let all = [0, 1, 2];
+        let senders = if phase == 0 { &all[..1] } else { &all[..] };
+        for &entry in senders {
+            let before = entries.running.len();
+            entries.arrive(now, entry, 1_000, 1_000, Duration::from_millis(100));
+            if step % 3_000 >= 1_500 {
+                used_by[phase][entry] += 1_000 * (entries.running.len() - before) as u64;
+            }
+        }
+    }
+    let budget = LIMITS.tokens * 75 / 60;
+    assert!(used_by[0][0] * 100 >= budget * 90, "{used_by:?} of {budget}");
+    for used in used_by[1] {
+        assert!(used * 100 >= budget / 3 * 60, "{used_by:?} of {budget}");
+    }
+}
+
+#[test]
+fn requests_in_flight_hold_over_entries() {
+    let limits = TeamLimits { tokens: u64::MAX / 1_000, in_flight: 40 };
+    let now = Timestamp::from_millis(10_000_000);
+    let mut budget = TeamBudget::new(now, limits);
+    budget.grant(now + WINDOW * 3, limits, GrantRole::Owner, ask(0, 0));
+    let now = now + WINDOW * 3;
+    let mut admitted = 0;
+    let mut wallets = [Wallet::default(); 4];
+    for i in 0..400_u64 {
+        let entry = EntryIncarnation(i % 4);
+        let wallet = &mut wallets[(i % 4) as usize];
+        let mut taken = wallet.take(now, entry, 1);
+        if let Err(ask) = taken {
+            wallet.receive(now, budget.grant(now, limits, GrantRole::Owner, ask));
+            taken = wallet.take(now, entry, 1);
+        }
+        admitted += u32::from(taken.is_ok());
+    }
+    assert!((36..=42).contains(&admitted), "{admitted}");
+}
+
+fn ask(need: u64, in_flight: u32) -> dogwoodway_routing::budget::GrantRequest {
+    let entry = EntryIncarnation(9);
+    dogwoodway_routing::budget::GrantRequest { entry, need, returned: 0, overdrawn: 0, in_flight }
+}
--- /dev/null
+++ b/crates/dogwoodway_routing/tests/queue.rs
@@ -0,0 +1,220 @@
+//! The priority queue against a naive one, and its promises.
+
+use std::time::Duration;
+
+use dogwoodway_routing::queue::{
+    HEAD_START_PER_LEVEL, Job, LONG_JOB, Offer, QueueLimits, WorkQueue,
+};
+use dogwoodway_types::{AttemptId, PieceHash, Priority, Timestamp};
+use proptest::prelude::*;
+
+const LIMITS: QueueLimits = QueueLimits { max_running: 4, max_waiting: 5 };
+
+#[derive(Clone, Debug)]
+enum Op {
+    Offer { priority: u8, prefill_ms: u64, pieces: Vec<u128>, deadline_ms: u64 },
+    Next,
+    Computed(usize),
+    Remove(usize),
+    Expire,
+    Pass(u64),
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let pieces = prop::collection::vec(0..4u128, 0..3);
+    prop_oneof![
+        6 => (0..4u8, 0..400u64, pieces, 500..9_000u64).prop_map(
+            |(priority, prefill_ms, pieces, deadline_ms)| Op::Offer {
+                priority, prefill_ms, pieces, deadline_ms
+            }),
+        5 => Just(Op::Next),
+        2 => (0..40usize).prop_map(Op::Computed),
+        3 => (0..40usize).prop_map(Op::Remove),
+        1 => Just(Op::Expire),
+        3 => (0..2_000u64).prop_map(Op::Pass),
+    ]
+}
+
+#[derive(Clone)]
+struct Known {
+    job: Job,
+    offered_at: Timestamp,
+    computing: Option<bool>,
+    owns: Vec<PieceHash>,
+}
+
+/// All jobs in one list in the order of their arrival; everything is searched.
+#[derive(Default)]
+struct Naive {
+    jobs: Vec<Known>,
+}
+
+impl Naive {
+    fn waiting_in_order(&self) -> Vec<Known> {
+        let mut waiting: Vec<_> =
+            self.jobs.iter().filter(|k| k.computing.is_none()).cloned().collect();
+        let score = |k: &Known| {
+            let levels = u64::from(u8::MAX - k.job.priority.0);
+            k.offered_at.as_millis() + levels * HEAD_START_PER_LEVEL.as_millis() as u64
+        };
+        waiting.sort_by_key(score);
+        waiting
+    }
+
+    fn next(&mut self, held: u128) -> Option<AttemptId> {
+        let running: Vec<_> = self.jobs.iter().filter(|k| k.computing.is_some()).collect();
+        if running.len() >= LIMITS.max_running {
+            return None;
+        }
+        let long = running.iter().filter(|k| k.job.prefill >= LONG_JOB).count();
+        let may_run = |job: &Job| {
+            let owner = job.pieces.iter().find_map(|p| running.iter().find(|k| k.owns.contains(p)));
+            let joins = owner.is_some_and(|k| k.job.priority >= job.priority);
+            !joins && (job.prefill < LONG_JOB || long < LIMITS.max_running * 3 / 4)
+        };
+        let id = self.waiting_in_order().into_iter().find(|k| may_run(&k.job))?.job.id;
+        let owned: Vec<_> = running.iter().flat_map(|k| k.owns.clone()).collect();
+        let known = self.jobs.iter_mut().find(|k| k.job.id == id)?;
+        let cold = |p: &PieceHash| p.0 != held && !owned.contains(p);
+        known.owns = known.job.pieces.iter().copied().filter(cold).collect();
+        known.computing = Some(true);
+        Some(id)
+    }
+
+    fn computed(&mut self, id: AttemptId) {
+        let running = self.jobs.iter_mut().find(|k| k.job.id == id && k.computing.is_some());
+        if let Some(known) = running {
+            known.computing = Some(false);
+            known.owns.clear();
+        }
+    }
+
+    fn shed_below(&mut self, priority: Priority) -> Option<AttemptId> {
+        let waiting = self.waiting_in_order();
+        let lowest = waiting.iter().map(|k| k.job.priority).min()?;
+        let shed = waiting.iter().rev().find(|k| k.job.priority == lowest && lowest < priority)?;
+        self.jobs.retain(|k| k.job.id != shed.job.id);
+        Some(shed.job.id)
+    }
+}
+
+proptest! {
+    #[test]
+    fn queue_equals_a_naive_one(ops in prop::collection::vec(op(), 0..120)) {
+        let mut queue = WorkQueue::new(LIMITS);
+        let mut naive = Naive::default();
+        let mut now = Timestamp::from_millis(1_000);
+        for (i, op) in ops.into_iter().enumerate() {
+            match op {
+                Op::Offer { priority, prefill_ms, pieces, deadline_ms } => {
+                    let job = Job {
+                        id: AttemptId(i as u128),
+                        priority: Priority(priority),
+                        deadline: now + Duration::from_millis(deadline_ms),
+                        pieces: pieces.into_iter().map(PieceHash).collect(),
+                        prefill: Duration::from_millis(prefill_ms),
+                        decode: Duration::from_millis(100),
+                    };
+                    let wait = queue.predicted_wait(now, job.priority);
+                    let in_time = now + wait + job.prefill + job.decode <= job.deadline;
+                    let waiting = naive.waiting_in_order().len();
+                    let (offer, shed) = queue.offer(now, job.clone());
+                    let is_full = waiting >= LIMITS.max_waiting;
+                    let expected = match in_time && is_full {
+                        true => naive.shed_below(job.priority),
+                        false => None,
+                    };
+                    prop_assert_eq!(shed.first().map(|(id, _)| *id), expected);
+                    let is_taken = in_time && (!is_full || expected.is_some());
+                    prop_assert_eq!(offer == Offer::Queued, is_taken);
+                    if let Offer::Refused(refusal) = offer {
+                        prop_assert!(refusal.retry_at > now);
+                    }
+                    if is_taken {
+                        let owns = Vec::new();
+                        naive.jobs.push(Known { job, offered_at: now, computing: None, owns });
+                    }
+                }
+                Op::Next => prop_assert_eq!(queue.next(now, |p| p.0 == 0), naive.next(0)),
+                Op::Computed(n) => {
+                    let id = AttemptId(n as u128);
+                    queue.computed(now, id);
+                    naive.computed(id);
+                }
+                Op::Remove(n) => {
+                    let id = AttemptId(n as u128);
+                    queue.remove(now, id);
+                    naive.jobs.retain(|k| k.job.id != id);
+                }
+                Op::Expire => {
+                    let late = |k: &Known| {
+                        k.computing.is_none()
+                            && now + k.job.prefill + k.job.decode > k.job.deadline
+                    };
+                    let mut expected: Vec<_> =
+                        naive.jobs.iter().filter(|k| late(k)).map(|k| k.job.id).collect();
+                    let mut expired: Vec<_> =
+                        queue.expire(now).into_iter().map(|(id, _)| id).collect();
+                    expected.sort();
+                    expired.sort();
+                    prop_assert_eq!(expired, expected);
+                    naive.jobs.retain(|k| !late(k));
+                }
+                Op::Pass(ms) => now = now + Duration::from_millis(ms),
+            }
+            let running = naive.jobs.iter().filter(|k| k.computing.is_some()).count();
+            prop_assert_eq!(queue.len(), (running, naive.jobs.len() - running));
+        }
+    }
+}
+
+fn job(id: u128, priority: u8, prefill_ms: u64) -> Job {
+    Job {
+        id: AttemptId(id),
+        priority: Priority(priority),
+        deadline: Timestamp::MAX,
+        pieces: Vec::new(),
+        prefill: Duration::from_millis(prefill_ms),
+        decode: Duration::from_millis(1),
+    }
+}
+
+#[test]
+fn patient_job_is_served_under_an_endless_stream_of_urgent_ones() {
+    let mut queue = WorkQueue::new(QueueLimits { max_running: 1, max_waiting: 100 });
+    queue.offer(Timestamp(0), job(0, 2, 1_000));
+    let served_at = (1..100).find(|i| {
+        let now = Timestamp::from_millis(*i * 500);
+        queue.offer(now, job(u128::from(*i), 9, 10));
+        let id = queue.next(now, |_| true).unwrap();
+        queue.remove(now, id);
+        id == AttemptId(0)
+    });
+    assert!(served_at.is_some_and(|i| i * 500 <= 7_500), "{served_at:?}");
+}
+
+#[test]
+fn long_jobs_leave_places_to_urgent_ones() {
+    let mut queue = WorkQueue::new(QueueLimits { max_running: 8, max_waiting: 100 });
+    for id in 0..20 {
+        queue.offer(Timestamp(0), job(id, 2, 1_000));
+    }
+    while queue.next(Timestamp(1), |_| true).is_some() {}
+    assert_eq!(queue.len().0, 6);
+    queue.offer(Timestamp(2), job(99, 9, 10));
+    assert_eq!(queue.next(Timestamp(2), |_| true), Some(AttemptId(99)));
+}
+
+#[test]
+fn prompt_that_is_being_computed_is_not_computed_twice() {
+    let mut queue = WorkQueue::new(LIMITS);
+    let with_piece = |id, priority| Job { pieces: vec![PieceHash(1)], ..job(id, priority, 100) };
+    queue.offer(Timestamp(0), with_piece(1, 5));
+    queue.offer(Timestamp(0), with_piece(2, 5));
+    queue.offer(Timestamp(0), with_piece(3, 9));
+    assert_eq!(queue.next(Timestamp(0), |_| false), Some(AttemptId(3)));
+    assert_eq!(queue.next(Timestamp(0), |_| false), None);
+    queue.computed(Timestamp(9), AttemptId(3));
+    assert_eq!(queue.next(Timestamp(9), |_| true), Some(AttemptId(1)));
+    assert_eq!(queue.next(Timestamp(9), |_| true), Some(AttemptId(2)));
+}
--- /dev/null
+++ b/crates/dogwoodway_routing/tests/rendezvous.rs
@@ -0,0 +1,89 @@
+//! Rendezvous hashing against a full sort, and its shares.
+
+use dogwoodway_routing::{
+    heat::HeatTable,
+    placement::{MAX_PROBES, shortlist},
+    rendezvous::{Server, ServerKey, cost, top},
+};
+use dogwoodway_types::{PieceHash, Timestamp};
+use proptest::prelude::*;
+
+fn servers(weights: &[u32]) -> Vec<Server> {
+    let server = |(i, weight): (usize, &u32)| Server { key: ServerKey(i as u64), weight: *weight };
+    weights.iter().enumerate().map(server).collect()
+}
+
+proptest! {
+    #[test]
+    fn top_equals_a_full_sort(
+        key: u128, weights in prop::collection::vec(0..5u32, 0..40), n in 0..10usize,
+    ) {
+        let servers = servers(&weights);
+        let mut sorted: Vec<_> = (0..servers.len()).collect();
+        let cost = |i: &usize| cost(PieceHash(key), servers[*i]);
+        sorted.sort_by(|a, b| cost(a).total_cmp(&cost(b)));
+        sorted.truncate(n);
+        prop_assert_eq!(top(PieceHash(key), &servers, n), sorted);
+    }
+
+    #[test]
+    fn losing_a_server_moves_only_its_keys(key: u128, lost in 0..9usize) {
+        let all = servers(&[1; 9]);
+        let mut rest = all.clone();
+        rest.remove(lost);
+        let before = all[top(PieceHash(key), &all, 1)[0]];
+        let after = rest[top(PieceHash(key), &rest, 1)[0]];
+        prop_assert!(before == after || before == all[lost]);
+    }
+
+    #[test]
+    fn shortlist_is_short_and_without_repeats(
+        key: u128, width in 0..60usize, seed: u64, n in 0..60usize,
+    ) {
+        let probes = shortlist(PieceHash(key), width, &servers(&vec![1; n]), seed);
+        let mut unique = probes.clone();
+        unique.sort_unstable();
+        unique.dedup();
+        prop_assert_eq!(unique.len(), probes.len());
+        prop_assert!(probes.len() <= MAX_PROBES && probes.len() >= n.min(2));
+        prop_assert!(probes.iter().all(|i| *i < n));
+    }
+}
+
+#[test]
+fn keys_are_shared_by_weight() {
+    let servers = servers(&[1, 2, 5]);
+    let mut counts = [0_u32; 3];
+    for key in 0..8_000_u128 {
+        let hash = key.wrapping_mul(0x9e37_79b9_7f4a_7c15_f39c_c060_5ced_c835);
+        counts[top(PieceHash(hash), &servers, 1)[0]] += 1;
+    }
+    for (count, expected) in counts.into_iter().zip([1_000, 2_000, 5_000]) {
+        assert!(count.abs_diff(expected) < expected / 8, "{counts:?}");
+    }
+}
+
+#[test]
+fn hot_prefix_is_spread_and_cools_and_the_table_stays_small() {
+    let mut heat = HeatTable::default();
+    let at = Timestamp::from_millis;
+    let hot = (0..400).map(|i| heat.note(at(i * 10), PieceHash(1 + u128::from(i % 4 == 0)), 9));
+    assert!(hot.last().unwrap() >= 9);
+    for i in 0..20_000 {
+        let width = heat.note(at(4_000 + i), PieceHash(100 + u128::from(i)), 9);
+        assert!(width == 1 || i < 2_000, "{i}");
+    }
+    assert_eq!(heat.note(at(24_000), PieceHash(1), 9), 1);
+    assert!(heat.len() <= 4_096);
+}
+
+#[test]
+fn requests_that_flee_a_busy_home_do_not_crowd_on_one_server() {
+    let servers = servers(&[1; 9]);
+    let mut counts = [0; 9];
+    for seed in 0..900 {
+        let probes = shortlist(PieceHash(5), 1, &servers, seed);
+        counts[*probes.last().unwrap()] += 1;
+    }
+    assert!(counts.iter().all(|count| *count < 300), "{counts:?}");
+}
--- a/crates/dogwoodway_types/src/id.rs
+++ b/crates/dogwoodway_types/src/id.rs
@@ -144,6 +144,8 @@
 numbers! {
     /// Identifies one process lifetime of an agent.
     AgentIncarnation(u64);
+    /// Identifies one process lifetime of an entry.
+    EntryIncarnation(u64);
     /// Identifies one process lifetime of a model engine; its cache starts empty.
     EngineIncarnation(u64);
     /// Position of a record in a log stream; offsets start at 1, and 0 is before all records.
--- a/crates/dogwoodway_types/src/lib.rs
+++ b/crates/dogwoodway_types/src/lib.rs
@@ -17,8 +17,8 @@
     },
     id::{
         AgentIncarnation, AttemptId, AvailabilityZone, BackendServerName, ChangeId, ClassName,
-        EngineIncarnation, IdError, IdempotencyKey, LogOffset, ModelName, RequestId, SelectorName,
-        TeamName, Token, WeightsVersion,
+        EngineIncarnation, EntryIncarnation, IdError, IdempotencyKey, LogOffset, ModelName,
+        RequestId, SelectorName, TeamName, Token, WeightsVersion,
     },
     outcome::{NotRunReason, Outcome},
     prefix::{PIECE_TOKENS, PieceHash, PrefixChain, estimate_tokens},
