Probe by prefix level and queue attempts at the agent

Cause: every eligible agent's chain was hashed anew for each probe, reply and the work itself, and an agent handed all attempts to its engine at once.

An entry now cuts a prompt once for each weights version, asks for a shortlist, and gives up a probe after 150 ms. An agent admits by predicted wait against the deadline, sheds the lowest class first, refuses with a time to come back, and hands on as many attempts as the engine batches. It follows the engine's cache events. Baselines to measure against are compiled only with the feature 'baselines'.

--- a/crates/dogwoodway_engine/src/model_engine.rs
+++ b/crates/dogwoodway_engine/src/model_engine.rs
@@ -82,6 +82,8 @@
     pub waiting: u32,
     /// Most requests that run together.
     pub max_batch: u32,
+    /// Pieces that the prefix cache holds.
+    pub cache_pieces: u32,
 }
 
 /// The reason why an engine gave no whole answer.
--- a/crates/dogwoodway_peer/src/message.rs
+++ b/crates/dogwoodway_peer/src/message.rs
@@ -64,6 +64,8 @@
     pub load: u32,
     /// Predicted microseconds until the engine would begin the prompt.
     pub wait_us: u64,
+    /// Measured nanoseconds to compute one prompt token.
+    pub prefill_ns: u32,
     /// Whether a new attempt would be taken.
     pub accepting: bool,
     /// The agent's incarnation.
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -1,6 +1,7 @@
 //! The agent beside a backend server: the only door to it.
 
 mod actor;
+mod admission;
 mod front;
 mod kv_engine;
 mod run;
@@ -16,7 +17,7 @@
 
 use crate::{
     agent::{
-        actor::{AgentActor, Drained, Leave, SeeConfig, SeeEngine, Sweep},
+        actor::{AgentActor, Drained, Leave, SeeConfig, SeeEngine, SeeEvents, Sweep},
         front::AgentFront,
         kv_engine::KvEngine,
         run::Backend,
@@ -30,6 +31,8 @@
 
 const ENGINE_STATUS_MS: u64 = 250;
 
+const CACHE_EVENTS_MS: u64 = 100;
+
 const SWEEP_MS: u64 = 1_000;
 
 /// Time that entries have to read the last frames of ended attempts.
@@ -100,6 +103,7 @@
     });
     let agent = actor.clone();
     if let Backend::Engine(engine) = backend {
+        tokio::spawn(follow_cache(engine.clone(), agent.clone()));
         tokio::spawn(async move {
             while agent.tell(SeeEngine(engine.status().await.ok())).await.is_ok() {
                 tokio::time::sleep(Duration::from_millis(ENGINE_STATUS_MS)).await;
@@ -114,6 +118,25 @@
     });
 }
 
+/// Follows the engine's cache events; starts over when its incarnation changes.
+async fn follow_cache(engine: Arc<dyn ModelEngine>, agent: ActorRef<AgentActor>) {
+    let mut next = 0;
+    let mut incarnation = None;
+    loop {
+        tokio::time::sleep(Duration::from_millis(CACHE_EVENTS_MS)).await;
+        let Ok(events) = engine.cache_events(next).await else { continue };
+        let is_same = incarnation.replace(events.engine) == Some(events.engine);
+        if !is_same && next > 0 {
+            next = 0;
+            continue;
+        }
+        next = events.next;
+        if agent.tell(SeeEvents(events)).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Resolves when shutdown was requested and no attempt runs any more.
 async fn drained(actor: ActorRef<AgentActor>) {
     shutdown::requested().await;
--- a/src/agent/actor.rs
+++ b/src/agent/actor.rs
@@ -2,30 +2,37 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-use dogwoodway_engine::EngineStatus;
+use dogwoodway_engine::{CacheEvents, EngineStatus};
 use dogwoodway_peer::{
     AgentDescription, BackendKind, FramesReply, ProbeReply, ProbeRequest, RunRequest, SettleReply,
     StartReply,
 };
 use dogwoodway_routing::{
     attempt::{AttemptTable, Settled, StartVerdict},
-    prefix_index::PrefixIndex,
+    queue::{Offer, Refusal},
 };
 use dogwoodway_types::{
-    AgentIncarnation, AttemptId, Configuration, EngineIncarnation, FrameKind, LogOffset,
-    NotRunReason, Outcome, PieceHash, Timestamp, Work,
+    AgentIncarnation, AttemptId, Configuration, FrameKind, LogOffset, NotRunReason, Outcome,
+    Timestamp, Work,
 };
 use kameo::{
     Actor,
+    actor::ActorRef,
     message::{Context, Message},
 };
 use tokio::{sync::oneshot, task::AbortHandle};
 
 use crate::{
-    agent::run::{self, Backend},
+    agent::{
+        admission::Admission,
+        run::{self, Backend},
+    },
     settings::{AgentSettings, BackendRole},
 };
 
+/// Predicted wait for each call that a plain service runs already.
+const WAIT_US_PER_CALL: u64 = 2_000;
+
 /// An agent's state; only this actor changes it.
 #[derive(Actor)]
 pub(crate) struct AgentActor {
@@ -38,7 +45,8 @@
     attempts: AttemptTable,
     runs: HashMap<AttemptId, AbortHandle>,
     waiters: HashMap<AttemptId, Vec<Waiter>>,
-    index: PrefixIndex,
+    admission: Admission,
+    queued: HashMap<AttemptId, RunRequest>,
 }
 
 /// An entry that waits for a frame.
@@ -60,7 +68,8 @@
             attempts: AttemptTable::default(),
             runs: HashMap::new(),
             waiters: HashMap::new(),
-            index: PrefixIndex::default(),
+            admission: Admission::new(),
+            queued: HashMap::new(),
         }
     }
 
@@ -104,13 +113,75 @@
         }
     }
 
+    /// Runs an attempt, lets it wait, or refuses it.
+    fn admit(
+        &mut self,
+        now: Timestamp,
+        req: RunRequest,
+        actor: &ActorRef<AgentActor>,
+    ) -> Option<Refusal> {
+        let id = req.attempt;
+        let Work::Chat(chat) = &req.work else {
+            self.spawn_run(req, actor);
+            return None;
+        };
+        let (offer, shed) = self.admission.offer(now, &req, chat);
+        for (id, refusal) in shed {
+            self.refuse(id, refusal);
+        }
+        match offer {
+            Offer::Queued => {
+                self.queued.insert(id, req);
+                self.run_next(actor);
+                None
+            }
+            Offer::Refused(refusal) => {
+                self.refuse(id, refusal);
+                Some(refusal)
+            }
+        }
+    }
+
+    /// Hands waiting attempts to the engine as long as it has places.
+    fn run_next(&mut self, actor: &ActorRef<AgentActor>) {
+        let Some(engine) = self.engine.as_ref().map(|status| status.incarnation) else { return };
+        let now = Timestamp::now();
+        while let Some(id) = self.admission.next(now, engine) {
+            match self.queued.remove(&id) {
+                Some(req) if req.engine == Some(engine) => self.spawn_run(req, actor),
+                Some(_) => {
+                    let reason = NotRunReason::StaleBackendServer;
+                    self.refuse(id, Refusal { reason, retry_at: now });
+                }
+                None => self.admission.remove(now, id),
+            }
+        }
+    }
+
+    fn spawn_run(&mut self, req: RunRequest, actor: &ActorRef<AgentActor>) {
+        let id = req.attempt;
+        let task = tokio::spawn(run::run(self.backend.clone(), req, actor.clone()));
+        self.runs.insert(id, task.abort_handle());
+    }
+
+    /// Ends an attempt that was never handed to the engine.
+    fn refuse(&mut self, id: AttemptId, refusal: Refusal) {
+        let Refusal { reason, retry_at } = refusal;
+        let outcome = Outcome::NotRun { reason, retry_at: Some(retry_at) };
+        self.push(id, FrameKind::Error { outcome, backend_lost: false });
+    }
+
     fn push(&mut self, id: AttemptId, kind: FrameKind) {
         let is_last = kind.is_last();
-        if !self.attempts.push(Timestamp::now(), id, kind) {
+        let now = Timestamp::now();
+        self.admission.see_frame(now, id, &kind);
+        if !self.attempts.push(now, id, kind) {
             return;
         }
         if is_last {
             self.runs.remove(&id);
+            self.queued.remove(&id);
+            self.admission.remove(now, id);
         }
         for waiter in self.waiters.remove(&id).unwrap_or_default() {
             let frames = self.attempts.frames(id, waiter.from).unwrap_or_default();
@@ -148,16 +219,26 @@
         let kind = self.kind()?;
         let matched = match &kind {
             BackendKind::Engine { incarnation: Some(engine), .. } => {
-                self.index.matched(*engine, &msg.0.hashes)
+                self.admission.matched(*engine, &msg.0.hashes)
             }
             _ => 0,
         };
-        let load = self.attempts.running();
-        let wait_us = u64::from(load) * run::WAIT_US_PER_ATTEMPT;
+        let load = match &kind {
+            BackendKind::Engine { .. } => self.admission.load(),
+            BackendKind::Service => self.attempts.running(),
+        };
+        let wait_us = match &kind {
+            BackendKind::Engine { .. } => {
+                let wait = self.admission.wait(Timestamp::now(), msg.0.priority);
+                u64::try_from(wait.as_micros()).unwrap_or(u64::MAX)
+            }
+            BackendKind::Service => u64::from(load) * WAIT_US_PER_CALL,
+        };
         Some(ProbeReply {
             matched,
             load,
             wait_us,
+            prefill_ns: self.admission.prefill_ns(),
             accepting: !self.leaving,
             agent: self.incarnation,
             kind,
@@ -186,10 +267,9 @@
                 return Box::new(StartReply::NotRun { reason, retry_at: None });
             }
             StartVerdict::Run => {
-                let id = req.attempt;
-                let task =
-                    tokio::spawn(run::run(self.backend.clone(), req, cx.actor_ref().clone()));
-                self.runs.insert(id, task.abort_handle());
+                if let Some(Refusal { reason, retry_at }) = self.admit(now, req, cx.actor_ref()) {
+                    return Box::new(StartReply::NotRun { reason, retry_at: Some(retry_at) });
+                }
             }
         }
         Box::new(StartReply::Accepted)
@@ -205,22 +285,20 @@
 impl Message<Push> for AgentActor {
     type Reply = ();
 
-    async fn handle(&mut self, msg: Push, _: &mut Context<Self, Self::Reply>) {
+    async fn handle(&mut self, msg: Push, cx: &mut Context<Self, Self::Reply>) {
         self.push(msg.id, msg.kind);
+        self.run_next(cx.actor_ref());
     }
 }
 
-/// Notes that an engine holds pieces.
-pub(crate) struct Cached {
-    pub(crate) engine: EngineIncarnation,
-    pub(crate) pieces: Vec<PieceHash>,
-}
+/// Tells the agent which cache events its engine published.
+pub(crate) struct SeeEvents(pub(crate) CacheEvents);
 
-impl Message<Cached> for AgentActor {
+impl Message<SeeEvents> for AgentActor {
     type Reply = ();
 
-    async fn handle(&mut self, msg: Cached, _: &mut Context<Self, Self::Reply>) {
-        self.index.insert(msg.engine, &msg.pieces, Timestamp::now());
+    async fn handle(&mut self, msg: SeeEvents, _: &mut Context<Self, Self::Reply>) {
+        self.admission.see_events(&msg.0);
     }
 }
 
@@ -276,14 +354,20 @@
 impl Message<Cancel> for AgentActor {
     type Reply = ();
 
-    async fn handle(&mut self, msg: Cancel, _: &mut Context<Self, Self::Reply>) {
-        let Some(task) = self.runs.remove(&msg.0) else { return };
-        task.abort();
-        if let Backend::Engine(engine) = self.backend.clone() {
-            tokio::spawn(async move { engine.cancel(msg.0).await });
+    async fn handle(&mut self, msg: Cancel, cx: &mut Context<Self, Self::Reply>) {
+        match self.runs.remove(&msg.0) {
+            Some(task) => {
+                task.abort();
+                if let Backend::Engine(engine) = self.backend.clone() {
+                    tokio::spawn(async move { engine.cancel(msg.0).await });
+                }
+            }
+            None if self.queued.contains_key(&msg.0) => {}
+            None => return,
         }
         let outcome = Outcome::Failed { message: "the request was cancelled".to_owned() };
         self.push(msg.0, FrameKind::Error { outcome, backend_lost: false });
+        self.run_next(cx.actor_ref());
     }
 }
 
@@ -306,8 +390,12 @@
 impl Message<SeeEngine> for AgentActor {
     type Reply = ();
 
-    async fn handle(&mut self, msg: SeeEngine, _: &mut Context<Self, Self::Reply>) {
+    async fn handle(&mut self, msg: SeeEngine, cx: &mut Context<Self, Self::Reply>) {
+        if let Some(status) = &msg.0 {
+            self.admission.see_engine(status);
+        }
         self.engine = msg.0;
+        self.run_next(cx.actor_ref());
     }
 }
 
@@ -340,6 +428,10 @@
     type Reply = ();
 
     async fn handle(&mut self, _: Sweep, _: &mut Context<Self, Self::Reply>) {
-        self.attempts.sweep(Timestamp::now());
+        let now = Timestamp::now();
+        for (id, refusal) in self.admission.expire(now) {
+            self.refuse(id, refusal);
+        }
+        self.attempts.sweep(now);
     }
 }
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -11,10 +11,7 @@
 };
 use kameo::actor::ActorRef;
 
-use crate::agent::actor::{AgentActor, Cached, Push};
-
-/// Predicted wait for each attempt that runs already.
-pub(crate) const WAIT_US_PER_ATTEMPT: u64 = 2_000;
+use crate::agent::actor::{AgentActor, Push};
 
 /// The backend server beside an agent.
 #[derive(Clone)]
@@ -46,7 +43,6 @@
     chat: ChatWork,
     actor: &ActorRef<AgentActor>,
 ) -> FrameKind {
-    let pieces = chat.prefix.hashes.clone();
     let engine_req = EngineRequest {
         request_id: req.attempt,
         model: chat.model,
@@ -72,8 +68,6 @@
                     let _ = engine.cancel(req.attempt).await;
                     return lost("another engine answered than the request was routed to");
                 }
-                let pieces = pieces.clone();
-                let _ = actor.tell(Cached { engine: incarnation, pieces }).await;
                 FrameKind::Started { engine: incarnation, version, cached_tokens }
             }
             Ok(EngineEvent::Token { token, text, .. }) => FrameKind::Token { token, text },
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -1,7 +1,10 @@
 //! Takes callers' requests to the agents of the fleet.
 
 mod attempt;
+#[cfg(feature = "baselines")]
+mod baseline;
 mod placement;
+mod placer;
 mod progress;
 mod serve;
 
@@ -10,11 +13,14 @@
 use dogwoodway_caller::{Answer, AnswerEvent, CallerRequest, Dispatcher, Readiness};
 use dogwoodway_types::{KeyHash, ModelName, Outcome, TeamName};
 use futures::{FutureExt, future::BoxFuture};
-use kameo::actor::ActorRef;
+use kameo::actor::{ActorRef, Spawn};
 use tokio::sync::mpsc;
 
 use crate::{
-    config_follower::ConfigWatch, entry::router::Router, metrics_page, settings::EntrySettings,
+    config_follower::ConfigWatch,
+    entry::{dispatch::placer::Placer, router::Router},
+    metrics_page,
+    settings::EntrySettings,
 };
 
 const ANSWER_EVENTS: usize = 64;
@@ -28,6 +34,7 @@
     settings: EntrySettings,
     config: ConfigWatch,
     router: ActorRef<Router>,
+    placer: ActorRef<Placer>,
 }
 
 impl EntryDispatcher {
@@ -37,7 +44,8 @@
         config: ConfigWatch,
         router: ActorRef<Router>,
     ) -> EntryDispatcher {
-        EntryDispatcher { core: Arc::new(Core { settings, config, router }) }
+        let placer = Placer::spawn(Placer::default());
+        EntryDispatcher { core: Arc::new(Core { settings, config, router, placer }) }
     }
 }
 
--- a/src/entry/dispatch/placement.rs
+++ b/src/entry/dispatch/placement.rs
@@ -1,67 +1,146 @@
 //! Chooses the agent that runs an attempt.
 
+use std::time::Duration;
+
 use dogwoodway_caller::{CallerRequest, CallerWork};
 use dogwoodway_peer::{BackendKind, ProbeReply, ProbeRequest};
-use dogwoodway_routing::placement::{self, Candidate, rendezvous_order};
-use dogwoodway_types::{ChatWork, PieceHash, PrefixChain, Work};
+use dogwoodway_routing::{
+    placement::{self, Candidate},
+    rendezvous::{Server, ServerKey},
+};
+use dogwoodway_types::{ChatWork, PieceHash, PrefixChain, WeightsVersion, Work};
+use kameo::actor::ActorRef;
 
 use crate::entry::{
-    dispatch::progress::Progress,
+    dispatch::{
+        placer::{Placer, Shortlist},
+        progress::Progress,
+    },
     router::{Eligible, EligibleAgent},
 };
 
-/// Agents that are probed for one placement.
-const PROBES: usize = 3;
+/// Time after which a probe is given up.
+const PROBE_TIMEOUT_MS: u64 = 150;
+
+/// Label that states a backend server's capacity relative to others.
+const CAPACITY_LABEL: &str = "capacity";
 
 /// Chooses an agent for a request and prepares the work for it.
 pub(super) async fn place(
+    placer: &ActorRef<Placer>,
     req: &CallerRequest,
     eligible: &Eligible,
     progress: &Progress,
 ) -> Option<(EligibleAgent, ProbeReply, Work)> {
-    let names: Vec<_> = eligible.agents.iter().map(|agent| agent.name.clone()).collect();
-    let chain_of = |agent: &EligibleAgent| match (&req.work, &agent.description.kind) {
-        (CallerWork::Chat { model, messages, .. }, BackendKind::Engine { version, .. }) => {
-            PrefixChain::new(&req.team, model, *version, messages)
+    let mut chains = Chains { req, chains: Vec::new() };
+    let home = chains.of(&eligible.agents.first()?.description.kind);
+    let key = placement::shared_level(home).unwrap_or(PieceHash(req.id.0));
+    let servers = eligible.agents.iter().map(server).collect();
+    let seed = rand::random();
+    let probed = placer.ask(Shortlist { key, servers, seed }).await.ok()?;
+    let mut replies = probe_all(&probed, eligible, &mut chains).await;
+    if replies.is_empty() {
+        let rest: Vec<_> = (0..eligible.agents.len()).filter(|i| !probed.contains(i)).collect();
+        replies = probe_all(&rest, eligible, &mut chains).await;
+    }
+    let (agent, reply) = &replies[choose(&replies, &mut chains)?];
+    let work = chains.work(reply, progress)?;
+    Some(((*agent).clone(), reply.clone(), work))
+}
+
+/// The prompt's pieces for each weights version in use.
+struct Chains<'a> {
+    req: &'a CallerRequest,
+    chains: Vec<(Option<WeightsVersion>, PrefixChain)>,
+}
+
+impl Chains<'_> {
+    fn of(&mut self, kind: &BackendKind) -> &PrefixChain {
+        let version = match kind {
+            BackendKind::Engine { version, .. } => Some(*version),
+            BackendKind::Service => None,
+        };
+        let known = self.chains.iter().position(|(v, _)| *v == version);
+        let i = known.unwrap_or_else(|| {
+            self.chains.push((version, self.cut(version)));
+            self.chains.len() - 1
+        });
+        &self.chains[i].1
+    }
+
+    fn cut(&self, version: Option<WeightsVersion>) -> PrefixChain {
+        match (&self.req.work, version) {
+            (CallerWork::Chat { model, messages, .. }, Some(version)) => {
+                PrefixChain::new(&self.req.team, model, version, messages)
+            }
+            _ => PrefixChain::default(),
         }
-        _ => PrefixChain::default(),
-    };
-    let home = eligible.agents.first().map(&chain_of)?;
-    let key = home.levels.first().and_then(|&i| home.hashes.get(i as usize)).copied();
-    let order = rendezvous_order(key.unwrap_or(PieceHash(req.id.0)), &names);
-    let probes = order.iter().take(PROBES).map(|&i| {
-        let agent = &eligible.agents[i];
+    }
+
+    fn work(&mut self, reply: &ProbeReply, progress: &Progress) -> Option<Work> {
+        match (&self.req.work, &reply.kind) {
+            (CallerWork::Service(call), _) => Some(Work::Service(call.clone())),
+            (CallerWork::Chat { .. }, BackendKind::Service) => None,
+            (
+                CallerWork::Chat { model, messages, max_tokens },
+                BackendKind::Engine { version, .. },
+            ) => Some(Work::Chat(ChatWork {
+                model: model.clone(),
+                version: *version,
+                messages: messages.clone(),
+                prefix: self.of(&reply.kind).clone(),
+                max_tokens: *max_tokens,
+                resume_after: progress.delivered.clone(),
+            })),
+        }
+    }
+}
+
+fn server(agent: &EligibleAgent) -> Server {
+    let weight = agent.description.labels.get(CAPACITY_LABEL);
+    let weight = weight.and_then(|text| text.parse().ok()).unwrap_or(1);
+    Server { key: ServerKey::new(&agent.name), weight }
+}
+
+/// Probes agents; those that do not reply in time or take no work are left out.
+async fn probe_all<'a>(
+    probed: &[usize],
+    eligible: &'a Eligible,
+    chains: &mut Chains<'_>,
+) -> Vec<(&'a EligibleAgent, ProbeReply)> {
+    let probes = probed.iter().filter_map(|&i| eligible.agents.get(i)).map(|agent| {
         let probe = ProbeRequest {
-            hashes: chain_of(agent).hashes,
+            hashes: chains.of(&agent.description.kind).hashes.clone(),
             priority: eligible.priority,
             config_offset: eligible.config.offset,
         };
-        async move { agent.link.probe(probe).await.ok().map(|reply| (agent, reply)) }
+        let limit = Duration::from_millis(PROBE_TIMEOUT_MS);
+        async move {
+            let reply = tokio::time::timeout(limit, agent.link.probe(probe)).await;
+            reply.ok()?.ok().map(|reply| (agent, reply))
+        }
     });
+    let probes: Vec<_> = probes.collect();
     let replies = futures::future::join_all(probes).await;
-    let replies: Vec<_> = replies.into_iter().flatten().filter(|(_, r)| r.accepting).collect();
+    replies.into_iter().flatten().filter(|(_, reply)| reply.accepting).collect()
+}
+
+fn choose(replies: &[(&EligibleAgent, ProbeReply)], chains: &mut Chains<'_>) -> Option<usize> {
+    #[cfg(feature = "baselines")]
+    if let Some(baseline) = super::baseline::chosen() {
+        return super::baseline::choose(baseline, replies.iter().map(|(_, reply)| reply));
+    }
     let candidates: Vec<_> = replies
         .iter()
-        .map(|(agent, reply)| {
-            let chain = chain_of(agent);
+        .map(|(_, reply)| {
+            let chain = chains.of(&reply.kind);
             let cached = chain.tokens_of(reply.matched as usize);
-            Candidate { wait_us: reply.wait_us, uncached_tokens: chain.total_tokens() - cached }
+            Candidate {
+                wait_us: reply.wait_us,
+                uncached_tokens: chain.total_tokens() - cached,
+                prefill_ns: reply.prefill_ns,
+            }
         })
         .collect();
-    let (agent, reply) = &replies[placement::choose(&candidates)?];
-    let work = match &req.work {
-        CallerWork::Service(call) => Work::Service(call.clone()),
-        CallerWork::Chat { model, messages, max_tokens } => {
-            let BackendKind::Engine { version, .. } = reply.kind else { return None };
-            Work::Chat(ChatWork {
-                model: model.clone(),
-                version,
-                messages: messages.clone(),
-                prefix: PrefixChain::new(&req.team, model, version, messages),
-                max_tokens: *max_tokens,
-                resume_after: progress.delivered.clone(),
-            })
-        }
-    };
-    Some(((*agent).clone(), reply.clone(), work))
+    placement::choose(&candidates)
 }
--- a/src/entry/dispatch/serve.rs
+++ b/src/entry/dispatch/serve.rs
@@ -86,7 +86,7 @@
         let Ok(Some(eligible)) = self.router.ask(find).await else {
             return AttemptEnd::NotRun(NotRunReason::NoBackendServer);
         };
-        let Some((agent, probe, work)) = place(req, &eligible, progress).await else {
+        let Some((agent, probe, work)) = place(&self.placer, req, &eligible, progress).await else {
             return AttemptEnd::NotRun(NotRunReason::NoBackendServer);
         };
         let engine = match &probe.kind {
