Add a load tool that measures placements over the real path

A scenario in YAML states the seed, fleet sizes, prefixes, skew, classes, shift and faults; scripts/load.sh runs it against a fresh fleet for each placement and load. Wasted computation is taken from the engines' own journals: tokens computed although another engine held them when the request was scheduled.

--- a/crates/dogwoodway_standin/src/engine/server.rs
+++ b/crates/dogwoodway_standin/src/engine/server.rs
@@ -156,6 +156,7 @@
             running: u32::try_from(running).unwrap_or(u32::MAX),
             waiting: u32::try_from(waiting).unwrap_or(u32::MAX),
             max_batch: self.options.max_batch,
+            cache_pieces: u32::try_from(self.options.cache_pieces).unwrap_or(u32::MAX),
         }
     }
 
--- a/crates/dogwoodway_standin/src/lib.rs
+++ b/crates/dogwoodway_standin/src/lib.rs
@@ -6,6 +6,7 @@
 mod engine;
 mod fault;
 mod kv_store;
+mod load;
 mod log_service;
 mod overhead;
 mod service;
@@ -20,6 +21,10 @@
     },
     fault::Faults,
     kv_store::kv_store_handler,
+    load::{
+        CacheAudit, ClassLoad, ClassReport, FaultAt, FaultKind, FleetSizes, LoadTargets, Planned,
+        Report, Scenario, audit, compare, plan, run_load, write_plot,
+    },
     log_service::log_handler,
     overhead::{Overhead, OverheadTargets, measure_overhead},
     service::service_handler,
--- /dev/null
+++ b/crates/dogwoodway_standin/src/load/client.rs
@@ -0,0 +1,154 @@
+//! Sends one request and measures its answer.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use dogwoodway_http::{HttpClient, SseReader};
+use dogwoodway_types::ModelName;
+use http_body_util::BodyExt;
+use hyper::Method;
+use serde_json::{Value, json};
+
+use crate::load::{
+    scenario::Scenario,
+    workload::{self, Planned},
+};
+
+const READY_WAIT_MS: u64 = 20_000;
+
+const ANSWER_TIMEOUT_MS: u64 = 60_000;
+
+/// What became of one request.
+#[derive(Clone, Debug)]
+pub(crate) struct Measured {
+    pub(crate) at_us: u64,
+    pub(crate) class: usize,
+    pub(crate) first_token: Option<Duration>,
+    pub(crate) outcome: String,
+    pub(crate) tokens: u64,
+}
+
+impl Measured {
+    pub(crate) fn is_answered(&self) -> bool {
+        self.outcome == "answered"
+    }
+}
+
+/// A caller of the entries.
+#[derive(Debug)]
+pub(crate) struct CallerClient {
+    http: HttpClient,
+    model: ModelName,
+}
+
+impl CallerClient {
+    pub(crate) fn new(http: HttpClient, model: ModelName) -> CallerClient {
+        CallerClient { http, model }
+    }
+
+    /// Waits until a request is answered through each entry.
+    pub(crate) async fn wait_until_served(
+        &self,
+        entries: &[String],
+        scenario: &Scenario,
+    ) -> Result<(), String> {
+        let deadline = Instant::now() + Duration::from_millis(READY_WAIT_MS);
+        for entry in entries {
+            loop {
+                let body = json!({
+                    "model": self.model, "max_tokens": 1, "stream": true,
+                    "messages": [{"role": "user", "content": "ready?"}],
+                });
+                let name = &scenario.classes[0].name;
+                let (outcome, _) = self.exchange(entry, "sk-team-0", name.as_str(), &body).await;
+                if outcome == "answered" {
+                    break;
+                }
+                if Instant::now() > deadline {
+                    return Err(format!("{entry} did not become ready: {outcome}"));
+                }
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Sends a request and reads its answer to the end.
+    pub(crate) async fn call(&self, entry: &str, scenario: &Scenario, req: &Planned) -> Measured {
+        let (team, catalogue, class) = (req.team, req.catalogue, &scenario.classes[req.class]);
+        let system = workload::text(&format!("team {team}"), scenario.system_tokens);
+        let sheet = format!("team {team} catalogue {catalogue}");
+        let sheet = workload::text(&sheet, scenario.catalogue_tokens);
+        let case = workload::text(&format!("case {}", req.case), class.case_tokens);
+        let tokens = scenario.system_tokens
+            + scenario.catalogue_tokens
+            + class.case_tokens
+            + class.answer_tokens;
+        let body = json!({
+            "model": self.model, "max_tokens": class.answer_tokens, "stream": true,
+            "messages": [
+                {"role": "system", "content": system},
+                {"role": "system", "content": sheet},
+                {"role": "user", "content": case},
+            ],
+        });
+        let key = format!("sk-team-{team}");
+        let limit = Duration::from_millis(ANSWER_TIMEOUT_MS);
+        let exchange = self.exchange(entry, &key, class.name.as_str(), &body);
+        let (outcome, first_token) = match tokio::time::timeout(limit, exchange).await {
+            Ok(ended) => ended,
+            Err(_) => ("timeout".to_owned(), None),
+        };
+        let (at_us, class, tokens) = (req.at_us, req.class, u64::from(tokens));
+        Measured { at_us, class, first_token, outcome, tokens }
+    }
+
+    async fn exchange(
+        &self,
+        entry: &str,
+        key: &str,
+        class: &str,
+        body: &Value,
+    ) -> (String, Option<Duration>) {
+        let headers =
+            [("authorization", format!("Bearer {key}")), ("x-dogwoodway-class", class.to_owned())];
+        let url = format!("{entry}/v1/chat/completions");
+        let body = Bytes::from(body.to_string());
+        let sent_at = Instant::now();
+        let resp = self.http.open(Method::POST, &url, "application/json", body, &headers).await;
+        let resp = match resp {
+            Ok(resp) => resp,
+            Err(e) => return (e.to_string(), None),
+        };
+        if !resp.status().is_success() {
+            let Ok(body) = resp.into_body().collect().await else {
+                return ("error".to_owned(), None);
+            };
+            let value = serde_json::from_slice(&body.to_bytes()).unwrap_or_default();
+            return (error_code(&value), None);
+        }
+        let mut events = SseReader::new(resp.into_body());
+        let mut first_token = None;
+        loop {
+            match events.next().await {
+                Ok(Some(data)) if data == "[DONE]" => return ("answered".to_owned(), first_token),
+                Ok(Some(data)) => {
+                    let event: Value = serde_json::from_str(&data).unwrap_or_default();
+                    if event.get("error").is_some() {
+                        return (error_code(&event), first_token);
+                    }
+                    let text = event["choices"][0]["delta"]["content"].as_str();
+                    if first_token.is_none() && text.is_some_and(|text| !text.is_empty()) {
+                        first_token = Some(sent_at.elapsed());
+                    }
+                }
+                Ok(None) => return ("cut-off".to_owned(), first_token),
+                Err(e) => return (e.to_string(), first_token),
+            }
+        }
+    }
+}
+
+fn error_code(value: &Value) -> String {
+    value["error"]["code"].as_str().unwrap_or("error").to_owned()
+}
--- a/crates/dogwoodway_standin/src/main.rs
+++ b/crates/dogwoodway_standin/src/main.rs
@@ -1,5 +1,7 @@
 //! The stand-ins as processes.
 
+mod load_command;
+
 use std::{net::SocketAddr, path::PathBuf, process::ExitCode};
 
 use clap::{Args, Parser, Subcommand};
@@ -11,6 +13,8 @@
 use dogwoodway_types::{ModelName, WeightsVersion};
 use dogwoodway_vms::Vm;
 
+use crate::load_command::LoadArgs;
+
 /// Stand-ins of the systems around dogwoodway, for demos, tests and experiments.
 #[derive(Debug, Parser)]
 struct Cli {
@@ -82,6 +86,22 @@
         #[arg(long, default_value_t = 500)]
         pairs: u32,
     },
+    /// Runs a scenario and measures it.
+    Load(LoadArgs),
+    /// Prints the sizes of a scenario's fleet as shell variables.
+    FleetSizes {
+        /// The scenario.
+        #[arg(long)]
+        scenario: PathBuf,
+    },
+    /// Prints the table of several runs and writes their plot.
+    Compare {
+        /// Reports written by `load`.
+        reports: Vec<PathBuf>,
+        /// File for the plot.
+        #[arg(long)]
+        plot: Option<PathBuf>,
+    },
     /// The platform's list of VMs.
     Vms {
         /// YAML file with the VMs at the start.
@@ -167,10 +187,25 @@
         Command::Usage { pid, seconds } => {
             print_result(process_usage(pid, seconds).await.map_err(|e| e.to_string()))
         }
+        Command::Load(args) => exit_code(load_command::load(&args).await),
+        Command::FleetSizes { scenario } => exit_code(load_command::print_fleet_sizes(&scenario)),
+        Command::Compare { reports, plot } => {
+            exit_code(load_command::compare(&reports, plot.as_deref()))
+        }
         server => serve_standin(cli.listen, server).await,
     }
 }
 
+fn exit_code(result: Result<(), String>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("dogwoodway-standin: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn print_result<T>(result: Result<T, String>) -> ExitCode
 where
     T: serde::Serialize,
@@ -215,7 +250,10 @@
         Command::Demo { .. }
         | Command::Overhead { .. }
         | Command::Slopes
-        | Command::Usage { .. } => Err("not a server".to_owned()),
+        | Command::Usage { .. }
+        | Command::Load(_)
+        | Command::FleetSizes { .. }
+        | Command::Compare { .. } => Err("not a server".to_owned()),
         Command::Service => Ok(service_handler()),
         Command::KvStore => Ok(kv_store_handler()),
         Command::Log { retained } => Ok(log_handler(retained)),
--- a/crates/dogwoodway_standin/src/slopes/state.rs
+++ b/crates/dogwoodway_standin/src/slopes/state.rs
@@ -6,7 +6,6 @@
 use dogwoodway_routing::prefix_index::PrefixIndex;
 use dogwoodway_types::{
     EngineIncarnation, KeyHash, LogOffset, PieceHash, Selector, SelectorName, Team, TeamName,
-    Timestamp,
 };
 
 use crate::slopes::{Slope, process::resident_kb};
@@ -100,11 +99,12 @@
 }
 
 fn index(blocks: u32) -> PrefixIndex {
-    let mut index = PrefixIndex::default();
+    let mut index = PrefixIndex::new(blocks as usize);
+    index.observe(EngineIncarnation(1), blocks as usize);
     for i in 0..blocks {
         let piece =
             PieceHash(u128::from(i).wrapping_mul(0x9E37_79B9_7F4A_7C15_F39C_C060_5CED_C835));
-        index.insert(EngineIncarnation(1), &[piece], Timestamp(u64::from(i)));
+        index.insert(EngineIncarnation(1), &[piece]);
     }
     index
 }
--- a/src/agent/kv_engine.rs
+++ b/src/agent/kv_engine.rs
@@ -15,7 +15,7 @@
     kv_transfer::{ExportCounter, TransferRates, is_import_quicker},
     prefix_index::PrefixIndex,
 };
-use dogwoodway_types::{AttemptId, EngineIncarnation, PieceHash, Timestamp};
+use dogwoodway_types::{AttemptId, EngineIncarnation, PieceHash};
 use futures::{FutureExt, future::BoxFuture};
 use kameo::{
     Actor,
@@ -42,7 +42,7 @@
     pub(crate) fn new(engine: Arc<dyn ModelEngine>, store: Arc<dyn KvStore>) -> KvEngine {
         let planner = KvPlanner {
             engine: EngineIncarnation::default(),
-            index: PrefixIndex::default(),
+            index: PrefixIndex::new(COUNTED_PIECES),
             counter: ExportCounter::new(COUNTED_PIECES),
         };
         KvEngine { engine, store, planner: KvPlanner::spawn(planner) }
@@ -192,6 +192,7 @@
 
     async fn handle(&mut self, msg: NoteEngine, _: &mut Context<Self, ()>) {
         self.engine = msg.0;
+        self.index.observe(msg.0, COUNTED_PIECES);
     }
 }
 
@@ -202,7 +203,7 @@
     type Reply = usize;
 
     async fn handle(&mut self, msg: NoteUse, _: &mut Context<Self, usize>) -> usize {
-        self.index.insert(self.engine, &msg.0, Timestamp::now());
+        self.index.insert(self.engine, &msg.0);
         self.counter.note_use(&msg.0)
     }
 }
