Know agents from the list, their own word and the results of calls

Ruled out: agents pushing to all entries (links grow with entries times agents); letting requests be the trial after an ejection (a request would wait for it); forgetting "leaving" after a time while the list cannot be read (found by leaving_is_never_usable_and_half_stays, 31 cases in: a leaving VM came back). Conclusion: a pure state machine decides who is usable and who is asked next; links report results, so that dispatch need not.

--- a/crates/dogwoodway_peer/src/agent.rs
+++ b/crates/dogwoodway_peer/src/agent.rs
@@ -57,4 +57,7 @@
 
     /// Cancels an attempt.
     fn cancel(&self, attempt: AttemptId) -> BoxFuture<'_, PeerResult<()>>;
+
+    /// Tells the agent that the platform lists its VM as leaving.
+    fn notify_leaving(&self) -> BoxFuture<'_, PeerResult<()>>;
 }
--- a/crates/dogwoodway_peer/src/client.rs
+++ b/crates/dogwoodway_peer/src/client.rs
@@ -131,6 +131,14 @@
         }
         .boxed()
     }
+
+    fn notify_leaving(&self) -> BoxFuture<'_, PeerResult<()>> {
+        async move {
+            let answer = self.client().await?.notify_leaving(call_context(CALL_TIMEOUT_MS)).await;
+            self.checked(answer).await
+        }
+        .boxed()
+    }
 }
 
 fn call_context(limit_ms: u64) -> context::Context {
--- a/crates/dogwoodway_peer/src/server.rs
+++ b/crates/dogwoodway_peer/src/server.rs
@@ -42,6 +42,8 @@
     ) -> SettleReply;
     /// See [`AgentApi::cancel`].
     async fn cancel(attempt: AttemptId);
+    /// See [`AgentApi::notify_leaving`].
+    async fn notify_leaving();
 }
 
 /// A bound address on which an agent will be served.
@@ -144,6 +146,10 @@
     async fn cancel(self, _: Context, attempt: AttemptId) {
         local(self.agent.cancel(attempt).await);
     }
+
+    async fn notify_leaving(self, _: Context) {
+        local(self.agent.notify_leaving().await);
+    }
 }
 
 /// Unwraps an answer of the agent in this process, which fails only if its actor has stopped.
--- a/crates/dogwoodway_routing/src/lib.rs
+++ b/crates/dogwoodway_routing/src/lib.rs
@@ -1,4 +1,4 @@
-//! Pure routing decisions: placement, attempts, queueing, limits.
+//! Pure routing decisions: membership, placement, attempts, queueing, limits.
 //!
 //! Nothing here does I/O or reads a clock; the current time is an argument.
 
@@ -8,6 +8,8 @@
 pub mod budget;
 pub mod heat;
 pub mod kv_transfer;
+pub mod membership;
+pub mod outlier;
 pub mod placement;
 pub mod prefix_index;
 pub mod queue;
--- a/src/agent/actor.rs
+++ b/src/agent/actor.rs
@@ -1,6 +1,6 @@
 //! The actor that owns an agent's state.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use dogwoodway_engine::{CacheEvents, EngineStatus};
 use dogwoodway_peer::{
@@ -33,6 +33,9 @@
 /// Predicted wait for each call that a plain service runs already.
 const WAIT_US_PER_CALL: u64 = 2_000;
 
+/// Time for which an agent takes no new work after it was told that its VM is listed as leaving.
+const LISTED_LEAVING_MS: u64 = 30_000;
+
 /// An agent's state; only this actor changes it.
 #[derive(Actor)]
 pub(crate) struct AgentActor {
@@ -41,7 +44,9 @@
     incarnation: AgentIncarnation,
     config: Arc<Configuration>,
     engine: Option<EngineStatus>,
+    engine_up: bool,
     leaving: bool,
+    listed_leaving_until: Timestamp,
     attempts: AttemptTable,
     runs: HashMap<AttemptId, AbortHandle>,
     waiters: HashMap<AttemptId, Vec<Waiter>>,
@@ -64,7 +69,9 @@
             incarnation: AgentIncarnation(rand::random()),
             config: Arc::new(Configuration::default()),
             engine: None,
+            engine_up: false,
             leaving: false,
+            listed_leaving_until: Timestamp::default(),
             attempts: AttemptTable::default(),
             runs: HashMap::new(),
             waiters: HashMap::new(),
@@ -77,16 +84,20 @@
         match self.settings.kind {
             BackendRole::Service => Some(BackendKind::Service),
             BackendRole::Engine => self.engine.as_ref().map(|status| BackendKind::Engine {
-                incarnation: Some(status.incarnation),
+                incarnation: self.engine_up.then_some(status.incarnation),
                 model: status.model.clone(),
                 version: status.version,
             }),
         }
     }
 
+    fn is_leaving(&self, now: Timestamp) -> bool {
+        self.leaving || now < self.listed_leaving_until
+    }
+
     /// Returns why an attempt cannot be taken, if so.
     fn refusal(&self, now: Timestamp, req: &RunRequest) -> Option<NotRunReason> {
-        if self.leaving {
+        if self.is_leaving(now) {
             return Some(NotRunReason::Leaving);
         }
         if req.agent != self.incarnation {
@@ -102,7 +113,8 @@
             Work::Service(_) => None,
             Work::Chat(chat) => match &self.engine {
                 Some(engine)
-                    if Some(engine.incarnation) == req.engine
+                    if self.engine_up
+                        && Some(engine.incarnation) == req.engine
                         && engine.model == chat.model
                         && engine.version == chat.version =>
                 {
@@ -203,7 +215,7 @@
             incarnation: self.incarnation,
             labels: self.settings.labels.clone(),
             kind: self.kind()?,
-            leaving: self.leaving,
+            leaving: self.is_leaving(Timestamp::now()),
             config_offset: self.config.offset,
         })
     }
@@ -223,6 +235,7 @@
             }
             _ => 0,
         };
+        let is_up = !matches!(kind, BackendKind::Engine { incarnation: None, .. });
         let load = match &kind {
             BackendKind::Engine { .. } => self.admission.load(),
             BackendKind::Service => self.attempts.running(),
@@ -239,7 +252,7 @@
             load,
             wait_us,
             prefill_ns: self.admission.prefill_ns(),
-            accepting: !self.leaving,
+            accepting: !self.is_leaving(Timestamp::now()) && is_up,
             agent: self.incarnation,
             kind,
             config_offset: self.config.offset,
@@ -394,7 +407,8 @@
         if let Some(status) = &msg.0 {
             self.admission.see_engine(status);
         }
-        self.engine = msg.0;
+        self.engine_up = msg.0.is_some();
+        self.engine = msg.0.or_else(|| self.engine.take());
         self.run_next(cx.actor_ref());
     }
 }
@@ -410,6 +424,17 @@
     }
 }
 
+/// Tells the agent that the platform lists its VM as leaving.
+pub(crate) struct ListedLeaving;
+
+impl Message<ListedLeaving> for AgentActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: ListedLeaving, _: &mut Context<Self, Self::Reply>) {
+        self.listed_leaving_until = Timestamp::now() + Duration::from_millis(LISTED_LEAVING_MS);
+    }
+}
+
 /// Asks whether no attempt runs.
 pub(crate) struct Drained;
 
--- a/src/agent/front.rs
+++ b/src/agent/front.rs
@@ -9,7 +9,9 @@
 use kameo::actor::ActorRef;
 use tokio::sync::oneshot;
 
-use crate::agent::actor::{AgentActor, Cancel, Describe, Probe, ReadFrames, Settle, Start};
+use crate::agent::actor::{
+    AgentActor, Cancel, Describe, ListedLeaving, Probe, ReadFrames, Settle, Start,
+};
 
 /// Hands RPC calls to the agent's actor.
 pub(crate) struct AgentFront {
@@ -61,6 +63,10 @@
     fn cancel(&self, attempt: AttemptId) -> BoxFuture<'_, PeerResult<()>> {
         async move { self.actor.tell(Cancel(attempt)).await.map_err(stopped) }.boxed()
     }
+
+    fn notify_leaving(&self) -> BoxFuture<'_, PeerResult<()>> {
+        async move { self.actor.tell(ListedLeaving).await.map_err(stopped) }.boxed()
+    }
 }
 
 fn known<T>(reply: Option<T>) -> PeerResult<T> {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -2,6 +2,7 @@
 
 mod dispatch;
 mod membership;
+mod observed_agent;
 mod router;
 
 use std::{path::Path, process::ExitCode, sync::Arc};
@@ -43,7 +44,7 @@
     }
     let log: Arc<dyn PlatformLog> = Arc::new(HttpLog::new(settings.log_url.clone()));
     let config = config_follower::follow(log);
-    let router = Router::spawn(Router::new(config.clone()));
+    let router = Router::spawn(Router::new(settings.zone.clone(), config.clone()));
     membership::follow(Arc::new(HttpVmList::new(settings.vms_url.clone())), &router);
     if let Err(e) = metrics_page::start(settings.metrics_listen).await {
         eprintln!("dogwoodway: metrics could not be served: {e}");
--- a/src/entry/dispatch/placement.rs
+++ b/src/entry/dispatch/placement.rs
@@ -132,11 +132,11 @@
     }
     let candidates: Vec<_> = replies
         .iter()
-        .map(|(_, reply)| {
+        .map(|(agent, reply)| {
             let chain = chains.of(&reply.kind);
             let cached = chain.tokens_of(reply.matched as usize);
             Candidate {
-                wait_us: reply.wait_us,
+                wait_us: reply.wait_us + agent.distance_us,
                 uncached_tokens: chain.total_tokens() - cached,
                 prefill_ns: reply.prefill_ns,
             }
--- a/src/entry/router.rs
+++ b/src/entry/router.rs
@@ -1,71 +1,215 @@
 //! The actor that owns what an entry knows of agents.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+use std::{sync::Arc, time::Instant};
 
-use dogwoodway_peer::{AgentApi, AgentDescription, BackendKind, TarpcAgent};
+use dogwoodway_peer::{AgentApi, AgentDescription, BackendKind, PeerResult, TarpcAgent};
+use dogwoodway_routing::{
+    membership::{AgentWord, ListedVm, MemberKey, Membership, Question, QuestionResult},
+    outlier::CallResult,
+};
 use dogwoodway_types::{
-    BackendServerName, ClassName, Configuration, ModelName, Priority, TeamName,
+    AvailabilityZone, BackendServerName, ClassName, Configuration, ModelName, Priority, Selector,
+    TeamName, Timestamp,
 };
 use kameo::{
     Actor,
+    actor::ActorRef,
     message::{Context, Message},
 };
+use slotmap::SecondaryMap;
+
+use crate::{
+    config_follower::ConfigWatch,
+    entry::observed_agent::{News, ObservedAgent},
+};
 
-use crate::config_follower::ConfigWatch;
+/// Time that a call to another zone takes longer than one within the zone.
+const CROSS_ZONE_US: u64 = 1_000;
 
 /// What an entry knows of agents; only this actor changes it.
 #[derive(Actor)]
 pub(crate) struct Router {
+    zone: AvailabilityZone,
     config: ConfigWatch,
-    agents: HashMap<SocketAddr, KnownAgent>,
+    members: Membership,
+    agents: SecondaryMap<MemberKey, KnownAgent>,
 }
 
 struct KnownAgent {
     link: Arc<dyn AgentApi>,
+    observed: Arc<dyn AgentApi>,
     description: Option<AgentDescription>,
 }
 
 impl Router {
-    /// Builds a router that knows no agents.
-    pub(crate) fn new(config: ConfigWatch) -> Router {
-        Router { config, agents: HashMap::new() }
+    /// Builds a router that knows no agents, for an entry in `zone`.
+    pub(crate) fn new(zone: AvailabilityZone, config: ConfigWatch) -> Router {
+        let members = Membership::new(rand::random());
+        Router { zone, config, members, agents: SecondaryMap::new() }
+    }
+
+    /// Puts the questions that are due, each in a task of its own.
+    fn ask_due(&mut self, now: Timestamp, router: &ActorRef<Router>) {
+        for question in self.members.due(now) {
+            let Some(agent) = self.agents.get(question.key) else { continue };
+            metrics::counter!("dogwoodway_agent_descriptions_total").increment(1);
+            let (link, router) = (agent.link.clone(), router.clone());
+            tokio::spawn(async move {
+                let begun = Instant::now();
+                let reply = link.describe().await;
+                let call = match &reply {
+                    Ok(_) => CallResult::Replied { latency: begun.elapsed() },
+                    Err(_) => CallResult::Failed,
+                };
+                router.tell(SeeAnswer { question, call, reply }).await
+            });
+        }
+    }
+
+    fn see_probed(&mut self, now: Timestamp, key: MemberKey, probed: Probed) {
+        let Some(known) = self.agents.get_mut(key) else { return };
+        match &mut known.description {
+            Some(description) if description.incarnation == probed.agent => {
+                description.kind = probed.kind;
+            }
+            _ => self.members.ask_soon(now, key),
+        }
+        if !probed.accepting {
+            self.members.ask_in_turn(now, key);
+        }
+    }
+
+    /// Returns the usable agents that a selector allows, by name.
+    fn usable(
+        &self,
+        cfg: &Configuration,
+        selector: &Selector,
+        model: Option<&ModelName>,
+    ) -> Vec<EligibleAgent> {
+        let fits = |d: &AgentDescription| {
+            let kind_fits = match (&d.kind, model) {
+                (BackendKind::Service, None) => true,
+                (BackendKind::Engine { incarnation, model, version }, Some(wanted)) => {
+                    incarnation.is_some()
+                        && model == wanted
+                        && selector.version.is_none_or(|v| v == *version)
+                }
+                _ => false,
+            };
+            kind_fits && cfg.is_eligible(selector, &d.name, &d.zone, &d.labels)
+        };
+        let described =
+            self.agents.iter().filter(|(_, a)| a.description.as_ref().is_some_and(fits));
+        let fitting: Vec<_> = described.map(|(key, _)| key).collect();
+        let usable = self.members.usable(Timestamp::now(), &fitting).into_iter();
+        let mut agents: Vec<_> = usable
+            .filter_map(|key| {
+                let known = self.agents.get(key)?;
+                let description = known.description.clone()?;
+                let distance_us = if description.zone == self.zone { 0 } else { CROSS_ZONE_US };
+                let (name, link) = (description.name.clone(), known.observed.clone());
+                Some(EligibleAgent { name, link, description, distance_us })
+            })
+            .collect();
+        agents.sort_by(|a, b| a.name.cmp(&b.name));
+        agents
     }
 }
 
-/// Tells which agents exist; answers with links to all of them.
-pub(crate) struct SeeAddresses(pub(crate) Vec<SocketAddr>);
+/// Tells which VMs the platform lists.
+pub(crate) struct SeeList(pub(crate) Vec<ListedVm>);
 
-impl Message<SeeAddresses> for Router {
-    type Reply = Vec<(SocketAddr, Arc<dyn AgentApi>)>;
+impl Message<SeeList> for Router {
+    type Reply = ();
 
-    async fn handle(
-        &mut self,
-        msg: SeeAddresses,
-        _: &mut Context<Self, Self::Reply>,
-    ) -> Self::Reply {
-        self.agents.retain(|address, _| msg.0.contains(address));
-        for address in msg.0 {
-            self.agents.entry(address).or_insert_with(|| KnownAgent {
-                link: Arc::new(TarpcAgent::new(address)),
-                description: None,
-            });
+    async fn handle(&mut self, msg: SeeList, cx: &mut Context<Self, Self::Reply>) {
+        let now = Timestamp::now();
+        self.members.see_list(now, &msg.0);
+        for key in self.members.keys() {
+            let Some(address) = self.members.address(key) else { continue };
+            if self.agents.contains_key(key) {
+                continue;
+            }
+            let link: Arc<dyn AgentApi> = Arc::new(TarpcAgent::new(address));
+            let router = cx.actor_ref().downgrade();
+            let observed = Arc::new(ObservedAgent::new(link.clone(), key, router));
+            self.agents.insert(key, KnownAgent { link, observed, description: None });
         }
-        self.agents.iter().map(|(address, agent)| (*address, agent.link.clone())).collect()
+        for key in self.members.listed_leaving(now) {
+            let Some(agent) = self.agents.get(key) else { continue };
+            let link = agent.link.clone();
+            tokio::spawn(async move { link.notify_leaving().await });
+        }
+        self.ask_due(now, cx.actor_ref());
+    }
+}
+
+/// Puts the questions that are due.
+pub(crate) struct AskDue;
+
+impl Message<AskDue> for Router {
+    type Reply = ();
+
+    async fn handle(&mut self, _: AskDue, cx: &mut Context<Self, Self::Reply>) {
+        self.ask_due(Timestamp::now(), cx.actor_ref());
     }
 }
 
-/// Tells what an agent says of itself, `None` if it cannot be reached.
-pub(crate) struct SeeAgent {
-    pub(crate) address: SocketAddr,
-    pub(crate) description: Option<AgentDescription>,
+/// Tells what became of a question.
+pub(crate) struct SeeAnswer {
+    question: Question,
+    call: CallResult,
+    reply: PeerResult<AgentDescription>,
 }
 
-impl Message<SeeAgent> for Router {
+impl Message<SeeAnswer> for Router {
     type Reply = ();
 
-    async fn handle(&mut self, msg: SeeAgent, _: &mut Context<Self, Self::Reply>) {
-        if let Some(agent) = self.agents.get_mut(&msg.address) {
-            agent.description = msg.description;
+    async fn handle(&mut self, msg: SeeAnswer, _: &mut Context<Self, Self::Reply>) {
+        let key = msg.question.key;
+        let description = msg.reply.ok();
+        let word = description
+            .as_ref()
+            .map(|d| AgentWord { incarnation: d.incarnation, leaving: d.leaving });
+        let result = QuestionResult { call: msg.call, word };
+        if !self.members.see_answer(Timestamp::now(), msg.question, result) {
+            self.agents.remove(key);
+            return;
+        }
+        if let (Some(agent), Some(description)) = (self.agents.get_mut(key), description) {
+            agent.description = Some(description);
+        }
+    }
+}
+
+/// Tells what a call with work or a probe showed.
+pub(crate) struct SeeCall {
+    pub(crate) key: MemberKey,
+    pub(crate) news: News,
+}
+
+struct Probed {
+    agent: dogwoodway_types::AgentIncarnation,
+    kind: BackendKind,
+    accepting: bool,
+}
+
+impl Message<SeeCall> for Router {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: SeeCall, cx: &mut Context<Self, Self::Reply>) {
+        let (now, key) = (Timestamp::now(), msg.key);
+        match msg.news {
+            News::Result(result) => self.members.see_call(now, key, result),
+            News::Probed { latency, agent, kind, accepting } => {
+                self.members.see_call(now, key, CallResult::Replied { latency });
+                self.see_probed(now, key, Probed { agent, kind, accepting });
+            }
+            News::Leaving { agent } => self.members.see_leaving(key, agent),
+            News::Stale => {
+                self.members.ask_soon(now, key);
+                self.ask_due(now, cx.actor_ref());
+            }
         }
     }
 }
@@ -90,6 +234,8 @@
     pub(crate) name: BackendServerName,
     pub(crate) link: Arc<dyn AgentApi>,
     pub(crate) description: AgentDescription,
+    /// Time that calls take longer than to an agent of the entry's own zone.
+    pub(crate) distance_us: u64,
 }
 
 impl Message<FindEligible> for Router {
@@ -104,26 +250,7 @@
         let selector = cfg.selector_for(&msg.team, &msg.class, msg.model.as_ref())?;
         let class_priority = cfg.classes.get(&msg.class).map(|class| class.priority);
         let priority = selector.priority.or(class_priority).unwrap_or_default();
-        let fits = |d: &AgentDescription| {
-            let kind_fits = match (&d.kind, &msg.model) {
-                (BackendKind::Service, None) => true,
-                (BackendKind::Engine { model, version, .. }, Some(wanted)) => {
-                    model == wanted && selector.version.is_none_or(|v| v == *version)
-                }
-                _ => false,
-            };
-            kind_fits && !d.leaving && cfg.is_eligible(selector, &d.name, &d.zone, &d.labels)
-        };
-        let mut agents: Vec<_> = self
-            .agents
-            .values()
-            .filter_map(|agent| {
-                let description = agent.description.as_ref().filter(|d| fits(d))?.clone();
-                let name = description.name.clone();
-                Some(EligibleAgent { name, link: agent.link.clone(), description })
-            })
-            .collect();
-        agents.sort_by(|a, b| a.name.cmp(&b.name));
+        let agents = self.usable(&cfg, selector, msg.model.as_ref());
         Some(Eligible { priority, agents, config: cfg.clone() })
     }
 }
