Hold team budgets over entries by small grants of an owner agent

Cause: tokens_per_minute and max_in_flight of a team were read by nothing.

An entry admits a request before its first attempt from what it holds of the team's budget, and asks the agent that owns the budget for more. What engines counted settles each request and feeds a counter by team. The KV planner's index is told the size of the engine's cache.

Ruled out: reserving the whole prompt, which leaves a team with cached prompts a small part of its budget; metering inside the attempt loop, which would settle once for each attempt.

--- a/crates/dogwoodway_peer/src/agent.rs
+++ b/crates/dogwoodway_peer/src/agent.rs
@@ -2,7 +2,9 @@
 
 use std::fmt;
 
-use dogwoodway_types::{AgentIncarnation, AttemptId, Timestamp};
+use dogwoodway_types::{
+    AgentIncarnation, AttemptId, Grant, GrantRequest, GrantRole, TeamName, Timestamp,
+};
 use futures::future::BoxFuture;
 
 use crate::{
@@ -55,6 +57,14 @@
         start_before: Timestamp,
     ) -> BoxFuture<'_, PeerResult<SettleReply>>;
 
+    /// Asks for a share of a team's budget; `None` if the agent does not know the team.
+    fn grant(
+        &self,
+        team: TeamName,
+        role: GrantRole,
+        req: GrantRequest,
+    ) -> BoxFuture<'_, PeerResult<Option<Grant>>>;
+
     /// Cancels an attempt.
     fn cancel(&self, attempt: AttemptId) -> BoxFuture<'_, PeerResult<()>>;
 
--- a/crates/dogwoodway_peer/src/client.rs
+++ b/crates/dogwoodway_peer/src/client.rs
@@ -5,7 +5,9 @@
     time::{Duration, Instant},
 };
 
-use dogwoodway_types::{AgentIncarnation, AttemptId, Timestamp};
+use dogwoodway_types::{
+    AgentIncarnation, AttemptId, Grant, GrantRequest, GrantRole, TeamName, Timestamp,
+};
 use futures::{FutureExt, future::BoxFuture};
 use tarpc::{client::RpcError, context, serde_transport::tcp, tokio_serde::formats::Bincode};
 use tokio::sync::Mutex;
@@ -21,6 +23,9 @@
 
 const CALL_TIMEOUT_MS: u64 = 1_000;
 
+/// Time for a grant; an entry asks while a caller waits.
+const GRANT_TIMEOUT_MS: u64 = 200;
+
 /// Calls that one connection carries at the same time.
 const MAX_CALLS_IN_FLIGHT: usize = 4_096;
 
@@ -124,6 +129,20 @@
         .boxed()
     }
 
+    fn grant(
+        &self,
+        team: TeamName,
+        role: GrantRole,
+        req: GrantRequest,
+    ) -> BoxFuture<'_, PeerResult<Option<Grant>>> {
+        async move {
+            let cx = call_context(GRANT_TIMEOUT_MS);
+            let answer = self.client().await?.grant(cx, team, role, req).await;
+            self.checked(answer).await
+        }
+        .boxed()
+    }
+
     fn cancel(&self, attempt: AttemptId) -> BoxFuture<'_, PeerResult<()>> {
         async move {
             let answer = self.client().await?.cancel(call_context(CALL_TIMEOUT_MS), attempt).await;
--- a/crates/dogwoodway_peer/src/server.rs
+++ b/crates/dogwoodway_peer/src/server.rs
@@ -2,7 +2,9 @@
 
 use std::{future::Future, net::SocketAddr, sync::Arc};
 
-use dogwoodway_types::{AgentIncarnation, AttemptId, Timestamp};
+use dogwoodway_types::{
+    AgentIncarnation, AttemptId, Grant, GrantRequest, GrantRole, TeamName, Timestamp,
+};
 use futures::StreamExt;
 use tarpc::{
     ClientMessage, Response,
@@ -40,6 +42,8 @@
         agent: AgentIncarnation,
         start_before: Timestamp,
     ) -> SettleReply;
+    /// See [`AgentApi::grant`].
+    async fn grant(team: TeamName, role: GrantRole, req: GrantRequest) -> Option<Grant>;
     /// See [`AgentApi::cancel`].
     async fn cancel(attempt: AttemptId);
     /// See [`AgentApi::notify_leaving`].
@@ -143,6 +147,16 @@
         local(self.agent.settle(attempt, agent, start_before).await)
     }
 
+    async fn grant(
+        self,
+        _: Context,
+        team: TeamName,
+        role: GrantRole,
+        req: GrantRequest,
+    ) -> Option<Grant> {
+        local(self.agent.grant(team, role, req).await)
+    }
+
     async fn cancel(self, _: Context, attempt: AttemptId) {
         local(self.agent.cancel(attempt).await);
     }
--- a/crates/dogwoodway_routing/src/budget.rs
+++ b/crates/dogwoodway_routing/src/budget.rs
@@ -6,8 +6,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use dogwoodway_types::{EntryIncarnation, Timestamp};
-use serde::{Deserialize, Serialize};
+use dogwoodway_types::{EntryIncarnation, Grant, GrantRequest, GrantRole, Timestamp};
 
 /// Length of the sliding window that a budget is for.
 pub const WINDOW: Duration = Duration::from_secs(60);
@@ -21,6 +20,9 @@
 /// Budget of the second agent, as a divisor of the whole one.
 const BUDGET_PER_TRICKLE: u64 = 40;
 
+/// Budget that is free after a restart, as a divisor of the whole one.
+const BUDGET_PER_START: u64 = 50;
+
 /// Places for requests in flight that an entry gets beyond those it uses, as a divisor of all.
 const PLACES_PER_HEADROOM: u32 = 40;
 
@@ -29,15 +31,6 @@
 /// Slots of a window, with one more for the slot that is only partly in it.
 const SLOTS: usize = 61;
 
-/// Which agent of a team's rendezvous order grants.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum GrantRole {
-    /// The owner of the whole budget.
-    Owner,
-    /// The second one, which gives a trickle to entries that are cut off from the owner.
-    Fallback,
-}
-
 /// Limits of a team.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TeamLimits {
@@ -47,30 +40,26 @@
     pub in_flight: u32,
 }
 
-/// What an entry asks for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct GrantRequest {
-    /// Who asks.
-    pub entry: EntryIncarnation,
-    /// Tokens needed now.
-    pub need: u64,
-    /// Tokens of earlier grants that were not used.
-    pub returned: u64,
-    /// Tokens used beyond earlier grants.
-    pub overdrawn: u64,
-    /// Requests in flight, the one that asks included.
-    pub in_flight: u32,
-}
-
-/// What an entry gets.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Grant {
-    /// Tokens that it may use.
-    pub tokens: u64,
-    /// Requests that it may have in flight.
-    pub in_flight: u32,
-    /// When to ask again, if the need is not met.
-    pub retry_at: Timestamp,
+impl TeamLimits {
+    /// Returns the part of the limits that an agent grants in a role.
+    ///
+    /// ```
+    /// use dogwoodway_routing::budget::TeamLimits;
+    /// use dogwoodway_types::GrantRole;
+    ///
+    /// let limits = TeamLimits { tokens: 60_000, in_flight: 400 };
+    /// assert_eq!(limits.of_role(GrantRole::Owner), limits);
+    /// assert_eq!(limits.of_role(GrantRole::Fallback).tokens, 1_500);
+    /// ```
+    pub fn of_role(self, role: GrantRole) -> TeamLimits {
+        match role {
+            GrantRole::Owner => self,
+            GrantRole::Fallback => TeamLimits {
+                tokens: self.tokens / BUDGET_PER_TRICKLE,
+                in_flight: self.in_flight / PLACES_PER_HEADROOM,
+            },
+        }
+    }
 }
 
 /// Tokens granted in a sliding window.
@@ -82,9 +71,10 @@
 }
 
 impl SlidingWindow {
-    /// Builds a window in which `budget` was used up evenly, the safe guess after a restart.
+    /// Builds a window in which nearly all of `budget` was used up evenly, the safe guess after a
+    /// restart.
     pub fn new(now: Timestamp, budget: u64) -> SlidingWindow {
-        let slot = budget.div_ceil(WINDOW.as_secs());
+        let slot = (budget - budget / BUDGET_PER_START) / SLOTS as u64;
         let slots = [slot; SLOTS];
         SlidingWindow { slots, newest: slot_of(now), used: slot * SLOTS as u64 }
     }
@@ -136,15 +126,15 @@
     /// Builds the budget of a team about which nothing is known.
     ///
     /// ```
-    /// use dogwoodway_routing::budget::{GrantRequest, GrantRole, TeamBudget, TeamLimits};
-    /// use dogwoodway_types::{EntryIncarnation, Timestamp};
+    /// use dogwoodway_routing::budget::{TeamBudget, TeamLimits};
+    /// use dogwoodway_types::{EntryIncarnation, GrantRequest, Timestamp};
     ///
     /// let limits = TeamLimits { tokens: 60_000, in_flight: 10 };
     /// let mut budget = TeamBudget::new(Timestamp(0), limits);
     /// let entry = EntryIncarnation(1);
     /// let req = GrantRequest { entry, need: 100, returned: 0, overdrawn: 0, in_flight: 1 };
     /// let now = Timestamp::from_millis(2_500);
-    /// assert!(budget.grant(now, limits, GrantRole::Owner, req).tokens >= 100);
+    /// assert!(budget.grant(now, limits, req).tokens >= 100);
     /// ```
     pub fn new(now: Timestamp, limits: TeamLimits) -> TeamBudget {
         let window = SlidingWindow::new(now, limits.tokens);
@@ -152,17 +142,8 @@
     }
 
     /// Grants what is left, at most a small share of the budget or the need.
-    pub fn grant(
-        &mut self,
-        now: Timestamp,
-        limits: TeamLimits,
-        role: GrantRole,
-        req: GrantRequest,
-    ) -> Grant {
-        let budget = match role {
-            GrantRole::Owner => limits.tokens,
-            GrantRole::Fallback => limits.tokens / BUDGET_PER_TRICKLE,
-        };
+    pub fn grant(&mut self, now: Timestamp, limits: TeamLimits, req: GrantRequest) -> Grant {
+        let budget = limits.tokens;
         self.window.take_back(now, req.returned);
         self.window.add(now, req.overdrawn);
         let left = budget.saturating_sub(self.window.used(now));
@@ -172,28 +153,18 @@
             false => left.min(most),
         };
         self.window.add(now, tokens);
-        let in_flight = self.grant_places(now, limits, role, req);
+        let in_flight = self.grant_places(now, limits, req);
         let missing = req.need.saturating_sub(left);
         let wait = WINDOW.mul_f64((missing as f64 / budget.max(1) as f64).min(1.0)).max(SLOT);
         Grant { tokens, in_flight, retry_at: now + wait }
     }
 
-    fn grant_places(
-        &mut self,
-        now: Timestamp,
-        limits: TeamLimits,
-        role: GrantRole,
-        req: GrantRequest,
-    ) -> u32 {
-        let all = match role {
-            GrantRole::Owner => limits.in_flight,
-            GrantRole::Fallback => limits.in_flight / PLACES_PER_HEADROOM,
-        };
+    fn grant_places(&mut self, now: Timestamp, limits: TeamLimits, req: GrantRequest) -> u32 {
         self.in_flight.retain(|_, (_, lapses_at)| *lapses_at > now);
         let others = self.in_flight.iter().filter(|(entry, _)| **entry != req.entry);
         let others: u32 = others.map(|(_, (places, _))| *places).sum();
         let wanted = req.in_flight + limits.in_flight / PLACES_PER_HEADROOM;
-        let places = wanted.min(all.saturating_sub(others));
+        let places = wanted.min(limits.in_flight.saturating_sub(others));
         // An entry's places stay counted while its requests may still run.
         self.in_flight
             .insert(req.entry, (places.max(req.in_flight.saturating_sub(1)), now + GRANT_TTL * 2));
@@ -216,8 +187,8 @@
     /// Takes `tokens` and a place for a request; returns what to ask for if that is not there.
     ///
     /// ```
-    /// use dogwoodway_routing::budget::{Grant, Wallet};
-    /// use dogwoodway_types::{EntryIncarnation, Timestamp};
+    /// use dogwoodway_routing::budget::Wallet;
+    /// use dogwoodway_types::{EntryIncarnation, Grant, Timestamp};
     ///
     /// let mut wallet = Wallet::default();
     /// let (now, entry) = (Timestamp(5), EntryIncarnation(1));
--- a/crates/dogwoodway_routing/src/lib.rs
+++ b/crates/dogwoodway_routing/src/lib.rs
@@ -3,11 +3,11 @@
 //! Nothing here does I/O or reads a clock; the current time is an argument.
 
 pub mod attempt;
+pub mod kv_transfer;
 #[cfg(feature = "baselines")]
 pub mod baseline;
 pub mod budget;
 pub mod heat;
-pub mod kv_transfer;
 pub mod membership;
 pub mod outlier;
 pub mod placement;
--- a/crates/dogwoodway_routing/tests/budget.rs
+++ b/crates/dogwoodway_routing/tests/budget.rs
@@ -2,10 +2,8 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use dogwoodway_routing::budget::{
-    GrantRole, SlidingWindow, TeamBudget, TeamLimits, WINDOW, Wallet,
-};
-use dogwoodway_types::{EntryIncarnation, Timestamp};
+use dogwoodway_routing::budget::{SlidingWindow, TeamBudget, TeamLimits, WINDOW, Wallet};
+use dogwoodway_types::{EntryIncarnation, GrantRequest, GrantRole, Timestamp};
 use proptest::prelude::*;
 
 const LIMITS: TeamLimits = TeamLimits { tokens: 600_000, in_flight: 400 };
@@ -59,7 +57,7 @@
         Entries {
             wallets: [Wallet::default(); 4],
             owner: TeamBudget::new(now, LIMITS),
-            fallback: TeamBudget::new(now, LIMITS),
+            fallback: TeamBudget::new(now, LIMITS.of_role(GrantRole::Fallback)),
             running: Vec::new(),
             used: Vec::new(),
         }
@@ -72,8 +70,8 @@
             Ok(()) => true,
             Err(ask) => {
                 let grant = match entry {
-                    3 => self.fallback.grant(now, LIMITS, GrantRole::Fallback, ask),
-                    _ => self.owner.grant(now, LIMITS, GrantRole::Owner, ask),
+                    3 => self.fallback.grant(now, LIMITS.of_role(GrantRole::Fallback), ask),
+                    _ => self.owner.grant(now, LIMITS, ask),
                 };
                 wallet.receive(now, grant);
                 match wallet.take(now, id, estimate) {
@@ -167,7 +165,7 @@
     let limits = TeamLimits { tokens: u64::MAX / 1_000, in_flight: 40 };
     let now = Timestamp::from_millis(10_000_000);
     let mut budget = TeamBudget::new(now, limits);
-    budget.grant(now + WINDOW * 3, limits, GrantRole::Owner, ask(0, 0));
+    budget.grant(now + WINDOW * 3, limits, ask(0, 0));
     let now = now + WINDOW * 3;
     let mut admitted = 0;
     let mut wallets = [Wallet::default(); 4];
@@ -176,7 +174,7 @@
         let wallet = &mut wallets[(i % 4) as usize];
         let mut taken = wallet.take(now, entry, 1);
         if let Err(ask) = taken {
-            wallet.receive(now, budget.grant(now, limits, GrantRole::Owner, ask));
+            wallet.receive(now, budget.grant(now, limits, ask));
             taken = wallet.take(now, entry, 1);
         }
         admitted += u32::from(taken.is_ok());
@@ -184,7 +182,7 @@
     assert!((36..=42).contains(&admitted), "{admitted}");
 }
 
-fn ask(need: u64, in_flight: u32) -> dogwoodway_routing::budget::GrantRequest {
+fn ask(need: u64, in_flight: u32) -> GrantRequest {
     let entry = EntryIncarnation(9);
-    dogwoodway_routing::budget::GrantRequest { entry, need, returned: 0, overdrawn: 0, in_flight }
+    GrantRequest { entry, need, returned: 0, overdrawn: 0, in_flight }
 }
--- a/crates/dogwoodway_types/src/lib.rs
+++ b/crates/dogwoodway_types/src/lib.rs
@@ -4,6 +4,7 @@
 //! of a type in this crate is valid by construction.
 
 mod config;
+mod grant;
 mod id;
 mod outcome;
 mod prefix;
@@ -15,6 +16,7 @@
         BackendLabels, ConfigEdit, ConfigError, Configuration, KeyHash, ObjectId, ObjectKind,
         Priority, Selector, Team, TrafficClass,
     },
+    grant::{Grant, GrantRequest, GrantRole},
     id::{
         AgentIncarnation, AttemptId, AvailabilityZone, BackendServerName, ChangeId, ClassName,
         EngineIncarnation, EntryIncarnation, IdError, IdempotencyKey, LogOffset, ModelName,
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -2,6 +2,7 @@
 
 mod actor;
 mod admission;
+mod budgets;
 mod front;
 mod kv_engine;
 mod run;
--- a/src/agent/actor.rs
+++ b/src/agent/actor.rs
@@ -25,6 +25,7 @@
 use crate::{
     agent::{
         admission::Admission,
+        budgets::Budgets,
         run::{self, Backend},
     },
     settings::{AgentSettings, BackendRole},
@@ -42,7 +43,7 @@
     settings: AgentSettings,
     backend: Backend,
     incarnation: AgentIncarnation,
-    config: Arc<Configuration>,
+    pub(super) config: Arc<Configuration>,
     engine: Option<EngineStatus>,
     engine_up: bool,
     leaving: bool,
@@ -52,6 +53,7 @@
     waiters: HashMap<AttemptId, Vec<Waiter>>,
     admission: Admission,
     queued: HashMap<AttemptId, RunRequest>,
+    pub(super) budgets: Budgets,
 }
 
 /// An entry that waits for a frame.
@@ -77,6 +79,7 @@
             waiters: HashMap::new(),
             admission: Admission::new(),
             queued: HashMap::new(),
+            budgets: Budgets::default(),
         }
     }
 
--- /dev/null
+++ b/src/agent/budgets.rs
@@ -0,0 +1,56 @@
+//! The budgets of teams that this agent grants to entries.
+
+use std::collections::HashMap;
+
+use dogwoodway_routing::budget::{TeamBudget, TeamLimits};
+use dogwoodway_types::{Configuration, Grant, GrantRequest, GrantRole, TeamName, Timestamp};
+use kameo::message::{Context, Message};
+
+use crate::agent::actor::AgentActor;
+
+/// Budgets by team and by the role in which they are granted.
+#[derive(Debug, Default)]
+pub(crate) struct Budgets {
+    owned: HashMap<TeamName, TeamBudget>,
+    trickles: HashMap<TeamName, TeamBudget>,
+}
+
+impl Budgets {
+    /// Grants from a team's budget; `None` for a team that the configuration does not name.
+    pub(crate) fn grant(
+        &mut self,
+        now: Timestamp,
+        cfg: &Configuration,
+        msg: GrantBudget,
+    ) -> Option<Grant> {
+        let team = cfg.teams.get(&msg.team)?;
+        let limits = TeamLimits { tokens: team.tokens_per_minute, in_flight: team.max_in_flight };
+        let budgets = match msg.role {
+            GrantRole::Owner => &mut self.owned,
+            GrantRole::Fallback => &mut self.trickles,
+        };
+        let budget = budgets
+            .entry(msg.team)
+            .or_insert_with(|| TeamBudget::new(now, limits.of_role(msg.role)));
+        Some(budget.grant(now, limits.of_role(msg.role), msg.req))
+    }
+}
+
+/// Asks for a share of a team's budget.
+pub(crate) struct GrantBudget {
+    pub(crate) team: TeamName,
+    pub(crate) role: GrantRole,
+    pub(crate) req: GrantRequest,
+}
+
+impl Message<GrantBudget> for AgentActor {
+    type Reply = Option<Grant>;
+
+    async fn handle(
+        &mut self,
+        msg: GrantBudget,
+        _: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        self.budgets.grant(Timestamp::now(), &self.config, msg)
+    }
+}
--- a/src/agent/front.rs
+++ b/src/agent/front.rs
@@ -4,13 +4,16 @@
     AgentApi, AgentDescription, FramesReply, PeerError, PeerResult, ProbeReply, ProbeRequest,
     RunRequest, SettleReply, StartReply,
 };
-use dogwoodway_types::{AgentIncarnation, AttemptId, Timestamp};
+use dogwoodway_types::{
+    AgentIncarnation, AttemptId, Grant, GrantRequest, GrantRole, TeamName, Timestamp,
+};
 use futures::{FutureExt, future::BoxFuture};
 use kameo::actor::ActorRef;
 use tokio::sync::oneshot;
 
-use crate::agent::actor::{
-    AgentActor, Cancel, Describe, ListedLeaving, Probe, ReadFrames, Settle, Start,
+use crate::agent::{
+    actor::{AgentActor, Cancel, Describe, ListedLeaving, Probe, ReadFrames, Settle, Start},
+    budgets::GrantBudget,
 };
 
 /// Hands RPC calls to the agent's actor.
@@ -60,6 +63,16 @@
         .boxed()
     }
 
+    fn grant(
+        &self,
+        team: TeamName,
+        role: GrantRole,
+        req: GrantRequest,
+    ) -> BoxFuture<'_, PeerResult<Option<Grant>>> {
+        async move { self.actor.ask(GrantBudget { team, role, req }).await.map_err(stopped) }
+            .boxed()
+    }
+
     fn cancel(&self, attempt: AttemptId) -> BoxFuture<'_, PeerResult<()>> {
         async move { self.actor.tell(Cancel(attempt)).await.map_err(stopped) }.boxed()
     }
--- a/src/agent/kv_engine.rs
+++ b/src/agent/kv_engine.rs
@@ -42,7 +42,8 @@
     pub(crate) fn new(engine: Arc<dyn ModelEngine>, store: Arc<dyn KvStore>) -> KvEngine {
         let planner = KvPlanner {
             engine: EngineIncarnation::default(),
-            index: PrefixIndex::new(COUNTED_PIECES),
+            cache_pieces: 0,
+            index: PrefixIndex::new(0),
             counter: ExportCounter::new(COUNTED_PIECES),
         };
         KvEngine { engine, store, planner: KvPlanner::spawn(planner) }
@@ -95,7 +96,8 @@
     fn status(&self) -> BoxFuture<'_, Result<EngineStatus, EngineError>> {
         async move {
             let status = self.engine.status().await?;
-            let _ = self.planner.tell(NoteEngine(status.incarnation)).await;
+            let (engine, cache_pieces) = (status.incarnation, Some(status.cache_pieces));
+            let _ = self.planner.tell(NoteEngine { engine, cache_pieces }).await;
             Ok(status)
         }
         .boxed()
@@ -145,7 +147,8 @@
             let event = self.inner.next().await?;
             match &event {
                 EngineEvent::Started { engine, .. } => {
-                    let _ = self.planner.tell(NoteEngine(*engine)).await;
+                    let note = NoteEngine { engine: *engine, cache_pieces: None };
+                    let _ = self.planner.tell(note).await;
                 }
                 EngineEvent::End { .. } => self.note_end().await,
                 EngineEvent::Token { .. } => {}
@@ -169,6 +172,7 @@
 #[derive(Actor)]
 struct KvPlanner {
     engine: EngineIncarnation,
+    cache_pieces: u32,
     index: PrefixIndex,
     counter: ExportCounter,
 }
@@ -184,15 +188,19 @@
     }
 }
 
-/// Tells which incarnation of the engine answers.
-struct NoteEngine(EngineIncarnation);
+/// Tells which incarnation of the engine answers, and the size of its cache where it is known.
+struct NoteEngine {
+    engine: EngineIncarnation,
+    cache_pieces: Option<u32>,
+}
 
 impl Message<NoteEngine> for KvPlanner {
     type Reply = ();
 
     async fn handle(&mut self, msg: NoteEngine, _: &mut Context<Self, ()>) {
-        self.engine = msg.0;
-        self.index.observe(msg.0, COUNTED_PIECES);
+        self.engine = msg.engine;
+        self.cache_pieces = msg.cache_pieces.unwrap_or(self.cache_pieces);
+        self.index.observe(self.engine, self.cache_pieces as usize);
     }
 }
 
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,6 +1,7 @@
 //! The entry: serves callers, decides, streams answers back.
 
 mod dispatch;
+mod limits;
 mod membership;
 mod observed_agent;
 mod router;
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -1,5 +1,6 @@
 //! Takes callers' requests to the agents of the fleet.
 
+mod admission;
 mod attempt;
 #[cfg(feature = "baselines")]
 mod baseline;
@@ -18,7 +19,7 @@
 
 use crate::{
     config_follower::ConfigWatch,
-    entry::{dispatch::placer::Placer, router::Router},
+    entry::{dispatch::placer::Placer, limits::Limits, router::Router},
     metrics_page,
     settings::EntrySettings,
 };
@@ -35,6 +36,7 @@
     config: ConfigWatch,
     router: ActorRef<Router>,
     placer: ActorRef<Placer>,
+    limits: ActorRef<Limits>,
 }
 
 impl EntryDispatcher {
@@ -45,7 +47,8 @@
         router: ActorRef<Router>,
     ) -> EntryDispatcher {
         let placer = Placer::spawn(Placer::default());
-        EntryDispatcher { core: Arc::new(Core { settings, config, router, placer }) }
+        let limits = Limits::spawn(Limits::new());
+        EntryDispatcher { core: Arc::new(Core { settings, config, router, placer, limits }) }
     }
 }
 
@@ -78,7 +81,7 @@
         tokio::spawn(async move {
             let closed = tx.clone();
             let (id, team) = (req.id, req.team.clone());
-            let outcome = core.serve(req, tx).await;
+            let outcome = core.serve_within_limits(req, tx).await;
             metrics::counter!(metrics_page::REQUESTS, "outcome" => outcome_label(&outcome))
                 .increment(1);
             log::info!(request:% = id, team:%, outcome:? ; "request ended");
--- a/src/entry/observed_agent.rs
+++ b/src/entry/observed_agent.rs
@@ -10,7 +10,9 @@
     RunRequest, SettleReply, StartReply,
 };
 use dogwoodway_routing::{membership::MemberKey, outlier::CallResult};
-use dogwoodway_types::{AgentIncarnation, AttemptId, NotRunReason, Timestamp};
+use dogwoodway_types::{
+    AgentIncarnation, AttemptId, Grant, GrantRequest, GrantRole, NotRunReason, TeamName, Timestamp,
+};
 use futures::{FutureExt, future::BoxFuture};
 use kameo::actor::WeakActorRef;
 
@@ -149,6 +151,15 @@
         self.link.cancel(attempt)
     }
 
+    fn grant(
+        &self,
+        team: TeamName,
+        role: GrantRole,
+        req: GrantRequest,
+    ) -> BoxFuture<'_, PeerResult<Option<Grant>>> {
+        self.link.grant(team, role, req)
+    }
+
     fn notify_leaving(&self) -> BoxFuture<'_, PeerResult<()>> {
         self.link.notify_leaving()
     }
--- a/src/entry/router.rs
+++ b/src/entry/router.rs
@@ -6,6 +6,7 @@
 use dogwoodway_routing::{
     membership::{AgentWord, ListedVm, MemberKey, Membership, Question, QuestionResult},
     outlier::CallResult,
+    rendezvous::ServerKey,
 };
 use dogwoodway_types::{
     AvailabilityZone, BackendServerName, ClassName, Configuration, ModelName, Priority, Selector,
@@ -214,6 +215,21 @@
     }
 }
 
+/// Asks for links to all agents that are known, with keys that are the same on every entry.
+pub(crate) struct ListAgents;
+
+impl Message<ListAgents> for Router {
+    type Reply = Vec<(ServerKey, Arc<dyn AgentApi>)>;
+
+    async fn handle(&mut self, _: ListAgents, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let named = self.agents.values().filter_map(|agent| {
+            let name = &agent.description.as_ref()?.name;
+            Some((ServerKey::new(name), agent.link.clone()))
+        });
+        named.collect()
+    }
+}
+
 /// Asks which agents may run a request.
 pub(crate) struct FindEligible {
     pub(crate) team: TeamName,
--- a/src/metrics_page.rs
+++ b/src/metrics_page.rs
@@ -11,6 +11,9 @@
 /// Requests of callers that have ended, by outcome.
 pub(crate) const REQUESTS: &str = "dogwoodway_requests_total";
 
+/// Tokens that teams have used, by team and kind.
+pub(crate) const TEAM_TOKENS: &str = "dogwoodway_team_tokens_total";
+
 /// The reason why metrics cannot be served.
 #[derive(Debug)]
 pub(crate) enum MetricsError {
@@ -49,4 +52,5 @@
 
 fn describe() {
     describe_counter!(REQUESTS, Unit::Count, "Requests of callers that have ended, by outcome");
+    describe_counter!(TEAM_TOKENS, Unit::Count, "Tokens that teams have used, by team and kind");
 }
