--- a/crates/dogwoodway_engine/src/client.rs
+++ b/crates/dogwoodway_engine/src/client.rs
@@ -9,8 +9,8 @@
 use hyper::{Method, StatusCode};
 
 use crate::{
-    CacheEvents, EngineError, EngineEvent, EngineRequest, EngineStatus, EngineStream, KvMoved,
-    KvOrder, ModelEngine,
+    CacheEvents, EngineError, EngineEvent, EngineOrder, EngineRequest, EngineStatus, EngineStream,
+    KvMoved, KvOrder, ModelEngine,
 };
 
 const CONTROL_TIMEOUT_MS: u64 = 1_000;
@@ -81,6 +81,25 @@
         .boxed()
     }
 
+    fn order(&self, order: EngineOrder) -> BoxFuture<'_, Result<(), EngineError>> {
+        async move {
+            let url = format!("{}/orders", self.base_url);
+            let limit = Duration::from_millis(CONTROL_TIMEOUT_MS);
+            let body =
+                serde_json::to_vec(&order).map_err(|e| EngineError::Refused(e.to_string()))?;
+            let body = Bytes::from(body);
+            let reply = self.http.call(Method::POST, &url, "application/json", body, limit).await;
+            match reply.map_err(engine_error)?.status {
+                status if status.is_success() => Ok(()),
+                status if status.is_client_error() => {
+                    Err(EngineError::Refused(format!("status {status}")))
+                }
+                status => Err(EngineError::Lost(format!("status {status}"))),
+            }
+        }
+        .boxed()
+    }
+
     fn status(&self) -> BoxFuture<'_, Result<EngineStatus, EngineError>> {
         async move {
             let url = format!("{}/status", self.base_url);
--- a/crates/dogwoodway_engine/src/lib.rs
+++ b/crates/dogwoodway_engine/src/lib.rs
@@ -13,6 +13,7 @@
     client::HttpEngine,
     kv_order::{KvMoved, KvOrder},
     model_engine::{
-        EngineError, EngineEvent, EngineRequest, EngineStatus, EngineStream, ModelEngine,
+        EngineError, EngineEvent, EngineOrder, EngineRequest, EngineStatus, EngineStream,
+        ModelEngine,
     },
 };
--- a/crates/dogwoodway_engine/src/model_engine.rs
+++ b/crates/dogwoodway_engine/src/model_engine.rs
@@ -3,8 +3,8 @@
 use std::fmt;
 
 use dogwoodway_types::{
-    AttemptId, ChatMessage, EngineIncarnation, FinishReason, ModelName, PieceHash, Priority, Token,
-    Usage, WeightsVersion,
+    AttemptId, ChatMessage, EngineIncarnation, FinishReason, LogOffset, ModelName, PieceHash,
+    Priority, Token, Usage, WeightsVersion,
 };
 use futures::future::BoxFuture;
 use serde::{Deserialize, Serialize};
@@ -67,6 +67,21 @@
     },
 }
 
+/// Body of `POST /orders`: load other weights. All streams of the engine are cut off.
+///
+/// Status 202 means that loading has begun; [`EngineStatus::version`] tells when it is done. An
+/// engine that checks fencing numbers answers 412 to one below the highest it has seen.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EngineOrder {
+    /// Offset of the lease under which the order is given.
+    pub fencing: LogOffset,
+    /// Model to load.
+    pub model: ModelName,
+    /// Weights version to load.
+    pub version: WeightsVersion,
+}
+
 /// Answer of `GET /status`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineStatus {
@@ -126,6 +141,9 @@
     /// Cancels a completion; an unknown one is no error.
     fn cancel(&self, request_id: AttemptId) -> BoxFuture<'_, Result<(), EngineError>>;
 
+    /// Orders the engine to load weights. A lost answer tells nothing: read the status.
+    fn order(&self, order: EngineOrder) -> BoxFuture<'_, Result<(), EngineError>>;
+
     /// Asks for the engine's identity and load.
     fn status(&self) -> BoxFuture<'_, Result<EngineStatus, EngineError>>;
 
--- a/crates/dogwoodway_routing/src/outlier.rs
+++ b/crates/dogwoodway_routing/src/outlier.rs
@@ -18,7 +18,7 @@
 pub const FORGIVE_MS: u64 = 60_000;
 
 /// Latency below which an agent is never slow.
-pub const SLOW_FLOOR_MS: u64 = 200;
+pub const SLOW_FLOOR_MS: u64 = 100;
 
 /// An agent is slow if its mean latency is this many times the median of all agents.
 pub const SLOW_FACTOR: u64 = 5;
@@ -178,7 +178,7 @@
 /// ```
 /// use dogwoodway_routing::outlier::slow_above_us;
 ///
-/// assert_eq!(slow_above_us(vec![900, 1_000, 900_000]), 200_000);
+/// assert_eq!(slow_above_us(vec![900, 1_000, 900_000]), 100_000);
 /// assert_eq!(slow_above_us(vec![900, 900_000]), u64::MAX);
 /// ```
 pub fn slow_above_us(mut means_us: Vec<u64>) -> u64 {
--- a/crates/dogwoodway_standin/src/engine.rs
+++ b/crates/dogwoodway_standin/src/engine.rs
@@ -9,6 +9,7 @@
 mod journal;
 mod kv;
 mod load;
+mod orders;
 mod server;
 
 pub use crate::engine::{
--- a/crates/dogwoodway_standin/src/engine/server.rs
+++ b/crates/dogwoodway_standin/src/engine/server.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use dogwoodway_engine::{EngineEvent, EngineRequest, EngineStatus};
+use dogwoodway_engine::{EngineEvent, EngineOrder, EngineRequest, EngineStatus};
 use dogwoodway_http::{
     Body, BodySender, Handler, channel_body, json_response, sse_event, text_response,
 };
@@ -20,7 +20,7 @@
 use crate::{
     engine::{
         Batch, BatchLimits, EngineOptions, Journal, JournalKind, JournalRecord, Plan, batch,
-        load::LoadHistory,
+        load::LoadHistory, orders::Orders,
     },
     fault::FaultSwitch,
     read_json,
@@ -42,6 +42,7 @@
     streams: HashMap<AttemptId, mpsc::UnboundedSender<EngineEvent>>,
     journal: Journal,
     load: LoadHistory,
+    orders: Orders,
 }
 
 /// Builds the handler of an engine with an empty cache and starts its loop.
@@ -52,6 +53,7 @@
         streams: HashMap::new(),
         journal: Journal::default(),
         load: LoadHistory::default(),
+        orders: Orders::new(&options),
     };
     let engine = Arc::new(Engine {
         options,
@@ -83,6 +85,12 @@
         }
         match path.as_str() {
             "/journal" => return self.with_state(|s| journal_response(&s.journal)),
+            "/control" => {
+                return match read_json(req).await {
+                    Ok(control) => self.with_state(|s| s.orders.control(&control)),
+                    Err(resp) => *resp,
+                };
+            }
             "/crash" => {
                 self.crash();
                 return text_response(StatusCode::OK, "crashed");
@@ -94,6 +102,10 @@
         }
         match (req.method(), path.as_str()) {
             (&Method::GET, "/status") => json_response(StatusCode::OK, &self.status()),
+            (&Method::POST, "/orders") => match read_json(req).await {
+                Ok(order) => self.faults.after(self.order(&order)),
+                Err(resp) => *resp,
+            },
             (&Method::GET, "/events") => self.events(req.uri().query().unwrap_or_default()),
             (&Method::POST, "/v1/chat/completions") => match read_json(req).await {
                 Ok(req) => self.generate(req),
@@ -122,6 +134,18 @@
         });
     }
 
+    /// Executes an order; loading cuts off all streams.
+    fn order(&self, order: &EngineOrder) -> Response<Body> {
+        self.with_state(|s| match s.orders.order(Timestamp::now(), order) {
+            Ok(()) => {
+                s.batch = new_batch(&self.options);
+                s.streams.clear();
+                text_response(StatusCode::ACCEPTED, "loading")
+            }
+            Err(resp) => *resp,
+        })
+    }
+
     fn with_state<T>(&self, f: impl FnOnce(&mut EngineState) -> T) -> T {
         f(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
     }
@@ -147,12 +171,13 @@
     /// Returns what the engine says of itself.
     pub(super) fn status(&self) -> EngineStatus {
         let then = millis_ago(self.options.load_lag_ms);
-        let (incarnation, (running, waiting)) =
-            self.with_state(|s| (s.incarnation, s.load.as_of(then)));
+        let (incarnation, (running, waiting), version) = self.with_state(|s| {
+            (s.incarnation, s.load.as_of(then), s.orders.version(Timestamp::now()))
+        });
         EngineStatus {
             incarnation,
             model: self.options.model.clone(),
-            version: self.options.version,
+            version,
             running: u32::try_from(running).unwrap_or(u32::MAX),
             waiting: u32::try_from(waiting).unwrap_or(u32::MAX),
             max_batch: self.options.max_batch,
@@ -169,7 +194,8 @@
     }
 
     fn generate(&self, req: EngineRequest) -> Response<Body> {
-        if req.model != self.options.model || req.version != self.options.version {
+        let loaded = self.with_state(|s| s.orders.usable_version(Timestamp::now()));
+        if req.model != self.options.model || Some(req.version) != loaded {
             return text_response(StatusCode::CONFLICT, "other weights are loaded");
         }
         let (tx, body) = channel_body();
@@ -200,7 +226,7 @@
     async fn run_batch(self: Arc<Self>) {
         let mut step_end = Instant::now();
         loop {
-            let Some((engine, plan)) = self.with_state(|s| s.begin_step(&self.options)) else {
+            let Some((engine, plan)) = self.with_state(|s| s.begin_step()) else {
                 self.arrived.notified().await;
                 step_end = Instant::now();
                 continue;
@@ -213,13 +239,14 @@
 }
 
 impl EngineState {
-    fn begin_step(&mut self, options: &EngineOptions) -> Option<(EngineIncarnation, Plan)> {
+    fn begin_step(&mut self) -> Option<(EngineIncarnation, Plan)> {
         let closed = self.streams.iter().filter(|(_, tx)| tx.is_closed()).map(|(id, _)| *id);
         for id in closed.collect::<Vec<_>>() {
             self.batch.cancel(id);
             self.streams.remove(&id);
         }
         let plan = self.batch.plan()?;
+        let version = self.orders.version(Timestamp::now());
         for started in &plan.started {
             let at = Timestamp::now();
             let kind = JournalKind::Scheduled {
@@ -229,7 +256,7 @@
                 cached_tokens: started.cached_tokens,
             };
             self.journal.push(JournalRecord { at, engine: self.incarnation, kind });
-            let event = batch::started(self.incarnation, options.version, started.cached_tokens);
+            let event = batch::started(self.incarnation, version, started.cached_tokens);
             self.send(started.request, event);
         }
         Some((self.incarnation, plan))
--- a/src/agent/actor.rs
+++ b/src/agent/actor.rs
@@ -12,8 +12,8 @@
     queue::{Offer, Refusal},
 };
 use dogwoodway_types::{
-    AgentIncarnation, AttemptId, Configuration, FrameKind, LogOffset, NotRunReason, Outcome,
-    Timestamp, Work,
+    AgentIncarnation, AttemptId, Configuration, EngineIncarnation, FrameKind, LogOffset,
+    NotRunReason, Outcome, Timestamp, WeightsVersion, Work,
 };
 use kameo::{
     Actor,
@@ -159,11 +159,12 @@
 
     /// Hands waiting attempts to the engine as long as it has places.
     fn run_next(&mut self, actor: &ActorRef<AgentActor>) {
-        let Some(engine) = self.engine.as_ref().map(|status| status.incarnation) else { return };
+        let Some(status) = self.engine.as_ref().filter(|_| self.engine_up) else { return };
+        let (engine, version) = (status.incarnation, status.version);
         let now = Timestamp::now();
         while let Some(id) = self.admission.next(now, engine) {
             match self.queued.remove(&id) {
-                Some(req) if req.engine == Some(engine) => self.spawn_run(req, actor),
+                Some(req) if runs_on(&req, engine, version) => self.spawn_run(req, actor),
                 Some(_) => {
                     let reason = NotRunReason::StaleBackendServer;
                     self.refuse(id, Refusal { reason, retry_at: now });
@@ -205,6 +206,15 @@
     }
 }
 
+/// Tells whether an attempt was routed to an engine with the given weights.
+fn runs_on(req: &RunRequest, engine: EngineIncarnation, version: WeightsVersion) -> bool {
+    let same_version = match &req.work {
+        Work::Chat(chat) => chat.version == version,
+        Work::Service(_) => false,
+    };
+    req.engine == Some(engine) && same_version
+}
+
 /// Asks for the agent's description; `None` while the engine is not known.
 pub(crate) struct Describe;
 
--- a/src/agent/kv_engine.rs
+++ b/src/agent/kv_engine.rs
@@ -7,8 +7,8 @@
 use std::sync::Arc;
 
 use dogwoodway_engine::{
-    CacheEvents, EngineError, EngineEvent, EngineRequest, EngineStatus, EngineStream, KvMoved,
-    KvOrder, ModelEngine,
+    CacheEvents, EngineError, EngineEvent, EngineOrder, EngineRequest, EngineStatus, EngineStream,
+    KvMoved, KvOrder, ModelEngine,
 };
 use dogwoodway_kvstore::KvStore;
 use dogwoodway_routing::{
@@ -93,6 +93,10 @@
         self.engine.cancel(request_id)
     }
 
+    fn order(&self, order: EngineOrder) -> BoxFuture<'_, Result<(), EngineError>> {
+        self.engine.order(order)
+    }
+
     fn status(&self) -> BoxFuture<'_, Result<EngineStatus, EngineError>> {
         async move {
             let status = self.engine.status().await?;
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -11,7 +11,7 @@
 };
 use kameo::actor::ActorRef;
 
-use crate::agent::actor::{AgentActor, Push};
+use crate::agent::actor::{AgentActor, Push, SeeEngine};
 
 /// The backend server beside an agent.
 #[derive(Clone)]
@@ -57,22 +57,33 @@
     let mut stream = match engine.generate(engine_req).await {
         Ok(stream) => stream,
         Err(EngineError::Unreachable(_) | EngineError::Refused(_)) => {
+            check_engine(engine, actor).await;
             return not_run(NotRunReason::StaleBackendServer);
         }
         Err(e @ EngineError::Lost(_)) => return lost(&e.to_string()),
     };
+    let mut started = false;
     loop {
         let kind = match stream.next().await {
             Ok(EngineEvent::Started { engine: incarnation, version, cached_tokens }) => {
                 if Some(incarnation) != req.engine || version != chat.version {
                     let _ = engine.cancel(req.attempt).await;
+                    check_engine(engine, actor).await;
                     return lost("another engine answered than the request was routed to");
                 }
+                started = true;
                 FrameKind::Started { engine: incarnation, version, cached_tokens }
             }
+            Ok(EngineEvent::Token { .. } | EngineEvent::End { .. }) if !started => {
+                let _ = engine.cancel(req.attempt).await;
+                return lost("the engine did not say which weights it runs");
+            }
             Ok(EngineEvent::Token { token, text, .. }) => FrameKind::Token { token, text },
             Ok(EngineEvent::End { finish, usage }) => return FrameKind::End { finish, usage },
-            Err(e) => return lost(&e.to_string()),
+            Err(e) => {
+                check_engine(engine, actor).await;
+                return lost(&e.to_string());
+            }
         };
         if actor.tell(Push { id: req.attempt, kind }).await.is_err() {
             return lost("the agent stops");
@@ -80,6 +91,11 @@
     }
 }
 
+/// Reads the engine's status, so that the next attempt is routed by what the engine is now.
+async fn check_engine(engine: &dyn ModelEngine, actor: &ActorRef<AgentActor>) {
+    let _ = actor.tell(SeeEngine(engine.status().await.ok())).await;
+}
+
 async fn run_service(
     service: &dyn PlainService,
     req: &RunRequest,
