Keep those ejected agents in use that replied last

Ruled out: longer probes, which every request to a dead agent would wait for. After: those that replied last stay, all stay if all are ejected (of_ejected_agents_the_one_that_replied_last_stays).

--- a/crates/dogwoodway_routing/src/membership.rs
+++ b/crates/dogwoodway_routing/src/membership.rs
@@ -5,6 +5,7 @@
 //! which agents are dead or slow. All times are those of the entry's clock.
 
 use std::{
+    cmp::Reverse,
     collections::{HashMap, HashSet},
     net::SocketAddr,
     time::Duration,
@@ -258,7 +259,8 @@
     /// Returns those of the candidates that may get new work, in the same order.
     ///
     /// Leaving agents never do. Ejected ones do not either, unless that would take away more than
-    /// [`MAX_EJECTED_PERCENT`] of the others: then those with the fewest ejections stay.
+    /// [`MAX_EJECTED_PERCENT`] of the others: then those that replied last stay. If all are ejected,
+    /// all stay, since the fault is likelier to be the entry's own.
     pub fn usable(&self, now: Timestamp, candidates: &[MemberKey]) -> Vec<MemberKey> {
         let staying: Vec<_> = candidates
             .iter()
@@ -267,8 +269,11 @@
             .collect();
         let mut ejected: Vec<_> =
             staying.iter().filter(|(_, member)| member.health.is_ejected()).collect();
-        ejected.sort_by_key(|(key, m)| (m.health.ejections(), m.health.trial_at(), *key));
-        let max_ejected = staying.len() * MAX_EJECTED_PERCENT / 100;
+        ejected.sort_by_key(|(key, m)| (Reverse(m.health.replied_at()), *key));
+        let max_ejected = match ejected.len() == staying.len() {
+            true => 0,
+            false => staying.len() * MAX_EJECTED_PERCENT / 100,
+        };
         let kept = ejected.len().saturating_sub(max_ejected);
         let out: HashSet<_> = ejected.iter().skip(kept).map(|(key, _)| *key).collect();
         staying.iter().map(|(key, _)| *key).filter(|key| !out.contains(key)).collect()
--- a/crates/dogwoodway_routing/src/outlier.rs
+++ b/crates/dogwoodway_routing/src/outlier.rs
@@ -77,13 +77,18 @@
     forgive_at: Timestamp,
     replies: u32,
     mean_us: u64,
+    replied_at: Timestamp,
 }
 
 impl Health {
     /// Notes the result of a call; `slow_above_us` is the latency above which agents are slow.
     ///
-    /// Results have no effect while the agent is ejected: only a trial brings it back.
+    /// While the agent is ejected, results only update the time of its last reply: a trial alone
+    /// brings it back.
     pub fn see_call(&mut self, now: Timestamp, result: CallResult, slow_above_us: u64) {
+        if let CallResult::Replied { .. } = result {
+            self.replied_at = now;
+        }
         if self.state != State::Healthy {
             return;
         }
@@ -137,9 +142,9 @@
         }
     }
 
-    /// Returns the number of ejections that have not been forgiven.
-    pub fn ejections(&self) -> u32 {
-        self.ejections
+    /// Returns when the agent replied last.
+    pub fn replied_at(&self) -> Timestamp {
+        self.replied_at
     }
 
     /// Returns the mean latency of a healthy agent, once it is known well enough.
@@ -168,7 +173,8 @@
         let length_ms = EJECTION_MS.checked_shl(self.ejections).unwrap_or(MAX_EJECTION_MS);
         let until = now + Duration::from_millis(length_ms.min(MAX_EJECTION_MS));
         let ejections = (self.ejections + 1).min(u64::BITS - 1);
-        *self = Health { state: State::Ejected { until }, ejections, ..Health::default() };
+        let (state, replied_at) = (State::Ejected { until }, self.replied_at);
+        *self = Health { state, ejections, replied_at, ..Health::default() };
     }
 }
 
