Ask for a further grant when others took the first

A grant covers 25 places beyond those in use when it was asked for; of 60 requests that ask at the same moment the later ones found it taken, and gave up. Ruled out: larger grants, which lend out more than an entry needs. Conclusion: a request gives up only when the owner of the budget had no more.

--- a/src/entry/dispatch/admission.rs
+++ b/src/entry/dispatch/admission.rs
@@ -6,9 +6,10 @@
 use dogwoodway_peer::AgentApi;
 use dogwoodway_routing::rendezvous::{self, Server};
 use dogwoodway_types::{
-    GrantRequest, GrantRole, NotRunReason, Outcome, PieceHash, TeamName, Timestamp, Usage,
+    Grant, GrantRequest, GrantRole, NotRunReason, Outcome, PieceHash, TeamName, Timestamp, Usage,
     estimate_tokens,
 };
+use kameo::error::SendError;
 use tokio::{sync::mpsc, task::JoinHandle};
 
 use crate::{
@@ -23,6 +24,9 @@
 /// Time after which a refused caller may come back when no agent told one.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Grants that are asked for on behalf of one request.
+const MAX_GRANTS: u32 = 16;
+
 impl Core {
     /// Runs a request within the limits of its team and returns its outcome.
     pub(super) async fn serve_within_limits(
@@ -63,26 +67,33 @@
             }
         };
         let take = || Take { team: req.team.clone(), prompt_tokens, max_tokens };
-        let stopped = |_| Timestamp::now() + RETRY_AFTER;
-        let ask = match self.limits.ask(take()).await {
-            Ok(reservation) => return Ok(reservation),
-            Err(kameo::error::SendError::HandlerError(ask)) => ask,
-            Err(e) => return Err(stopped(e)),
-        };
-        let retry_at = self.ask_for_grant(&req.team, ask).await;
+        let mut retry_at = Timestamp::now() + RETRY_AFTER;
+        for _ in 0..MAX_GRANTS {
+            let ask = match self.limits.ask(take()).await {
+                Ok(reservation) => return Ok(reservation),
+                Err(SendError::HandlerError(ask)) => ask,
+                Err(_) => return Err(retry_at),
+            };
+            let Some(grant) = self.ask_for_grant(&req.team, ask).await else { break };
+            retry_at = grant.retry_at;
+            if grant.tokens < ask.need || grant.in_flight < ask.in_flight {
+                break;
+            }
+            // What was granted may have gone to requests that arrived at the same time.
+        }
         match self.limits.ask(take()).await {
             Ok(reservation) => Ok(reservation),
-            Err(kameo::error::SendError::HandlerError(ask)) => {
+            Err(SendError::HandlerError(ask)) => {
                 let (team, asked_at) = (req.team.clone(), Timestamp::now());
                 let _ = self.limits.tell(Receive { team, asked_at, req: ask, grant: None }).await;
                 Err(retry_at)
             }
-            Err(e) => Err(stopped(e)),
+            Err(_) => Err(retry_at),
         }
     }
 
     /// Asks the owner of a team's budget for a grant, and the fallback if it does not answer.
-    async fn ask_for_grant(&self, name: &TeamName, req: GrantRequest) -> Timestamp {
+    async fn ask_for_grant(&self, name: &TeamName, req: GrantRequest) -> Option<Grant> {
         let asked_at = Timestamp::now();
         let agents = self.router.ask(ListAgents).await.unwrap_or_default();
         let servers: Vec<_> =
@@ -97,9 +108,8 @@
                 break;
             }
         }
-        let retry_at = grant.map_or(asked_at + RETRY_AFTER, |grant| grant.retry_at);
         let _ = self.limits.tell(Receive { team: name.clone(), asked_at, req, grant }).await;
-        retry_at
+        grant
     }
 }
 
