--- /dev/null
+++ b/crates/dogwoodway_standin/src/decision.rs
@@ -0,0 +1,51 @@
+//! Times of single routing decisions.
+
+use std::{hint::black_box, time::Instant};
+
+use dogwoodway_routing::{
+    heat::HeatTable,
+    placement::{self, Candidate},
+    rendezvous::{Server, ServerKey},
+};
+use dogwoodway_types::{BackendServerName, PieceHash, Timestamp};
+use serde::Serialize;
+
+/// Prefixes that the decisions are for, more than the heat table tracks.
+const PREFIXES: u64 = 10_000;
+
+/// Times of decisions with a number of servers.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct DecisionTimes {
+    /// Servers to choose from.
+    pub servers: usize,
+    /// Decisions made.
+    pub decisions: u64,
+    /// Mean nanoseconds of one decision.
+    pub mean_ns: f64,
+    /// Prefixes tracked at the end.
+    pub tracked: usize,
+}
+
+/// Times decisions: hashing of names, heat, shortlist, and the choice among the replies.
+pub fn time_decisions(servers: usize, decisions: u64) -> DecisionTimes {
+    let names: Vec<_> = (0..servers)
+        .filter_map(|i| BackendServerName::try_from(format!("engine-{i}")).ok())
+        .collect();
+    let mut heat = HeatTable::default();
+    let begin = Instant::now();
+    for i in 0..decisions {
+        let prefix = i.wrapping_mul(0x9e37_79b9_7f4a_7c15) % PREFIXES;
+        let key = PieceHash(u128::from(prefix).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        let named = names.iter().map(|name| Server { key: ServerKey::new(name), weight: 1 });
+        let servers: Vec<_> = named.collect();
+        let width = heat.note(Timestamp::from_millis(i), key, servers.len());
+        let probes = placement::shortlist(key, width, &servers, i);
+        let candidates: Vec<_> = probes
+            .iter()
+            .map(|&n| Candidate { wait_us: n as u64, uncached_tokens: 100, prefill_ns: 50_000 })
+            .collect();
+        black_box(placement::choose(&candidates));
+    }
+    let mean_ns = begin.elapsed().as_nanos() as f64 / decisions as f64;
+    DecisionTimes { servers, decisions, mean_ns, tracked: heat.len() }
+}
--- a/crates/dogwoodway_standin/src/lib.rs
+++ b/crates/dogwoodway_standin/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Each stand-in is a small HTTP server. `POST /fault` sets its faults; see [`Faults`].
 
+mod decision;
 mod demo;
 mod engine;
 mod fault;
@@ -14,6 +15,7 @@
 mod vm_list;
 
 pub use crate::{
+    decision::{DecisionTimes, time_decisions},
     demo::{DemoTargets, run_demo},
     engine::{
         Batch, BatchLimits, CacheChange, EngineOptions, Journal, JournalKind, JournalRecord,
--- a/crates/dogwoodway_standin/src/main.rs
+++ b/crates/dogwoodway_standin/src/main.rs
@@ -8,7 +8,8 @@
 use dogwoodway_http::{Handler, ServerLimits, serve};
 use dogwoodway_standin::{
     DemoTargets, EngineOptions, OverheadTargets, engine_handler, kv_store_handler, log_handler,
-    measure_overhead, process_usage, run_demo, service_handler, state_slopes, vm_list_handler,
+    measure_overhead, process_usage, run_demo, service_handler, state_slopes, time_decisions,
+    vm_list_handler,
 };
 use dogwoodway_types::{ModelName, WeightsVersion};
 use dogwoodway_vms::Vm;
@@ -86,6 +87,15 @@
         #[arg(long, default_value_t = 500)]
         pairs: u32,
     },
+    /// Times single routing decisions.
+    Decisions {
+        /// Servers to choose from.
+        #[arg(long, default_value_t = 9)]
+        servers: usize,
+        /// Decisions to make.
+        #[arg(long, default_value_t = 100_000)]
+        decisions: u64,
+    },
     /// Runs a scenario and measures it.
     Load(LoadArgs),
     /// Prints the sizes of a scenario's fleet as shell variables.
@@ -187,6 +197,9 @@
         Command::Usage { pid, seconds } => {
             print_result(process_usage(pid, seconds).await.map_err(|e| e.to_string()))
         }
+        Command::Decisions { servers, decisions } => {
+            print_result(Ok(time_decisions(servers, decisions)))
+        }
         Command::Load(args) => exit_code(load_command::load(&args).await),
         Command::FleetSizes { scenario } => exit_code(load_command::print_fleet_sizes(&scenario)),
         Command::Compare { reports, plot } => {
@@ -251,6 +264,7 @@
         | Command::Overhead { .. }
         | Command::Slopes
         | Command::Usage { .. }
+        | Command::Decisions { .. }
         | Command::Load(_)
         | Command::FleetSizes { .. }
         | Command::Compare { .. } => Err("not a server".to_owned()),
