Answer that an agent is not ready instead of dropping the call

Cause: two tests of membership failed now and then on a busy machine with 503 no-backend-server. The agents' logs show that a description asked for before the engine's first status made the RPC server panic: the call had no answer, the entry waited a second for it and then for the next regular question, and with the other agent leaving there was nobody left. After: the peer answers that it is not ready, and the fleet of the tests waits for its agents before it starts entries. Conclusion: no call between peers ends in a panic for want of an engine.

--- a/crates/dogwoodway_peer/src/agent.rs
+++ b/crates/dogwoodway_peer/src/agent.rs
@@ -18,12 +18,15 @@
     Unreachable(String),
     /// The call may have reached the peer.
     Lost(String),
+    /// The peer answered that it cannot tell yet.
+    NotReady(String),
 }
 
 impl fmt::Display for PeerError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             PeerError::Unreachable(e) => write!(f, "the peer is unreachable: {e}"),
+            PeerError::NotReady(e) => write!(f, "the peer is not ready: {e}"),
             PeerError::Lost(e) => write!(f, "the peer's answer was lost: {e}"),
         }
     }
--- a/crates/dogwoodway_peer/src/client.rs
+++ b/crates/dogwoodway_peer/src/client.rs
@@ -85,7 +85,7 @@
     fn describe(&self) -> BoxFuture<'_, PeerResult<AgentDescription>> {
         async move {
             let answer = self.client().await?.describe(call_context(CALL_TIMEOUT_MS)).await;
-            self.checked(answer).await
+            self.checked(answer).await?.map_err(PeerError::NotReady)
         }
         .boxed()
     }
@@ -93,7 +93,7 @@
     fn probe(&self, req: ProbeRequest) -> BoxFuture<'_, PeerResult<ProbeReply>> {
         async move {
             let answer = self.client().await?.probe(call_context(CALL_TIMEOUT_MS), req).await;
-            self.checked(answer).await
+            self.checked(answer).await?.map_err(PeerError::NotReady)
         }
         .boxed()
     }
--- a/crates/dogwoodway_peer/src/server.rs
+++ b/crates/dogwoodway_peer/src/server.rs
@@ -29,9 +29,9 @@
 #[tarpc::service]
 pub(crate) trait AgentRpc {
     /// See [`AgentApi::describe`].
-    async fn describe() -> AgentDescription;
+    async fn describe() -> Result<AgentDescription, String>;
     /// See [`AgentApi::probe`].
-    async fn probe(req: ProbeRequest) -> ProbeReply;
+    async fn probe(req: ProbeRequest) -> Result<ProbeReply, String>;
     /// See [`AgentApi::start`].
     async fn start(req: RunRequest) -> StartReply;
     /// See [`AgentApi::frames`].
@@ -117,12 +117,12 @@
 }
 
 impl AgentRpc for AgentServer {
-    async fn describe(self, _: Context) -> AgentDescription {
-        local(self.agent.describe().await)
+    async fn describe(self, _: Context) -> Result<AgentDescription, String> {
+        ready(self.agent.describe().await)
     }
 
-    async fn probe(self, _: Context, req: ProbeRequest) -> ProbeReply {
-        local(self.agent.probe(req).await)
+    async fn probe(self, _: Context, req: ProbeRequest) -> Result<ProbeReply, String> {
+        ready(self.agent.probe(req).await)
     }
 
     async fn start(self, _: Context, req: RunRequest) -> StartReply {
@@ -166,6 +166,14 @@
     }
 }
 
+/// Passes on an answer, or the reason why the agent has none yet.
+fn ready<T>(answer: Result<T, PeerError>) -> Result<T, String> {
+    match answer {
+        Err(PeerError::NotReady(why)) => Err(why),
+        answer => Ok(local(answer)),
+    }
+}
+
 /// Unwraps an answer of the agent in this process, which fails only if its actor has stopped.
 fn local<T>(answer: Result<T, PeerError>) -> T {
     match answer {
--- a/src/agent/front.rs
+++ b/src/agent/front.rs
@@ -83,7 +83,7 @@
 }
 
 fn known<T>(reply: Option<T>) -> PeerResult<T> {
-    reply.ok_or_else(|| PeerError::Lost("the engine has not been reached yet".to_owned()))
+    reply.ok_or_else(|| PeerError::NotReady("the engine has not been reached yet".to_owned()))
 }
 
 fn stopped<E>(_: E) -> PeerError {
--- a/src/entry/dispatch/attempt.rs
+++ b/src/entry/dispatch/attempt.rs
@@ -25,7 +25,9 @@
     match link.start(run).await {
         Ok(StartReply::Accepted) => {}
         Ok(StartReply::NotRun { reason, .. }) => return AttemptEnd::NotRun(reason),
-        Err(PeerError::Unreachable(_)) => return AttemptEnd::NotRun(NotRunReason::Overloaded),
+        Err(PeerError::Unreachable(_) | PeerError::NotReady(_)) => {
+            return AttemptEnd::NotRun(NotRunReason::Overloaded);
+        }
         Err(PeerError::Lost(message)) => match link.settle(id, agent, start_before).await {
             Ok(SettleReply::Started) => {}
             Ok(SettleReply::NotStarted) => return AttemptEnd::NotRun(NotRunReason::Overloaded),
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -15,6 +15,7 @@
 };
 
 use dogwoodway_http::{HttpClient, HttpReply};
+use dogwoodway_peer::{AgentApi, TarpcAgent};
 use dogwoodway_types::{ConfigEdit, KeyHash};
 use hyper::Method;
 use serde_json::{Value, json};
@@ -174,6 +175,12 @@
             );
             agents.push(agent);
         }
+        for agent in &agents {
+            let link = TarpcAgent::new(agent.address);
+            while link.describe().await.is_err() {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
         let vms_file = dir.join("vms.yaml");
         std::fs::write(&vms_file, list).expect("the list can be written");
         let vms = standin(&["vms", "--file", &vms_file.display().to_string()]);
