--- a/crates/dogwoodway_caller/src/chat.rs
+++ b/crates/dogwoodway_caller/src/chat.rs
@@ -141,7 +141,7 @@
     let model = chat.model.clone();
     tokio::spawn(async move {
         let _ = send_chunk(&tx, id, &model, json!({"role": "assistant", "content": ""})).await;
-        while let Some(event) = answer.recv().await {
+        while let Some(event) = next_event(&mut answer, &tx).await {
             let sent = match event {
                 AnswerEvent::Text(text) => {
                     send_chunk(&tx, id, &model, json!({"content": text})).await
@@ -172,6 +172,14 @@
     resp
 }
 
+/// Waits for the next event; the answer counts as ended as soon as its caller has gone.
+async fn next_event(answer: &mut Answer, tx: &BodySender) -> Option<AnswerEvent> {
+    tokio::select! {
+        event = answer.recv() => event,
+        () = tx.closed() => None,
+    }
+}
+
 /// The caller has gone.
 struct CallerGone;
 
--- a/crates/dogwoodway_http/src/server.rs
+++ b/crates/dogwoodway_http/src/server.rs
@@ -44,11 +44,15 @@
     let slots = Arc::new(Semaphore::new(limits.connections));
     let mut shutdown = std::pin::pin!(shutdown);
     loop {
-        let Ok(slot) = slots.clone().acquire_owned().await else { break };
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let accept = async {
+            let slot = slots.clone().acquire_owned().await;
+            (slot, listener.accept().await)
+        };
+        let (slot, accepted) = tokio::select! {
+            accepted = accept => accepted,
             () = &mut shutdown => break,
         };
+        let Ok(slot) = slot else { break };
         let stream = match accepted {
             Ok((stream, _)) => stream,
             Err(e) => {
--- a/crates/dogwoodway_peer/src/client.rs
+++ b/crates/dogwoodway_peer/src/client.rs
@@ -72,9 +72,7 @@
         match answer {
             Ok(value) => Ok(value),
             Err(e) => {
-                if !matches!(e, RpcError::DeadlineExceeded) {
-                    *self.client.lock().await = None;
-                }
+                *self.client.lock().await = None;
                 Err(PeerError::Lost(e.to_string()))
             }
         }
--- a/crates/dogwoodway_peer/src/message.rs
+++ b/crates/dogwoodway_peer/src/message.rs
@@ -113,13 +113,20 @@
         /// When a retry makes sense.
         retry_at: Option<Timestamp>,
     },
+    /// The start came so late that an earlier copy may have run and been forgotten.
+    Forgotten,
 }
 
 /// Frames of an attempt.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FramesReply {
-    /// The frames after the one asked for, possibly none yet.
-    Frames(Vec<Frame>),
+    /// The frames from the one asked for on, possibly none yet.
+    Frames {
+        /// Attempt that they belong to.
+        attempt: AttemptId,
+        /// The frames, in order.
+        frames: Vec<Frame>,
+    },
     /// The agent knows no such attempt.
     NoAttempt,
 }
@@ -133,4 +140,6 @@
     Started,
     /// The question is for another incarnation of the agent.
     OtherIncarnation,
+    /// The question came so late that the attempt may have run and been forgotten.
+    Forgotten,
 }
--- a/crates/dogwoodway_peer/src/server.rs
+++ b/crates/dogwoodway_peer/src/server.rs
@@ -23,7 +23,7 @@
 pub(crate) const MAX_MESSAGE_BYTES: usize = 64 << 20;
 
 /// Longest wait of [`AgentApi::frames`] for a new frame.
-pub(crate) const FRAMES_WAIT_MS: u64 = 2_000;
+pub(crate) const FRAMES_WAIT_MS: u64 = 1_000;
 
 /// The RPC form of [`AgentApi`].
 #[tarpc::service]
@@ -133,7 +133,7 @@
         let wait = std::time::Duration::from_millis(FRAMES_WAIT_MS);
         match tokio::time::timeout(wait, self.agent.frames(attempt, from)).await {
             Ok(reply) => local(reply),
-            Err(_) => FramesReply::Frames(Vec::new()),
+            Err(_) => FramesReply::Frames { attempt, frames: Vec::new() },
         }
     }
 
--- a/crates/dogwoodway_routing/src/lib.rs
+++ b/crates/dogwoodway_routing/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here does I/O or reads a clock; the current time is an argument.
 
+pub mod answer_stream;
 pub mod attempt;
 pub mod kv_transfer;
 #[cfg(feature = "baselines")]
@@ -15,6 +16,7 @@
 pub mod queue;
 pub mod rate;
 pub mod rendezvous;
+pub mod retry_budget;
 
 /// The names that most users of this crate need.
 pub mod prelude {
--- /dev/null
+++ b/crates/dogwoodway_routing/tests/attempt.rs
@@ -0,0 +1,219 @@
+//! The attempt table against a naive version that keeps the list of all events.
+
+use dogwoodway_routing::attempt::{AttemptTable, Settled, StartVerdict};
+use dogwoodway_types::{AttemptId, FinishReason, FrameKind, Timestamp, Token, Usage};
+use proptest::prelude::*;
+
+const SECOND: u64 = 1_000_000;
+
+/// Time for which an ended attempt must be remembered, by the table's documentation.
+const KEPT: u64 = 60 * SECOND;
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Start(u128),
+    Settle(u128),
+    Token(u128),
+    End(u128),
+    Read(u128, u64),
+    Sweep,
+    /// Sets the clock forward by seconds, or back.
+    Clock(i64),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Event {
+    Started(u128),
+    Tombstoned(u128),
+    Pushed(u128),
+    Ended(u128, u64),
+}
+
+/// Keeps everything that happened.
+#[derive(Default)]
+struct Naive {
+    now: u64,
+    events: Vec<Event>,
+}
+
+impl Naive {
+    fn has(&self, event: Event) -> bool {
+        self.events.contains(&event)
+    }
+
+    fn ended_at(&self, id: u128) -> Option<u64> {
+        self.events.iter().find_map(|event| match event {
+            Event::Ended(ended, at) if *ended == id => Some(*at),
+            _ => None,
+        })
+    }
+
+    /// Whether the table may have forgotten an attempt.
+    fn is_old(&self, id: u128, before: u64) -> bool {
+        let known = self.ended_at(id).unwrap_or(match self.has(Event::Started(id)) {
+            true => u64::MAX - KEPT,
+            false => 0,
+        });
+        self.now >= known.max(before) + KEPT
+    }
+
+    fn start(&mut self, id: u128, before: u64) -> StartVerdict {
+        if self.has(Event::Started(id)) {
+            return StartVerdict::Known;
+        }
+        if self.has(Event::Tombstoned(id)) || self.now > before {
+            return StartVerdict::Refused;
+        }
+        self.events.push(Event::Started(id));
+        StartVerdict::Run
+    }
+
+    fn settle(&mut self, id: u128) -> Settled {
+        if self.has(Event::Started(id)) {
+            return Settled::Started;
+        }
+        self.events.push(Event::Tombstoned(id));
+        Settled::NotStarted
+    }
+
+    fn push(&mut self, id: u128, is_last: bool) -> bool {
+        let runs = self.has(Event::Started(id)) && self.ended_at(id).is_none();
+        if runs {
+            self.events.push(Event::Pushed(id));
+        }
+        if runs && is_last {
+            self.events.push(Event::Ended(id, self.now));
+        }
+        runs
+    }
+
+    fn frames(&self, id: u128) -> Option<u64> {
+        let pushed = self.events.iter().filter(|e| **e == Event::Pushed(id)).count();
+        self.has(Event::Started(id)).then_some(pushed as u64)
+    }
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let id = 0..3_u128;
+    let step = prop_oneof![
+        3 => id.clone().prop_map(Step::Start),
+        2 => id.clone().prop_map(Step::Settle),
+        2 => id.clone().prop_map(Step::Token),
+        2 => id.clone().prop_map(Step::End),
+        2 => (id, 0..4_u64).prop_map(|(id, from)| Step::Read(id, from)),
+        1 => Just(Step::Sweep),
+        3 => (-20..80_i64).prop_map(Step::Clock),
+    ];
+    proptest::collection::vec(step, 1..60)
+}
+
+fn check(steps: &[Step], start_before: [u64; 3]) -> Result<(), TestCaseError> {
+    let (mut table, mut naive) = (AttemptTable::default(), Naive::default());
+    let mut clock = 100 * SECOND;
+    for step in steps {
+        if !matches!(step, Step::Clock(_)) {
+            naive.now = naive.now.max(clock);
+        }
+        let now = Timestamp(clock);
+        let before = |id: u128| start_before[id as usize] * SECOND;
+        match *step {
+            Step::Start(id) => {
+                let found = table.start(now, AttemptId(id), Timestamp(before(id)));
+                let is_old = naive.is_old(id, before(id));
+                let wanted = naive.start(id, before(id));
+                let forgotten = is_old && found == StartVerdict::Forgotten;
+                prop_assert!(found == wanted || forgotten, "{found:?}, not {wanted:?}");
+            }
+            Step::Settle(id) => {
+                let found = table.settle(now, AttemptId(id), Timestamp(before(id)));
+                let is_old = naive.is_old(id, before(id));
+                let wanted = naive.settle(id);
+                let forgotten = is_old && found == Settled::Forgotten;
+                prop_assert!(found == wanted || forgotten, "{found:?}, not {wanted:?}");
+            }
+            Step::Token(id) => {
+                let kind = FrameKind::Token { token: Token(1), text: String::new() };
+                prop_assert_eq!(table.push(now, AttemptId(id), kind), naive.push(id, false));
+            }
+            Step::End(id) => {
+                let kind = FrameKind::End { finish: FinishReason::Stop, usage: Usage::default() };
+                prop_assert_eq!(table.push(now, AttemptId(id), kind), naive.push(id, true));
+            }
+            Step::Read(id, from) => {
+                let found = table.frames(now, AttemptId(id), from);
+                let found: Option<Vec<_>> = found.map(|f| f.iter().map(|f| f.seq).collect());
+                let wanted: Option<Vec<_>> = naive.frames(id).map(|n| (from..n).collect());
+                let forgotten = found.is_none() && naive.is_old(id, before(id));
+                prop_assert!(found == wanted || forgotten, "{found:?}, not {wanted:?}");
+            }
+            Step::Sweep => table.sweep(now),
+            Step::Clock(seconds) => clock = clock.saturating_add_signed(seconds * SECOND as i64),
+        }
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 4_000, failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn table_answers_as_the_list_of_events_does(
+        steps in steps(),
+        start_before in [90..200_u64, 90..200_u64, 90..200_u64],
+    ) {
+        check(&steps, start_before)?;
+    }
+}
+
+#[test]
+fn an_attempt_that_ran_and_was_forgotten_is_not_called_not_started() {
+    let steps = [
+        Step::Start(0),
+        Step::End(0),
+        Step::Clock(79),
+        Step::Clock(79),
+        Step::Sweep,
+        Step::Settle(0),
+        Step::Start(0),
+    ];
+    check(&steps, [110; 3]).unwrap();
+}
+
+#[test]
+fn a_clock_that_steps_back_reopens_no_late_start() {
+    let steps = [Step::Settle(0), Step::Clock(30), Step::Sweep, Step::Clock(-25), Step::Start(0)];
+    check(&steps, [110; 3]).unwrap();
+}
+
+#[test]
+fn an_unread_attempt_is_an_orphan_until_it_is_read() {
+    let mut table = AttemptTable::default();
+    let at = |seconds: u64| Timestamp(seconds * SECOND);
+    table.start(at(0), AttemptId(1), at(2));
+    assert_eq!(table.orphans(at(10)), []);
+    assert_eq!(table.orphans(at(11)), [AttemptId(1)]);
+    table.frames(at(11), AttemptId(1), 0);
+    assert_eq!(table.orphans(at(21)), []);
+    let kind = FrameKind::End { finish: FinishReason::Stop, usage: Usage::default() };
+    table.push(at(21), AttemptId(1), kind);
+    assert!(!table.is_drained(at(21)));
+    table.frames(at(21), AttemptId(1), 0);
+    assert!(table.is_drained(at(21)));
+    assert_eq!(table.orphans(at(99)), []);
+}
+
+#[test]
+fn an_attempt_forgotten_at_this_very_moment_is_not_called_refused() {
+    let steps = [
+        Step::Start(0),
+        Step::End(0),
+        Step::Clock(70),
+        Step::Sweep,
+        Step::Start(0),
+        Step::Settle(0),
+    ];
+    check(&steps, [110; 3]).unwrap();
+}
--- a/crates/dogwoodway_standin/src/engine.rs
+++ b/crates/dogwoodway_standin/src/engine.rs
@@ -11,12 +11,14 @@
 mod load;
 mod orders;
 mod server;
+mod stream_fault;
 
 pub use crate::engine::{
     batch::{Batch, BatchLimits, Plan, Scheduled},
     cache::{CacheChange, PieceCache},
     journal::{Journal, JournalKind, JournalRecord},
     server::engine_handler,
+    stream_fault::StreamFault,
 };
 
 use dogwoodway_types::{ModelName, WeightsVersion};
--- a/crates/dogwoodway_standin/src/engine/server.rs
+++ b/crates/dogwoodway_standin/src/engine/server.rs
@@ -7,9 +7,7 @@
 };
 
 use dogwoodway_engine::{EngineEvent, EngineOrder, EngineRequest, EngineStatus};
-use dogwoodway_http::{
-    Body, BodySender, Handler, channel_body, json_response, sse_event, text_response,
-};
+use dogwoodway_http::{Body, Handler, channel_body, json_response, text_response};
 use dogwoodway_types::{AttemptId, EngineIncarnation, PieceHash, Timestamp};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming, header};
 use tokio::{
@@ -20,7 +18,7 @@
 use crate::{
     engine::{
         Batch, BatchLimits, EngineOptions, Journal, JournalKind, JournalRecord, Plan, batch,
-        load::LoadHistory, orders::Orders,
+        load::LoadHistory, orders::Orders, stream_fault::EventSender,
     },
     fault::FaultSwitch,
     read_json,
@@ -206,7 +204,7 @@
             s.load.note(Timestamp::now(), s.batch.load());
         });
         self.arrived.notify_one();
-        tokio::spawn(send_events(events_rx, tx));
+        tokio::spawn(send_events(events_rx, EventSender::new(tx, self.faults.next_stream())));
         let mut resp = Response::new(body);
         let value = header::HeaderValue::from_static("text/event-stream");
         resp.headers_mut().insert(header::CONTENT_TYPE, value);
@@ -219,6 +217,7 @@
             let Some(id) = found else { return };
             s.batch.cancel(id);
             s.streams.remove(&id);
+            s.load.note(Timestamp::now(), s.batch.load());
         });
     }
 
@@ -244,6 +243,7 @@
         for id in closed.collect::<Vec<_>>() {
             self.batch.cancel(id);
             self.streams.remove(&id);
+            self.load.note(Timestamp::now(), self.batch.load());
         }
         let plan = self.batch.plan()?;
         let version = self.orders.version(Timestamp::now());
@@ -287,10 +287,14 @@
 }
 
 /// Writes the events of one answer until its stream ends or the client leaves.
-async fn send_events(mut events: mpsc::UnboundedReceiver<EngineEvent>, tx: BodySender) {
-    while let Some(event) = events.recv().await {
-        let Ok(json) = serde_json::to_string(&event) else { return };
-        if tx.send(sse_event(&json)).await.is_err() {
+async fn send_events(mut events: mpsc::UnboundedReceiver<EngineEvent>, mut tx: EventSender) {
+    loop {
+        let event = tokio::select! {
+            event = events.recv() => event,
+            () = tx.closed() => return,
+        };
+        let Some(event) = event else { return };
+        if tx.send(&event).await.is_err() {
             return;
         }
     }
--- a/crates/dogwoodway_standin/src/fault.rs
+++ b/crates/dogwoodway_standin/src/fault.rs
@@ -6,10 +6,10 @@
 };
 
 use dogwoodway_http::{Body, json_response, text_response};
-use hyper::{Request, Response, StatusCode, body::Incoming};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use serde::{Deserialize, Serialize};
 
-use crate::read_json;
+use crate::{engine::StreamFault, read_json};
 
 /// Faults of a stand-in, as set by `POST /fault`.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -21,6 +21,10 @@
     pub delay_ms: u32,
     /// Perform this many calls without answering them.
     pub lose_answers: u32,
+    /// Fault of the next streamed answers of an engine.
+    pub stream: StreamFault,
+    /// Number of streamed answers that still get the fault.
+    pub streams: u32,
 }
 
 /// Holds the faults of one stand-in.
@@ -28,8 +32,12 @@
 pub(crate) struct FaultSwitch(Mutex<Faults>);
 
 impl FaultSwitch {
-    /// Answers `POST /fault`.
+    /// Answers `POST /fault`, and `GET /fault` with the faults that are left.
     pub(crate) async fn set(&self, req: Request<Incoming>) -> Response<Body> {
+        if req.method() == Method::GET {
+            let faults = *self.0.lock().unwrap_or_else(PoisonError::into_inner);
+            return json_response(StatusCode::OK, &faults);
+        }
         match read_json::<Faults>(req).await {
             Ok(faults) => {
                 *self.0.lock().unwrap_or_else(PoisonError::into_inner) = faults;
@@ -39,6 +47,16 @@
         }
     }
 
+    /// Returns the fault of the next streamed answer.
+    pub(crate) fn next_stream(&self) -> StreamFault {
+        let mut faults = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if faults.streams == 0 {
+            return StreamFault::None;
+        }
+        faults.streams -= 1;
+        faults.stream
+    }
+
     /// Applies the faults that come before a call takes effect.
     pub(crate) async fn before(&self) -> Result<(), Box<Response<Body>>> {
         let faults = *self.0.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/dogwoodway_standin/src/lib.rs
+++ b/crates/dogwoodway_standin/src/lib.rs
@@ -19,7 +19,7 @@
     demo::{DemoTargets, run_demo},
     engine::{
         Batch, BatchLimits, CacheChange, EngineOptions, Journal, JournalKind, JournalRecord,
-        PieceCache, Plan, Scheduled, engine_handler,
+        PieceCache, Plan, Scheduled, StreamFault, engine_handler,
     },
     fault::Faults,
     kv_store::kv_store_handler,
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -6,6 +6,7 @@
 mod front;
 mod kv_engine;
 mod run;
+mod runs;
 
 use std::{path::Path, process::ExitCode, sync::Arc, time::Duration};
 
@@ -18,7 +19,7 @@
 
 use crate::{
     agent::{
-        actor::{AgentActor, Drained, Leave, SeeConfig, SeeEngine, SeeEvents, Sweep},
+        actor::{AgentActor, Drained, EndAll, Leave, SeeConfig, SeeEngine, SeeEvents, Sweep},
         front::AgentFront,
         kv_engine::KvEngine,
         run::Backend,
@@ -27,14 +28,16 @@
     config_follower::{self, ConfigWatch},
     metrics_page,
     settings::{self, AgentSettings, BackendRole},
-    shutdown,
+    shutdown::{Phase, Shutdown},
 };
 
 const ENGINE_STATUS_MS: u64 = 250;
 
 const CACHE_EVENTS_MS: u64 = 100;
 
-const SWEEP_MS: u64 = 1_000;
+const SWEEP_MS: u64 = 250;
+
+const DRAIN_CHECK_MS: u64 = 50;
 
 /// Time that entries have to read the last frames of ended attempts.
 const LAST_FRAMES_MS: u64 = 1_000;
@@ -63,10 +66,11 @@
     let log: Arc<dyn PlatformLog> = Arc::new(HttpLog::new(settings.log_url.clone()));
     let config = config_follower::follow(log);
     let backend = backend(&settings);
+    let shutdown = Shutdown::listen(Duration::from_millis(settings.shutdown_limit_ms));
     let actor = AgentActor::spawn(AgentActor::new(settings, backend.clone()));
     spawn_watchers(&actor, config, backend);
     let front = Arc::new(AgentFront::new(actor.clone()));
-    listener.serve(front, drained(actor)).await;
+    listener.serve(front, drained(actor, shutdown)).await;
     ExitCode::SUCCESS
 }
 
@@ -139,12 +143,20 @@
 }
 
 /// Resolves when shutdown was requested and no attempt runs any more.
-async fn drained(actor: ActorRef<AgentActor>) {
-    shutdown::requested().await;
-    log::info!("shutdown requested; no new work is taken");
+async fn drained(actor: ActorRef<AgentActor>, shutdown: Shutdown) {
+    shutdown.reached(Phase::Draining).await;
     let _ = actor.tell(Leave).await;
-    while let Ok(false) = actor.ask(Drained).await {
-        tokio::time::sleep(Duration::from_millis(50)).await;
+    tokio::select! {
+        () = until_drained(&actor) => {}
+        () = shutdown.reached(Phase::Ending) => {
+            let _ = actor.tell(EndAll).await;
+        }
     }
     tokio::time::sleep(Duration::from_millis(LAST_FRAMES_MS)).await;
 }
+
+async fn until_drained(actor: &ActorRef<AgentActor>) {
+    while let Ok(false) = actor.ask(Drained).await {
+        tokio::time::sleep(Duration::from_millis(DRAIN_CHECK_MS)).await;
+    }
+}
--- a/src/agent/actor.rs
+++ b/src/agent/actor.rs
@@ -1,6 +1,8 @@
 //! The actor that owns an agent's state.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+mod leaving;
+
+use std::{collections::HashMap, sync::Arc};
 
 use dogwoodway_engine::{CacheEvents, EngineStatus};
 use dogwoodway_peer::{
@@ -20,13 +22,16 @@
     actor::ActorRef,
     message::{Context, Message},
 };
-use tokio::{sync::oneshot, task::AbortHandle};
+use tokio::sync::oneshot;
+
+pub(crate) use self::leaving::{Drained, EndAll, Leave, ListedLeaving};
 
 use crate::{
     agent::{
         admission::Admission,
         budgets::Budgets,
         run::{self, Backend},
+        runs::Runs,
     },
     settings::{AgentSettings, BackendRole},
 };
@@ -34,9 +39,6 @@
 /// Predicted wait for each call that a plain service runs already.
 const WAIT_US_PER_CALL: u64 = 2_000;
 
-/// Time for which an agent takes no new work after it was told that its VM is listed as leaving.
-const LISTED_LEAVING_MS: u64 = 30_000;
-
 /// An agent's state; only this actor changes it.
 #[derive(Actor)]
 pub(crate) struct AgentActor {
@@ -49,7 +51,7 @@
     leaving: bool,
     listed_leaving_until: Timestamp,
     attempts: AttemptTable,
-    runs: HashMap<AttemptId, AbortHandle>,
+    runs: Runs,
     waiters: HashMap<AttemptId, Vec<Waiter>>,
     admission: Admission,
     queued: HashMap<AttemptId, RunRequest>,
@@ -75,7 +77,7 @@
             leaving: false,
             listed_leaving_until: Timestamp::default(),
             attempts: AttemptTable::default(),
-            runs: HashMap::new(),
+            runs: Runs::new(Timestamp::now()),
             waiters: HashMap::new(),
             admission: Admission::new(),
             queued: HashMap::new(),
@@ -175,9 +177,13 @@
     }
 
     fn spawn_run(&mut self, req: RunRequest, actor: &ActorRef<AgentActor>) {
-        let id = req.attempt;
-        let task = tokio::spawn(run::run(self.backend.clone(), req, actor.clone()));
-        self.runs.insert(id, task.abort_handle());
+        let (id, is_chat) = (req.attempt, matches!(req.work, Work::Chat(_)));
+        let run = run::run(self.backend.clone(), req, actor.clone());
+        let task = tokio::spawn(run).abort_handle();
+        match is_chat {
+            true => self.runs.add_chat(Timestamp::now(), id, task),
+            false => self.runs.add_service(id, task),
+        }
     }
 
     /// Ends an attempt that was never handed to the engine.
@@ -188,22 +194,38 @@
     }
 
     fn push(&mut self, id: AttemptId, kind: FrameKind) {
-        let is_last = kind.is_last();
         let now = Timestamp::now();
         self.admission.see_frame(now, id, &kind);
-        if !self.attempts.push(now, id, kind) {
+        if !self.attempts.push(now, id, kind.clone()) {
             return;
         }
-        if is_last {
-            self.runs.remove(&id);
+        self.runs.note_frame(now, id, &kind);
+        if kind.is_last() {
             self.queued.remove(&id);
             self.admission.remove(now, id);
         }
-        for waiter in self.waiters.remove(&id).unwrap_or_default() {
-            let frames = self.attempts.frames(id, waiter.from).unwrap_or_default();
-            let _ = waiter.tx.send(FramesReply::Frames(frames));
+        let waiters = self.waiters.remove(&id).unwrap_or_default();
+        for waiter in waiters.into_iter().filter(|waiter| !waiter.tx.is_closed()) {
+            let frames = self.attempts.frames(now, id, waiter.from).unwrap_or_default();
+            let _ = waiter.tx.send(FramesReply::Frames { attempt: id, frames });
         }
     }
+
+    /// Ends an attempt of a chat: one that waits was not run, one that runs is cancelled.
+    fn end_chat(&mut self, id: AttemptId, message: &str, backend_lost: bool) {
+        if self.queued.contains_key(&id) {
+            let (reason, retry_at) = (NotRunReason::Cancelled, Timestamp::now());
+            return self.refuse(id, Refusal { reason, retry_at });
+        }
+        if !self.runs.abort_chat(id) {
+            return;
+        }
+        if let Backend::Engine(engine) = self.backend.clone() {
+            tokio::spawn(async move { engine.cancel(id).await });
+        }
+        let outcome = Outcome::Failed { message: message.to_owned() };
+        self.push(id, FrameKind::Error { outcome, backend_lost });
+    }
 }
 
 /// Tells whether an attempt was routed to an engine with the given weights.
@@ -282,23 +304,27 @@
     async fn handle(&mut self, msg: Start, cx: &mut Context<Self, Self::Reply>) -> Self::Reply {
         let now = Timestamp::now();
         let req = msg.0;
+        let (id, start_before) = (req.attempt, req.start_before);
         if let Some(reason) = self.refusal(now, &req) {
-            self.attempts.settle(now, req.attempt, req.start_before);
-            return Box::new(StartReply::NotRun { reason, retry_at: None });
+            return Box::new(match self.attempts.settle(now, id, start_before) {
+                Settled::NotStarted => StartReply::NotRun { reason, retry_at: None },
+                Settled::Started => StartReply::Accepted,
+                Settled::Forgotten => StartReply::Forgotten,
+            });
         }
-        match self.attempts.start(now, req.attempt, req.start_before) {
-            StartVerdict::Known => {}
+        Box::new(match self.attempts.start(now, id, start_before) {
+            StartVerdict::Known => StartReply::Accepted,
+            StartVerdict::Forgotten => StartReply::Forgotten,
             StartVerdict::Refused => {
-                let reason = NotRunReason::Cancelled;
-                return Box::new(StartReply::NotRun { reason, retry_at: None });
+                StartReply::NotRun { reason: NotRunReason::Cancelled, retry_at: None }
             }
-            StartVerdict::Run => {
-                if let Some(Refusal { reason, retry_at }) = self.admit(now, req, cx.actor_ref()) {
-                    return Box::new(StartReply::NotRun { reason, retry_at: Some(retry_at) });
+            StartVerdict::Run => match self.admit(now, req, cx.actor_ref()) {
+                Some(Refusal { reason, retry_at }) => {
+                    StartReply::NotRun { reason, retry_at: Some(retry_at) }
                 }
-            }
-        }
-        Box::new(StartReply::Accepted)
+                None => StartReply::Accepted,
+            },
+        })
     }
 }
 
@@ -339,7 +365,7 @@
     type Reply = ();
 
     async fn handle(&mut self, msg: ReadFrames, _: &mut Context<Self, Self::Reply>) {
-        let reply = match self.attempts.frames(msg.id, msg.from) {
+        let reply = match self.attempts.frames(Timestamp::now(), msg.id, msg.from) {
             None => FramesReply::NoAttempt,
             Some(frames) if frames.is_empty() => {
                 let waiters = self.waiters.entry(msg.id).or_default();
@@ -347,7 +373,7 @@
                 waiters.push(Waiter { from: msg.from, tx: msg.tx });
                 return;
             }
-            Some(frames) => FramesReply::Frames(frames),
+            Some(frames) => FramesReply::Frames { attempt: msg.id, frames },
         };
         let _ = msg.tx.send(reply);
     }
@@ -370,29 +396,19 @@
         match self.attempts.settle(Timestamp::now(), msg.id, msg.start_before) {
             Settled::NotStarted => Box::new(SettleReply::NotStarted),
             Settled::Started => Box::new(SettleReply::Started),
+            Settled::Forgotten => Box::new(SettleReply::Forgotten),
         }
     }
 }
 
-/// Cancels an attempt.
+/// Cancels an attempt on an engine; a call to a plain service cannot be taken back and goes on.
 pub(crate) struct Cancel(pub(crate) AttemptId);
 
 impl Message<Cancel> for AgentActor {
     type Reply = ();
 
     async fn handle(&mut self, msg: Cancel, cx: &mut Context<Self, Self::Reply>) {
-        match self.runs.remove(&msg.0) {
-            Some(task) => {
-                task.abort();
-                if let Backend::Engine(engine) = self.backend.clone() {
-                    tokio::spawn(async move { engine.cancel(msg.0).await });
-                }
-            }
-            None if self.queued.contains_key(&msg.0) => {}
-            None => return,
-        }
-        let outcome = Outcome::Failed { message: "the request was cancelled".to_owned() };
-        self.push(msg.0, FrameKind::Error { outcome, backend_lost: false });
+        self.end_chat(msg.0, "the request was cancelled", false);
         self.run_next(cx.actor_ref());
     }
 }
@@ -418,6 +434,7 @@
 
     async fn handle(&mut self, msg: SeeEngine, cx: &mut Context<Self, Self::Reply>) {
         if let Some(status) = &msg.0 {
+            self.runs.note_engine(Timestamp::now());
             self.admission.see_engine(status);
         }
         self.engine_up = msg.0.is_some();
@@ -426,50 +443,24 @@
     }
 }
 
-/// Tells the agent to take no new work.
-pub(crate) struct Leave;
-
-impl Message<Leave> for AgentActor {
-    type Reply = ();
-
-    async fn handle(&mut self, _: Leave, _: &mut Context<Self, Self::Reply>) {
-        self.leaving = true;
-    }
-}
-
-/// Tells the agent that the platform lists its VM as leaving.
-pub(crate) struct ListedLeaving;
-
-impl Message<ListedLeaving> for AgentActor {
-    type Reply = ();
-
-    async fn handle(&mut self, _: ListedLeaving, _: &mut Context<Self, Self::Reply>) {
-        self.listed_leaving_until = Timestamp::now() + Duration::from_millis(LISTED_LEAVING_MS);
-    }
-}
-
-/// Asks whether no attempt runs.
-pub(crate) struct Drained;
-
-impl Message<Drained> for AgentActor {
-    type Reply = bool;
-
-    async fn handle(&mut self, _: Drained, _: &mut Context<Self, Self::Reply>) -> bool {
-        self.attempts.running() == 0
-    }
-}
-
-/// Forgets what is no longer needed.
+/// Ends attempts that make no progress or have lost their entry, and forgets old ones.
 pub(crate) struct Sweep;
 
 impl Message<Sweep> for AgentActor {
     type Reply = ();
 
-    async fn handle(&mut self, _: Sweep, _: &mut Context<Self, Self::Reply>) {
+    async fn handle(&mut self, _: Sweep, cx: &mut Context<Self, Self::Reply>) {
         let now = Timestamp::now();
         for (id, refusal) in self.admission.expire(now) {
             self.refuse(id, refusal);
         }
+        for id in self.runs.stalled(now) {
+            self.end_chat(id, "the engine stopped to make progress", true);
+        }
+        for id in self.attempts.orphans(now) {
+            self.end_chat(id, "the entry stopped to read the answer", false);
+        }
         self.attempts.sweep(now);
+        self.run_next(cx.actor_ref());
     }
 }
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -43,6 +43,7 @@
     chat: ChatWork,
     actor: &ActorRef<AgentActor>,
 ) -> FrameKind {
+    let mut next_index = u32::try_from(chat.resume_after.len()).unwrap_or(u32::MAX);
     let engine_req = EngineRequest {
         request_id: req.attempt,
         model: chat.model,
@@ -78,7 +79,14 @@
                 let _ = engine.cancel(req.attempt).await;
                 return lost("the engine did not say which weights it runs");
             }
-            Ok(EngineEvent::Token { token, text, .. }) => FrameKind::Token { token, text },
+            Ok(EngineEvent::Token { index, token, text }) => {
+                if index != next_index {
+                    let _ = engine.cancel(req.attempt).await;
+                    return lost(&format!("the engine sent token {index} for {next_index}"));
+                }
+                next_index += 1;
+                FrameKind::Token { token, text }
+            }
             Ok(EngineEvent::End { finish, usage }) => return FrameKind::End { finish, usage },
             Err(e) => {
                 check_engine(engine, actor).await;
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -4,9 +4,10 @@
 mod limits;
 mod membership;
 mod observed_agent;
+mod retry_budget;
 mod router;
 
-use std::{path::Path, process::ExitCode, sync::Arc};
+use std::{path::Path, process::ExitCode, sync::Arc, time::Duration};
 
 use dogwoodway_caller::{CallerApi, CallerLimits};
 use dogwoodway_http::{ServerLimits, serve};
@@ -20,9 +21,16 @@
     cli::EXIT_FAILURE,
     config_follower,
     entry::{dispatch::EntryDispatcher, router::Router},
-    metrics_page, settings, shutdown,
+    metrics_page, settings,
+    shutdown::{Phase, Shutdown},
 };
 
+/// Time between the first word that the entry leaves and the end of new connections.
+const LEAVING_NOTICE_MS: u64 = 1_000;
+
+/// Time for typed errors to reach their callers when the entry must stop.
+const LAST_ERRORS_MS: u64 = 2_000;
+
 /// Runs an entry until it is asked to stop and its requests have ended.
 pub(crate) async fn run(path: &Path) -> ExitCode {
     let settings = match settings::load_entry(path) {
@@ -51,10 +59,22 @@
         eprintln!("dogwoodway: metrics could not be served: {e}");
         return EXIT_FAILURE;
     }
-    let dispatcher = EntryDispatcher::new(settings, config, router);
+    let shutdown = Shutdown::listen(Duration::from_millis(settings.shutdown_limit_ms));
+    let dispatcher = EntryDispatcher::new(settings, config, router, shutdown.clone());
     let next_id = || RequestId(rand::random());
     let api = CallerApi::new(Arc::new(dispatcher), CallerLimits::default(), next_id);
     let handler = api.into_handler();
-    serve(listener, ServerLimits::default(), handler, shutdown::requested()).await;
+    let notice = async {
+        shutdown.reached(Phase::Draining).await;
+        tokio::time::sleep(Duration::from_millis(LEAVING_NOTICE_MS)).await;
+    };
+    let ended = async {
+        shutdown.reached(Phase::Ending).await;
+        tokio::time::sleep(Duration::from_millis(LAST_ERRORS_MS)).await;
+    };
+    tokio::select! {
+        () = serve(listener, ServerLimits::default(), handler, notice) => {}
+        () = ended => {}
+    }
     ExitCode::SUCCESS
 }
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -7,6 +7,7 @@
 mod placement;
 mod placer;
 mod progress;
+mod retries;
 mod serve;
 
 use std::sync::Arc;
@@ -19,9 +20,12 @@
 
 use crate::{
     config_follower::ConfigWatch,
-    entry::{dispatch::placer::Placer, limits::Limits, router::Router},
+    entry::{
+        dispatch::placer::Placer, limits::Limits, retry_budget::RetryBudgetActor, router::Router,
+    },
     metrics_page,
     settings::EntrySettings,
+    shutdown::{Phase, Shutdown},
 };
 
 const ANSWER_EVENTS: usize = 64;
@@ -37,6 +41,8 @@
     router: ActorRef<Router>,
     placer: ActorRef<Placer>,
     limits: ActorRef<Limits>,
+    retries: ActorRef<RetryBudgetActor>,
+    shutdown: Shutdown,
 }
 
 impl EntryDispatcher {
@@ -45,10 +51,13 @@
         settings: EntrySettings,
         config: ConfigWatch,
         router: ActorRef<Router>,
+        shutdown: Shutdown,
     ) -> EntryDispatcher {
         let placer = Placer::spawn(Placer::default());
         let limits = Limits::spawn(Limits::new());
-        EntryDispatcher { core: Arc::new(Core { settings, config, router, placer, limits }) }
+        let retries = RetryBudgetActor::spawn(RetryBudgetActor::default());
+        let core = Core { settings, config, router, placer, limits, retries, shutdown };
+        EntryDispatcher { core: Arc::new(core) }
     }
 }
 
@@ -94,6 +103,9 @@
 
     fn readiness(&self) -> BoxFuture<'_, Readiness> {
         async move {
+            if self.core.shutdown.phase() != Phase::Serving {
+                return Readiness::NotReady("the entry is leaving".to_owned());
+            }
             match self.core.config.borrow().is_some() {
                 true => Readiness::Ready,
                 false => Readiness::NotReady("no configuration has been read yet".to_owned()),
--- a/src/entry/dispatch/placement.rs
+++ b/src/entry/dispatch/placement.rs
@@ -96,7 +96,7 @@
                 messages: messages.clone(),
                 prefix: self.of(&reply.kind).clone(),
                 max_tokens: *max_tokens,
-                resume_after: progress.delivered.clone(),
+                resume_after: progress.stream.delivered().to_vec(),
             })),
         }
     }
--- a/src/entry/dispatch/serve.rs
+++ b/src/entry/dispatch/serve.rs
@@ -4,22 +4,28 @@
 
 use dogwoodway_caller::{AnswerEvent, CallerRequest, CallerWork};
 use dogwoodway_peer::{BackendKind, RunRequest};
-use dogwoodway_types::{AttemptId, ClassName, NotRunReason, Outcome, Timestamp};
+use dogwoodway_routing::answer_stream::AnswerStream;
+use dogwoodway_types::{
+    AttemptId, ClassName, NotRunReason, Outcome, Timestamp, WeightsVersion, Work,
+};
 use tokio::sync::mpsc;
 
-use crate::entry::{
-    dispatch::{
-        Core,
-        attempt::{AttemptEnd, run_attempt},
-        placement::place,
-        progress::Progress,
+use crate::{
+    entry::{
+        dispatch::{
+            Core,
+            attempt::{AttemptEnd, run_attempt},
+            placement::place,
+            progress::{Progress, not_run},
+            retries::Retries,
+        },
+        retry_budget::{NoteFirst, TakeRetry},
+        router::{Eligible, EligibleAgent, FindEligible},
     },
-    router::FindEligible,
+    metrics_page,
+    shutdown::Phase,
 };
 
-/// Attempts that one request may have.
-const MAX_ATTEMPTS: u32 = 4;
-
 /// Time in which an attempt must start after it was sent.
 const START_LIMIT_MS: u64 = 2_000;
 
@@ -32,50 +38,88 @@
     /// Runs a request and returns its outcome; all events but a last error go to `tx`.
     pub(super) async fn serve(&self, req: CallerRequest, tx: mpsc::Sender<AnswerEvent>) -> Outcome {
         let Some(cfg) = self.config.borrow().clone() else {
-            return not_run(NotRunReason::NoConfiguration);
+            return not_run(NotRunReason::NoConfiguration, None);
         };
+        if self.shutdown.phase() == Phase::Ending {
+            return not_run(NotRunReason::Leaving, None);
+        }
         let class = match &req.work {
             CallerWork::Service(call) => cfg.class_of_path(&call.path),
             CallerWork::Chat { .. } => req.class.as_ref().and_then(|name| cfg.classes.get(name)),
         };
         let answer_ms = class.map_or(DEFAULT_ANSWER_MS, |c| u64::from(c.answer_within_ms));
         let class_deadline = Timestamp::now() + Duration::from_millis(answer_ms);
-        let is_chat = matches!(req.work, CallerWork::Chat { .. });
+        let (is_chat, max_tokens) = match &req.work {
+            CallerWork::Chat { max_tokens, .. } => (true, *max_tokens),
+            CallerWork::Service(_) => (false, 0),
+        };
         let mut progress = Progress {
             tx,
+            shutdown: self.shutdown.clone(),
             deadline: req.deadline.map_or(class_deadline, |d| d.min(class_deadline)),
             repeatable: class.map_or(is_chat, |c| c.repeatable),
-            started: false,
-            delivered: Vec::new(),
+            stream: AnswerStream::new(max_tokens),
+            may_have_run: false,
+            avoid: Vec::new(),
         };
         let class = class.map(|c| c.name.clone());
         let class = class.or_else(|| ClassName::try_from(DEFAULT_CLASS).ok());
-        let Some(class) = class else { return not_run(NotRunReason::NoBackendServer) };
-        let mut reason = NotRunReason::NoBackendServer;
-        for _ in 0..MAX_ATTEMPTS {
+        match class {
+            Some(class) => self.run_attempts(&req, &class, &mut progress).await,
+            None => not_run(NotRunReason::NoBackendServer, None),
+        }
+    }
+
+    /// Makes attempts until the request has an outcome.
+    async fn run_attempts(
+        &self,
+        req: &CallerRequest,
+        class: &ClassName,
+        progress: &mut Progress,
+    ) -> Outcome {
+        let _ = self.retries.tell(NoteFirst).await;
+        let mut retries = Retries::default();
+        let (mut reason, mut come_back_at) = (NotRunReason::NoBackendServer, None);
+        loop {
             if Timestamp::now() >= progress.deadline {
                 reason = NotRunReason::DeadlinePassed;
                 break;
             }
-            match self.attempt(&req, &class, &mut progress).await {
-                AttemptEnd::Done(outcome) => return outcome,
-                AttemptEnd::NotRun(why) => reason = why,
-                AttemptEnd::Lost(message) if progress.repeatable => {
+            let end = self.attempt(req, class, retries.is_retry(), progress).await;
+            match &end {
+                AttemptEnd::Done(outcome) => return outcome.clone(),
+                AttemptEnd::NotRun { reason: why, retry_at } => {
+                    (reason, come_back_at) = (*why, *retry_at);
+                }
+                AttemptEnd::NoServer => reason = NotRunReason::NoBackendServer,
+                AttemptEnd::NoBudget => reason = NotRunReason::Overloaded,
+                AttemptEnd::Lost(message) => {
                     log::warn!(request:% = req.id, team:% = req.team; "attempt lost: {message}");
+                    if !progress.repeatable {
+                        return progress.given_up(reason, message);
+                    }
                 }
-                AttemptEnd::Lost(message) => return Outcome::Unknown { message },
+            }
+            if !retries.note(Timestamp::now(), &end) {
+                break;
+            }
+            tokio::select! {
+                () = tokio::time::sleep(retries.pause()) => {}
+                outcome = progress.interrupted() => return outcome,
             }
         }
-        match progress.started {
-            true => Outcome::Failed { message: format!("the answer broke off: {reason}") },
-            false => not_run(reason),
+        match progress.given_up(reason, &broken_off(progress, reason)) {
+            Outcome::NotRun { reason, .. } => not_run(reason, come_back_at),
+            outcome => outcome,
         }
     }
 
+    /// Makes one attempt.
     async fn attempt(
         &self,
         req: &CallerRequest,
         class: &ClassName,
+        is_retry: bool,
         progress: &mut Progress,
     ) -> AttemptEnd {
         let model = match &req.work {
@@ -83,12 +127,23 @@
             CallerWork::Service(_) => None,
         };
         let find = FindEligible { team: req.team.clone(), class: class.clone(), model };
-        let Ok(Some(eligible)) = self.router.ask(find).await else {
-            return AttemptEnd::NotRun(NotRunReason::NoBackendServer);
+        let Ok(Some(mut eligible)) = self.router.ask(find).await else {
+            return AttemptEnd::NoServer;
         };
+        restrict(&mut eligible, progress);
         let Some((agent, probe, work)) = place(&self.placer, req, &eligible, progress).await else {
-            return AttemptEnd::NotRun(NotRunReason::NoBackendServer);
+            return AttemptEnd::NoServer;
         };
+        progress.avoid.push(agent.name.clone());
+        if !continues(&work, progress.stream.version()) {
+            let reason = NotRunReason::StaleBackendServer;
+            return AttemptEnd::NotRun { reason, retry_at: None };
+        }
+        if is_retry && !matches!(self.retries.ask(TakeRetry).await, Ok(true)) {
+            metrics::counter!(metrics_page::RETRIES_DENIED).increment(1);
+            return AttemptEnd::NoBudget;
+        }
+        metrics::counter!(metrics_page::ATTEMPTS).increment(1);
         let engine = match &probe.kind {
             BackendKind::Engine { incarnation, .. } => *incarnation,
             BackendKind::Service => None,
@@ -105,10 +160,41 @@
             engine,
             work,
         };
-        run_attempt(&*agent.link, run, progress).await
+        run_attempt(agent.link.clone(), run, progress).await
+    }
+}
+
+/// Leaves only agents that can continue the answer, and those not tried yet if there are any.
+fn restrict(eligible: &mut Eligible, progress: &Progress) {
+    if let Some(version) = progress.stream.version() {
+        eligible.agents.retain(|agent| runs_version(agent, version));
+    }
+    let is_new = |agent: &EligibleAgent| !progress.avoid.contains(&agent.name);
+    if eligible.agents.iter().any(is_new) {
+        eligible.agents.retain(is_new);
+    }
+}
+
+fn runs_version(agent: &EligibleAgent, wanted: WeightsVersion) -> bool {
+    match &agent.description.kind {
+        BackendKind::Engine { version, .. } => *version == wanted,
+        BackendKind::Service => false,
     }
 }
 
-fn not_run(reason: NotRunReason) -> Outcome {
-    Outcome::NotRun { reason, retry_at: Some(Timestamp::now() + Duration::from_secs(1)) }
+/// Tells whether work can continue an answer whose tokens are of the weights `version`.
+fn continues(work: &Work, version: Option<WeightsVersion>) -> bool {
+    match (work, version) {
+        (Work::Chat(chat), Some(version)) => chat.version == version,
+        _ => true,
+    }
+}
+
+fn broken_off(progress: &Progress, reason: NotRunReason) -> String {
+    match (progress.stream.version(), reason) {
+        (Some(version), NotRunReason::NoBackendServer) => {
+            format!("no backend server continues the answer on weights version {}", version.0)
+        }
+        _ => format!("the answer broke off: {reason}"),
+    }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 
 mod agent;
 mod cli;
+mod clock;
 mod config_follower;
 mod entry;
 mod logging;
--- a/src/metrics_page.rs
+++ b/src/metrics_page.rs
@@ -13,6 +13,11 @@
 
 /// Tokens that teams have used, by team and kind.
 pub(crate) const TEAM_TOKENS: &str = "dogwoodway_team_tokens_total";
+/// Attempts that were made, first ones and retries.
+pub(crate) const ATTEMPTS: &str = "dogwoodway_attempts_total";
+
+/// Retries that the retry budget did not allow.
+pub(crate) const RETRIES_DENIED: &str = "dogwoodway_retries_denied_total";
 
 /// The reason why metrics cannot be served.
 #[derive(Debug)]
@@ -53,4 +58,6 @@
 fn describe() {
     describe_counter!(REQUESTS, Unit::Count, "Requests of callers that have ended, by outcome");
     describe_counter!(TEAM_TOKENS, Unit::Count, "Tokens that teams have used, by team and kind");
+    describe_counter!(ATTEMPTS, Unit::Count, "Attempts that were made, first ones and retries");
+    describe_counter!(RETRIES_DENIED, Unit::Count, "Retries that the retry budget did not allow");
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -10,6 +10,9 @@
 
 use crate::settings::field::Fields;
 
+/// Time to finish work at shutdown when the settings name none.
+const DEFAULT_SHUTDOWN_LIMIT_MS: u64 = 900_000;
+
 /// The reason why a settings file is refused; names all its faults.
 #[derive(Debug)]
 pub(crate) enum SettingsError {
@@ -62,6 +65,7 @@
     vms_url: Option<String>,
     key_pepper: Option<String>,
     metrics_listen: Option<String>,
+    shutdown_limit_ms: Option<Value>,
     #[serde(flatten)]
     unknown: BTreeMap<String, Value>,
 }
@@ -81,6 +85,8 @@
     pub(crate) key_pepper: String,
     /// Address on which metrics are served.
     pub(crate) metrics_listen: Option<SocketAddr>,
+    /// Longest time that the platform gives a process to finish its work.
+    pub(crate) shutdown_limit_ms: u64,
 }
 
 impl TryFrom<RawEntry> for EntrySettings {
@@ -94,13 +100,23 @@
         let vms_url = fields.base_url("vms_url", raw.vms_url);
         let key_pepper = fields.text("key_pepper", raw.key_pepper);
         let metrics_listen = fields.optional_address("metrics_listen", raw.metrics_listen);
+        let shutdown_limit_ms =
+            fields.millis("shutdown_limit_ms", raw.shutdown_limit_ms, DEFAULT_SHUTDOWN_LIMIT_MS);
         fields.refuse_unknown(&raw.unknown);
         let faults = fields.into_faults();
         match (listen, zone, log_url, vms_url, key_pepper) {
             (Some(listen), Some(zone), Some(log_url), Some(vms_url), Some(key_pepper))
                 if faults.is_empty() =>
             {
-                Ok(EntrySettings { listen, zone, log_url, vms_url, key_pepper, metrics_listen })
+                Ok(EntrySettings {
+                    listen,
+                    zone,
+                    log_url,
+                    vms_url,
+                    key_pepper,
+                    metrics_listen,
+                    shutdown_limit_ms,
+                })
             }
             _ => Err(SettingsError::Fields(faults)),
         }
@@ -128,6 +144,7 @@
     #[serde(default)]
     labels: BTreeMap<String, String>,
     metrics_listen: Option<String>,
+    shutdown_limit_ms: Option<Value>,
     #[serde(flatten)]
     unknown: BTreeMap<String, Value>,
 }
@@ -153,6 +170,8 @@
     pub(crate) labels: BTreeMap<String, String>,
     /// Address on which metrics are served.
     pub(crate) metrics_listen: Option<SocketAddr>,
+    /// Longest time that the platform gives a process to finish its work.
+    pub(crate) shutdown_limit_ms: u64,
 }
 
 impl TryFrom<RawAgent> for AgentSettings {
@@ -169,6 +188,8 @@
         let log_url = fields.base_url("log_url", raw.log_url);
         let kv_store_url = raw.kv_store_url.and_then(|u| fields.base_url("kv_store_url", Some(u)));
         let metrics_listen = fields.optional_address("metrics_listen", raw.metrics_listen);
+        let shutdown_limit_ms =
+            fields.millis("shutdown_limit_ms", raw.shutdown_limit_ms, DEFAULT_SHUTDOWN_LIMIT_MS);
         fields.refuse_unknown(&raw.unknown);
         let faults = fields.into_faults();
         let labels = raw.labels;
@@ -190,6 +211,7 @@
                 kv_store_url,
                 labels,
                 metrics_listen,
+                shutdown_limit_ms,
             }),
             _ => Err(SettingsError::Fields(faults)),
         }
--- a/src/settings/field.rs
+++ b/src/settings/field.rs
@@ -77,6 +77,21 @@
         self.checked(field, value, check, &allowed)
     }
 
+    /// Checks a number of milliseconds that may be left out.
+    pub(crate) fn millis(&mut self, field: &str, value: Option<Value>, default: u64) -> u64 {
+        let Some(value) = value else { return default };
+        if let Some(millis) = value.as_u64() {
+            return millis;
+        }
+        let text = serde_yaml_ng::to_string(&value).unwrap_or_default();
+        self.faults.push(FieldError {
+            field: field.to_owned(),
+            value: Some(text.trim_end().to_owned()),
+            allowed: "a number of milliseconds".to_owned(),
+        });
+        default
+    }
+
     /// Refuses fields that do not exist.
     pub(crate) fn refuse_unknown(&mut self, unknown: &BTreeMap<String, Value>) {
         for (field, value) in unknown {
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -5,11 +5,14 @@
 
 #![allow(dead_code)]
 
+pub(crate) mod link;
+pub(crate) mod stream;
+
 use std::{
     fmt::Write as _,
     io::{BufRead, BufReader},
     net::SocketAddr,
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     time::Duration,
 };
@@ -20,6 +23,8 @@
 use hyper::Method;
 use serde_json::{Value, json};
 
+use crate::fleet::link::Link;
+
 /// Bearer key of the team `demo`.
 pub(crate) const KEY: &str = "sk-demo";
 
@@ -78,6 +83,21 @@
         *self = Process::spawn(self.program.clone(), args, settings);
     }
 
+    /// Starts a new incarnation on the same address with further arguments.
+    pub(crate) fn restart_with(&mut self, args: &[&str]) {
+        self.args.extend(args.iter().map(|arg| (*arg).to_owned()));
+        self.restart();
+    }
+
+    /// Starts a new incarnation on the same address with a further line of settings.
+    pub(crate) fn restart_with_setting(&mut self, line: &str) {
+        if let Some((_, text)) = &mut self.settings {
+            text.push_str(line);
+            text.push('\n');
+        }
+        self.restart();
+    }
+
     /// Sends a signal, such as `STOP`, `CONT` or `TERM`.
     pub(crate) fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
@@ -110,11 +130,20 @@
     pub(crate) entries: usize,
     pub(crate) decode_us: u32,
     pub(crate) kv_store: bool,
+    /// Whether entries reach agents through links that a test can cut.
+    pub(crate) links: bool,
 }
 
 impl Default for FleetOptions {
     fn default() -> FleetOptions {
-        FleetOptions { engines: 2, services: 2, entries: 2, decode_us: 2_000, kv_store: false }
+        FleetOptions {
+            engines: 2,
+            services: 2,
+            entries: 2,
+            decode_us: 2_000,
+            kv_store: false,
+            links: false,
+        }
     }
 }
 
@@ -128,6 +157,8 @@
     /// Agents of the engines, then those of the services.
     pub(crate) agents: Vec<Process>,
     pub(crate) entries: Vec<Process>,
+    /// Links of all entries to the agents, if the options ask for them.
+    pub(crate) links: Vec<Link>,
     pub(crate) http: HttpClient,
     dir: PathBuf,
 }
@@ -148,7 +179,8 @@
         let decode = options.decode_us.to_string();
         let kv_store = options.kv_store.then(|| standin(&["kv-store"]));
         let kv_url = kv_store.as_ref().map(Process::url);
-        let mut engine = vec!["engine", "--model", "demo-model", "--decode-us", &decode];
+        let mut engine =
+            vec!["engine", "--model", "demo-model", "--decode-us", &decode, "--load-lag-ms", "0"];
         let mut agent_settings = String::new();
         if let Some(url) = &kv_url {
             engine.extend(["--kv-store-url", url]);
@@ -158,7 +190,7 @@
         let services: Vec<_> = (0..options.services).map(|_| standin(&["service"])).collect();
         let backends = engines.iter().map(|e| ("engine", e)).enumerate();
         let backends = backends.chain(services.iter().map(|s| ("service", s)).enumerate());
-        let mut agents = Vec::new();
+        let (mut agents, mut links) = (Vec::new(), Vec::new());
         let mut list = String::new();
         for (i, (kind, backend)) in backends {
             let text = format!(
@@ -168,34 +200,26 @@
                 log.url()
             );
             let agent = role("agent", dir.join(format!("{kind}-{i}.yaml")), text);
-            let address = agent.address;
+            let mut address = agent.address;
+            if options.links {
+                let link = Link::open(address).await;
+                address = link.address;
+                links.push(link);
+            }
             let _ = writeln!(
                 list,
                 "- {{address: \"{address}\", zone: zone-{i}, role: agent, state: live}}"
             );
             agents.push(agent);
         }
-        for agent in &agents {
-            let link = TarpcAgent::new(agent.address);
-            while link.describe().await.is_err() {
-                tokio::time::sleep(Duration::from_millis(10)).await;
-            }
-        }
+        wait_until_described(&agents).await;
         let vms_file = dir.join("vms.yaml");
         std::fs::write(&vms_file, list).expect("the list can be written");
         let vms = standin(&["vms", "--file", &vms_file.display().to_string()]);
-        let entries = (0..options.entries).map(|i| {
-            let text = format!(
-                "listen: 127.0.0.1:0\nzone: zone-{i}\nlog_url: {}\nvms_url: {}\n\
-                 key_pepper: {PEPPER}\n",
-                log.url(),
-                vms.url()
-            );
-            role("entry", dir.join(format!("entry-{i}.yaml")), text)
-        });
-        let entries = entries.collect();
+        let entries = (0..options.entries).map(|i| start_entry(i, &dir, &log, &vms)).collect();
         let http = HttpClient::new();
-        let fleet = Fleet { log, vms, kv_store, engines, services, agents, entries, http, dir };
+        let fleet =
+            Fleet { log, vms, kv_store, engines, services, agents, entries, links, http, dir };
         fleet.publish(&usual_config()).await;
         fleet.wait_until_served(options).await;
         fleet
@@ -241,6 +265,58 @@
         reply.await.expect("the entry answers")
     }
 
+    /// Sets the faults of an engine.
+    pub(crate) async fn set_fault(&self, engine: usize, fault: &Value) {
+        let url = format!("{}/fault", self.engines[engine].url());
+        let limit = Duration::from_millis(ANSWER_TIMEOUT_MS);
+        let reply: Result<Value, _> = self.http.json(Method::POST, &url, fault, limit).await;
+        reply.expect("the engine takes the fault");
+    }
+
+    /// Reads a number from a `GET` at an engine.
+    pub(crate) async fn engine_number(&self, engine: usize, path: &str, field: &str) -> u64 {
+        let url = format!("{}{path}", self.engines[engine].url());
+        let limit = Duration::from_millis(ANSWER_TIMEOUT_MS);
+        let reply: Value =
+            self.http.json(Method::GET, &url, &(), limit).await.expect("the engine answers");
+        reply[field].as_u64().expect("the field is a number")
+    }
+
+    /// Waits for an engine that runs a request, and returns its number.
+    pub(crate) async fn busy_engine(&self) -> usize {
+        loop {
+            for engine in 0..self.engines.len() {
+                if self.engine_number(engine, "/status", "running").await > 0 {
+                    return engine;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    /// Waits until no engine runs or queues a request.
+    pub(crate) async fn wait_until_idle(&self) {
+        for engine in 0..self.engines.len() {
+            while self.engine_number(engine, "/status", "running").await > 0 {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+
+    /// Waits until an entry sends requests to an engine again.
+    pub(crate) async fn wait_until_used(&self, entry: usize, engine: usize) {
+        self.set_fault(engine, &json!({"stream": {"cut-after": 0}, "streams": 1})).await;
+        for number in 0.. {
+            let mut body = chat_body("used?", 1);
+            body["messages"][0]["content"] = json!(format!("prefix {number}"));
+            self.chat(entry, &body).await;
+            if self.engine_number(engine, "/fault", "streams").await == 0 {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Returns the bodies of all calls that the services ran.
     pub(crate) async fn service_calls(&self) -> Vec<String> {
         let mut calls = Vec::new();
@@ -289,6 +365,7 @@
     let text = format!(
         "- !team {{name: demo, keys: [{hash}], tokens_per_minute: 100000000, max_in_flight: 1000}}
 - !class {{name: lookup, priority: 5, repeatable: true, answer_within_ms: 30000}}
+- !class {{name: long, priority: 5, repeatable: true, answer_within_ms: 7200000}}
 - !class {{name: ping, paths: [/ping], priority: 5, repeatable: true, answer_within_ms: 5000}}
 - !class {{name: reservation, paths: [/reservations], priority: 5, repeatable: false, \
          answer_within_ms: 10000}}
@@ -307,6 +384,25 @@
     Process::spawn(program, args, None)
 }
 
+fn start_entry(i: usize, dir: &Path, log: &Process, vms: &Process) -> Process {
+    let text = format!(
+        "listen: 127.0.0.1:0\nzone: zone-{i}\nlog_url: {}\nvms_url: {}\nkey_pepper: {PEPPER}\n",
+        log.url(),
+        vms.url()
+    );
+    role("entry", dir.join(format!("entry-{i}.yaml")), text)
+}
+
+/// Waits until all agents have reached their backend servers.
+async fn wait_until_described(agents: &[Process]) {
+    for agent in agents {
+        let link = TarpcAgent::new(agent.address);
+        while link.describe().await.is_err() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+}
+
 fn role(name: &str, settings: PathBuf, text: String) -> Process {
     let program = PathBuf::from(env!("CARGO_BIN_EXE_dogwoodway"));
     let args = vec![name.to_owned(), "--settings".to_owned(), settings.display().to_string()];
--- a/tests/stale.rs
+++ b/tests/stale.rs
@@ -78,7 +78,7 @@
     let mut kinds: Vec<FrameKind> = Vec::new();
     while !kinds.last().is_some_and(FrameKind::is_last) {
         match agent.frames(attempt, kinds.len() as u64).await.unwrap() {
-            FramesReply::Frames(frames) => kinds.extend(frames.into_iter().map(|f| f.kind)),
+            FramesReply::Frames { frames, .. } => kinds.extend(frames.into_iter().map(|f| f.kind)),
             FramesReply::NoAttempt => panic!("the attempt is forgotten"),
         }
     }
