Ask an engine's status twice before it counts as down

Ruled out: a longer limit for the question, which a longer stop exceeds as well. Conclusion: one late answer no longer takes an engine out of use.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -10,7 +10,7 @@
 
 use std::{path::Path, process::ExitCode, sync::Arc, time::Duration};
 
-use dogwoodway_engine::{HttpEngine, ModelEngine};
+use dogwoodway_engine::{EngineStatus, HttpEngine, ModelEngine};
 use dogwoodway_kvstore::HttpKvStore;
 use dogwoodway_log::{HttpLog, PlatformLog};
 use dogwoodway_peer::AgentListener;
@@ -110,7 +110,7 @@
     if let Backend::Engine(engine) = backend {
         tokio::spawn(follow_cache(engine.clone(), agent.clone()));
         tokio::spawn(async move {
-            while agent.tell(SeeEngine(engine.status().await.ok())).await.is_ok() {
+            while agent.tell(SeeEngine(engine_status(&*engine).await)).await.is_ok() {
                 tokio::time::sleep(Duration::from_millis(ENGINE_STATUS_MS)).await;
             }
         });
@@ -123,6 +123,17 @@
     });
 }
 
+/// Asks for the engine's status, a second time if the first has no answer.
+///
+/// An agent that was stopped for longer than the question's limit finds it timed out when it goes
+/// on, although the engine is well.
+async fn engine_status(engine: &dyn ModelEngine) -> Option<EngineStatus> {
+    match engine.status().await {
+        Ok(status) => Some(status),
+        Err(_) => engine.status().await.ok(),
+    }
+}
+
 /// Follows the engine's cache events; starts over when its incarnation changes.
 async fn follow_cache(engine: Arc<dyn ModelEngine>, agent: ActorRef<AgentActor>) {
     let mut next = 0;
