Tell agents that are late or full from there being none

Cause: short_stop_of_the_only_agent_refuses_nothing fails since a request is no longer tried again when no agent was found: an agent that is known but answers late counted as none, and the caller read no-backend-server. Ruled out: trying again when there is truly none, which only delays the answer. Conclusion: no-backend-server now means what it says.

--- a/src/entry/dispatch/attempt.rs
+++ b/src/entry/dispatch/attempt.rs
@@ -175,7 +175,8 @@
     }
 }
 
-fn overloaded() -> AttemptEnd {
+/// The end of an attempt that no agent took.
+pub(super) fn overloaded() -> AttemptEnd {
     AttemptEnd::NotRun { reason: NotRunReason::Overloaded, retry_at: None }
 }
 
--- a/src/entry/dispatch/serve.rs
+++ b/src/entry/dispatch/serve.rs
@@ -14,7 +14,7 @@
     entry::{
         dispatch::{
             Core,
-            attempt::{AttemptEnd, run_attempt},
+            attempt::{AttemptEnd, overloaded, run_attempt},
             placement::place,
             progress::{Progress, not_run},
             retries::Retries,
@@ -131,8 +131,11 @@
             return AttemptEnd::NoServer;
         };
         restrict(&mut eligible, progress);
-        let Some((agent, probe, work)) = place(&self.placer, req, &eligible, progress).await else {
+        if eligible.agents.is_empty() {
             return AttemptEnd::NoServer;
+        }
+        let Some((agent, probe, work)) = place(&self.placer, req, &eligible, progress).await else {
+            return overloaded();
         };
         progress.avoid.push(agent.name.clone());
         if !continues(&work, progress.stream.version()) {
