Tell keyed requests with an unknown end when to ask again

Cause: a retry that meets a started claim without an end got 504 at once, but no time to come back. Without the change the new test sees no Retry-After header for the keyed request.

Ruled out: a time inside Outcome::Unknown, since requests without a key must not be sent again, and only the caller's interface knows of the key at all places where the outcome arises.

Conclusion: Retry-After for keyed service calls only.

--- a/crates/dogwoodway_caller/src/api.rs
+++ b/crates/dogwoodway_caller/src/api.rs
@@ -4,7 +4,9 @@
 
 use bytes::Bytes;
 use dogwoodway_http::{Body, Handler, full_body, json_response, text_response};
-use dogwoodway_types::{ClassName, IdempotencyKey, RequestId, ServiceWork, TeamName, Timestamp};
+use dogwoodway_types::{
+    ClassName, IdempotencyKey, Outcome, RequestId, ServiceWork, TeamName, Timestamp,
+};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode,
@@ -21,6 +23,9 @@
 /// Path below which plain services are called.
 const SERVICES_PATH: &str = "/services";
 
+/// Time after which a request with an idempotency key may find the end of its first copy.
+const KEYED_RETRY_SECONDS: u16 = 2;
+
 /// Limits on what a caller may send.
 #[derive(Clone, Copy, Debug)]
 pub struct CallerLimits {
@@ -130,6 +135,7 @@
         let body = body.to_vec();
         caller.work = CallerWork::Service(ServiceWork { method, path, content_type, body });
         let id = caller.id;
+        let is_keyed = caller.key.is_some();
         let mut answer = self.dispatcher.submit(caller);
         let mut response = None;
         while let Some(event) = answer.recv().await {
@@ -139,7 +145,9 @@
                 }
                 AnswerEvent::End { .. } => break,
                 AnswerEvent::Error(outcome) => {
-                    return error_response(&outcome, id, Timestamp::now());
+                    let resp = error_response(&outcome, id, Timestamp::now());
+                    let is_unknown = matches!(outcome, Outcome::Unknown { .. });
+                    return if is_keyed && is_unknown { with_retry(resp) } else { resp };
                 }
                 AnswerEvent::Started { .. } | AnswerEvent::Text(_) => {}
             }
@@ -210,6 +218,13 @@
     }
 }
 
+/// Tells when to ask again; a request with an idempotency key is safe to send again.
+fn with_retry(mut resp: Response<Body>) -> Response<Body> {
+    let seconds = header::HeaderValue::from(KEYED_RETRY_SECONDS);
+    resp.headers_mut().insert(header::RETRY_AFTER, seconds);
+    resp
+}
+
 fn service_response(
     status: u16,
     content_type: &str,
