--- a/crates/dogwoodway_caller/src/api.rs
+++ b/crates/dogwoodway_caller/src/api.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use dogwoodway_http::{Body, Handler, full_body, json_response, text_response};
 use dogwoodway_types::{
-    ClassName, IdempotencyKey, Outcome, RequestId, ServiceWork, TeamName, Timestamp,
+    ClassName, IdempotencyKey, NotRunReason, Outcome, RequestId, ServiceWork, TeamName, Timestamp,
 };
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
@@ -26,6 +26,9 @@
 /// Time after which a request with an idempotency key may find the end of its first copy.
 const KEYED_RETRY_SECONDS: u16 = 2;
 
+/// Time after which a caller may ask again a node that has no configuration yet.
+const NO_CONFIGURATION_RETRY: Duration = Duration::from_secs(1);
+
 /// Limits on what a caller may send.
 #[derive(Clone, Copy, Debug)]
 pub struct CallerLimits {
@@ -211,10 +214,19 @@
             Some(key) => self.dispatcher.authenticate(key.to_owned()).await,
             None => None,
         };
-        team.ok_or_else(|| {
-            let message = "the bearer key is missing or unknown";
-            Box::new(invalid_request(StatusCode::UNAUTHORIZED, "bad-key", message))
-        })
+        match team {
+            Some(team) => Ok(team),
+            None if key.is_some() && self.dispatcher.readiness().await != Readiness::Ready => {
+                let retry_at = Some(Timestamp::now() + NO_CONFIGURATION_RETRY);
+                let reason = NotRunReason::NoConfiguration;
+                let outcome = Outcome::NotRun { reason, retry_at };
+                Err(Box::new(error_response(&outcome, (self.next_id)(), Timestamp::now())))
+            }
+            None => {
+                let message = "the bearer key is missing or unknown";
+                Err(Box::new(invalid_request(StatusCode::UNAUTHORIZED, "bad-key", message)))
+            }
+        }
     }
 }
 
--- a/crates/dogwoodway_control/src/configuration.rs
+++ b/crates/dogwoodway_control/src/configuration.rs
@@ -1,150 +1,273 @@
 //! The configuration as a function of the log.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
-use dogwoodway_types::{
-    ChangeId, ConfigEdit, Configuration, LogOffset, ObjectId, ObjectKind, Timestamp,
-};
-use serde::{Deserialize, Serialize};
-
-/// The version of one object that a change was made against.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Base {
-    /// The object.
-    pub object: ObjectId,
-    /// Offset of the change that wrote the version, 0 if the object did not exist.
-    pub version: LogOffset,
-}
+use dogwoodway_types::{ConfigEdit, Configuration, LogOffset, ObjectId, ObjectKind};
 
-/// A change of the configuration, as published by an operator.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct ConfigChange {
-    /// Identifies the change; a second append of the same change has no effect.
-    pub id: ChangeId,
-    /// Who made it.
-    pub author: String,
-    /// When it was made, by the author's clock.
-    pub made_at: Timestamp,
-    /// Versions of all objects that it touches.
-    pub bases: Vec<Base>,
-    /// The edits, applied together or not at all.
-    pub edits: Vec<ConfigEdit>,
-}
-
-/// A record of the configuration stream.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum ConfigRecord {
-    /// A change to be judged.
-    Change(ConfigChange),
-}
-
-/// The verdict on a change, the same at every reader.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Verdict {
-    /// The change is in force from this offset on.
-    Accepted {
-        /// Offset of the change.
-        offset: LogOffset,
-    },
-    /// Another change touched the same object first.
-    Stale {
-        /// The object.
-        object: ObjectId,
-        /// Offset of the other change.
-        changed_at: LogOffset,
-    },
-    /// The change is invalid in itself.
-    Invalid {
-        /// The object at fault.
-        object: ObjectId,
-        /// What is wrong.
-        message: String,
-    },
-}
+use crate::{
+    Base, ConfigChange, ConfigRecord, Fault, Position, Snapshot, SnapshotKind, SnapshotPart, Trail,
+    Verdict, validate,
+};
 
 /// The configuration and all that is needed to judge the next change.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ConfigState {
     /// The configuration in force.
     pub configuration: Configuration,
-    /// Offset of the last record applied.
+    /// Packed [`Position`] of the last record applied.
     pub applied: LogOffset,
-    /// Offset of the change that wrote each object last, removals included.
-    pub versions: Vec<Base>,
-    /// Verdicts by change.
-    pub verdicts: BTreeMap<ChangeId, Verdict>,
+    /// Whether a snapshot was applied; changes before the first one are invalid, because a log
+    /// that was lost looks like a new one until its state is restored.
+    pub begun: bool,
+    /// The newest changes with their verdicts.
+    pub trail: Trail,
+    pub(crate) versions: BTreeMap<ObjectId, LogOffset>,
+    /// Parts of a snapshot that is not complete yet.
+    pub(crate) run: Vec<SnapshotPart>,
 }
 
 impl ConfigState {
-    /// Applies the record at `offset` and returns the verdict on it.
+    /// Returns the state that a new deployment begins with.
+    ///
+    /// ```
+    /// assert!(dogwoodway_control::ConfigState::genesis().begun);
+    /// ```
+    pub fn genesis() -> ConfigState {
+        ConfigState { begun: true, ..ConfigState::default() }
+    }
+
+    /// Applies the record at an offset of the log and returns the verdict if it is a change.
     ///
     /// Records at or below [`ConfigState::applied`] are ignored. A repeated change has the verdict
     /// of its first append.
     pub fn apply(&mut self, offset: LogOffset, record: &ConfigRecord) -> Option<Verdict> {
-        if offset <= self.applied {
+        let at = Position { offset, ..self.position() };
+        if at <= self.position() {
             return None;
         }
-        self.applied = offset;
-        let ConfigRecord::Change(change) = record;
-        if let Some(verdict) = self.verdicts.get(&change.id) {
-            return Some(verdict.clone());
-        }
-        let verdict = self.judge(offset, change);
-        if matches!(verdict, Verdict::Accepted { .. }) {
-            change.edits.iter().for_each(|edit| self.edit(offset, edit));
-            self.configuration.offset = offset;
+        self.applied = at.pack();
+        match record {
+            ConfigRecord::Change(change) => {
+                self.run.clear();
+                Some(self.change(change))
+            }
+            ConfigRecord::Snapshot(part) => {
+                match self.collect(part) {
+                    Some((state, part)) if part.kind == SnapshotKind::Rebase => {
+                        *self = state.rebased(part.epoch, offset);
+                    }
+                    Some((state, part)) => self.merge(&state, &part),
+                    None => {}
+                }
+                None
+            }
         }
-        self.verdicts.insert(change.id.clone(), verdict.clone());
-        Some(verdict)
     }
 
-    /// Returns the offset of the change that wrote an object last, 0 if there was none.
+    /// Passes over a record that cannot be read, as every reader does.
+    pub fn skip(&mut self, offset: LogOffset) {
+        self.applied = Position { offset, ..self.position() }.pack().max(self.applied);
+        self.run.clear();
+    }
+
+    /// Returns the position of the last record applied.
+    pub fn position(&self) -> Position {
+        Position::unpack(self.applied)
+    }
+
+    /// Returns the position of the change that wrote an object last, 0 if there was none.
     pub fn version_of(&self, object: &ObjectId) -> LogOffset {
-        let base = self.versions.iter().find(|base| base.object == *object);
-        base.map_or(LogOffset(0), |base| base.version)
+        self.versions.get(object).copied().unwrap_or_default()
+    }
+
+    /// Returns all objects with the positions of the changes that wrote them last, removals
+    /// included.
+    pub fn versions(&self) -> impl Iterator<Item = (ObjectId, LogOffset)> {
+        self.versions.iter().map(|(object, version)| (object.clone(), *version))
+    }
+
+    /// Tells whether this state lacks nothing that another one holds.
+    pub fn includes(&self, other: &ConfigState) -> bool {
+        other.versions.iter().all(|(object, version)| self.version_of(object) >= *version)
+    }
+
+    /// Returns the same state as of another place of the log.
+    pub fn rebased(&self, epoch: u32, offset: LogOffset) -> ConfigState {
+        let applied = Position { epoch, offset }.pack();
+        let mut state = ConfigState { applied, run: Vec::new(), ..self.clone() };
+        state.configuration.offset = applied;
+        state
+    }
+
+    /// Tells whether the last record belongs to a snapshot that is not complete yet.
+    pub fn is_in_snapshot(&self) -> bool {
+        !self.run.is_empty()
     }
 
-    fn judge(&self, offset: LogOffset, change: &ConfigChange) -> Verdict {
+    /// Builds a change of the current versions.
+    pub fn bases_of(&self, edits: &[ConfigEdit]) -> Vec<Base> {
+        let objects = edits.iter().map(ConfigEdit::object);
+        objects.map(|object| Base { version: self.version_of(&object), object }).collect()
+    }
+
+    /// Returns the verdict that a change would have now, and the configuration after it.
+    pub fn judge(&self, change: &ConfigChange) -> (Verdict, Configuration) {
+        let unchanged = || self.configuration.clone();
+        if !self.begun {
+            let message = "the log holds no snapshot of an earlier state yet".to_owned();
+            let faults = change.edits.iter().take(1);
+            let faults = faults.map(|edit| Fault::new(edit.object(), "name", message.clone()));
+            return (Verdict::Invalid { faults: faults.collect() }, unchanged());
+        }
+        let faults = self.change_faults(change);
+        if !faults.is_empty() {
+            return (Verdict::Invalid { faults }, unchanged());
+        }
+        for base in &change.bases {
+            let changed_at = self.version_of(&base.object);
+            if base.version != changed_at {
+                let changed_by = self.trail.author_at(changed_at).map(str::to_owned);
+                let object = base.object.clone();
+                return (Verdict::Stale { object, changed_at, changed_by }, unchanged());
+            }
+        }
+        let mut after = self.configuration.clone();
+        change.edits.iter().for_each(|edit| edit_configuration(&mut after, edit));
+        let mut faults = validate::faults(&after);
+        if !faults.is_empty() {
+            let before = validate::faults(&self.configuration);
+            faults.retain(|fault| !before.contains(fault));
+        }
+        if !faults.is_empty() {
+            return (Verdict::Invalid { faults }, unchanged());
+        }
+        after.offset = self.applied;
+        (Verdict::Accepted { offset: self.applied }, after)
+    }
+
+    fn change(&mut self, change: &ConfigChange) -> Verdict {
+        if let Some(verdict) = self.trail.verdict(&change.id) {
+            return verdict.clone();
+        }
+        let (verdict, after) = self.judge(change);
+        if matches!(verdict, Verdict::Accepted { .. }) {
+            self.configuration = after;
+            for edit in &change.edits {
+                self.versions.insert(edit.object(), self.applied);
+            }
+        }
+        self.trail.push(self.applied, change, verdict.clone());
+        verdict
+    }
+
+    /// Returns what is wrong with a change in itself.
+    fn change_faults(&self, change: &ConfigChange) -> Vec<Fault> {
+        let based: HashSet<_> = change.bases.iter().map(|base| &base.object).collect();
+        let mut seen = HashSet::new();
+        let mut faults = Vec::new();
         for edit in &change.edits {
             let object = edit.object();
-            let Some(base) = change.bases.iter().find(|base| base.object == object) else {
-                let message = "the change names no base version for the object".to_owned();
-                return Verdict::Invalid { object, message };
+            let mut fault = |message: &str| {
+                faults.push(Fault::new(object.clone(), "name", message.to_owned()));
             };
-            let changed_at = self.version_of(&object);
-            if base.version != changed_at {
-                return Verdict::Stale { object, changed_at };
+            if !based.contains(&object) {
+                fault("the change names no base version for the object");
+            }
+            if !seen.insert(object.clone()) {
+                fault("the change edits the object twice");
+            }
+            if matches!(edit, ConfigEdit::Remove(_)) && !exists(&self.configuration, &object) {
+                fault("the object does not exist");
             }
         }
-        Verdict::Accepted { offset }
-    }
-
-    fn edit(&mut self, offset: LogOffset, edit: &ConfigEdit) {
-        let object = edit.object();
-        let cfg = &mut self.configuration;
-        match edit.clone() {
-            ConfigEdit::Team(team) => drop(cfg.teams.insert(team.name.clone(), team)),
-            ConfigEdit::Class(class) => drop(cfg.classes.insert(class.name.clone(), class)),
-            ConfigEdit::Labels(labels) => drop(cfg.labels.insert(labels.name.clone(), labels)),
-            ConfigEdit::Selector(sel) => drop(cfg.selectors.insert(sel.name.clone(), sel)),
-            ConfigEdit::Remove(object) => remove(cfg, &object),
+        faults
+    }
+
+    /// Adds a part to the snapshot that is being read; returns the snapshot with its last part.
+    fn collect(&mut self, part: &SnapshotPart) -> Option<(ConfigState, SnapshotPart)> {
+        let follows = part.part as usize == self.run.len()
+            && self.run.last().is_none_or(|last| last.hash == part.hash);
+        if !follows {
+            self.run.clear();
+        }
+        if part.part as usize != self.run.len() {
+            return None;
+        }
+        self.run.push(part.clone());
+        if part.part + 1 < part.parts {
+            return None;
+        }
+        let state = Snapshot::from_parts(&std::mem::take(&mut self.run)).state().ok()?;
+        Some((state, part.clone()))
+    }
+
+    /// Takes over whatever a snapshot holds in a later version.
+    fn merge(&mut self, other: &ConfigState, part: &SnapshotPart) {
+        let at = self.position();
+        let epoch = at.epoch.max(part.epoch).max(other.position().epoch);
+        self.applied = Position { epoch, offset: at.offset }.pack();
+        let mut is_new = part.kind != SnapshotKind::Refresh;
+        for (object, version) in &other.versions {
+            if *version > self.version_of(object) {
+                copy_object(&mut self.configuration, &other.configuration, object);
+                self.versions.insert(object.clone(), *version);
+                is_new = true;
+            }
+        }
+        self.begun |= other.begun && part.kind != SnapshotKind::Refresh;
+        self.trail.join(&other.trail);
+        if is_new {
+            self.configuration.offset = self.applied;
         }
-        self.versions.retain(|base| base.object != object);
-        self.versions.push(Base { object, version: offset });
     }
 }
 
-fn remove(cfg: &mut Configuration, object: &ObjectId) {
+fn exists(cfg: &Configuration, object: &ObjectId) -> bool {
     let name = object.name.as_str();
     match object.kind {
-        ObjectKind::Team => cfg.teams.retain(|key, _| key.as_str() != name),
-        ObjectKind::Class => cfg.classes.retain(|key, _| key.as_str() != name),
-        ObjectKind::Labels => cfg.labels.retain(|key, _| key.as_str() != name),
-        ObjectKind::Selector => cfg.selectors.retain(|key, _| key.as_str() != name),
+        ObjectKind::Team => find(&cfg.teams, name).is_some(),
+        ObjectKind::Class => find(&cfg.classes, name).is_some(),
+        ObjectKind::Labels => find(&cfg.labels, name).is_some(),
+        ObjectKind::Selector => find(&cfg.selectors, name).is_some(),
     }
 }
+
+fn edit_configuration(cfg: &mut Configuration, edit: &ConfigEdit) {
+    match edit.clone() {
+        ConfigEdit::Team(team) => drop(cfg.teams.insert(team.name.clone(), team)),
+        ConfigEdit::Class(class) => drop(cfg.classes.insert(class.name.clone(), class)),
+        ConfigEdit::Labels(labels) => drop(cfg.labels.insert(labels.name.clone(), labels)),
+        ConfigEdit::Selector(sel) => drop(cfg.selectors.insert(sel.name.clone(), sel)),
+        ConfigEdit::Remove(object) => copy_object(cfg, &Configuration::default(), &object),
+    }
+}
+
+/// Copies one object, or removes it if `from` does not have it.
+fn copy_object(to: &mut Configuration, from: &Configuration, object: &ObjectId) {
+    let name = object.name.as_str();
+    match object.kind {
+        ObjectKind::Team => copy_entry(&mut to.teams, &from.teams, name),
+        ObjectKind::Class => copy_entry(&mut to.classes, &from.classes, name),
+        ObjectKind::Labels => copy_entry(&mut to.labels, &from.labels, name),
+        ObjectKind::Selector => copy_entry(&mut to.selectors, &from.selectors, name),
+    }
+}
+
+fn copy_entry<K, V>(to: &mut BTreeMap<K, V>, from: &BTreeMap<K, V>, name: &str)
+where
+    K: Ord + for<'a> TryFrom<&'a str>,
+    V: Clone,
+{
+    let Ok(key) = K::try_from(name) else { return };
+    match from.get(&key) {
+        Some(value) => drop(to.insert(key, value.clone())),
+        None => drop(to.remove(&key)),
+    }
+}
+
+fn find<'a, K, V>(map: &'a BTreeMap<K, V>, name: &str) -> Option<&'a V>
+where
+    K: Ord + for<'b> TryFrom<&'b str>,
+{
+    map.get(&K::try_from(name).ok()?)
+}
--- a/crates/dogwoodway_control/src/lib.rs
+++ b/crates/dogwoodway_control/src/lib.rs
@@ -7,6 +7,10 @@
 mod claim_message;
 mod claimer;
 mod configuration;
+mod record;
+mod snapshot;
+mod trail;
+mod validate;
 
 pub use crate::{
     claim::{
@@ -15,7 +19,11 @@
     },
     claim_message::{Appended, ClaimAttempt, ClaimRefusal, Decision, Finish, LogCall},
     claimer::Claimer,
-    configuration::{Base, ConfigChange, ConfigRecord, ConfigState, Verdict},
+    configuration::ConfigState,
+    record::{Base, ConfigChange, ConfigRecord, SnapshotKind, SnapshotPart, Verdict},
+    snapshot::{Covers, Position, Snapshot, SnapshotError},
+    trail::{Trail, TrailEntry},
+    validate::{Fault, faults, warnings},
 };
 
 /// The names that most users of this crate need.
--- /dev/null
+++ b/crates/dogwoodway_follower/tests/follow.rs
@@ -0,0 +1,215 @@
+//! A running follower against a log and peers in memory, in paused time.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use dogwoodway_control::{ConfigChange, ConfigRecord, ConfigState, Snapshot, SnapshotKind};
+use dogwoodway_follower::{ConfigHandle, ConfigPeers, NoPeers, follow};
+use dogwoodway_log::{AppendAnswer, LogError, LogRecord, PlatformLog, ReadAnswer, StreamName};
+use dogwoodway_types::{ChangeId, ConfigEdit, LogOffset, Timestamp};
+use futures::{FutureExt, future::BoxFuture};
+use serde_json::Value;
+use tokio::time::sleep;
+
+#[derive(Default)]
+struct Inner {
+    records: Vec<Value>,
+    is_down: bool,
+    loses_answers: bool,
+}
+
+/// A log in memory that can be down, be emptied, and lose the answers to appends.
+#[derive(Clone, Default)]
+struct FakeLog(Arc<Mutex<Inner>>);
+
+impl FakeLog {
+    fn with<R>(&self, f: impl FnOnce(&mut Inner) -> R) -> R {
+        f(&mut self.0.lock().unwrap())
+    }
+
+    fn push(&self, records: &[ConfigRecord]) {
+        let records = records.iter().map(|r| serde_json::to_value(r).unwrap());
+        self.with(|inner| inner.records.extend(records));
+    }
+
+    fn begin(&self) {
+        let genesis = Snapshot::new(&ConfigState::genesis());
+        self.push(&genesis.into_records(SnapshotKind::Restore, 0, None, 0));
+    }
+
+    fn len(&self) -> usize {
+        self.with(|inner| inner.records.len())
+    }
+}
+
+impl PlatformLog for FakeLog {
+    fn append(
+        &self,
+        _: StreamName,
+        records: Vec<Value>,
+    ) -> BoxFuture<'_, Result<AppendAnswer, LogError>> {
+        let result = self.with(|inner| {
+            if inner.is_down {
+                return Err(LogError::Unavailable("down".to_owned()));
+            }
+            let first = LogOffset(inner.records.len() as u64 + 1);
+            inner.records.extend(records);
+            match inner.loses_answers {
+                true => Err(LogError::Unknown("lost".to_owned())),
+                false => Ok(AppendAnswer { first }),
+            }
+        });
+        async move { result }.boxed()
+    }
+
+    fn read(
+        &self,
+        _: StreamName,
+        from: LogOffset,
+        limit: u32,
+        wait_ms: u64,
+    ) -> BoxFuture<'_, Result<ReadAnswer, LogError>> {
+        async move {
+            for _ in 0..=wait_ms / 10 {
+                let answer = self.with(|inner| {
+                    if inner.is_down {
+                        return Err(LogError::Unavailable("down".to_owned()));
+                    }
+                    let all = inner.records.iter().enumerate();
+                    let all = all.map(|(i, data)| LogRecord {
+                        offset: LogOffset(i as u64 + 1),
+                        data: data.clone(),
+                    });
+                    let found = all.filter(|record| record.offset >= from).take(limit as usize);
+                    let records: Vec<_> = found.collect();
+                    let next = LogOffset(inner.records.len() as u64 + 1);
+                    Ok(ReadAnswer { oldest: LogOffset(1), next, records })
+                })?;
+                if !answer.records.is_empty() || wait_ms == 0 {
+                    return Ok(answer);
+                }
+                sleep(Duration::from_millis(10)).await;
+            }
+            let next = LogOffset(self.len() as u64 + 1);
+            Ok(ReadAnswer { oldest: LogOffset(1), next, records: Vec::new() })
+        }
+        .boxed()
+    }
+}
+
+/// A peer that always answers the same state.
+struct OnePeer(ConfigState);
+
+impl ConfigPeers for OnePeer {
+    fn fetch(&self, _: LogOffset) -> BoxFuture<'_, Vec<Snapshot>> {
+        async { vec![Snapshot::new(&self.0)] }.boxed()
+    }
+}
+
+fn change(state: &ConfigState, id: &str, limit: u32) -> ConfigRecord {
+    let yaml =
+        format!("- !team {{name: t, keys: [], tokens_per_minute: {limit}, max_in_flight: 1}}");
+    let edits: Vec<ConfigEdit> = serde_yaml_ng::from_str(&yaml).unwrap();
+    ConfigRecord::Change(ConfigChange {
+        id: ChangeId::try_from(id).unwrap(),
+        author: "ana".to_owned(),
+        made_at: Timestamp::default(),
+        bases: state.bases_of(&edits),
+        edits,
+    })
+}
+
+/// Returns the state after the records of the log and one more change, which is appended.
+fn publish(log: &FakeLog, state: &mut ConfigState, id: &str, limit: u32) {
+    let record = change(state, id, limit);
+    log.push(std::slice::from_ref(&record));
+    state.apply(LogOffset(log.len() as u64), &record);
+}
+
+fn begun(log: &FakeLog) -> ConfigState {
+    log.begin();
+    let mut state = ConfigState::genesis();
+    state.skip(LogOffset(1));
+    state.configuration.offset = LogOffset(1);
+    state
+}
+
+fn limit_of(handle: &ConfigHandle) -> Option<u64> {
+    Some(handle.current()?.teams.values().next()?.tokens_per_minute)
+}
+
+async fn settle() {
+    sleep(Duration::from_secs(3)).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn nothing_is_held_without_log_and_peers() {
+    let log = FakeLog::default();
+    log.with(|inner| inner.is_down = true);
+    let handle = follow(Arc::new(log), Arc::new(NoPeers), 1);
+    settle().await;
+    assert_eq!(handle.current(), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn peer_serves_while_the_log_is_down_and_the_log_goes_on() {
+    let log = FakeLog::default();
+    let mut state = begun(&log);
+    publish(&log, &mut state, "c1", 7);
+    log.with(|inner| inner.is_down = true);
+    let handle = follow(Arc::new(log.clone()), Arc::new(OnePeer(state.clone())), 1);
+    settle().await;
+    assert_eq!(limit_of(&handle), Some(7));
+    log.with(|inner| inner.is_down = false);
+    publish(&log, &mut state, "c2", 8);
+    settle().await;
+    assert_eq!(limit_of(&handle), Some(8));
+    assert_eq!(handle.position(), state.configuration.offset);
+}
+
+#[tokio::test(start_paused = true)]
+async fn emptied_log_is_restored_once_by_three_nodes() {
+    let log = FakeLog::default();
+    let mut state = begun(&log);
+    publish(&log, &mut state, "c1", 7);
+    let nodes: Vec<_> =
+        (0..3).map(|seed| follow(Arc::new(log.clone()), Arc::new(NoPeers), seed)).collect();
+    settle().await;
+    let before = nodes[0].position();
+    log.with(|inner| inner.records.clear());
+    sleep(Duration::from_secs(10)).await;
+    assert_eq!(log.len(), 1);
+    for node in &nodes {
+        assert_eq!(limit_of(node), Some(7));
+        assert!(node.position() > before);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn lost_append_answers_do_no_harm() {
+    let log = FakeLog::default();
+    let mut state = begun(&log);
+    publish(&log, &mut state, "c1", 7);
+    let handle = follow(Arc::new(log.clone()), Arc::new(NoPeers), 1);
+    settle().await;
+    log.with(|inner| {
+        inner.records.clear();
+        inner.loses_answers = true;
+    });
+    sleep(Duration::from_secs(10)).await;
+    assert_eq!(limit_of(&handle), Some(7));
+    assert_eq!(log.len(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn snapshot_is_refreshed_by_one_of_many_nodes() {
+    let log = FakeLog::default();
+    begun(&log);
+    let _nodes: Vec<_> =
+        (0..10).map(|seed| follow(Arc::new(log.clone()), Arc::new(NoPeers), seed)).collect();
+    sleep(Duration::from_secs(200)).await;
+    let appended = log.len() - 1;
+    assert!((2..=4).contains(&appended), "{appended} snapshots in 200 s");
+}
--- /dev/null
+++ b/crates/dogwoodway_follower/tests/view.rs
@@ -0,0 +1,327 @@
+//! Views of many nodes on a log that is dropped, lost and delayed.
+
+use std::collections::BTreeMap;
+
+use dogwoodway_control::{ConfigChange, ConfigRecord, ConfigState, Covers, Snapshot, SnapshotKind};
+use dogwoodway_follower::{View, Wish};
+use dogwoodway_log::{LogRecord, ReadAnswer};
+use dogwoodway_types::{ChangeId, ConfigEdit, LogOffset, ObjectId, Timestamp};
+use proptest::prelude::*;
+use serde_json::Value;
+
+/// A log in memory.
+#[derive(Default)]
+struct Log {
+    dropped: u64,
+    records: Vec<Value>,
+}
+
+impl Log {
+    fn read(&self, from: LogOffset, limit: usize) -> ReadAnswer {
+        let all = self.records.iter().enumerate().map(|(i, data)| LogRecord {
+            offset: LogOffset(self.dropped + i as u64 + 1),
+            data: data.clone(),
+        });
+        ReadAnswer {
+            oldest: LogOffset(self.dropped + 1),
+            next: LogOffset(self.dropped + self.records.len() as u64 + 1),
+            records: all.filter(|record| record.offset >= from).take(limit).collect(),
+        }
+    }
+
+    fn drop_records(&mut self, n: usize) {
+        let n = n.min(self.records.len());
+        self.records.drain(..n);
+        self.dropped += n as u64;
+    }
+
+    fn begin(&mut self) {
+        let records =
+            Snapshot::new(&ConfigState::genesis()).into_records(SnapshotKind::Restore, 0, None, 0);
+        self.records.extend(records.iter().map(|r| serde_json::to_value(r).unwrap()));
+    }
+
+    fn publish(&mut self, state: &ConfigState, id: &str, team: u8, limit: u8) {
+        let yaml = format!(
+            "- !team {{name: t{team}, keys: [], tokens_per_minute: {limit}, max_in_flight: 1}}"
+        );
+        let edits: Vec<ConfigEdit> = serde_yaml_ng::from_str(&yaml).unwrap();
+        let change = ConfigChange {
+            id: ChangeId::try_from(id).unwrap(),
+            author: "ana".to_owned(),
+            made_at: Timestamp::default(),
+            bases: state.bases_of(&edits),
+            edits,
+        };
+        self.records.push(serde_json::to_value(ConfigRecord::Change(change)).unwrap());
+    }
+}
+
+/// Reads until nothing is new, as the reading task does.
+fn catch_up(view: &mut View, log: &Log) {
+    for _ in 0..4 {
+        let answer = log.read(view.next_read(), 500);
+        let check = view.check_read().map(|offset| log.read(offset, 1));
+        view.see(&answer, check.as_ref());
+    }
+}
+
+/// Lets nodes append what they wish, one after the other, until none has to repair the log.
+fn settle(nodes: &mut [View], log: &mut Log) {
+    for _ in 0..8 {
+        for view in nodes.iter_mut() {
+            catch_up(view, log);
+            if let Some(wish) = view.wish().filter(|wish| *wish != Wish::Refresh) {
+                let nonce = 1_000 + log.records.len() as u64;
+                log.records.extend(view.records_for(wish, nonce));
+            }
+        }
+    }
+    nodes.iter_mut().for_each(|view| catch_up(view, log));
+}
+
+fn versions(view: &View) -> BTreeMap<ObjectId, LogOffset> {
+    view.held().map(|held| held.versions().collect()).unwrap_or_default()
+}
+
+fn limit_of(view: &View, team: &str) -> u64 {
+    let held = view.held().expect("a state is held");
+    held.configuration.teams.values().find(|t| t.name.as_str() == team).unwrap().tokens_per_minute
+}
+
+fn begun() -> (Log, View) {
+    let (mut log, mut view) = (Log::default(), View::default());
+    log.begin();
+    catch_up(&mut view, &log);
+    (log, view)
+}
+
+fn published(log: &mut Log, view: &mut View, id: &str, team: u8, limit: u8) {
+    log.publish(view.held().unwrap(), id, team, limit);
+    catch_up(view, log);
+}
+
+#[test]
+fn emptied_log_is_restored_and_positions_grow() {
+    let (mut log, mut view) = begun();
+    published(&mut log, &mut view, "c1", 1, 7);
+    let before = view.held().unwrap().configuration.offset;
+    log = Log::default();
+    catch_up(&mut view, &log);
+    assert_eq!(limit_of(&view, "t1"), 7);
+    assert_eq!(view.wish(), Some(Wish::Restore));
+    log.records.extend(view.records_for(Wish::Restore, 1));
+    catch_up(&mut view, &log);
+    assert_eq!(limit_of(&view, "t1"), 7);
+    assert!(view.held().unwrap().configuration.offset > before);
+    let mut cold = View::default();
+    catch_up(&mut cold, &log);
+    assert_eq!(cold.held(), view.held());
+}
+
+#[test]
+fn restore_by_a_node_that_lags_does_not_revert_another() {
+    let (mut log, mut ahead) = begun();
+    published(&mut log, &mut ahead, "c1", 1, 7);
+    let mut lagging = ahead.clone();
+    published(&mut log, &mut ahead, "c2", 1, 8);
+    log = Log::default();
+    catch_up(&mut lagging, &log);
+    log.records.extend(lagging.records_for(Wish::Restore, 1));
+    catch_up(&mut lagging, &log);
+    published(&mut log, &mut lagging, "c3", 2, 9);
+    catch_up(&mut ahead, &log);
+    assert_eq!(limit_of(&ahead, "t1"), 8);
+    let mut nodes = [ahead, lagging];
+    settle(&mut nodes, &mut log);
+    for view in &nodes {
+        assert_eq!((limit_of(view, "t1"), limit_of(view, "t2")), (8, 9));
+    }
+}
+
+#[test]
+fn paused_node_notices_a_lost_log_that_has_grown_past_its_offset() {
+    let (mut log, mut view) = begun();
+    published(&mut log, &mut view, "c1", 1, 7);
+    let mut paused = view.clone();
+    log = Log::default();
+    let mut nodes = [view];
+    settle(&mut nodes, &mut log);
+    for i in 0..5 {
+        published(&mut log, &mut nodes[0], &format!("d{i}"), 2, i);
+    }
+    catch_up(&mut paused, &log);
+    assert_eq!(paused.held(), nodes[0].held());
+}
+
+#[test]
+fn paused_node_meets_dropped_records_and_starts_from_a_snapshot() {
+    let (mut log, mut view) = begun();
+    let mut paused = view.clone();
+    for i in 0..5 {
+        published(&mut log, &mut view, &format!("c{i}"), 1, i);
+    }
+    log.drop_records(3);
+    catch_up(&mut paused, &log);
+    assert_eq!(paused.wish(), Some(Wish::Rebase));
+    catch_up(&mut view, &log);
+    assert_eq!(view.wish(), Some(Wish::RefreshSoon));
+    log.records.extend(view.records_for(Wish::RefreshSoon, 1));
+    log.drop_records(2);
+    published(&mut log, &mut view, "c9", 1, 99);
+    catch_up(&mut paused, &log);
+    assert_eq!(paused.held(), view.held());
+}
+
+#[test]
+fn retention_that_passed_everything_during_an_outage_reverts_nothing() {
+    let (mut log, mut view) = begun();
+    published(&mut log, &mut view, "c1", 1, 7);
+    log.drop_records(2);
+    catch_up(&mut view, &log);
+    assert_eq!(view.wish(), Some(Wish::Rebase));
+    let mut cold = View::default();
+    catch_up(&mut cold, &log);
+    assert_eq!(cold.held(), None);
+    log.records.extend(view.records_for(Wish::Rebase, 1));
+    log.publish(view.held().unwrap(), "c2", 2, 9);
+    catch_up(&mut view, &log);
+    catch_up(&mut cold, &log);
+    assert_eq!(cold.held(), view.held());
+    assert_eq!(limit_of(&cold, "t2"), 9);
+    assert_eq!(limit_of(&cold, "t1"), 7);
+}
+
+#[test]
+fn duplicate_snapshot_changes_nothing() {
+    let (mut log, mut view) = begun();
+    published(&mut log, &mut view, "c1", 1, 7);
+    let records = view.records_for(Wish::Refresh, 1);
+    let before = view.held().unwrap().configuration.clone();
+    log.records.extend([records.clone(), records].concat());
+    catch_up(&mut view, &log);
+    assert_eq!(view.held().unwrap().configuration, before);
+}
+
+#[test]
+fn cold_node_that_met_an_old_peer_moves_on_to_the_log() {
+    let (mut log, mut view) = begun();
+    published(&mut log, &mut view, "c1", 1, 7);
+    let old = ConfigState::clone(view.held().unwrap());
+    published(&mut log, &mut view, "c2", 1, 8);
+    let mut cold = View::default();
+    cold.offer(old.clone());
+    assert_eq!(limit_of(&cold, "t1"), 7);
+    catch_up(&mut cold, &log);
+    assert_eq!(limit_of(&cold, "t1"), 8);
+    cold.offer(old);
+    assert_eq!(limit_of(&cold, "t1"), 8);
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Publish { node: usize, team: u8, limit: u8 },
+    CatchUp(usize),
+    Fulfil(usize),
+    Snapshot(usize),
+    Drop(usize),
+    Lose,
+    Peer { from: usize, to: usize },
+    ColdStart(usize),
+}
+
+const NODES: usize = 4;
+
+fn event() -> impl Strategy<Value = Event> {
+    let node = 0..NODES;
+    prop_oneof![
+        6 => (node.clone(), 0..4u8, any::<u8>())
+            .prop_map(|(node, team, limit)| Event::Publish { node, team, limit }),
+        8 => node.clone().prop_map(Event::CatchUp),
+        4 => node.clone().prop_map(Event::Fulfil),
+        1 => node.clone().prop_map(Event::Snapshot),
+        1 => (1..6usize).prop_map(Event::Drop),
+        1 => Just(Event::Lose),
+        2 => (node.clone(), node.clone()).prop_map(|(from, to)| Event::Peer { from, to }),
+        1 => node.prop_map(Event::ColdStart),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Node 0 never restarts and reads each record at once, so that no change that was accepted
+    /// can be lost; the others pause, restart and append late.
+    #[test]
+    fn no_node_reverts_and_all_agree_in_the_end(
+        events in prop::collection::vec(event(), 1..60),
+    ) {
+        let mut log = Log::default();
+        log.begin();
+        let mut nodes = vec![View::default(); NODES];
+        nodes.iter_mut().for_each(|view| catch_up(view, &log));
+        let mut served: Vec<_> = nodes.iter().map(versions).collect();
+        let mut offsets = [LogOffset(0); NODES];
+        for (i, event) in events.into_iter().enumerate() {
+            match event {
+                Event::Publish { node, team, limit } => {
+                    if let Some(held) = nodes[node].held() {
+                        log.publish(held, &format!("c{i}"), team, limit);
+                    }
+                }
+                Event::CatchUp(node) => catch_up(&mut nodes[node], &log),
+                Event::Fulfil(node) => {
+                    if let Some(wish) = nodes[node].wish() {
+                        log.records.extend(nodes[node].records_for(wish, i as u64));
+                    }
+                }
+                Event::Snapshot(node) => {
+                    let held = nodes[node].held().cloned().unwrap_or_default();
+                    let at = held.position();
+                    let late = Snapshot::new(&held).into_records(
+                        SnapshotKind::Refresh,
+                        at.epoch,
+                        Some(Covers { offset: at.offset, anchor: Some(String::new()) }),
+                        i as u64,
+                    );
+                    log.records.extend(late.iter().map(|r| serde_json::to_value(r).unwrap()));
+                }
+                Event::Drop(n) => log.drop_records(n),
+                Event::Lose => log = Log::default(),
+                Event::Peer { from, to } => {
+                    if let Some(held) = nodes[from].held().cloned() {
+                        nodes[to].offer(ConfigState::clone(&held));
+                    }
+                }
+                Event::ColdStart(0) => {}
+                Event::ColdStart(node) => {
+                    nodes[node] = View::default();
+                    served[node].clear();
+                    offsets[node] = LogOffset(0);
+                }
+            }
+            catch_up(&mut nodes[0], &log);
+            for (node, view) in nodes.iter().enumerate() {
+                let now = versions(view);
+                for (object, version) in &served[node] {
+                    prop_assert!(now.get(object) >= Some(version), "node {} reverted", node);
+                }
+                let offset = view.held().map_or(LogOffset(0), |held| held.configuration.offset);
+                prop_assert!(offset >= offsets[node], "node {} went back", node);
+                (served[node], offsets[node]) = (now, offset);
+            }
+        }
+        settle(&mut nodes, &mut log);
+        for node in 1..NODES {
+            let (a, b) = (nodes[0].held().unwrap(), nodes[node].held().unwrap());
+            prop_assert_eq!(&a.configuration, &b.configuration);
+            for (object, version) in &served[0] {
+                prop_assert!(b.version_of(object) >= *version);
+            }
+        }
+    }
+}
--- a/crates/dogwoodway_peer/src/agent.rs
+++ b/crates/dogwoodway_peer/src/agent.rs
@@ -2,10 +2,11 @@
 
 use std::fmt;
 
+use dogwoodway_control::Snapshot;
 use dogwoodway_types::{
-    AgentIncarnation, AttemptId, Grant, GrantRequest, GrantRole, TeamName, Timestamp,
+    AgentIncarnation, AttemptId, Grant, GrantRequest, GrantRole, LogOffset, TeamName, Timestamp,
 };
-use futures::future::BoxFuture;
+use futures::{FutureExt, future::BoxFuture};
 
 use crate::{
     AgentDescription, FramesReply, ProbeReply, ProbeRequest, RunRequest, SettleReply, StartReply,
@@ -73,4 +74,10 @@
 
     /// Tells the agent that the platform lists its VM as leaving.
     fn notify_leaving(&self) -> BoxFuture<'_, PeerResult<()>>;
+
+    /// Asks for the configuration that the agent holds, if its state is newer than a position.
+    fn config(&self, newer_than: LogOffset) -> BoxFuture<'_, PeerResult<Option<Snapshot>>> {
+        let _ = newer_than;
+        async { Ok(None) }.boxed()
+    }
 }
--- a/crates/dogwoodway_peer/src/client.rs
+++ b/crates/dogwoodway_peer/src/client.rs
@@ -5,8 +5,9 @@
     time::{Duration, Instant},
 };
 
+use dogwoodway_control::Snapshot;
 use dogwoodway_types::{
-    AgentIncarnation, AttemptId, Grant, GrantRequest, GrantRole, TeamName, Timestamp,
+    AgentIncarnation, AttemptId, Grant, GrantRequest, GrantRole, LogOffset, TeamName, Timestamp,
 };
 use futures::{FutureExt, future::BoxFuture};
 use tarpc::{client::RpcError, context, serde_transport::tcp, tokio_serde::formats::Bincode};
@@ -156,6 +157,15 @@
         }
         .boxed()
     }
+
+    fn config(&self, newer_than: LogOffset) -> BoxFuture<'_, PeerResult<Option<Snapshot>>> {
+        async move {
+            let cx = call_context(CALL_TIMEOUT_MS);
+            let answer = self.client().await?.config(cx, newer_than).await;
+            self.checked(answer).await
+        }
+        .boxed()
+    }
 }
 
 fn call_context(limit_ms: u64) -> context::Context {
--- a/crates/dogwoodway_peer/src/server.rs
+++ b/crates/dogwoodway_peer/src/server.rs
@@ -2,8 +2,9 @@
 
 use std::{future::Future, net::SocketAddr, sync::Arc};
 
+use dogwoodway_control::Snapshot;
 use dogwoodway_types::{
-    AgentIncarnation, AttemptId, Grant, GrantRequest, GrantRole, TeamName, Timestamp,
+    AgentIncarnation, AttemptId, Grant, GrantRequest, GrantRole, LogOffset, TeamName, Timestamp,
 };
 use futures::StreamExt;
 use tarpc::{
@@ -48,6 +49,8 @@
     async fn cancel(attempt: AttemptId);
     /// See [`AgentApi::notify_leaving`].
     async fn notify_leaving();
+    /// See [`AgentApi::config`].
+    async fn config(newer_than: LogOffset) -> Option<Snapshot>;
 }
 
 /// A bound address on which an agent will be served.
@@ -164,6 +167,10 @@
     async fn notify_leaving(self, _: Context) {
         local(self.agent.notify_leaving().await);
     }
+
+    async fn config(self, _: Context, newer_than: LogOffset) -> Option<Snapshot> {
+        local(self.agent.config(newer_than).await)
+    }
 }
 
 /// Passes on an answer, or the reason why the agent has none yet.
--- a/crates/dogwoodway_standin/src/slopes/state.rs
+++ b/crates/dogwoodway_standin/src/slopes/state.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, hint::black_box, time::Instant};
 
-use dogwoodway_control::ConfigState;
+use dogwoodway_control::{ConfigState, Snapshot};
 use dogwoodway_routing::prefix_index::PrefixIndex;
 use dogwoodway_types::{
     EngineIncarnation, KeyHash, LogOffset, PieceHash, Selector, SelectorName, Team, TeamName,
@@ -63,7 +63,7 @@
 }
 
 fn encoded_bytes(state: &ConfigState) -> f64 {
-    serde_json::to_vec(state).map_or(0.0, |json| json.len() as f64)
+    Snapshot::new(state).text.len() as f64
 }
 
 /// Builds a configuration with one selector for each team.
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -87,8 +87,9 @@
 - !selector {name: services, labels: {pool: service}}
 YAML
   for _ in $(seq 50); do
-    if "$bin/dogwoodway" get --log-url "$(url 1)" >/dev/null 2>&1; then break; fi
+    if "$bin/dogwoodway" publish --init --change-id usual --log-url "$(url 1)" --author demo \
+      -f "$dir/config.yaml"; then return; fi
     sleep 0.1
   done
-  "$bin/dogwoodway" publish --log-url "$(url 1)" --author demo -f "$dir/config.yaml"
+  return 1
 }
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -70,15 +70,15 @@
         return EXIT_FAILURE;
     }
     let log: Arc<dyn PlatformLog> = Arc::new(HttpLog::new(settings.log_url.clone()));
-    let config = config_follower::follow(log.clone());
+    let config = config_follower::follow(&settings.log_url, settings.vms_url.as_deref());
     let incarnation = AgentIncarnation(rand::random());
     let claims = Claims::start(incarnation, log);
     let backend = backend(&settings);
     let shutdown = Shutdown::listen(Duration::from_millis(settings.shutdown_limit_ms));
     let actor =
         AgentActor::spawn(AgentActor::new(settings, backend.clone(), incarnation, claims.clone()));
-    spawn_watchers(&actor, config, backend);
-    let front = Arc::new(AgentFront::new(actor.clone()));
+    spawn_watchers(&actor, config.watch(), backend);
+    let front = Arc::new(AgentFront::new(actor.clone(), config));
     listener.serve(front, drained(actor, claims, shutdown)).await;
     ExitCode::SUCCESS
 }
--- a/src/agent/front.rs
+++ b/src/agent/front.rs
@@ -1,30 +1,35 @@
 //! The agent's side of the RPC interface.
 
+use dogwoodway_control::Snapshot;
 use dogwoodway_peer::{
     AgentApi, AgentDescription, FramesReply, PeerError, PeerResult, ProbeReply, ProbeRequest,
     RunRequest, SettleReply, StartReply,
 };
 use dogwoodway_types::{
-    AgentIncarnation, AttemptId, Grant, GrantRequest, GrantRole, TeamName, Timestamp,
+    AgentIncarnation, AttemptId, Grant, GrantRequest, GrantRole, LogOffset, TeamName, Timestamp,
 };
 use futures::{FutureExt, future::BoxFuture};
 use kameo::actor::ActorRef;
 use tokio::sync::oneshot;
 
-use crate::agent::{
-    actor::{AgentActor, Cancel, Describe, ListedLeaving, Probe, ReadFrames, Settle, Start},
-    budgets::GrantBudget,
+use crate::{
+    agent::{
+        actor::{AgentActor, Cancel, Describe, ListedLeaving, Probe, ReadFrames, Settle, Start},
+        budgets::GrantBudget,
+    },
+    config_follower::ConfigHandle,
 };
 
 /// Hands RPC calls to the agent's actor.
 pub(crate) struct AgentFront {
     actor: ActorRef<AgentActor>,
+    config: ConfigHandle,
 }
 
 impl AgentFront {
     /// Builds the front of an actor.
-    pub(crate) fn new(actor: ActorRef<AgentActor>) -> AgentFront {
-        AgentFront { actor }
+    pub(crate) fn new(actor: ActorRef<AgentActor>, config: ConfigHandle) -> AgentFront {
+        AgentFront { actor, config }
     }
 }
 
@@ -34,10 +39,12 @@
     }
 
     fn probe(&self, req: ProbeRequest) -> BoxFuture<'_, PeerResult<ProbeReply>> {
+        self.config.see_position(req.config_offset);
         async move { known(self.actor.ask(Probe(req)).await.map_err(stopped)?) }.boxed()
     }
 
     fn start(&self, req: RunRequest) -> BoxFuture<'_, PeerResult<StartReply>> {
+        self.config.see_position(req.config_offset);
         async move { Ok(*self.actor.ask(Start(req)).await.map_err(stopped)?) }.boxed()
     }
 
@@ -80,6 +87,10 @@
     fn notify_leaving(&self) -> BoxFuture<'_, PeerResult<()>> {
         async move { self.actor.tell(ListedLeaving).await.map_err(stopped) }.boxed()
     }
+
+    fn config(&self, newer_than: LogOffset) -> BoxFuture<'_, PeerResult<Option<Snapshot>>> {
+        async move { Ok(self.config.snapshot(newer_than).await) }.boxed()
+    }
 }
 
 fn known<T>(reply: Option<T>) -> PeerResult<T> {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -3,10 +3,20 @@
 use std::{path::PathBuf, process::ExitCode};
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
+use dogwoodway_types::ChangeId;
 
 /// Exit code of a command that failed.
 pub(crate) const EXIT_FAILURE: ExitCode = ExitCode::FAILURE;
 
+/// Exit code of `publish` if another change came first.
+pub(crate) const EXIT_STALE: u8 = 3;
+
+/// Exit code of `publish` and `check` if something is invalid.
+pub(crate) const EXIT_INVALID: u8 = 4;
+
+/// Exit code of `publish` if the verdict is not known, and of `status` if a node lags.
+pub(crate) const EXIT_UNKNOWN: u8 = 5;
+
 /// Routes language-model traffic with long shared prompts.
 #[derive(Debug, Parser)]
 #[command(name = "dogwoodway", version, about)]
@@ -40,7 +50,13 @@
     /// Publish a configuration change and wait for the verdict.
     Publish(PublishArgs),
     /// Print the configuration in force.
-    Get(LogArgs),
+    Get(GetArgs),
+    /// Print the audit trail: who changed what, when, against which version, with which verdict.
+    Audit(LogArgs),
+    /// Print which configuration each node applies, and who lags.
+    Status(StatusArgs),
+    /// Check settings and configuration files without starting or sending anything.
+    Check(CheckArgs),
     /// Read a bearer key from standard input and print the hash to configure.
     HashKey(HashKeyArgs),
 }
@@ -59,16 +75,87 @@
     /// Base URL of the platform's log.
     #[arg(long, env = "DOGWOODWAY_LOG_URL")]
     pub(crate) log_url: String,
+    /// Form of the result on standard output.
+    #[arg(long, short = 'o', value_enum, default_value = "text")]
+    pub(crate) output: Output,
+}
+
+/// Form of a result.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub(crate) enum Output {
+    /// Lines for people.
+    Text,
+    /// JSON for scripts.
+    Json,
+}
+
+/// Arguments of `get`.
+#[derive(Args, Debug)]
+pub(crate) struct GetArgs {
+    /// Base URL of the platform's log.
+    #[arg(long, env = "DOGWOODWAY_LOG_URL")]
+    pub(crate) log_url: String,
+    /// Form of the configuration on standard output.
+    #[arg(long, short = 'o', value_enum, default_value = "yaml")]
+    pub(crate) output: ConfigOutput,
+}
+
+/// Form of a printed configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub(crate) enum ConfigOutput {
+    /// YAML.
+    Yaml,
+    /// JSON.
+    Json,
+}
+
+/// Arguments of `status`.
+#[derive(Args, Debug)]
+pub(crate) struct StatusArgs {
+    #[command(flatten)]
+    pub(crate) log: LogArgs,
+    /// Base URL of the platform's list of VMs.
+    #[arg(long, env = "DOGWOODWAY_VMS_URL")]
+    pub(crate) vms_url: String,
+}
+
+/// Arguments of `check`.
+#[derive(Args, Debug)]
+#[command(after_help = "Exit codes: 0 all valid, 4 something is invalid.")]
+pub(crate) struct CheckArgs {
+    /// Settings file of an entry; may be repeated.
+    #[arg(long)]
+    pub(crate) entry: Vec<PathBuf>,
+    /// Settings file of an agent; may be repeated.
+    #[arg(long)]
+    pub(crate) agent: Vec<PathBuf>,
+    /// Configuration file, as given to `publish` for a new deployment; may be repeated.
+    #[arg(long)]
+    pub(crate) config: Vec<PathBuf>,
 }
 
 /// Arguments of `publish`.
 #[derive(Args, Debug)]
+#[command(after_help = "Exit codes: 0 accepted (or would be), 1 not sent, 2 usage, 3 stale, \
+    4 invalid, 5 unknown: ask again with --ask and the change id.")]
 pub(crate) struct PublishArgs {
     #[command(flatten)]
     pub(crate) log: LogArgs,
     /// File of edits, in YAML.
-    #[arg(long, short = 'f')]
-    pub(crate) file: PathBuf,
+    #[arg(long, short = 'f', required_unless_present = "ask")]
+    pub(crate) file: Option<PathBuf>,
+    /// Print the diff and the verdict that the change would have, and send nothing.
+    #[arg(long)]
+    pub(crate) dry_run: bool,
+    /// Identifies the change, so that publishing it again is harmless; random if left out.
+    #[arg(long)]
+    pub(crate) change_id: Option<ChangeId>,
+    /// Send nothing; ask what became of the change with the given id.
+    #[arg(long, requires = "change_id")]
+    pub(crate) ask: bool,
+    /// Begin a new deployment: says that no node holds an earlier configuration.
+    #[arg(long)]
+    pub(crate) init: bool,
     /// Author recorded in the audit trail.
     #[arg(long, env = "USER")]
     pub(crate) author: String,
--- a/src/config_follower.rs
+++ b/src/config_follower.rs
@@ -1,57 +1,85 @@
-//! Follows the configuration stream of the platform log.
+//! Connects the configuration follower to the platform's log and to the agents on the list of VMs.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc};
 
-use dogwoodway_control::{ConfigRecord, ConfigState};
-use dogwoodway_log::{PlatformLog, StreamName};
-use dogwoodway_types::{Configuration, LogOffset};
-use tokio::sync::watch;
+use dogwoodway_control::Snapshot;
+use dogwoodway_follower::{ConfigPeers, NoPeers};
+use dogwoodway_log::{HttpLog, PlatformLog};
+use dogwoodway_peer::{AgentApi, TarpcAgent};
+use dogwoodway_types::LogOffset;
+use dogwoodway_vms::{HttpVmList, VmList, VmRole};
+use futures::{
+    FutureExt, StreamExt,
+    future::BoxFuture,
+    stream::{self, FuturesUnordered},
+};
+use rand::seq::SliceRandom;
+use tokio::sync::Mutex;
 
-/// Longest wait of one read for a new record.
-const READ_WAIT_MS: u64 = 5_000;
+pub(crate) use dogwoodway_follower::{ConfigHandle, ConfigWatch};
 
-/// Pause after a failed read.
-const RETRY_MS: u64 = 250;
+/// Agents that are asked for their configuration at a time.
+const ASKED_AT_A_TIME: usize = 4;
 
-/// Most records of one read.
-const READ_RECORDS: u32 = 500;
+/// Agents that are asked before none of them is taken to know more.
+const MAX_ASKED: usize = 12;
 
-/// The configuration in force at this process; `None` until the log was read once.
-pub(crate) type ConfigWatch = watch::Receiver<Option<Arc<Configuration>>>;
+/// Starts to follow the configuration on the log, and at peers if there is a list of VMs.
+pub(crate) fn follow(log_url: &str, vms_url: Option<&str>) -> ConfigHandle {
+    let log: Arc<dyn PlatformLog> = Arc::new(HttpLog::new(log_url.to_owned()));
+    let peers: Arc<dyn ConfigPeers> = match vms_url {
+        Some(url) => Arc::new(ListedAgents::new(url)),
+        None => Arc::new(NoPeers),
+    };
+    dogwoodway_follower::follow(log, peers, rand::random())
+}
+
+/// The agents on the list of VMs.
+struct ListedAgents {
+    vms: HttpVmList,
+    /// Addresses of the last list that could be read.
+    known: Mutex<Vec<SocketAddr>>,
+}
+
+impl ListedAgents {
+    fn new(vms_url: &str) -> ListedAgents {
+        let vms = HttpVmList::new(vms_url.to_owned());
+        ListedAgents { vms, known: Mutex::new(Vec::new()) }
+    }
 
-/// Starts to follow the configuration.
-pub(crate) fn follow(log: Arc<dyn PlatformLog>) -> ConfigWatch {
-    let (tx, rx) = watch::channel(None);
-    tokio::spawn(async move {
-        let mut state = ConfigState::default();
-        while !tx.is_closed() {
-            if let Err(e) = read_once(&*log, &mut state, &tx).await {
-                log::warn!("the configuration could not be read: {e}");
-                tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
+    async fn addresses(&self) -> Vec<SocketAddr> {
+        let mut known = self.known.lock().await;
+        match self.vms.list().await {
+            Ok(list) => {
+                let agents = list.iter().filter(|vm| vm.role == VmRole::Agent);
+                *known = agents.map(|vm| vm.address).collect();
             }
+            Err(e) => log::warn!("{e}"),
         }
-    });
-    rx
+        let mut addresses = known.clone();
+        addresses.shuffle(&mut rand::rng());
+        addresses
+    }
 }
 
-async fn read_once(
-    log: &dyn PlatformLog,
-    state: &mut ConfigState,
-    tx: &watch::Sender<Option<Arc<Configuration>>>,
-) -> Result<(), dogwoodway_log::LogError> {
-    let from = LogOffset(state.applied.0 + 1);
-    let wait_ms = if tx.borrow().is_some() { READ_WAIT_MS } else { 0 };
-    let answer = log.read(StreamName::Config, from, READ_RECORDS, wait_ms).await?;
-    for record in &answer.records {
-        match serde_json::from_value::<ConfigRecord>(record.data.clone()) {
-            Ok(change) => drop(state.apply(record.offset, &change)),
-            Err(e) => log::error!("record {} of the configuration is invalid: {e}", record.offset),
+impl ConfigPeers for ListedAgents {
+    fn fetch(&self, newer_than: LogOffset) -> BoxFuture<'_, Vec<Snapshot>> {
+        async move {
+            let addresses: Vec<_> = self.addresses().await.into_iter().take(MAX_ASKED).collect();
+            let mut found = Vec::new();
+            for group in addresses.chunks(ASKED_AT_A_TIME) {
+                let ask = |address: &SocketAddr| {
+                    let agent = TarpcAgent::new(*address);
+                    async move { agent.config(newer_than).await.ok().flatten() }
+                };
+                let answers: FuturesUnordered<_> = group.iter().map(ask).collect();
+                found.extend(answers.flat_map(stream::iter).collect::<Vec<_>>().await);
+                if !found.is_empty() {
+                    break;
+                }
+            }
+            found
         }
+        .boxed()
     }
-    let caught_up = LogOffset(state.applied.0 + 1) >= answer.next;
-    let unseen = tx.borrow().as_ref().is_none_or(|cfg| cfg.offset != state.configuration.offset);
-    if caught_up && unseen {
-        tx.send_replace(Some(Arc::new(state.configuration.clone())));
-    }
-    Ok(())
 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -12,7 +12,6 @@
 
 use dogwoodway_caller::{CallerApi, CallerLimits};
 use dogwoodway_http::{ServerLimits, serve};
-use dogwoodway_log::{HttpLog, PlatformLog};
 use dogwoodway_types::RequestId;
 use dogwoodway_vms::HttpVmList;
 use kameo::actor::Spawn;
@@ -52,9 +51,8 @@
         Ok(address) => println!("listening on {address}"),
         Err(e) => log::warn!("the bound address is not known: {e}"),
     }
-    let log: Arc<dyn PlatformLog> = Arc::new(HttpLog::new(settings.log_url.clone()));
-    let config = config_follower::follow(log);
-    let router = Router::spawn(Router::new(settings.zone.clone(), config.clone()));
+    let config = config_follower::follow(&settings.log_url, Some(&settings.vms_url));
+    let router = Router::spawn(Router::new(settings.zone.clone(), config.watch()));
     membership::follow(Arc::new(HttpVmList::new(settings.vms_url.clone())), &router);
     if let Err(e) = metrics_page::start(settings.metrics_listen).await {
         eprintln!("dogwoodway: metrics could not be served: {e}");
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -19,7 +19,7 @@
 use tokio::sync::mpsc;
 
 use crate::{
-    config_follower::ConfigWatch,
+    config_follower::ConfigHandle,
     entry::{
         dispatch::placer::Placer, limits::Limits, retry_budget::RetryBudgetActor, router::Router,
     },
@@ -37,7 +37,7 @@
 
 struct Core {
     settings: EntrySettings,
-    config: ConfigWatch,
+    config: ConfigHandle,
     router: ActorRef<Router>,
     placer: ActorRef<Placer>,
     limits: ActorRef<Limits>,
@@ -49,7 +49,7 @@
     /// Builds a dispatcher.
     pub(crate) fn new(
         settings: EntrySettings,
-        config: ConfigWatch,
+        config: ConfigHandle,
         router: ActorRef<Router>,
         shutdown: Shutdown,
     ) -> EntryDispatcher {
@@ -64,7 +64,7 @@
 impl Dispatcher for EntryDispatcher {
     fn authenticate(&self, key: String) -> BoxFuture<'_, Option<TeamName>> {
         async move {
-            let cfg = self.core.config.borrow().clone()?;
+            let cfg = self.core.config.current()?;
             let hash = KeyHash::new(&self.core.settings.key_pepper, &key);
             cfg.team_of_key(&hash).map(|team| team.name.clone())
         }
@@ -73,7 +73,7 @@
 
     fn models(&self, team: TeamName) -> BoxFuture<'_, Vec<ModelName>> {
         async move {
-            let Some(cfg) = self.core.config.borrow().clone() else { return Vec::new() };
+            let Some(cfg) = self.core.config.current() else { return Vec::new() };
             let usable =
                 cfg.selectors.values().filter(|s| s.teams.is_empty() || s.teams.contains(&team));
             let mut models: Vec<_> = usable.filter_map(|s| s.model.clone()).collect();
@@ -106,7 +106,7 @@
             if self.core.shutdown.phase() != Phase::Serving {
                 return Readiness::NotReady("the entry is leaving".to_owned());
             }
-            match self.core.config.borrow().is_some() {
+            match self.core.config.current().is_some() {
                 true => Readiness::Ready,
                 false => Readiness::NotReady("no configuration has been read yet".to_owned()),
             }
--- a/src/entry/dispatch/attempt.rs
+++ b/src/entry/dispatch/attempt.rs
@@ -5,7 +5,9 @@
 use dogwoodway_caller::AnswerEvent;
 use dogwoodway_peer::{AgentApi, FramesReply, PeerError, RunRequest, SettleReply, StartReply};
 use dogwoodway_routing::answer_stream::Step;
-use dogwoodway_types::{AgentIncarnation, AttemptId, Frame, NotRunReason, Outcome, Timestamp};
+use dogwoodway_types::{
+    AgentIncarnation, AttemptId, Frame, LogOffset, NotRunReason, Outcome, Timestamp,
+};
 
 use crate::{
     clock::sleep_until,
@@ -34,6 +36,8 @@
     NoBudget,
     /// The attempt was not run; another agent may be tried.
     NotRun { reason: NotRunReason, retry_at: Option<Timestamp> },
+    /// An agent applies the configuration at this position, which this entry has not seen.
+    Behind(LogOffset),
     /// The backend server, the agent or the link was lost after the start.
     Lost(String),
 }
@@ -62,7 +66,10 @@
     };
     match &end {
         AttemptEnd::Done(Outcome::Answered) => {}
-        AttemptEnd::NotRun { .. } | AttemptEnd::NoServer | AttemptEnd::NoBudget => {
+        AttemptEnd::NotRun { .. }
+        | AttemptEnd::NoServer
+        | AttemptEnd::NoBudget
+        | AttemptEnd::Behind(_) => {
             progress.may_have_run = earlier_may_have_run;
         }
         AttemptEnd::Done(_) | AttemptEnd::Lost(_) => attempt.abandon(),
--- a/src/entry/dispatch/retries.rs
+++ b/src/entry/dispatch/retries.rs
@@ -38,7 +38,7 @@
                 self.resume_until = Some(now + Duration::from_millis(RESUME_TIMEOUT_MS));
                 self.lost < MAX_ATTEMPTS
             }
-            AttemptEnd::NotRun { .. } | AttemptEnd::NoServer => {
+            AttemptEnd::NotRun { .. } | AttemptEnd::NoServer | AttemptEnd::Behind(_) => {
                 self.refused += 1;
                 match self.resume_until {
                     Some(until) => now < until,
--- a/src/entry/dispatch/serve.rs
+++ b/src/entry/dispatch/serve.rs
@@ -30,6 +30,9 @@
 /// Time in which an attempt must start after it was sent.
 const START_LIMIT_MS: u64 = 2_000;
 
+/// Longest wait for a configuration that an agent has and this entry has not.
+const CONFIG_WAIT: Duration = Duration::from_millis(1_000);
+
 /// Time for an answer when no traffic class states one.
 const DEFAULT_ANSWER_MS: u64 = 60_000;
 
@@ -38,7 +41,7 @@
 impl Core {
     /// Runs a request and returns its outcome; all events but a last error go to `tx`.
     pub(super) async fn serve(&self, req: CallerRequest, tx: mpsc::Sender<AnswerEvent>) -> Outcome {
-        let Some(cfg) = self.config.borrow().clone() else {
+        let Some(cfg) = self.config.current() else {
             return not_run(NotRunReason::NoConfiguration, None);
         };
         if self.shutdown.phase() == Phase::Ending {
@@ -94,6 +97,11 @@
                 AttemptEnd::NotRun { reason: why, retry_at } => {
                     (reason, come_back_at) = (*why, *retry_at);
                 }
+                AttemptEnd::Behind(position) => {
+                    reason = NotRunReason::StaleConfiguration;
+                    let limit = progress.deadline.min(Timestamp::now() + CONFIG_WAIT);
+                    self.config.wait_for(*position, limit).await;
+                }
                 AttemptEnd::NoServer => reason = NotRunReason::NoBackendServer,
                 AttemptEnd::NoBudget => reason = NotRunReason::Overloaded,
                 AttemptEnd::Lost(message) => {
@@ -140,6 +148,9 @@
         let Some((agent, probe, work)) = place(&self.placer, req, &eligible, progress).await else {
             return overloaded();
         };
+        if probe.config_offset > eligible.config.offset {
+            return AttemptEnd::Behind(probe.config_offset);
+        }
         progress.avoid.push(agent.name.clone());
         if !continues(&work, progress.stream.version()) {
             let reason = NotRunReason::StaleBackendServer;
--- a/src/main.rs
+++ b/src/main.rs
@@ -29,6 +29,9 @@
         Command::Agent(args) => agent::run(&args.settings).await,
         Command::Publish(args) => operator::publish(&args).await,
         Command::Get(args) => operator::get(&args).await,
+        Command::Audit(args) => operator::audit(&args).await,
+        Command::Status(args) => operator::status(&args).await,
+        Command::Check(args) => operator::check(&args),
         Command::HashKey(args) => operator::hash_key(&args),
     }
 }
--- /dev/null
+++ b/src/operator/check.rs
@@ -0,0 +1,59 @@
+//! `check`: validates files without starting or sending anything.
+
+use std::{path::Path, process::ExitCode};
+
+use dogwoodway_control::{ConfigChange, ConfigState, Verdict, warnings};
+use dogwoodway_types::{ChangeId, Timestamp};
+
+use crate::{
+    cli::{CheckArgs, EXIT_INVALID},
+    operator::read_edits,
+    settings,
+};
+
+/// Checks all files and prints all faults.
+pub(crate) fn check(args: &CheckArgs) -> ExitCode {
+    let entries = args
+        .entry
+        .iter()
+        .map(|path| (path, settings::load_entry(path).map(drop).map_err(|e| e.to_string())));
+    let agents = args
+        .agent
+        .iter()
+        .map(|path| (path, settings::load_agent(path).map(drop).map_err(|e| e.to_string())));
+    let configs = args.config.iter().map(|path| (path, check_config(path)));
+    let mut is_valid = true;
+    for (path, result) in entries.chain(agents).chain(configs) {
+        match result {
+            Ok(()) => println!("{}: valid", path.display()),
+            Err(e) => {
+                is_valid = false;
+                println!("{}: invalid\n{e}", path.display());
+            }
+        }
+    }
+    match is_valid {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::from(EXIT_INVALID),
+    }
+}
+
+/// Checks a file of edits as the first change of a new deployment.
+fn check_config(path: &Path) -> Result<(), String> {
+    let edits = read_edits(path)?;
+    let state = ConfigState::genesis();
+    let change = ConfigChange {
+        id: ChangeId::try_from("check").map_err(|e| e.to_string())?,
+        author: String::new(),
+        made_at: Timestamp::default(),
+        bases: state.bases_of(&edits),
+        edits,
+    };
+    let (verdict, after) = state.judge(&change);
+    if let Verdict::Invalid { faults } = verdict {
+        let lines: Vec<_> = faults.iter().map(|fault| format!("  {fault}")).collect();
+        return Err(lines.join("\n"));
+    }
+    warnings(&after).iter().for_each(|w| eprintln!("warning: {}: {w}", path.display()));
+    Ok(())
+}
--- /dev/null
+++ b/src/operator/get.rs
@@ -0,0 +1,33 @@
+//! `get`: prints the configuration in force.
+
+use std::process::ExitCode;
+
+use dogwoodway_log::HttpLog;
+
+use crate::{
+    cli::{ConfigOutput, GetArgs},
+    operator::{fail, reader::read_state},
+};
+
+/// Prints the configuration in force.
+pub(crate) async fn get(args: &GetArgs) -> ExitCode {
+    let state = match read_state(&HttpLog::new(args.log_url.clone())).await {
+        Ok(state) => state,
+        Err(e) => return fail(e),
+    };
+    let text = match args.output {
+        ConfigOutput::Yaml => {
+            serde_yaml_ng::to_string(&state.configuration).map_err(|e| e.to_string())
+        }
+        ConfigOutput::Json => {
+            serde_json::to_string_pretty(&state.configuration).map_err(|e| e.to_string())
+        }
+    };
+    match text {
+        Ok(text) => {
+            println!("{}", text.trim_end());
+            ExitCode::SUCCESS
+        }
+        Err(e) => fail(e),
+    }
+}
--- /dev/null
+++ b/src/operator/publish.rs
@@ -0,0 +1,141 @@
+//! `publish`: sends a change and waits for the verdict.
+
+use std::{process::ExitCode, time::Duration};
+
+use dogwoodway_control::{
+    ConfigChange, ConfigRecord, ConfigState, Snapshot, SnapshotKind, Verdict, warnings,
+};
+use dogwoodway_follower::Held;
+use dogwoodway_log::{HttpLog, LogError, PlatformLog, StreamName};
+use dogwoodway_types::{ChangeId, ConfigEdit, Timestamp};
+use serde_json::{Value, json};
+
+use crate::{
+    cli::{EXIT_INVALID, EXIT_STALE, EXIT_UNKNOWN, Output, PublishArgs},
+    operator::{
+        audit::verdict_text,
+        diff::diff,
+        fail, read_edits,
+        reader::{ReadError, read_state},
+    },
+};
+
+/// Longest wait for the verdict.
+const VERDICT_WAIT_MS: u64 = 10_000;
+
+/// Pause between looks for the verdict.
+const VERDICT_PAUSE_MS: u64 = 100;
+
+/// Publishes a file of edits, or asks for the verdict on an earlier change.
+pub(crate) async fn publish(args: &PublishArgs) -> ExitCode {
+    let log = HttpLog::new(args.log.log_url.clone());
+    let id = match &args.change_id {
+        Some(id) => id.clone(),
+        None => match ChangeId::try_from(format!("change-{:032x}", rand::random::<u128>())) {
+            Ok(id) => id,
+            Err(e) => return fail(e),
+        },
+    };
+    let Some(path) = args.file.as_ref().filter(|_| !args.ask) else {
+        return report(args, &id, read_back(&log, &id).await);
+    };
+    let edits = match read_edits(path) {
+        Ok(edits) => edits,
+        Err(e) => return fail(e),
+    };
+    let state = match begin(&log, args).await {
+        Ok(state) => state,
+        Err(e) => return fail(e),
+    };
+    if let Some(verdict) = state.trail.verdict(&id) {
+        return report(args, &id, Some(verdict.clone()));
+    }
+    send(&log, args, &state, id, edits).await
+}
+
+/// Reads the state, after beginning a new log if that is asked for.
+async fn begin(log: &HttpLog, args: &PublishArgs) -> Result<Held, ReadError> {
+    match read_state(log).await {
+        Err(ReadError::NotBegun) if args.init && args.dry_run => {
+            Ok(Held::new(ConfigState::genesis()))
+        }
+        Err(ReadError::NotBegun) if args.init => {
+            let genesis = Snapshot::new(&ConfigState::genesis());
+            let records = genesis.into_records(SnapshotKind::Restore, 0, None, rand::random());
+            log.append(StreamName::Config, values(&records)).await.map_err(ReadError::Log)?;
+            read_state(log).await
+        }
+        result => result,
+    }
+}
+
+async fn send(
+    log: &HttpLog,
+    args: &PublishArgs,
+    state: &ConfigState,
+    id: ChangeId,
+    edits: Vec<ConfigEdit>,
+) -> ExitCode {
+    eprint!("{}", diff(state, &edits));
+    let change = ConfigChange {
+        id: id.clone(),
+        author: args.author.clone(),
+        made_at: Timestamp::now(),
+        bases: state.bases_of(&edits),
+        edits,
+    };
+    let (verdict, after) = state.judge(&change);
+    warnings(&after).iter().for_each(|warning| eprintln!("warning: {warning}"));
+    if args.dry_run || matches!(verdict, Verdict::Invalid { .. }) {
+        return report(args, &id, Some(verdict));
+    }
+    match log.append(StreamName::Config, values(&[ConfigRecord::Change(change)])).await {
+        Ok(_) => {}
+        Err(e @ LogError::Unavailable(_)) => return fail(format!("the change was not sent: {e}")),
+        Err(e @ LogError::Unknown(_)) => eprintln!("dogwoodway: {e}; looking for the change"),
+    }
+    report(args, &id, read_back(log, &id).await)
+}
+
+/// Reads the log until it holds the change, within a limit.
+async fn read_back(log: &HttpLog, id: &ChangeId) -> Option<Verdict> {
+    let deadline = Timestamp::now() + Duration::from_millis(VERDICT_WAIT_MS);
+    loop {
+        match read_state(log).await {
+            Ok(state) => {
+                if let Some(verdict) = state.trail.verdict(id) {
+                    return Some(verdict.clone());
+                }
+            }
+            Err(e) => eprintln!("dogwoodway: {e}"),
+        }
+        if Timestamp::now() >= deadline {
+            return None;
+        }
+        tokio::time::sleep(Duration::from_millis(VERDICT_PAUSE_MS)).await;
+    }
+}
+
+fn report(args: &PublishArgs, id: &ChangeId, verdict: Option<Verdict>) -> ExitCode {
+    let text = match &verdict {
+        Some(verdict) if args.dry_run => format!("would be {}", verdict_text(verdict)),
+        Some(verdict) => verdict_text(verdict),
+        None => format!("unknown: ask again with publish --change-id {id} --ask"),
+    };
+    match args.log.output {
+        Output::Text => println!("{text}"),
+        Output::Json => {
+            println!("{}", json!({"change": id, "verdict": verdict, "dry_run": args.dry_run}));
+        }
+    }
+    match verdict {
+        Some(Verdict::Accepted { .. }) => ExitCode::SUCCESS,
+        Some(Verdict::Stale { .. }) => ExitCode::from(EXIT_STALE),
+        Some(Verdict::Invalid { .. }) => ExitCode::from(EXIT_INVALID),
+        None => ExitCode::from(EXIT_UNKNOWN),
+    }
+}
+
+fn values(records: &[ConfigRecord]) -> Vec<Value> {
+    records.iter().filter_map(|record| serde_json::to_value(record).ok()).collect()
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -141,6 +141,7 @@
     backend_url: Option<String>,
     log_url: Option<String>,
     kv_store_url: Option<String>,
+    vms_url: Option<String>,
     #[serde(default)]
     labels: BTreeMap<String, String>,
     metrics_listen: Option<String>,
@@ -166,6 +167,9 @@
     pub(crate) log_url: String,
     /// Base URL of the store of kept KV cache, if there is one.
     pub(crate) kv_store_url: Option<String>,
+    /// Base URL of the platform's list of VMs, to find other agents to ask for the configuration
+    /// while the log is down.
+    pub(crate) vms_url: Option<String>,
     /// Labels of the backend server, which published ones replace.
     pub(crate) labels: BTreeMap<String, String>,
     /// Address on which metrics are served.
@@ -187,6 +191,7 @@
         let backend_url = fields.base_url("backend_url", raw.backend_url);
         let log_url = fields.base_url("log_url", raw.log_url);
         let kv_store_url = raw.kv_store_url.and_then(|u| fields.base_url("kv_store_url", Some(u)));
+        let vms_url = raw.vms_url.and_then(|url| fields.base_url("vms_url", Some(url)));
         let metrics_listen = fields.optional_address("metrics_listen", raw.metrics_listen);
         let shutdown_limit_ms =
             fields.millis("shutdown_limit_ms", raw.shutdown_limit_ms, DEFAULT_SHUTDOWN_LIMIT_MS);
@@ -209,6 +214,7 @@
                 backend_url,
                 log_url,
                 kv_store_url,
+                vms_url,
                 labels,
                 metrics_listen,
                 shutdown_limit_ms,
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -231,9 +231,10 @@
         let text = serde_yaml_ng::to_string(edits).expect("edits are YAML");
         std::fs::write(&file, text).expect("edits can be written");
         let status = Command::new(env!("CARGO_BIN_EXE_dogwoodway"))
-            .args(["publish", "--author", "test", "--log-url", &self.log.url(), "-f"])
+            .args(["publish", "--init", "--author", "test", "--log-url", &self.log.url(), "-f"])
             .arg(&file)
             .stdout(Stdio::null())
+            .stderr(Stdio::null())
             .status();
         assert!(status.is_ok_and(|s| s.success()), "the edits were not accepted");
     }
