--- a/crates/dogwoodway_standin/src/fault.rs
+++ b/crates/dogwoodway_standin/src/fault.rs
@@ -57,6 +57,11 @@
         faults.stream
     }
 
+    /// Sets the faults.
+    pub(crate) fn replace(&self, faults: Faults) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = faults;
+    }
+
     /// Applies the faults that come before a call takes effect.
     pub(crate) async fn before(&self) -> Result<(), Box<Response<Body>>> {
         let faults = *self.0.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/dogwoodway_standin/src/log_service.rs
+++ b/crates/dogwoodway_standin/src/log_service.rs
@@ -8,11 +8,16 @@
 
 use dogwoodway_http::{Body, Handler, json_response, text_response};
 use dogwoodway_log::{AppendAnswer, AppendRequest, LogRecord, ReadAnswer};
-use dogwoodway_types::LogOffset;
+use dogwoodway_types::{LogOffset, Timestamp};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
 use tokio::sync::Notify;
 
-use crate::{fault::FaultSwitch, read_json};
+use crate::{
+    fault::{FaultSwitch, Faults},
+    read_json,
+};
 
 #[derive(Debug, Default)]
 struct Stream {
@@ -20,9 +25,30 @@
     records: VecDeque<LogRecord>,
 }
 
+/// Faults of the log only; `POST /fault` takes them together with [`Faults`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LogFaults {
+    /// Forget all streams once, so that offsets start anew.
+    pub wipe: bool,
+    /// Drop this many of the oldest records of each stream once, as retention does.
+    pub drop_records: usize,
+    /// Refuse appends beyond this many a second with status 503; 0 means no limit.
+    pub appends_per_s: u32,
+}
+
+/// Appends taken in the current second.
+#[derive(Debug, Default)]
+struct AppendRate {
+    limit: u32,
+    second: u64,
+    taken: u32,
+}
+
 #[derive(Debug, Default)]
 struct LogService {
     streams: Mutex<HashMap<String, Stream>>,
+    rate: Mutex<AppendRate>,
     appended: Notify,
     faults: FaultSwitch,
 }
@@ -44,7 +70,7 @@
     async fn handle(&self, req: Request<Incoming>, retained: usize) -> Response<Body> {
         let path = req.uri().path().to_owned();
         if path == "/fault" {
-            return self.faults.set(req).await;
+            return self.set_faults(req).await;
         }
         if let Err(resp) = self.faults.before().await {
             return *resp;
@@ -62,7 +88,54 @@
         }
     }
 
+    async fn set_faults(&self, req: Request<Incoming>) -> Response<Body> {
+        let mut common = match read_json::<Map<String, Value>>(req).await {
+            Ok(fields) => fields,
+            Err(resp) => return *resp,
+        };
+        let own = ["wipe", "drop_records", "appends_per_s"];
+        let own = own.iter().filter_map(|name| common.remove_entry(*name)).collect();
+        let own = serde_json::from_value::<LogFaults>(Value::Object(own));
+        let common = serde_json::from_value::<Faults>(Value::Object(common));
+        match (own, common) {
+            (Ok(own), Ok(common)) => {
+                self.faults.replace(common);
+                self.apply_faults(own);
+                json_response(StatusCode::OK, &own)
+            }
+            (Err(e), _) | (_, Err(e)) => text_response(StatusCode::BAD_REQUEST, &e.to_string()),
+        }
+    }
+
+    fn apply_faults(&self, faults: LogFaults) {
+        let mut streams = self.streams.lock().unwrap_or_else(PoisonError::into_inner);
+        if faults.wipe {
+            streams.clear();
+        }
+        for stream in streams.values_mut() {
+            let dropped = faults.drop_records.min(stream.records.len());
+            stream.records.drain(..dropped);
+            stream.oldest += dropped as u64;
+        }
+        drop(streams);
+        self.rate.lock().unwrap_or_else(PoisonError::into_inner).limit = faults.appends_per_s;
+        self.appended.notify_waiters();
+    }
+
+    fn is_over_rate(&self) -> bool {
+        let mut rate = self.rate.lock().unwrap_or_else(PoisonError::into_inner);
+        let second = Timestamp::now().as_millis() / 1_000;
+        if rate.second != second {
+            (rate.second, rate.taken) = (second, 0);
+        }
+        rate.taken += 1;
+        rate.limit > 0 && rate.taken > rate.limit
+    }
+
     fn append(&self, stream: &str, append: AppendRequest, retained: usize) -> Response<Body> {
+        if self.is_over_rate() {
+            return text_response(StatusCode::SERVICE_UNAVAILABLE, "too many appends");
+        }
         let mut streams = self.streams.lock().unwrap_or_else(PoisonError::into_inner);
         let stream = streams.entry(stream.to_owned()).or_default();
         let first = stream.next();
@@ -103,7 +176,8 @@
     fn read_now(&self, stream: &str, from: u64, limit: usize) -> ReadAnswer {
         let mut streams = self.streams.lock().unwrap_or_else(PoisonError::into_inner);
         let stream = streams.entry(stream.to_owned()).or_default();
-        let found = stream.records.iter().filter(|record| record.offset.0 >= from).take(limit);
+        let skipped = from.saturating_sub(stream.oldest + 1) as usize;
+        let found = stream.records.iter().skip(skipped).take(limit);
         ReadAnswer {
             oldest: LogOffset(stream.oldest + 1),
             next: LogOffset(stream.next()),
