--- a/crates/dogwoodway_standin/src/lib.rs
+++ b/crates/dogwoodway_standin/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Each stand-in is a small HTTP server. `POST /fault` sets its faults; see [`Faults`].
 
+mod config_bench;
 mod decision;
 mod demo;
 mod engine;
@@ -15,6 +16,7 @@
 mod vm_list;
 
 pub use crate::{
+    config_bench::{Propagation, Recovery, measure_propagation, measure_recovery},
     decision::{DecisionTimes, time_decisions},
     demo::{DemoTargets, run_demo},
     engine::{
@@ -27,7 +29,7 @@
         CacheAudit, ClassLoad, ClassReport, FaultAt, FaultKind, FleetSizes, LoadTargets, Planned,
         Report, Scenario, audit, compare, plan, run_load, write_plot,
     },
-    log_service::log_handler,
+    log_service::{LogFaults, log_handler},
     overhead::{Overhead, OverheadTargets, measure_overhead},
     service::service_handler,
     slopes::{Fit, ProcessUsage, Slope, process_usage, state_slopes},
--- a/crates/dogwoodway_standin/src/main.rs
+++ b/crates/dogwoodway_standin/src/main.rs
@@ -8,8 +8,8 @@
 use dogwoodway_http::{Handler, ServerLimits, serve};
 use dogwoodway_standin::{
     DemoTargets, EngineOptions, OverheadTargets, engine_handler, kv_store_handler, log_handler,
-    measure_overhead, process_usage, run_demo, service_handler, state_slopes, time_decisions,
-    vm_list_handler,
+    measure_overhead, measure_propagation, measure_recovery, process_usage, run_demo,
+    service_handler, state_slopes, time_decisions, vm_list_handler,
 };
 use dogwoodway_types::{ModelName, WeightsVersion};
 use dogwoodway_vms::Vm;
@@ -112,6 +112,17 @@
         #[arg(long)]
         plot: Option<PathBuf>,
     },
+    /// Measures the time from publishing to in force at many nodes in this process; prints JSON.
+    ConfigPropagation {
+        /// Nodes that follow.
+        #[arg(long, default_value_t = 200)]
+        followers: usize,
+        /// Changes to publish.
+        #[arg(long, default_value_t = 100)]
+        publishes: usize,
+    },
+    /// Measures the recovery of a cold node against the number of teams; prints JSON.
+    ConfigRecovery,
     /// The platform's list of VMs.
     Vms {
         /// YAML file with the VMs at the start.
@@ -193,6 +204,12 @@
             let targets = OverheadTargets { entry, engine, key, model, streams, pairs };
             print_result(measure_overhead(targets).await)
         }
+        Command::ConfigPropagation { followers, publishes } => {
+            print_result(measure_propagation(followers, publishes).await)
+        }
+        Command::ConfigRecovery => {
+            print_result(measure_recovery(&[8, 75, 150, 300, 600, 1_200]).await)
+        }
         Command::Slopes => print_result(Ok(state_slopes())),
         Command::Usage { pid, seconds } => {
             print_result(process_usage(pid, seconds).await.map_err(|e| e.to_string()))
@@ -261,6 +278,8 @@
     match command {
         Command::Engine(args) => Ok(engine_handler(args.into())),
         Command::Demo { .. }
+        | Command::ConfigPropagation { .. }
+        | Command::ConfigRecovery
         | Command::Overhead { .. }
         | Command::Slopes
         | Command::Usage { .. }
