Show entries' configuration in status, and keep wake-ups of busy tasks

Cause: status could not ask entries, so that "in force everywhere" left them out; a pull that came while a task was busy was lost (notify_waiters).

Ruled out: an RPC port on entries, which a second listener and setting would need; GET /readyz answers a typed JSON report with the position instead.

Tests: node_that_is_behind_pulls_from_a_peer_at_once fails if peers are not woken.

--- a/crates/dogwoodway_caller/src/api.rs
+++ b/crates/dogwoodway_caller/src/api.rs
@@ -16,7 +16,7 @@
 use serde_json::json;
 
 use crate::{
-    AnswerEvent, CallerRequest, CallerWork, Dispatcher, Readiness, chat,
+    AnswerEvent, CallerRequest, CallerWork, Dispatcher, Readiness, ReadyReport, chat,
     error::{error_response, invalid_request},
 };
 
@@ -81,10 +81,12 @@
     }
 
     async fn readyz(&self) -> Response<Body> {
-        match self.dispatcher.readiness().await {
-            Readiness::Ready => text_response(StatusCode::OK, "ready"),
-            Readiness::NotReady(why) => text_response(StatusCode::SERVICE_UNAVAILABLE, &why),
-        }
+        let (status, reason) = match self.dispatcher.readiness().await {
+            Readiness::Ready => (StatusCode::OK, None),
+            Readiness::NotReady(why) => (StatusCode::SERVICE_UNAVAILABLE, Some(why)),
+        };
+        let configuration = self.dispatcher.config_position();
+        json_response(status, &ReadyReport { ready: reason.is_none(), reason, configuration })
     }
 
     async fn models(&self, req: &Request<Incoming>) -> Response<Body> {
--- a/crates/dogwoodway_caller/src/dispatcher.rs
+++ b/crates/dogwoodway_caller/src/dispatcher.rs
@@ -1,10 +1,11 @@
 //! The border trait between the HTTP interface and the router.
 
 use dogwoodway_types::{
-    ChatMessage, ClassName, FinishReason, IdempotencyKey, ModelName, Outcome, RequestId,
+    ChatMessage, ClassName, FinishReason, IdempotencyKey, LogOffset, ModelName, Outcome, RequestId,
     ServiceWork, TeamName, Timestamp, Usage,
 };
 use futures::future::BoxFuture;
+use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 
 /// A request of an authenticated caller.
@@ -82,6 +83,17 @@
     NotReady(String),
 }
 
+/// Body of the answer to `GET /readyz`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReadyReport {
+    /// Whether the node can serve.
+    pub ready: bool,
+    /// Why it cannot.
+    pub reason: Option<String>,
+    /// Position of the configuration that it serves under.
+    pub configuration: Option<LogOffset>,
+}
+
 /// Runs the requests of callers.
 pub trait Dispatcher: Send + Sync {
     /// Finds the team of a bearer key.
@@ -96,4 +108,9 @@
 
     /// Tells whether the node can serve.
     fn readiness(&self) -> BoxFuture<'_, Readiness>;
+
+    /// Returns the position of the configuration that the node serves under, if it has one.
+    fn config_position(&self) -> Option<LogOffset> {
+        None
+    }
 }
--- a/crates/dogwoodway_caller/src/lib.rs
+++ b/crates/dogwoodway_caller/src/lib.rs
@@ -11,6 +11,8 @@
 
 pub use crate::{
     api::{CallerApi, CallerLimits},
-    dispatcher::{Answer, AnswerEvent, CallerRequest, CallerWork, Dispatcher, Readiness},
+    dispatcher::{
+        Answer, AnswerEvent, CallerRequest, CallerWork, Dispatcher, Readiness, ReadyReport,
+    },
     error::error_response,
 };
--- a/crates/dogwoodway_follower/src/tasks.rs
+++ b/crates/dogwoodway_follower/src/tasks.rs
@@ -47,7 +47,14 @@
 pub struct ConfigHandle {
     actor: ActorRef<Follower>,
     watch: ConfigWatch,
-    pull: Arc<Notify>,
+    pull: Arc<Pull>,
+}
+
+/// Wakes the tasks that read the log and ask peers; a wake-up that finds one busy is kept for it.
+#[derive(Default)]
+struct Pull {
+    log: Notify,
+    peers: Notify,
 }
 
 impl ConfigHandle {
@@ -60,7 +67,8 @@
     /// the peers are asked at once.
     pub fn see_position(&self, position: LogOffset) {
         if self.position() < position {
-            self.pull.notify_waiters();
+            self.pull.log.notify_one();
+            self.pull.peers.notify_one();
         }
     }
 
@@ -93,8 +101,7 @@
 /// Starts to follow the configuration on the log and at peers.
 pub fn follow(log: Arc<dyn PlatformLog>, peers: Arc<dyn ConfigPeers>, seed: u64) -> ConfigHandle {
     let (follower, watch) = Follower::new(seed);
-    let handle =
-        ConfigHandle { actor: Follower::spawn(follower), watch, pull: Arc::new(Notify::new()) };
+    let handle = ConfigHandle { actor: Follower::spawn(follower), watch, pull: Arc::default() };
     let (tx, rx) = watch::channel(false);
     tokio::spawn(follow_log(handle.clone(), log, tx));
     tokio::spawn(follow_peers(handle.clone(), peers, rx));
@@ -127,7 +134,7 @@
     };
     let answer = tokio::select! {
         answer = log.read(StreamName::Config, plan.from, READ_RECORDS, wait_ms) => answer?,
-        () = handle.pull.notified() => {
+        () = handle.pull.log.notified() => {
             log.read(StreamName::Config, plan.from, READ_RECORDS, 0).await?
         }
     };
@@ -170,7 +177,7 @@
         }
         tokio::select! {
             _ = healthy.changed() => {}
-            () = handle.pull.notified() => {
+            () = handle.pull.peers.notified() => {
                 for snapshot in peers.fetch(handle.position()).await {
                     let _ = handle.actor.ask(Offer(snapshot)).await;
                 }
--- a/crates/dogwoodway_follower/tests/follow.rs
+++ b/crates/dogwoodway_follower/tests/follow.rs
@@ -18,6 +18,7 @@
     records: Vec<Value>,
     is_down: bool,
     loses_answers: bool,
+    hangs: bool,
 }
 
 /// A log in memory that can be down, be emptied, and lose the answers to appends.
@@ -72,6 +73,9 @@
         wait_ms: u64,
     ) -> BoxFuture<'_, Result<ReadAnswer, LogError>> {
         async move {
+            if self.with(|inner| inner.hangs) {
+                sleep(Duration::from_secs(3_600)).await;
+            }
             for _ in 0..=wait_ms / 10 {
                 let answer = self.with(|inner| {
                     if inner.is_down {
@@ -99,12 +103,20 @@
     }
 }
 
-/// A peer that always answers the same state.
-struct OnePeer(ConfigState);
+/// A peer that answers one state, if it has one.
+#[derive(Clone)]
+struct OnePeer(Arc<Mutex<Option<ConfigState>>>);
+
+impl OnePeer {
+    fn new(state: Option<ConfigState>) -> OnePeer {
+        OnePeer(Arc::new(Mutex::new(state)))
+    }
+}
 
 impl ConfigPeers for OnePeer {
     fn fetch(&self, _: LogOffset) -> BoxFuture<'_, Vec<Snapshot>> {
-        async { vec![Snapshot::new(&self.0)] }.boxed()
+        let state = self.0.lock().unwrap().clone();
+        async move { state.iter().map(Snapshot::new).collect() }.boxed()
     }
 }
 
@@ -159,7 +171,7 @@
     let mut state = begun(&log);
     publish(&log, &mut state, "c1", 7);
     log.with(|inner| inner.is_down = true);
-    let handle = follow(Arc::new(log.clone()), Arc::new(OnePeer(state.clone())), 1);
+    let handle = follow(Arc::new(log.clone()), Arc::new(OnePeer::new(Some(state.clone()))), 1);
     settle().await;
     assert_eq!(limit_of(&handle), Some(7));
     log.with(|inner| inner.is_down = false);
@@ -203,6 +215,27 @@
     assert_eq!(log.len(), 1);
 }
 
+#[tokio::test(start_paused = true)]
+async fn node_that_is_behind_pulls_from_a_peer_at_once() {
+    let log = FakeLog::default();
+    let mut state = begun(&log);
+    publish(&log, &mut state, "c1", 7);
+    let known = state.clone();
+    let record = change(&known, "c2", 8);
+    state.apply(LogOffset(log.len() as u64 + 1), &record);
+    let peer = OnePeer::new(None);
+    let handle = follow(Arc::new(log.clone()), Arc::new(peer.clone()), 1);
+    handle.wait_for(known.configuration.offset, Timestamp::MAX).await;
+    settle().await;
+    log.with(|inner| inner.hangs = true);
+    *peer.0.lock().unwrap() = Some(state.clone());
+    assert_eq!(limit_of(&handle), Some(7));
+    let wanted = state.configuration.offset;
+    let limit = Timestamp::now() + Duration::from_secs(1);
+    assert!(handle.wait_for(wanted, limit).await);
+    assert_eq!(limit_of(&handle), Some(8));
+}
+
 #[tokio::test(start_paused = true)]
 async fn snapshot_is_refreshed_by_one_of_many_nodes() {
     let log = FakeLog::default();
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 
 use dogwoodway_caller::{Answer, AnswerEvent, CallerRequest, Dispatcher, Readiness};
-use dogwoodway_types::{KeyHash, ModelName, Outcome, TeamName};
+use dogwoodway_types::{KeyHash, LogOffset, ModelName, Outcome, TeamName};
 use futures::{FutureExt, future::BoxFuture};
 use kameo::actor::{ActorRef, Spawn};
 use tokio::sync::mpsc;
@@ -113,6 +113,10 @@
         }
         .boxed()
     }
+
+    fn config_position(&self) -> Option<LogOffset> {
+        self.core.config.current().map(|cfg| cfg.offset)
+    }
 }
 
 fn outcome_label(outcome: &Outcome) -> &'static str {
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -60,21 +60,33 @@
     fleet.agents.iter().map(|agent| TarpcAgent::new(agent.address)).collect()
 }
 
+async fn offset_of_entry(http: &HttpClient, url: &str) -> Option<LogOffset> {
+    let url = format!("{url}/readyz");
+    let limit = Duration::from_secs(1);
+    let report: Value = http.json(Method::GET, &url, &(), limit).await.ok()?;
+    report["configuration"].as_u64().map(LogOffset)
+}
+
 async fn offset_of(agent: &TarpcAgent) -> Option<LogOffset> {
     agent.describe().await.ok().map(|description| description.config_offset)
 }
 
-/// Watches the agents until told to stop; returns whether any went back to an older configuration.
+/// Watches all nodes until told to stop; returns which went back to an older configuration.
 fn watch(fleet: &Fleet, stop: Arc<AtomicBool>) -> tokio::task::JoinHandle<Vec<String>> {
     let agents = links(fleet);
+    let entries: Vec<_> = fleet.entries.iter().map(|entry| entry.url()).collect();
     tokio::spawn(async move {
-        let mut newest = vec![LogOffset(0); agents.len()];
+        let http = HttpClient::new();
+        let mut newest = vec![LogOffset(0); agents.len() + entries.len()];
         let mut reverted = Vec::new();
         while !stop.load(Ordering::Relaxed) {
-            for (i, agent) in agents.iter().enumerate() {
-                let Some(offset) = offset_of(agent).await else { continue };
+            let of_agents = futures::future::join_all(agents.iter().map(offset_of)).await;
+            let of_entries = entries.iter().map(|url| offset_of_entry(&http, url));
+            let of_entries = futures::future::join_all(of_entries).await;
+            for (i, offset) in of_agents.into_iter().chain(of_entries).enumerate() {
+                let Some(offset) = offset else { continue };
                 if offset < newest[i] {
-                    reverted.push(format!("agent {i}: {} -> {offset}", newest[i]));
+                    reverted.push(format!("node {i}: {} -> {offset}", newest[i]));
                 }
                 newest[i] = offset;
             }
@@ -158,6 +170,38 @@
     assert_eq!(watcher.await.unwrap(), Vec::<String>::new());
 }
 
+#[tokio::test]
+async fn frozen_agent_that_missed_dropped_records_does_not_go_back() {
+    let fleet = Fleet::start(SMALL).await;
+    assert_eq!(publish(&fleet, 7, &[]).status.code(), Some(0));
+    wait_for_status(&fleet).await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let watcher = watch(&fleet, stop.clone());
+    fleet.agents[0].signal("STOP");
+    assert_eq!(publish(&fleet, 8, &[]).status.code(), Some(0));
+    assert_eq!(publish(&fleet, 9, &[]).status.code(), Some(0));
+    fault(&fleet, json!({"drop_records": 1000})).await;
+    while raced_limit(&fleet).is_none() {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    fleet.agents[0].signal("CONT");
+    wait_for_status(&fleet).await;
+    assert_eq!(raced_limit(&fleet), Some(9));
+    stop.store(true, Ordering::Relaxed);
+    assert_eq!(watcher.await.unwrap(), Vec::<String>::new());
+}
+
+#[tokio::test]
+async fn cold_entry_serves_from_peers_while_the_log_is_too_slow() {
+    let mut fleet = Fleet::start(SMALL).await;
+    fault(&fleet, json!({"delay_ms": 600_000})).await;
+    fleet.entries[0].restart();
+    fleet.http = HttpClient::new();
+    while !fleet.chat(0, &chat_body("hello", 2)).await.status.is_success() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 #[tokio::test]
 async fn dropped_records_are_covered_by_a_snapshot() {
     let mut fleet = Fleet::start(SMALL).await;
