Notice a lost log within two seconds

Cause: a node waited 5 s for a record of the lost log, then 5 s for one of the empty log, before it restored anything.

Ruled out: a pause of 250 ms after an empty read, which put all nodes that noticed the loss together in step, so that emptied_log_is_restored_once_by_three_nodes saw more than one restore; a pause of 10 ms keeps their spread.

Conclusion: reads wait at most 2 s, and not at all before the log was read to its end; two reads every 2 s for each idle node.

--- a/crates/dogwoodway_follower/src/follower.rs
+++ b/crates/dogwoodway_follower/src/follower.rs
@@ -107,6 +107,8 @@
 pub(crate) struct ReadPlan {
     pub(crate) from: LogOffset,
     pub(crate) check: Option<LogOffset>,
+    /// Whether the log was read to its end, so that a read may wait for a new record.
+    pub(crate) is_caught_up: bool,
     /// Time at which an append becomes due.
     pub(crate) until: Option<Instant>,
 }
@@ -118,6 +120,7 @@
         Box::new(ReadPlan {
             from: self.view.next_read(),
             check: self.view.check_read(),
+            is_caught_up: self.view.is_caught_up(),
             until: self.due.as_ref().map(|due| due.at),
         })
     }
--- a/crates/dogwoodway_follower/src/tasks.rs
+++ b/crates/dogwoodway_follower/src/tasks.rs
@@ -15,11 +15,15 @@
 use crate::follower::{ConfigWatch, Follower, HeldSnapshot, NextRead, Offer, SeeAnswer};
 
 /// Longest wait of one read for a new record.
-const READ_WAIT_MS: u64 = 5_000;
+const READ_WAIT_MS: u64 = 2_000;
 
 /// Pause after a failed read.
 const RETRY_MS: u64 = 250;
 
+/// Pause after a read that did not wait and found nothing. It is short, so that nodes that noticed
+/// the same loss together keep the spread of their appends.
+const IDLE_PAUSE_MS: u64 = 10;
+
 /// Pause between questions to peers while the log does not answer.
 const PEERS_MS: u64 = 250;
 
@@ -125,7 +129,7 @@
 async fn read_once(handle: &ConfigHandle, log: &dyn PlatformLog) -> Result<(), LogError> {
     let Ok(plan) = handle.actor.ask(NextRead).await else { return Ok(()) };
     let wait_ms = match plan.until {
-        _ if handle.watch.borrow().is_none() && plan.from.0 == 1 => 0,
+        _ if !plan.is_caught_up => 0,
         None => READ_WAIT_MS,
         Some(until) => {
             let left = until.saturating_duration_since(Instant::now());
@@ -147,7 +151,7 @@
     if !records.is_empty() {
         log.append(StreamName::Config, records).await?;
     } else if is_idle {
-        sleep(Duration::from_millis(RETRY_MS)).await;
+        sleep(Duration::from_millis(IDLE_PAUSE_MS)).await;
     }
     Ok(())
 }
--- a/crates/dogwoodway_follower/src/view.rs
+++ b/crates/dogwoodway_follower/src/view.rs
@@ -72,6 +72,11 @@
         Some(self.last_read()).filter(|_| !self.recent.is_empty())
     }
 
+    /// Tells whether the log was read to its end.
+    pub fn is_caught_up(&self) -> bool {
+        self.is_caught_up
+    }
+
     /// Returns how many snapshots were read.
     pub fn snapshots_seen(&self) -> u64 {
         self.snapshots_seen
--- a/crates/dogwoodway_standin/src/config_bench.rs
+++ b/crates/dogwoodway_standin/src/config_bench.rs
@@ -6,21 +6,27 @@
     time::{Duration, Instant},
 };
 
-use dogwoodway_control::{ConfigChange, ConfigRecord, ConfigState, Covers, Snapshot, SnapshotKind};
+use dogwoodway_control::{
+    ConfigChange, ConfigRecord, ConfigState, Covers, Position, Snapshot, SnapshotKind,
+};
 use dogwoodway_follower::{ConfigHandle, ConfigPeers, NoPeers, follow};
-use dogwoodway_http::{ServerLimits, serve};
+use dogwoodway_http::{HttpClient, ServerLimits, serve};
 use dogwoodway_log::{HttpLog, LogError, PlatformLog, StreamName};
 use dogwoodway_types::{ChangeId, ConfigEdit, KeyHash, LogOffset, Team, TeamName, Timestamp};
 use futures::{FutureExt, future::BoxFuture};
 use hdrhistogram::Histogram;
+use hyper::Method;
 use serde::Serialize;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use crate::log_handler;
 
 /// Longest wait for a state; a longer one fails the measurement.
 const LIMIT: Duration = Duration::from_secs(30);
 
+/// Time after a restore in which further restores would come.
+const RESTORES_SETTLE: Duration = Duration::from_secs(5);
+
 /// Records that the log of a measurement keeps.
 const RETAINED: usize = 100_000;
 
@@ -39,6 +45,10 @@
     pub everywhere_p50_ms: f64,
     /// Longest time until the last node had a change.
     pub everywhere_max_ms: f64,
+    /// Time from the loss of the whole log until all nodes follow the restored one.
+    pub restored_everywhere_ms: f64,
+    /// Records on the log some seconds after it was restored, one of which is needed.
+    pub restore_records: u64,
 }
 
 /// Time to recover a state of one size.
@@ -65,7 +75,8 @@
     followers: usize,
     publishes: usize,
 ) -> Result<Propagation, String> {
-    let log = HttpLog::new(start_log().await?);
+    let url = start_log().await?;
+    let log = HttpLog::new(url.clone());
     let mut state = begin(&log).await.map_err(|e| e.to_string())?;
     let nodes: Vec<_> = (0..followers)
         .map(|seed| follow(Arc::new(log.clone()), Arc::new(NoPeers), seed as u64))
@@ -82,6 +93,7 @@
         times.iter().for_each(|us| node_us += *us);
         everywhere_us += times.into_iter().max().unwrap_or_default();
     }
+    let (restored_everywhere_ms, restore_records) = lose_log(&url, &log, &nodes).await?;
     let ms = |us: u64| us as f64 / 1_000.0;
     Ok(Propagation {
         followers,
@@ -90,9 +102,27 @@
         node_p99_ms: ms(node_us.value_at_quantile(0.99)),
         everywhere_p50_ms: ms(everywhere_us.value_at_quantile(0.5)),
         everywhere_max_ms: ms(everywhere_us.max()),
+        restored_everywhere_ms,
+        restore_records,
     })
 }
 
+/// Empties the log; returns the time until all nodes follow the restored one, and its records.
+async fn lose_log(url: &str, log: &HttpLog, nodes: &[ConfigHandle]) -> Result<(f64, u64), String> {
+    let started_at = Instant::now();
+    let fault = format!("{url}/fault");
+    let wipe = json!({"wipe": true});
+    let http = HttpClient::new();
+    let answer = http.json::<_, Value>(Method::POST, &fault, &wipe, LIMIT).await;
+    answer.map_err(|e| e.to_string())?;
+    let next_epoch = Position { epoch: 1, offset: LogOffset(0) }.pack();
+    wait_all(nodes, next_epoch).await?;
+    let restored_ms = started_at.elapsed().as_secs_f64() * 1_000.0;
+    tokio::time::sleep(RESTORES_SETTLE).await;
+    let answer = log.read(StreamName::Config, LogOffset(1), 1, 0).await;
+    Ok((restored_ms, answer.map_err(|e| e.to_string())?.next.0 - 1))
+}
+
 /// Measures the recovery of a cold node for several sizes of the state.
 ///
 /// # Errors
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -19,8 +19,14 @@
 
 use crate::fleet::{Fleet, FleetOptions, chat_body};
 
-const SMALL: FleetOptions =
-    FleetOptions { engines: 2, services: 0, entries: 2, decode_us: 100, kv_store: false };
+const SMALL: FleetOptions = FleetOptions {
+    engines: 2,
+    services: 0,
+    entries: 2,
+    decode_us: 100,
+    kv_store: false,
+    links: false,
+};
 
 async fn fault(fleet: &Fleet, fault: Value) {
     let url = format!("{}/fault", fleet.log.url());
