End a claimed request with the outcome that its agent gave

Cause: a claimed request whose answer is not kept ended as unknown with a debug text, because the entry took every other error frame for a lost attempt. The outcomes of the claim (failed, unknown, key-reused, log-unavailable) now go to the caller as they are. A claimed chat is kept in the agent's table of runs as one that cannot be aborted.

Ruled out: passing on the outcomes of requests without a claim, which may go on elsewhere.

The test set builds its fleets from the defaults, so that new options of the fleet do not break it. No new test: the outcome text is not asserted.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -79,7 +79,7 @@
         AgentActor::spawn(AgentActor::new(settings, backend.clone(), incarnation, claims.clone()));
     spawn_watchers(&actor, config.watch(), backend);
     let front = Arc::new(AgentFront::new(actor.clone(), config));
-    listener.serve(front, drained(actor, claims, shutdown)).await;
+    listener.serve(front, drained(actor, shutdown, claims)).await;
     ExitCode::SUCCESS
 }
 
@@ -163,7 +163,7 @@
 }
 
 /// Resolves when shutdown was requested and no attempt runs any more.
-async fn drained(actor: ActorRef<AgentActor>, claims: ActorRef<Claims>, shutdown: Shutdown) {
+async fn drained(actor: ActorRef<AgentActor>, shutdown: Shutdown, claims: ActorRef<Claims>) {
     shutdown.reached(Phase::Draining).await;
     let _ = actor.tell(Leave).await;
     tokio::select! {
--- a/src/agent/actor.rs
+++ b/src/agent/actor.rs
@@ -185,13 +185,12 @@
     }
 
     fn spawn_run(&mut self, req: RunRequest, actor: &ActorRef<AgentActor>) {
-        let (id, is_chat) = (req.attempt, matches!(req.work, Work::Chat(_)));
-        let is_claimed = req.claim.is_some();
+        let id = req.attempt;
+        // A claimed attempt runs to its end, so that its answer is recorded.
+        let can_abort = matches!(req.work, Work::Chat(_)) && req.claim.is_none();
         let run = run::run(self.backend.clone(), req, actor.clone(), self.claims.clone());
         let task = tokio::spawn(run).abort_handle();
-        match is_chat {
-            // A claimed attempt runs to its end, so that its answer is recorded.
-            _ if is_claimed => {}
+        match can_abort {
             true => self.runs.add_chat(Timestamp::now(), id, task),
             false => self.runs.add_service(id, task),
         }
--- a/src/entry/dispatch/attempt.rs
+++ b/src/entry/dispatch/attempt.rs
@@ -148,7 +148,9 @@
                 let answered = AttemptEnd::Done(Outcome::Answered);
                 return self.send(end, progress).await.or(Some(answered));
             }
-            Step::Ended { outcome, .. } if idempotency::is_final(&outcome) => {
+            Step::Ended { outcome, .. }
+                if progress.claim.is_some() && idempotency::is_final(&outcome) =>
+            {
                 return Some(AttemptEnd::Done(outcome));
             }
             Step::Ended { outcome: Outcome::NotRun { reason, retry_at }, .. } => {
--- a/src/entry/idempotency.rs
+++ b/src/entry/idempotency.rs
@@ -44,9 +44,11 @@
 
 /// Tells whether no other agent may be tried after an outcome of a claimed request.
 pub(crate) fn is_final(outcome: &Outcome) -> bool {
-    let Outcome::NotRun { reason, .. } = outcome else { return false };
-    matches!(
-        reason,
-        NotRunReason::LogUnavailable | NotRunReason::Duplicate | NotRunReason::KeyReused
-    )
+    match outcome {
+        Outcome::NotRun { reason, .. } => {
+            matches!(reason, NotRunReason::LogUnavailable | NotRunReason::KeyReused)
+        }
+        Outcome::Unknown { .. } | Outcome::Failed { .. } => true,
+        Outcome::Answered => false,
+    }
 }
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -11,14 +11,9 @@
 
 use crate::fleet::{Fleet, FleetOptions, Process};
 
-const SERVICES_ONLY: FleetOptions = FleetOptions {
-    engines: 0,
-    services: 3,
-    entries: 2,
-    decode_us: 2_000,
-    kv_store: false,
-    links: false,
-};
+fn services_only(services: usize) -> FleetOptions {
+    FleetOptions { engines: 0, services, ..FleetOptions::default() }
+}
 
 const MAX_TRIES: usize = 300;
 
@@ -45,7 +40,7 @@
 
 #[tokio::test]
 async fn same_key_through_two_entries_at_once_runs_once_and_both_get_the_answer() {
-    let fleet = Fleet::start(SERVICES_ONLY).await;
+    let fleet = Fleet::start(services_only(3)).await;
     for round in 0..8 {
         let (key, billet) = (format!("both-{round}"), format!("spruce-{round}-"));
         let (a, b) = tokio::join!(
@@ -108,7 +103,7 @@
 
 #[tokio::test]
 async fn key_with_another_content_is_refused_and_not_run() {
-    let fleet = Fleet::start(SERVICES_ONLY).await;
+    let fleet = Fleet::start(services_only(3)).await;
     assert_eq!(reserve(&fleet, 0, "order", "maple-1").await.status, 200);
     let reply = reserve(&fleet, 1, "order", "maple-2").await;
     assert_eq!((reply.status.as_u16(), code(&reply).as_str()), (422, "key-reused"));
@@ -117,7 +112,7 @@
 
 #[tokio::test]
 async fn class_decides_whether_a_call_may_be_repeated() {
-    let fleet = Fleet::start(SERVICES_ONLY).await;
+    let fleet = Fleet::start(services_only(3)).await;
     for entry in [0, 1] {
         let headers = [("idempotency-key", "same")];
         let reply = fleet.post(entry, "/services/ping", &json!("repeatable"), &headers).await;
@@ -128,7 +123,7 @@
 
 #[tokio::test]
 async fn retry_while_the_first_still_runs_gets_the_same_answer() {
-    let fleet = Fleet::start(SERVICES_ONLY).await;
+    let fleet = Fleet::start(services_only(3)).await;
     delay_services(&fleet, 1_500).await;
     reserve_impatiently(&fleet, "order", "cedar", Duration::from_millis(500)).await;
     let (again, other) = tokio::join!(
@@ -141,7 +136,7 @@
 
 #[tokio::test]
 async fn retry_after_the_entry_was_killed_gets_the_answer() {
-    let mut fleet = Fleet::start(SERVICES_ONLY).await;
+    let mut fleet = Fleet::start(services_only(3)).await;
     delay_services(&fleet, 1_000).await;
     reserve_impatiently(&fleet, "order", "larch", Duration::from_millis(400)).await;
     fleet.entries[0].kill();
@@ -151,7 +146,7 @@
 
 #[tokio::test]
 async fn answer_survives_the_restart_of_all_agents() {
-    let mut fleet = Fleet::start(SERVICES_ONLY).await;
+    let mut fleet = Fleet::start(services_only(3)).await;
     let first = reserve(&fleet, 0, "order", "maple").await;
     assert_eq!(first.status, 200);
     wait_for_records(&fleet, "order", "done").await;
@@ -179,7 +174,7 @@
 
 #[tokio::test]
 async fn agents_killed_or_frozen_at_any_point_run_the_request_at_most_once() {
-    let mut fleet = Fleet::start(SERVICES_ONLY).await;
+    let mut fleet = Fleet::start(services_only(3)).await;
     // The claim takes three calls to the log and the run one to the service.
     set_fault(&fleet, &fleet.log, json!({"delay_ms": 150})).await;
     delay_services(&fleet, 150).await;
@@ -209,7 +204,7 @@
 
 #[tokio::test]
 async fn log_down_refuses_as_not_run_and_a_retry_runs_once() {
-    let fleet = Fleet::start(FleetOptions { services: 1, ..SERVICES_ONLY }).await;
+    let fleet = Fleet::start(services_only(1)).await;
     assert_eq!(reserve(&fleet, 0, "known", "willow").await.status, 200);
     set_fault(&fleet, &fleet.log, json!({"down": true})).await;
     for entry in [0, 1] {
@@ -227,7 +222,7 @@
 
 #[tokio::test]
 async fn lost_answers_of_the_log_are_resolved_by_reading() {
-    let fleet = Fleet::start(SERVICES_ONLY).await;
+    let fleet = Fleet::start(services_only(3)).await;
     for (round, lose_answers) in (0..6).map(|i| (i, 1 + i % 3)) {
         let (key, billet) = (format!("order-{round}"), format!("ash-{round}-"));
         set_fault(&fleet, &fleet.log, json!({"lose_answers": lose_answers})).await;
@@ -239,7 +234,7 @@
 
 #[tokio::test]
 async fn slow_log_refuses_as_not_run_and_a_retry_runs_once() {
-    let fleet = Fleet::start(SERVICES_ONLY).await;
+    let fleet = Fleet::start(services_only(3)).await;
     set_fault(&fleet, &fleet.log, json!({"delay_ms": 1_200})).await;
     let reply = reserve(&fleet, 0, "order", "yew").await;
     assert_eq!((reply.status.as_u16(), code(&reply).as_str()), (503, "log-unavailable"));
@@ -252,7 +247,7 @@
 #[tokio::test]
 async fn emptied_log_is_noticed_by_the_agent_that_has_read_it() {
     // An agent that has read nothing cannot tell, so there is one agent only.
-    let mut fleet = Fleet::start(FleetOptions { services: 1, ..SERVICES_ONLY }).await;
+    let mut fleet = Fleet::start(services_only(1)).await;
     let first = reserve(&fleet, 0, "order", "walnut").await;
     fleet.log.restart();
     let again = reserve(&fleet, 1, "order", "walnut").await;
@@ -265,7 +260,7 @@
 
 #[tokio::test]
 async fn request_without_a_key_is_not_run_again_after_a_possible_start() {
-    let mut fleet = Fleet::start(SERVICES_ONLY).await;
+    let mut fleet = Fleet::start(services_only(3)).await;
     delay_services(&fleet, 2_000).await;
     let body = json!({"billet": "oak"});
     let kill = async {
