Measure what a claim costs

Cause: the claim path had no valid figures; the first histogram of the example was too narrow for any of them.

Ruled out: memory from the agent's resident size, which also holds the frames of ended attempts for a minute.

--- a/crates/dogwoodway_standin/examples/claim_cost.rs
+++ b/crates/dogwoodway_standin/examples/claim_cost.rs
@@ -37,13 +37,13 @@
 #[tokio::main]
 async fn main() {
     let cli = Cli::parse();
+    for keys in [100_000, 1_000_000] {
+        println!("{keys} keys with answers: {} bytes per key", bytes_per_key(keys));
+    }
     let http = HttpClient::new();
     for rate in &cli.rate {
         measure(&cli, &http, *rate).await;
     }
-    for keys in [10_000, 100_000] {
-        println!("{keys} keys with answers: {} bytes per key", bytes_per_key(keys));
-    }
 }
 
 async fn measure(cli: &Cli, http: &HttpClient, rate: u32) {
@@ -58,7 +58,8 @@
         })
     });
     let calls: Vec<_> = calls.collect();
-    let [mut claimed, mut plain] = [(); 2].map(|()| Histogram::<u64>::new(3).expect("valid"));
+    let histogram = || Histogram::<u64>::new_with_max(ANSWER_TIMEOUT_MS * 1_000, 3).expect("valid");
+    let [mut claimed, mut plain] = [histogram(), histogram()];
     let mut failed = 0;
     for call in calls {
         let Ok((with, without)) = call.await else { continue };
@@ -126,6 +127,8 @@
     }
     let after = resident_bytes();
     assert_eq!(table.len() as u64, keys);
+    // Kept, so that the next table finds no freed memory.
+    std::mem::forget(table);
     (after - before) / keys
 }
 
