Keep a team in service when its budget is lowered

Cause: the owner's window still held the old budget's use, so a team whose budget was lowered got nothing for up to a minute. Each slot is now taken for at most an even share of the new budget.

--- a/crates/dogwoodway_routing/src/budget.rs
+++ b/crates/dogwoodway_routing/src/budget.rs
@@ -74,7 +74,7 @@
     /// Builds a window in which nearly all of `budget` was used up evenly, the safe guess after a
     /// restart.
     pub fn new(now: Timestamp, budget: u64) -> SlidingWindow {
-        let slot = (budget - budget / BUDGET_PER_START) / SLOTS as u64;
+        let slot = even_share(budget);
         let slots = [slot; SLOTS];
         SlidingWindow { slots, newest: slot_of(now), used: slot * SLOTS as u64 }
     }
@@ -94,6 +94,15 @@
         self.used
     }
 
+    /// Takes for used at most an even share of `budget` in each slot, after a budget was lowered.
+    pub fn clamp(&mut self, budget: u64) {
+        let most = even_share(budget);
+        for slot in &mut self.slots {
+            *slot = most.min(*slot);
+        }
+        self.used = self.slots.iter().sum();
+    }
+
     /// Adds tokens to the slot of now.
     pub fn add(&mut self, now: Timestamp, tokens: u64) {
         self.used(now);
@@ -118,6 +127,7 @@
 /// The budget of one team at the agent that grants it.
 #[derive(Clone, Debug)]
 pub struct TeamBudget {
+    limits: TeamLimits,
     window: SlidingWindow,
     in_flight: HashMap<EntryIncarnation, (u32, Timestamp)>,
 }
@@ -138,12 +148,15 @@
     /// ```
     pub fn new(now: Timestamp, limits: TeamLimits) -> TeamBudget {
         let window = SlidingWindow::new(now, limits.tokens);
-        TeamBudget { window, in_flight: HashMap::new() }
+        TeamBudget { limits, window, in_flight: HashMap::new() }
     }
 
     /// Grants what is left, at most a small share of the budget or the need.
     pub fn grant(&mut self, now: Timestamp, limits: TeamLimits, req: GrantRequest) -> Grant {
         let budget = limits.tokens;
+        if budget < std::mem::replace(&mut self.limits, limits).tokens {
+            self.window.clamp(budget);
+        }
         self.window.take_back(now, req.returned);
         self.window.add(now, req.overdrawn);
         let left = budget.saturating_sub(self.window.used(now));
@@ -252,6 +265,11 @@
     }
 }
 
+/// The part of a budget that is taken for used in each slot when nothing better is known.
+fn even_share(budget: u64) -> u64 {
+    (budget - budget / BUDGET_PER_START) / SLOTS as u64
+}
+
 fn slot_of(now: Timestamp) -> u64 {
     now.as_millis() / SLOT.as_millis() as u64
 }
--- a/crates/dogwoodway_routing/tests/budget.rs
+++ b/crates/dogwoodway_routing/tests/budget.rs
@@ -160,6 +160,19 @@
     }
 }
 
+#[test]
+fn lowered_budget_is_in_force_at_once_and_does_not_shut_the_team_out() {
+    let mut now = Timestamp::from_millis(10_000_000);
+    let mut budget = TeamBudget::new(now, LIMITS);
+    let lower = TeamLimits { tokens: 6_000, ..LIMITS };
+    let mut granted = 0;
+    for _ in 0..WINDOW.as_secs() {
+        granted += budget.grant(now, lower, ask(100, 1)).tokens;
+        now = now + Duration::from_secs(1);
+    }
+    assert!((5_400..=6_000).contains(&granted), "{granted}");
+}
+
 #[test]
 fn requests_in_flight_hold_over_entries() {
     let limits = TeamLimits { tokens: u64::MAX / 1_000, in_flight: 40 };
