--- a/crates/dogwoodway_routing/src/placement.rs
+++ b/crates/dogwoodway_routing/src/placement.rs
@@ -4,6 +4,8 @@
 //! prompt names the servers that are likely to hold it; their agents tell what they hold and how
 //! long the prompt would wait; the lowest cost is taken.
 
+use std::time::Duration;
+
 use dogwoodway_types::{PieceHash, PrefixChain};
 
 use crate::rendezvous::{self, Server, mix};
@@ -17,9 +19,11 @@
 /// Servers over which the hottest prefix is spread.
 const MAX_WIDTH: usize = 32;
 
-/// Weight of the computing time that a request costs others, in percent of its own first-token
-/// time.
-const RECOMPUTE_PRICE_PERCENT: u64 = 300;
+/// Time to the deadline for which computing a prompt again is priced at its own time.
+const SLACK_PER_PRICE_MS: u64 = 1_500;
+
+/// Lowest and highest price of computing a prompt again, in multiples of its own time.
+const PRICES: (u64, u64) = (1, 10);
 
 /// Returns the hash at the end of the deepest level that other prompts may share: the last one
 /// before the case at hand.
@@ -83,24 +87,30 @@
 }
 
 impl Candidate {
-    /// Returns the predicted time to the first token plus the price of recomputation.
-    pub fn cost_us(&self) -> u64 {
+    /// Returns the predicted time to the first token plus the price of recomputation, which
+    /// others pay by waiting: a request with little time left may buy its first token with it, a
+    /// patient one waits where its prefix is.
+    pub fn cost_us(&self, slack: Duration) -> u64 {
         let prefill_us = u64::from(self.uncached_tokens) * u64::from(self.prefill_ns) / 1_000;
-        self.wait_us + prefill_us + prefill_us * RECOMPUTE_PRICE_PERCENT / 100
+        let slack_ms = u64::try_from(slack.as_millis()).unwrap_or(u64::MAX);
+        let price = (slack_ms / SLACK_PER_PRICE_MS).clamp(PRICES.0, PRICES.1);
+        self.wait_us + prefill_us + prefill_us * price
     }
 }
 
-/// Returns the candidate with the lowest cost; the earliest of equals.
+/// Returns the candidate with the lowest cost for a request with `slack` until its deadline; the
+/// earliest of equals.
 ///
 /// ```
+/// use std::time::Duration;
 /// use dogwoodway_routing::placement::{Candidate, choose};
 ///
 /// let far = Candidate { wait_us: 0, uncached_tokens: 4_000, prefill_ns: 50_000 };
 /// let near = Candidate { wait_us: 50_000, uncached_tokens: 10, prefill_ns: 50_000 };
-/// assert_eq!(choose(&[far, near]), Some(1));
+/// assert_eq!(choose(&[far, near], Duration::from_secs(5)), Some(1));
 /// ```
-pub fn choose(candidates: &[Candidate]) -> Option<usize> {
-    (0..candidates.len()).min_by_key(|&i| candidates[i].cost_us())
+pub fn choose(candidates: &[Candidate], slack: Duration) -> Option<usize> {
+    (0..candidates.len()).min_by_key(|&i| candidates[i].cost_us(slack))
 }
 
 /// Chooses `n` of the items by a seed.
--- a/crates/dogwoodway_routing/tests/rendezvous.rs
+++ b/crates/dogwoodway_routing/tests/rendezvous.rs
@@ -1,8 +1,10 @@
 //! Rendezvous hashing against a full sort, and its shares.
 
+use std::time::Duration;
+
 use dogwoodway_routing::{
     heat::HeatTable,
-    placement::{MAX_PROBES, shortlist},
+    placement::{Candidate, MAX_PROBES, choose, shortlist},
     rendezvous::{Server, ServerKey, cost, top},
 };
 use dogwoodway_types::{PieceHash, Timestamp};
@@ -50,6 +52,14 @@
     }
 }
 
+#[test]
+fn patient_request_waits_where_its_prefix_is_and_an_urgent_one_does_not() {
+    let home = Candidate { wait_us: 4_000_000, uncached_tokens: 100, prefill_ns: 100_000 };
+    let idle = Candidate { wait_us: 0, uncached_tokens: 12_000, prefill_ns: 100_000 };
+    assert_eq!(choose(&[home, idle], Duration::from_secs(15)), Some(0));
+    assert_eq!(choose(&[home, idle], Duration::from_secs(1)), Some(1));
+}
+
 #[test]
 fn keys_are_shared_by_weight() {
     let servers = servers(&[1, 2, 5]);
--- a/crates/dogwoodway_standin/src/decision.rs
+++ b/crates/dogwoodway_standin/src/decision.rs
@@ -1,6 +1,9 @@
 //! Times of single routing decisions.
 
-use std::{hint::black_box, time::Instant};
+use std::{
+    hint::black_box,
+    time::{Duration, Instant},
+};
 
 use dogwoodway_routing::{
     heat::HeatTable,
@@ -13,6 +16,9 @@
 /// Prefixes that the decisions are for, more than the heat table tracks.
 const PREFIXES: u64 = 10_000;
 
+/// Time to the deadline in each decision.
+const SLACK: Duration = Duration::from_secs(5);
+
 /// Times of decisions with a number of servers.
 #[derive(Clone, Copy, Debug, Serialize)]
 pub struct DecisionTimes {
@@ -44,7 +50,7 @@
             .iter()
             .map(|&n| Candidate { wait_us: n as u64, uncached_tokens: 100, prefill_ns: 50_000 })
             .collect();
-        black_box(placement::choose(&candidates));
+        black_box(placement::choose(&candidates, SLACK));
     }
     let mean_ns = begin.elapsed().as_nanos() as f64 / decisions as f64;
     DecisionTimes { servers, decisions, mean_ns, tracked: heat.len() }
--- a/src/entry/dispatch/placement.rs
+++ b/src/entry/dispatch/placement.rs
@@ -8,7 +8,9 @@
     placement::{self, Candidate},
     rendezvous::{self, Server, ServerKey},
 };
-use dogwoodway_types::{ChatWork, ClaimRequest, PieceHash, PrefixChain, WeightsVersion, Work};
+use dogwoodway_types::{
+    ChatWork, ClaimRequest, PieceHash, PrefixChain, Timestamp, WeightsVersion, Work,
+};
 use futures::{StreamExt, stream::FuturesUnordered};
 use kameo::actor::ActorRef;
 
@@ -53,7 +55,8 @@
     if replies.is_empty() {
         replies = probe_first(&probed, eligible, &mut chains).await;
     }
-    let (agent, reply) = &replies[choose(&replies, &mut chains)?];
+    let slack = progress.deadline - Timestamp::now();
+    let (agent, reply) = &replies[choose(&replies, &mut chains, slack)?];
     let work = chains.work(reply, progress)?;
     Some(((*agent).clone(), reply.clone(), work))
 }
@@ -195,7 +198,11 @@
     reply.accepting.then_some((agent, reply))
 }
 
-fn choose(replies: &[(&EligibleAgent, ProbeReply)], chains: &mut Chains<'_>) -> Option<usize> {
+fn choose(
+    replies: &[(&EligibleAgent, ProbeReply)],
+    chains: &mut Chains<'_>,
+    slack: Duration,
+) -> Option<usize> {
     #[cfg(feature = "baselines")]
     if let Some(baseline) = super::baseline::chosen() {
         return super::baseline::choose(baseline, replies.iter().map(|(_, reply)| reply));
@@ -212,5 +219,5 @@
             }
         })
         .collect();
-    placement::choose(&candidates)
+    placement::choose(&candidates, slack)
 }
