Compute a prefix at one of its homes while one is in time

A cold prefix went to the least busy of the servers probed, often the one that is probed by chance, and the next request for it did not probe that one.

Three homes are now probed always, and the server chosen by chance is taken only when no home is predicted to give the first token within half of the time left. The test of crowding counted the last probe, which may now be a home; it counts the servers beyond the homes instead, with a bound of 1.5 times the even share in place of 3.

--- a/crates/dogwoodway_routing/src/placement.rs
+++ b/crates/dogwoodway_routing/src/placement.rs
@@ -13,8 +13,8 @@
 /// Servers that are probed for one placement.
 pub const MAX_PROBES: usize = 4;
 
-/// Probes of the servers that are likely to hold the prefix.
-const HOME_PROBES: usize = 3;
+/// Probes of the servers that are likely to hold the prefix, the first ones of a shortlist.
+pub const HOME_PROBES: usize = 3;
 
 /// Servers over which the hottest prefix is spread.
 const MAX_WIDTH: usize = 32;
@@ -61,7 +61,7 @@
 /// ```
 pub fn shortlist(key: PieceHash, width: usize, servers: &[Server], seed: u64) -> Vec<usize> {
     let width = width.clamp(1, MAX_WIDTH);
-    let homes = rendezvous::top(key, servers, width.max(HOME_PROBES - 1));
+    let homes = rendezvous::top(key, servers, width.max(HOME_PROBES));
     let mut probes = match homes.len() <= HOME_PROBES {
         true => homes,
         false => sample(&homes, HOME_PROBES, seed),
@@ -84,6 +84,8 @@
     pub uncached_tokens: u32,
     /// Measured nanoseconds to compute one prompt token.
     pub prefill_ns: u32,
+    /// Whether later requests for the prefix will probe it too.
+    pub is_home: bool,
 }
 
 impl Candidate {
@@ -91,26 +93,42 @@
     /// others pay by waiting: a request with little time left may buy its first token with it, a
     /// patient one waits where its prefix is.
     pub fn cost_us(&self, slack: Duration) -> u64 {
-        let prefill_us = u64::from(self.uncached_tokens) * u64::from(self.prefill_ns) / 1_000;
+        let prefill_us = self.prefill_us();
         let slack_ms = u64::try_from(slack.as_millis()).unwrap_or(u64::MAX);
         let price = (slack_ms / SLACK_PER_PRICE_MS).clamp(PRICES.0, PRICES.1);
         self.wait_us + prefill_us + prefill_us * price
     }
+
+    fn prefill_us(&self) -> u64 {
+        u64::from(self.uncached_tokens) * u64::from(self.prefill_ns) / 1_000
+    }
+
+    /// Tells whether the first token is predicted within half of the time left.
+    fn is_in_time(&self, slack: Duration) -> bool {
+        u128::from(self.wait_us + self.prefill_us()) <= slack.as_micros() / 2
+    }
 }
 
 /// Returns the candidate with the lowest cost for a request with `slack` until its deadline; the
 /// earliest of equals.
 ///
+/// A prefix that is computed elsewhere than at its homes is not found again, so another server is
+/// considered only when no home is predicted to be in time.
+///
 /// ```
 /// use std::time::Duration;
 /// use dogwoodway_routing::placement::{Candidate, choose};
 ///
-/// let far = Candidate { wait_us: 0, uncached_tokens: 4_000, prefill_ns: 50_000 };
-/// let near = Candidate { wait_us: 50_000, uncached_tokens: 10, prefill_ns: 50_000 };
+/// let (prefill_ns, is_home) = (50_000, true);
+/// let far = Candidate { wait_us: 0, uncached_tokens: 4_000, prefill_ns, is_home };
+/// let near = Candidate { wait_us: 50_000, uncached_tokens: 10, prefill_ns, is_home };
 /// assert_eq!(choose(&[far, near], Duration::from_secs(5)), Some(1));
 /// ```
 pub fn choose(candidates: &[Candidate], slack: Duration) -> Option<usize> {
-    (0..candidates.len()).min_by_key(|&i| candidates[i].cost_us(slack))
+    let all = 0..candidates.len();
+    let has_home = candidates.iter().any(|c| c.is_home && c.is_in_time(slack));
+    all.filter(|&i| candidates[i].is_home || !has_home)
+        .min_by_key(|&i| candidates[i].cost_us(slack))
 }
 
 /// Chooses `n` of the items by a seed.
--- a/crates/dogwoodway_routing/tests/rendezvous.rs
+++ b/crates/dogwoodway_routing/tests/rendezvous.rs
@@ -4,7 +4,7 @@
 
 use dogwoodway_routing::{
     heat::HeatTable,
-    placement::{Candidate, MAX_PROBES, choose, shortlist},
+    placement::{Candidate, HOME_PROBES, MAX_PROBES, choose, shortlist},
     rendezvous::{Server, ServerKey, cost, top},
 };
 use dogwoodway_types::{PieceHash, Timestamp};
@@ -54,12 +54,22 @@
 
 #[test]
 fn patient_request_waits_where_its_prefix_is_and_an_urgent_one_does_not() {
-    let home = Candidate { wait_us: 4_000_000, uncached_tokens: 100, prefill_ns: 100_000 };
-    let idle = Candidate { wait_us: 0, uncached_tokens: 12_000, prefill_ns: 100_000 };
+    let (prefill_ns, is_home) = (100_000, true);
+    let home = Candidate { wait_us: 4_000_000, uncached_tokens: 100, prefill_ns, is_home };
+    let idle = Candidate { wait_us: 0, uncached_tokens: 12_000, prefill_ns, is_home };
     assert_eq!(choose(&[home, idle], Duration::from_secs(15)), Some(0));
     assert_eq!(choose(&[home, idle], Duration::from_secs(1)), Some(1));
 }
 
+#[test]
+fn prefix_is_computed_at_a_home_while_one_is_in_time() {
+    let (uncached_tokens, prefill_ns) = (10_000, 100_000);
+    let home = Candidate { wait_us: 900_000, uncached_tokens, prefill_ns, is_home: true };
+    let other = Candidate { wait_us: 0, uncached_tokens, prefill_ns, is_home: false };
+    assert_eq!(choose(&[home, other], Duration::from_secs(5)), Some(0));
+    assert_eq!(choose(&[home, other], Duration::from_secs(3)), Some(1));
+}
+
 #[test]
 fn keys_are_shared_by_weight() {
     let servers = servers(&[1, 2, 5]);
@@ -93,7 +103,10 @@
     let mut counts = [0; 9];
     for seed in 0..900 {
         let probes = shortlist(PieceHash(5), 1, &servers, seed);
-        counts[*probes.last().unwrap()] += 1;
+        if let Some(other) = probes.get(HOME_PROBES) {
+            counts[*other] += 1;
+        }
     }
-    assert!(counts.iter().all(|count| *count < 300), "{counts:?}");
+    assert!(counts.iter().sum::<u32>() > 500, "{counts:?}");
+    assert!(counts.iter().all(|count| *count < 150), "{counts:?}");
 }
--- a/crates/dogwoodway_standin/src/decision.rs
+++ b/crates/dogwoodway_standin/src/decision.rs
@@ -48,7 +48,12 @@
         let probes = placement::shortlist(key, width, &servers, i);
         let candidates: Vec<_> = probes
             .iter()
-            .map(|&n| Candidate { wait_us: n as u64, uncached_tokens: 100, prefill_ns: 50_000 })
+            .map(|&n| Candidate {
+                wait_us: n as u64,
+                uncached_tokens: 100,
+                prefill_ns: 50_000,
+                is_home: true,
+            })
             .collect();
         black_box(placement::choose(&candidates, SLACK));
     }
--- a/src/entry/dispatch/placement.rs
+++ b/src/entry/dispatch/placement.rs
@@ -9,7 +9,8 @@
     rendezvous::{self, Server, ServerKey},
 };
 use dogwoodway_types::{
-    ChatWork, ClaimRequest, PieceHash, PrefixChain, Timestamp, WeightsVersion, Work,
+    BackendServerName, ChatWork, ClaimRequest, PieceHash, PrefixChain, Timestamp, WeightsVersion,
+    Work,
 };
 use futures::{StreamExt, stream::FuturesUnordered};
 use kameo::actor::ActorRef;
@@ -55,8 +56,10 @@
     if replies.is_empty() {
         replies = probe_first(&probed, eligible, &mut chains).await;
     }
+    let homes = probed.iter().take(placement::HOME_PROBES);
+    let homes: Vec<_> = homes.map(|&i| &eligible.agents[i].name).collect();
     let slack = progress.deadline - Timestamp::now();
-    let (agent, reply) = &replies[choose(&replies, &mut chains, slack)?];
+    let (agent, reply) = &replies[choose(&replies, &homes, &mut chains, slack)?];
     let work = chains.work(reply, progress)?;
     Some(((*agent).clone(), reply.clone(), work))
 }
@@ -200,6 +203,7 @@
 
 fn choose(
     replies: &[(&EligibleAgent, ProbeReply)],
+    homes: &[&BackendServerName],
     chains: &mut Chains<'_>,
     slack: Duration,
 ) -> Option<usize> {
@@ -216,6 +220,7 @@
                 wait_us: reply.wait_us + agent.distance_us,
                 uncached_tokens: chain.total_tokens() - cached,
                 prefill_ns: reply.prefill_ns,
+                is_home: homes.contains(&&agent.name),
             }
         })
         .collect();
