Decide by pure functions who may order an engine, what it loads and when

Cause: a paused agent that is replaced on its VM may wake and order the engine beside its successor; some engines refuse old fencing numbers, others execute anything. Ruled out: renewals as records of their own (a new claim gives a higher number and does the same); claims while nothing is to be ordered (900 agents renewing every few seconds are more appends than the log takes); measuring leases by the log's time, which it does not have. Conclusion: an engine that ignores numbers can still execute an order that was under way for longer than the margin of 500 ms; reading back and ordering again covers that.

--- a/crates/dogwoodway_control/src/lib.rs
+++ b/crates/dogwoodway_control/src/lib.rs
@@ -11,6 +11,8 @@
 mod snapshot;
 mod trail;
 mod validate;
+pub mod lease;
+pub mod loading;
 
 pub use crate::{
     claim::{
