Load the weights that the configuration asks for, under leases

Cause: nothing ordered engines; a selector's version only filtered them. An entry also took the version of a probe's reply, which may differ from the one by which the backend server was found eligible, so that a request could run on a version that its selector does not ask for. Ruled out: ordering without draining: four streams broke off with "the answer broke off: no-backend-server" in rollout_cuts_off_no_stream_and_is_rolled_back_by_publishing.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -6,6 +6,7 @@
 mod claims;
 mod front;
 mod kv_engine;
+mod orders;
 mod run;
 mod runs;
 
@@ -72,11 +73,18 @@
     let log: Arc<dyn PlatformLog> = Arc::new(HttpLog::new(settings.log_url.clone()));
     let config = config_follower::follow(&settings.log_url, settings.vms_url.as_deref());
     let incarnation = AgentIncarnation(rand::random());
-    let claims = Claims::start(incarnation, log);
+    let claims = Claims::start(incarnation, log.clone());
     let backend = backend(&settings);
     let shutdown = Shutdown::listen(Duration::from_millis(settings.shutdown_limit_ms));
-    let actor =
-        AgentActor::spawn(AgentActor::new(settings, backend.clone(), incarnation, claims.clone()));
+    let actor = AgentActor::spawn(AgentActor::new(
+        settings.clone(),
+        backend.clone(),
+        incarnation,
+        claims.clone(),
+    ));
+    if let Backend::Engine(engine) = backend.clone() {
+        orders::follow(settings, incarnation, engine, log, config.watch(), actor.clone());
+    }
     spawn_watchers(&actor, config.watch(), backend);
     let front = Arc::new(AgentFront::new(actor.clone(), config));
     listener.serve(front, drained(actor, shutdown, claims)).await;
--- a/src/agent/actor.rs
+++ b/src/agent/actor.rs
@@ -52,6 +52,7 @@
     engine_up: bool,
     leaving: bool,
     listed_leaving_until: Timestamp,
+    loading: bool,
     attempts: AttemptTable,
     runs: Runs,
     waiters: HashMap<AttemptId, Vec<Waiter>>,
@@ -84,6 +85,7 @@
             engine_up: false,
             leaving: false,
             listed_leaving_until: Timestamp::default(),
+            loading: false,
             attempts: AttemptTable::default(),
             runs: Runs::new(Timestamp::now()),
             waiters: HashMap::new(),
@@ -113,7 +115,7 @@
         if self.is_leaving(now) {
             return Some(NotRunReason::Leaving);
         }
-        if req.agent != self.incarnation {
+        if req.agent != self.incarnation || self.loading {
             return Some(NotRunReason::StaleBackendServer);
         }
         if self.config.offset > req.config_offset {
@@ -297,7 +299,7 @@
             load,
             wait_us,
             prefill_ns: self.admission.prefill_ns(),
-            accepting: !self.is_leaving(Timestamp::now()) && is_up,
+            accepting: is_up && !self.loading && !self.is_leaving(Timestamp::now()),
             agent: self.incarnation,
             kind,
             config_offset: self.config.offset,
@@ -453,6 +455,17 @@
     }
 }
 
+/// Tells whether the engine is about to load, or loads, other weights: then it gets no new work.
+pub(crate) struct SetLoading(pub(crate) bool);
+
+impl Message<SetLoading> for AgentActor {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: SetLoading, _: &mut Context<Self, Self::Reply>) {
+        self.loading = msg.0;
+    }
+}
+
 /// Ends attempts that make no progress or have lost their entry, and forgets old ones.
 pub(crate) struct Sweep;
 
--- a/src/entry/dispatch/placement.rs
+++ b/src/entry/dispatch/placement.rs
@@ -198,7 +198,7 @@
     limit: Duration,
 ) -> Option<(&EligibleAgent, ProbeReply)> {
     let reply = tokio::time::timeout(limit, agent.link.probe(req)).await.ok()?.ok()?;
-    reply.accepting.then_some((agent, reply))
+    (reply.accepting && runs_as_described(agent, &reply)).then_some((agent, reply))
 }
 
 fn choose(
@@ -226,3 +226,12 @@
         .collect();
     placement::choose(&candidates, slack)
 }
+
+/// Tells whether a backend server still runs the model and version by which it was found eligible.
+fn runs_as_described(agent: &EligibleAgent, reply: &ProbeReply) -> bool {
+    let weights = |kind: &BackendKind| match kind {
+        BackendKind::Engine { model, version, .. } => Some((model.clone(), *version)),
+        BackendKind::Service => None,
+    };
+    weights(&agent.description.kind) == weights(&reply.kind)
+}
--- a/src/entry/router.rs
+++ b/src/entry/router.rs
@@ -10,7 +10,7 @@
 };
 use dogwoodway_types::{
     AvailabilityZone, BackendServerName, ClassName, Configuration, ModelName, Priority, Selector,
-    TeamName, Timestamp,
+    TeamName, Timestamp, WeightsVersion,
 };
 use kameo::{
     Actor,
@@ -82,27 +82,26 @@
 
     /// Returns the usable agents that a selector allows, by name.
     fn usable(
-        &self,
+        &mut self,
         cfg: &Configuration,
         selector: &Selector,
         model: Option<&ModelName>,
     ) -> Vec<EligibleAgent> {
-        let fits = |d: &AgentDescription| {
-            let kind_fits = match (&d.kind, model) {
-                (BackendKind::Service, None) => true,
-                (BackendKind::Engine { incarnation, model, version }, Some(wanted)) => {
-                    incarnation.is_some()
-                        && model == wanted
-                        && selector.version.is_none_or(|v| v == *version)
-                }
-                _ => false,
-            };
-            kind_fits && cfg.is_eligible(selector, &d.name, &d.zone, &d.labels)
-        };
-        let described =
-            self.agents.iter().filter(|(_, a)| a.description.as_ref().is_some_and(fits));
-        let fitting: Vec<_> = described.map(|(key, _)| key).collect();
-        let usable = self.members.usable(Timestamp::now(), &fitting).into_iter();
+        let now = Timestamp::now();
+        let mut fitting = Vec::new();
+        for (key, agent) in &self.agents {
+            let Some(d) = &agent.description else { continue };
+            if !cfg.is_eligible(selector, &d.name, &d.zone, &d.labels) {
+                continue;
+            }
+            match fit(&d.kind, model, selector.version) {
+                Fit::Yes => fitting.push(key),
+                // It may have loaded the version since.
+                Fit::OtherVersion => self.members.ask_in_turn(now, key),
+                Fit::No => {}
+            }
+        }
+        let usable = self.members.usable(now, &fitting).into_iter();
         let mut agents: Vec<_> = usable
             .filter_map(|key| {
                 let known = self.agents.get(key)?;
@@ -117,6 +116,29 @@
     }
 }
 
+/// Whether a backend server can run a request.
+enum Fit {
+    Yes,
+    /// It has another version of the model loaded than the selector asks for.
+    OtherVersion,
+    No,
+}
+
+fn fit(kind: &BackendKind, model: Option<&ModelName>, version: Option<WeightsVersion>) -> Fit {
+    match (kind, model) {
+        (BackendKind::Service, None) => Fit::Yes,
+        (BackendKind::Engine { incarnation: Some(_), model, version: loaded }, Some(wanted))
+            if model == wanted =>
+        {
+            match version.is_none_or(|version| version == *loaded) {
+                true => Fit::Yes,
+                false => Fit::OtherVersion,
+            }
+        }
+        _ => Fit::No,
+    }
+}
+
 /// Tells which VMs the platform lists.
 pub(crate) struct SeeList(pub(crate) Vec<ListedVm>);
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -57,6 +57,9 @@
     }
 }
 
+/// Engines that load weights at the same time when the settings do not say.
+const DEFAULT_LOADING_SLOTS: usize = 2;
+
 #[derive(Debug, Deserialize)]
 struct RawEntry {
     listen: Option<String>,
@@ -143,6 +146,9 @@
     kv_store_url: Option<String>,
     vms_url: Option<String>,
     #[serde(default)]
+    checks_fencing: bool,
+    loading_slots: Option<usize>,
+    #[serde(default)]
     labels: BTreeMap<String, String>,
     metrics_listen: Option<String>,
     shutdown_limit_ms: Option<Value>,
@@ -170,6 +176,10 @@
     /// Base URL of the platform's list of VMs, to find other agents to ask for the configuration
     /// while the log is down.
     pub(crate) vms_url: Option<String>,
+    /// Whether the engine refuses orders with an old fencing number.
+    pub(crate) checks_fencing: bool,
+    /// Engines of the deployment that load weights at the same time.
+    pub(crate) loading_slots: usize,
     /// Labels of the backend server, which published ones replace.
     pub(crate) labels: BTreeMap<String, String>,
     /// Address on which metrics are served.
@@ -198,6 +208,8 @@
         fields.refuse_unknown(&raw.unknown);
         let faults = fields.into_faults();
         let labels = raw.labels;
+        let checks_fencing = raw.checks_fencing;
+        let loading_slots = raw.loading_slots.unwrap_or(DEFAULT_LOADING_SLOTS).max(1);
         match (listen, zone, name, kind, backend_url, log_url) {
             (
                 Some(listen),
@@ -215,6 +227,8 @@
                 log_url,
                 kv_store_url,
                 vms_url,
+                checks_fencing,
+                loading_slots,
                 labels,
                 metrics_listen,
                 shutdown_limit_ms,
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -98,6 +98,11 @@
         self.restart();
     }
 
+    /// Starts another process with the same settings on an address of its own.
+    pub(crate) fn start_twin(&self) -> Process {
+        Process::spawn(self.program.clone(), self.args.clone(), self.settings.clone())
+    }
+
     /// Sends a signal, such as `STOP`, `CONT` or `TERM`.
     pub(crate) fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
@@ -132,6 +137,8 @@
     pub(crate) kv_store: bool,
     /// Whether entries reach agents through links that a test can cut.
     pub(crate) links: bool,
+    /// Whether the engines are said to refuse orders with an old fencing number.
+    pub(crate) checks_fencing: bool,
 }
 
 impl Default for FleetOptions {
@@ -143,6 +150,7 @@
             decode_us: 2_000,
             kv_store: false,
             links: false,
+            checks_fencing: true,
         }
     }
 }
@@ -195,9 +203,11 @@
         for (i, (kind, backend)) in backends {
             let text = format!(
                 "listen: 127.0.0.1:0\nzone: zone-{i}\nname: {kind}-{i}\nkind: {kind}\n\
-                 backend_url: {}\nlog_url: {}\nlabels: {{pool: {kind}}}\n{agent_settings}",
+                 backend_url: {}\nlog_url: {}\nlabels: {{pool: {kind}}}\n\
+                 checks_fencing: {}\n{agent_settings}",
                 backend.url(),
-                log.url()
+                log.url(),
+                options.checks_fencing
             );
             let agent = role("agent", dir.join(format!("{kind}-{i}.yaml")), text);
             let mut address = agent.address;
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -20,6 +20,7 @@
     decode_us: 15_000,
     kv_store: false,
     links: false,
+    checks_fencing: true,
 };
 
 /// Tokens of a stream that outlasts the shutdown of the process that serves it.
