--- a/src/agent/front.rs
+++ b/src/agent/front.rs
@@ -1,5 +1,7 @@
 //! The agent's side of the RPC interface.
 
+use std::time::Duration;
+
 use dogwoodway_control::Snapshot;
 use dogwoodway_peer::{
     AgentApi, AgentDescription, FramesReply, PeerError, PeerResult, ProbeReply, ProbeRequest,
@@ -20,6 +22,8 @@
     config_follower::ConfigHandle,
 };
 
+const ENGINE_WAIT_MS: u64 = 20;
+
 /// Hands RPC calls to the agent's actor.
 pub(crate) struct AgentFront {
     actor: ActorRef<AgentActor>,
@@ -35,7 +39,15 @@
 
 impl AgentApi for AgentFront {
     fn describe(&self) -> BoxFuture<'_, PeerResult<AgentDescription>> {
-        async move { known(self.actor.ask(Describe).await.map_err(stopped)?) }.boxed()
+        async move {
+            loop {
+                match self.actor.ask(Describe).await.map_err(stopped)? {
+                    Some(description) => return Ok(description),
+                    None => engine_wait().await,
+                }
+            }
+        }
+        .boxed()
     }
 
     fn probe(&self, req: ProbeRequest) -> BoxFuture<'_, PeerResult<ProbeReply>> {
@@ -97,6 +109,12 @@
     reply.ok_or_else(|| PeerError::NotReady("the engine has not been reached yet".to_owned()))
 }
 
+/// Waits a moment for the engine to be reached for the first time. The caller's deadline ends the
+/// repeated wait.
+async fn engine_wait() {
+    tokio::time::sleep(Duration::from_millis(ENGINE_WAIT_MS)).await;
+}
+
 fn stopped<E>(_: E) -> PeerError {
     PeerError::Lost("the agent's actor has stopped".to_owned())
 }
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -22,6 +22,7 @@
     decode_us: 40_000,
     kv_store: false,
     links: true,
+    checks_fencing: true,
 };
 
 /// Longest time that a test may take before it counts as hanging.
