Yield a lost lease for long enough that the other can use it

Cause: stopped_agent_that_was_replaced_wakes_and_orders_nothing_old ran for more than nine minutes once, in one of three runs: with both agents awake beside an engine that ignores numbers, each answered the other's claim with its own, and neither ever had the unbroken run of 5.5 s that it waits for. Before: two_agents_that_want_to_order_do_not_keep_each_other_from_it fails, no order in a minute. Ruled out: the higher incarnation wins: a first claim that lands late would then silence the living agent for good.

--- a/crates/dogwoodway_control/src/lease.rs
+++ b/crates/dogwoodway_control/src/lease.rs
@@ -96,12 +96,14 @@
     incarnation: AgentIncarnation,
     pending: Vec<Pending>,
     held: Option<Held>,
+    yield_until: Timestamp,
 }
 
 impl ServerLease {
     /// Builds the state of an agent that has claimed nothing.
     pub fn new(server: BackendServerName, incarnation: AgentIncarnation) -> ServerLease {
-        ServerLease { server, incarnation, pending: Vec::new(), held: None }
+        let (pending, held) = (Vec::new(), None);
+        ServerLease { server, incarnation, pending, held, yield_until: Timestamp::default() }
     }
 
     /// Returns a claim to be appended; to be called before it is sent. `id` must be new.
@@ -124,7 +126,7 @@
         let own = self.pending.iter().position(|pending| pending.id == claim.id);
         let Some(own) = own.filter(|_| claim.incarnation == self.incarnation) else {
             if claim.incarnation != self.incarnation {
-                self.held = None;
+                self.see_other(now);
             }
             return;
         };
@@ -136,6 +138,15 @@
         self.held = Some(Held { offset, ends_at, quiet_at });
     }
 
+    /// Loses the lease, and yields to the other for long enough to take over and to order: if both
+    /// claimed again at once, neither would ever have an unbroken run of claims.
+    fn see_other(&mut self, now: Timestamp) {
+        if self.held.is_some() || !self.pending.is_empty() {
+            self.yield_until = now + Duration::from_millis(TAKEOVER_MS + LEASE_MS);
+        }
+        self.held = None;
+    }
+
     /// Gives up the lease: records were lost before they were read, or the engine has seen a
     /// higher fencing number.
     pub fn give_up(&mut self) {
@@ -152,7 +163,12 @@
         now: Timestamp,
         fencing: EngineFencing,
     ) -> Result<LogOffset, OrderBar> {
-        let Some(held) = self.held else { return Err(OrderBar::ClaimNeeded) };
+        let Some(held) = self.held else {
+            return match now < self.yield_until {
+                true => Err(OrderBar::Waiting { until: self.yield_until }),
+                false => Err(OrderBar::ClaimNeeded),
+            };
+        };
         if fencing == EngineFencing::Ignored && now < held.quiet_at {
             return Err(OrderBar::Waiting { until: held.quiet_at });
         }
--- a/crates/dogwoodway_control/tests/lease.rs
+++ b/crates/dogwoodway_control/tests/lease.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use dogwoodway_control::{
-    lease::{EngineFencing, LEASE_MS, ServerClaim, ServerLease, TAKEOVER_MS},
+    lease::{EngineFencing, LEASE_MS, OrderBar, ServerClaim, ServerLease, TAKEOVER_MS},
     loading::{LoadingSlots, SLOT_MS, SlotClaim, Weights, wanted_weights},
 };
 use dogwoodway_types::{
@@ -178,6 +178,29 @@
     assert!(new.fencing_number(arrival, EngineFencing::Ignored).is_err());
 }
 
+#[test]
+fn two_agents_that_want_to_order_do_not_keep_each_other_from_it() {
+    let server = BackendServerName::try_from("worker-1").unwrap();
+    let lease = |i| ServerLease::new(server.clone(), AgentIncarnation(i));
+    let mut agents = [lease(0), lease(1)];
+    let (mut log, mut ordered) = (0, [false; 2]);
+    for millis in (1..60_000).step_by(100) {
+        let now = Timestamp::from_millis(millis);
+        for i in 0..2 {
+            match agents[i].fencing_number(now, EngineFencing::Ignored) {
+                Ok(_) => ordered[i] = true,
+                Err(OrderBar::Waiting { .. }) => {}
+                Err(OrderBar::ClaimNeeded) => {
+                    log += 1;
+                    let claim = agents[i].claim(now, log);
+                    agents.iter_mut().for_each(|a| a.see_claim(now, LogOffset(log), &claim));
+                }
+            }
+        }
+    }
+    assert!(ordered.contains(&true));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
 
