--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -19,14 +19,9 @@
 
 use crate::fleet::{Fleet, FleetOptions, chat_body};
 
-const SMALL: FleetOptions = FleetOptions {
-    engines: 2,
-    services: 0,
-    entries: 2,
-    decode_us: 100,
-    kv_store: false,
-    links: false,
-};
+fn small() -> FleetOptions {
+    FleetOptions { services: 0, decode_us: 100, ..FleetOptions::default() }
+}
 
 async fn fault(fleet: &Fleet, fault: Value) {
     let url = format!("{}/fault", fleet.log.url());
@@ -111,7 +106,7 @@
 
 #[tokio::test]
 async fn racing_operators_get_verdicts_and_no_agent_goes_back() {
-    let fleet = Fleet::start(SMALL).await;
+    let fleet = Fleet::start(small()).await;
     let stop = Arc::new(AtomicBool::new(false));
     let watcher = watch(&fleet, stop.clone());
     let mut accepted = 0;
@@ -143,7 +138,7 @@
 
 #[tokio::test]
 async fn lost_append_answer_is_resolved_and_a_repeat_is_harmless() {
-    let fleet = Fleet::start(SMALL).await;
+    let fleet = Fleet::start(small()).await;
     fault(&fleet, json!({"lose_answers": 1})).await;
     let first = publish(&fleet, 7, &["--change-id", "once"]);
     assert_eq!(first.status.code(), Some(0));
@@ -157,7 +152,7 @@
 
 #[tokio::test]
 async fn emptied_log_is_restored_and_nothing_reverts() {
-    let fleet = Fleet::start(SMALL).await;
+    let fleet = Fleet::start(small()).await;
     assert_eq!(publish(&fleet, 7, &[]).status.code(), Some(0));
     wait_for_status(&fleet).await;
     let before = offset_of(&links(&fleet)[0]).await.unwrap();
@@ -178,7 +173,7 @@
 
 #[tokio::test]
 async fn frozen_agent_that_missed_dropped_records_does_not_go_back() {
-    let fleet = Fleet::start(SMALL).await;
+    let fleet = Fleet::start(small()).await;
     assert_eq!(publish(&fleet, 7, &[]).status.code(), Some(0));
     wait_for_status(&fleet).await;
     let stop = Arc::new(AtomicBool::new(false));
@@ -199,7 +194,7 @@
 
 #[tokio::test]
 async fn cold_entry_serves_from_peers_while_the_log_is_too_slow() {
-    let mut fleet = Fleet::start(SMALL).await;
+    let mut fleet = Fleet::start(small()).await;
     fault(&fleet, json!({"delay_ms": 600_000})).await;
     fleet.entries[0].restart();
     fleet.http = HttpClient::new();
@@ -210,7 +205,7 @@
 
 #[tokio::test]
 async fn dropped_records_are_covered_by_a_snapshot() {
-    let mut fleet = Fleet::start(SMALL).await;
+    let mut fleet = Fleet::start(small()).await;
     assert_eq!(publish(&fleet, 7, &[]).status.code(), Some(0));
     wait_for_status(&fleet).await;
     fault(&fleet, json!({"drop_records": 1000})).await;
@@ -227,7 +222,7 @@
 
 #[tokio::test]
 async fn cold_entry_serves_from_peers_while_the_log_is_down() {
-    let mut fleet = Fleet::start(SMALL).await;
+    let mut fleet = Fleet::start(small()).await;
     fault(&fleet, json!({"down": true})).await;
     fleet.entries[0].restart();
     fleet.http = HttpClient::new();
@@ -238,7 +233,7 @@
 
 #[tokio::test]
 async fn cold_entry_without_log_and_peers_says_so() {
-    let mut fleet = Fleet::start(SMALL).await;
+    let mut fleet = Fleet::start(small()).await;
     fault(&fleet, json!({"down": true})).await;
     fleet.agents.iter_mut().for_each(|agent| agent.kill());
     fleet.entries[0].restart();
