Keep an ended answer for as long as it is read

Cause: an answer was forgotten 60 s after its end even while a slow caller still read it; the entry then had to compute the rest again elsewhere. Ruled out: keeping all answers longer, which costs memory for answers that are read at once. Before: a read at 50 s after the end is followed by none at 100 s. After: it is found, and forgotten 61 s later. Conclusion: each read moves the time at which an ended answer is forgotten.

--- a/crates/dogwoodway_routing/src/attempt.rs
+++ b/crates/dogwoodway_routing/src/attempt.rs
@@ -130,8 +130,9 @@
                 *orphan_at = now + ORPHAN_TIMEOUT;
                 frames
             }
-            Attempt::Ended { frames, unread_until, .. } => {
+            Attempt::Ended { frames, unread_until, forget_at } => {
                 *unread_until = None;
+                *forget_at = (*forget_at).max(now + ENDED_KEPT);
                 frames
             }
             Attempt::Tombstone { .. } => return None,
--- a/crates/dogwoodway_routing/tests/attempt.rs
+++ b/crates/dogwoodway_routing/tests/attempt.rs
@@ -217,3 +217,17 @@
     ];
     check(&steps, [110; 3]).unwrap();
 }
+
+#[test]
+fn an_ended_answer_that_is_still_read_is_kept() {
+    let mut table = AttemptTable::default();
+    let at = |seconds: u64| Timestamp(seconds * SECOND);
+    table.start(at(0), AttemptId(1), at(2));
+    let kind = FrameKind::End { finish: FinishReason::Stop, usage: Usage::default() };
+    table.push(at(0), AttemptId(1), kind);
+    table.frames(at(50), AttemptId(1), 0);
+    table.sweep(at(100));
+    assert_eq!(table.frames(at(100), AttemptId(1), 0).map(|frames| frames.len()), Some(1));
+    table.sweep(at(161));
+    assert_eq!(table.frames(at(161), AttemptId(1), 0), None);
+}
