Name the claim in the attempts of not_run.rs

Cause: an attempt now states what must be claimed before it starts. Ruled out: a default for the field, which a caller in the product could forget.

--- a/tests/not_run.rs
+++ b/tests/not_run.rs
@@ -35,6 +35,7 @@
         config_offset: described.config_offset,
         agent: described.incarnation,
         engine: None,
+        claim: None,
         work: Work::Service(ServiceWork {
             method: "POST".to_owned(),
             path: "/reservations".to_owned(),
