Let the fallback of a team's budget grant all places

Cause: in retry_storm.rs, after two of three agents died, 508 to 531 of about 1,000 requests were refused with 429 in five of six runs, although the team has 100 million tokens a minute. The owner of the budget was among the dead, and its fallback granted a fortieth of the 1,000 places: 25 for waves of 200. Ruled out: the tokens (a wave needs a few thousand); allowing 429 in the test, as it had been for a moment. Conclusion: the test allows no 429 again; an owner that does not answer is passed over after 200 ms. During a cut a team may have twice its requests in flight; its tokens still hold.

--- a/crates/dogwoodway_routing/src/budget.rs
+++ b/crates/dogwoodway_routing/src/budget.rs
@@ -54,10 +54,9 @@
     pub fn of_role(self, role: GrantRole) -> TeamLimits {
         match role {
             GrantRole::Owner => self,
-            GrantRole::Fallback => TeamLimits {
-                tokens: self.tokens / BUDGET_PER_TRICKLE,
-                in_flight: self.in_flight / PLACES_PER_HEADROOM,
-            },
+            GrantRole::Fallback => {
+                TeamLimits { tokens: self.tokens / BUDGET_PER_TRICKLE, in_flight: self.in_flight }
+            }
         }
     }
 }
--- a/src/entry/dispatch/admission.rs
+++ b/src/entry/dispatch/admission.rs
@@ -24,6 +24,9 @@
 /// Time after which a refused caller may come back when no agent told one.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Time after which an agent that does not answer is passed over.
+const GRANT_TIMEOUT_MS: u64 = 200;
+
 /// Grants that are asked for on behalf of one request.
 const MAX_GRANTS: u32 = 16;
 
@@ -103,7 +106,9 @@
         let mut grant = None;
         for (i, role) in order.into_iter().zip(roles) {
             let link: &Arc<dyn AgentApi> = &agents[i].1;
-            if let Ok(Some(given)) = link.grant(name.clone(), role, req).await {
+            let limit = Duration::from_millis(GRANT_TIMEOUT_MS);
+            let given = tokio::time::timeout(limit, link.grant(name.clone(), role, req)).await;
+            if let Ok(Ok(Some(given))) = given {
                 grant = Some(given);
                 break;
             }
--- a/tests/retry_storm.rs
+++ b/tests/retry_storm.rs
@@ -64,8 +64,5 @@
     println!("offered {offered}, attempts {attempts}, retries denied {denied}, {statuses:?}");
     assert!(attempts <= offered + SAVED_RETRIES + offered / FIRSTS_PER_RETRY);
     assert_eq!(statuses.values().sum::<u64>(), 5 * WAVE as u64);
-    assert!(
-        statuses.keys().all(|status| [200, 429, 502, 503, 504].contains(status)),
-        "{statuses:?}"
-    );
+    assert!(statuses.keys().all(|status| [200, 502, 503, 504].contains(status)), "{statuses:?}");
 }
