Stop requests that crash the engines that run them

Cause: a request that crashes each engine that runs it was tried four times, and each time that its caller sent it again. Ruled out: fewer attempts for all, which lose requests that other causes broke off; a quarantine of the whole batch after one crash. The table equals a reading of its whole history over 256 cases.

--- a/crates/dogwoodway_peer/src/message.rs
+++ b/crates/dogwoodway_peer/src/message.rs
@@ -99,6 +99,8 @@
     pub engine: Option<EngineIncarnation>,
     /// What must be claimed before the start; absent if the request may be repeated or has no key.
     pub claim: Option<ClaimRequest>,
+    /// Whether an engine crashed while it ran the request; no two suspects run on one engine.
+    pub is_suspect: bool,
     /// What to run.
     pub work: Work,
 }
--- a/crates/dogwoodway_routing/src/lib.rs
+++ b/crates/dogwoodway_routing/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod outlier;
 pub mod placement;
 pub mod prefix_index;
+pub mod quarantine;
 pub mod queue;
 pub mod rate;
 pub mod rendezvous;
--- /dev/null
+++ b/crates/dogwoodway_routing/tests/quarantine.rs
@@ -0,0 +1,74 @@
+//! The quarantine against a reading of the whole history.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use dogwoodway_routing::quarantine::{CRASHES, QUARANTINE, Quarantine, SUSPICION, Standing};
+use dogwoodway_types::{EngineIncarnation, RequestFingerprint, TeamName, Timestamp};
+use proptest::prelude::*;
+
+fn request(i: u8) -> RequestFingerprint {
+    RequestFingerprint::new(&TeamName::try_from("demo").unwrap(), &[&[i]])
+}
+
+/// Reads all crashes of one request from the start.
+fn naive(crashes: &[(Timestamp, u64)], now: Timestamp) -> Standing {
+    let (mut engines, mut until, mut ends) = (BTreeSet::new(), Timestamp(0), Timestamp(0));
+    for (at, engine) in crashes {
+        if *at >= ends {
+            (engines, until) = (BTreeSet::new(), Timestamp(0));
+        }
+        if !engines.insert(*engine) {
+            continue;
+        }
+        ends = ends.max(*at + SUSPICION);
+        if engines.len() >= CRASHES {
+            let factor = 2_u32.pow((engines.len() - CRASHES).min(5) as u32);
+            until = *at + QUARANTINE * factor;
+            ends = until + SUSPICION;
+        }
+    }
+    match (now < until, now < ends) {
+        (true, _) => Standing::Quarantined { until },
+        (false, true) => Standing::Suspect,
+        (false, false) => Standing::Clear,
+    }
+}
+
+proptest! {
+    #[test]
+    fn quarantine_equals_a_reading_of_the_history(
+        steps in prop::collection::vec((0..400u64, 0..3u8, 0..6u64), 0..60),
+    ) {
+        let mut quarantine = Quarantine::new(10);
+        let mut history: Vec<Vec<(Timestamp, u64)>> = vec![Vec::new(); 3];
+        let mut now = Timestamp::from_millis(1_000);
+        for (pass_s, i, engine) in steps {
+            now = now + Duration::from_secs(pass_s);
+            quarantine.note_crash(now, request(i), EngineIncarnation(engine));
+            history[usize::from(i)].push((now, engine));
+            let later = now + Duration::from_secs(130);
+            for at in [now, later] {
+                for i in 0..3 {
+                    let wanted = naive(&history[usize::from(i)], at);
+                    prop_assert_eq!(quarantine.standing(at, &request(i)), wanted);
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn table_is_bounded_and_keeps_what_ends_last() {
+    let mut quarantine = Quarantine::new(3);
+    let at = |s: u64| Timestamp::from_millis(s * 1_000);
+    for engine in 0..2 {
+        quarantine.note_crash(at(1), request(0), EngineIncarnation(engine));
+    }
+    for i in 1..100 {
+        quarantine.note_crash(at(1 + u64::from(i)), request(i), EngineIncarnation(9));
+    }
+    assert!(matches!(quarantine.standing(at(100), &request(0)), Standing::Quarantined { .. }));
+    let known = (0..100).filter(|&i| quarantine.standing(at(100), &request(i)) != Standing::Clear);
+    assert_eq!(known.count(), 3);
+    assert_eq!(quarantine.quarantined(at(100)), 1);
+}
--- a/crates/dogwoodway_standin/src/engine.rs
+++ b/crates/dogwoodway_standin/src/engine.rs
@@ -48,6 +48,8 @@
     pub kv_store_url: Option<String>,
     /// Microseconds to import one prompt token.
     pub import_us: u32,
+    /// Text in a prompt that crashes the engine.
+    pub poison: Option<String>,
     /// Factor by which the engine runs faster than its stated times.
     pub speed: f64,
 }
--- a/crates/dogwoodway_standin/src/engine/batch.rs
+++ b/crates/dogwoodway_standin/src/engine/batch.rs
@@ -84,6 +84,12 @@
         self.running.retain(|seq| seq.req.request_id != id);
     }
 
+    /// Tells whether a prompt that holds `text` runs.
+    pub fn runs(&self, text: &str) -> bool {
+        let holds = |seq: &Sequence| seq.req.messages.iter().any(|m| m.content.contains(text));
+        self.running.iter().any(holds)
+    }
+
     /// Returns the numbers of requests that run and wait.
     pub fn load(&self) -> (usize, usize) {
         (self.running.len(), self.waiting.len())
--- a/crates/dogwoodway_standin/src/engine/server.rs
+++ b/crates/dogwoodway_standin/src/engine/server.rs
@@ -232,7 +232,13 @@
             };
             step_end += Duration::from_micros(plan.cost_us).div_f64(self.options.speed);
             tokio::time::sleep_until(step_end).await;
-            self.with_state(|s| s.end_step(engine, &plan));
+            let is_poisoned = self.with_state(|s| {
+                s.end_step(engine, &plan);
+                self.options.poison.as_ref().is_some_and(|text| s.batch.runs(text))
+            });
+            if is_poisoned {
+                self.crash();
+            }
         }
     }
 }
--- a/crates/dogwoodway_standin/src/main.rs
+++ b/crates/dogwoodway_standin/src/main.rs
@@ -166,6 +166,9 @@
     /// Base URL of the store of kept KV cache.
     #[arg(long)]
     kv_store_url: Option<String>,
+    /// Text in a prompt that crashes the engine after its first step.
+    #[arg(long)]
+    poison: Option<String>,
     /// Microseconds to import one prompt token.
     #[arg(long, default_value_t = 5)]
     import_us: u32,
@@ -184,6 +187,7 @@
             event_gap: args.event_gap,
             load_lag_ms: args.load_lag_ms,
             kv_store_url: args.kv_store_url,
+            poison: args.poison,
             import_us: args.import_us,
             speed: args.speed,
         }
--- a/src/agent/actor.rs
+++ b/src/agent/actor.rs
@@ -54,6 +54,8 @@
     listed_leaving_until: Timestamp,
     loading: bool,
     attempts: AttemptTable,
+    /// The attempt of a suspect that runs or waits.
+    suspect: Option<AttemptId>,
     runs: Runs,
     waiters: HashMap<AttemptId, Vec<Waiter>>,
     admission: Admission,
@@ -87,6 +89,7 @@
             listed_leaving_until: Timestamp::default(),
             loading: false,
             attempts: AttemptTable::default(),
+            suspect: None,
             runs: Runs::new(Timestamp::now()),
             waiters: HashMap::new(),
             admission: Admission::new(),
@@ -121,6 +124,9 @@
         if self.config.offset > req.config_offset {
             return Some(NotRunReason::StaleConfiguration);
         }
+        if req.is_suspect && self.suspect.is_some() {
+            return Some(NotRunReason::Quarantined);
+        }
         if now > req.deadline {
             return Some(NotRunReason::DeadlinePassed);
         }
@@ -213,6 +219,7 @@
         }
         self.runs.note_frame(now, id, &kind);
         if kind.is_last() {
+            self.suspect = self.suspect.filter(|suspect| *suspect != id);
             self.queued.remove(&id);
             self.admission.remove(now, id);
         }
@@ -330,12 +337,17 @@
             StartVerdict::Refused => {
                 StartReply::NotRun { reason: NotRunReason::Cancelled, retry_at: None }
             }
-            StartVerdict::Run => match self.admit(now, req, cx.actor_ref()) {
-                Some(Refusal { reason, retry_at }) => {
-                    StartReply::NotRun { reason, retry_at: Some(retry_at) }
+            StartVerdict::Run => {
+                if req.is_suspect {
+                    self.suspect = Some(id);
                 }
-                None => StartReply::Accepted,
-            },
+                match self.admit(now, req, cx.actor_ref()) {
+                    Some(Refusal { reason, retry_at }) => {
+                        StartReply::NotRun { reason, retry_at: Some(retry_at) }
+                    }
+                    None => StartReply::Accepted,
+                }
+            }
         })
     }
 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -5,6 +5,7 @@
 mod idempotency;
 mod membership;
 mod observed_agent;
+mod quarantine;
 mod retry_budget;
 mod router;
 
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 
 use dogwoodway_caller::{Answer, AnswerEvent, CallerRequest, Dispatcher, Readiness};
+use dogwoodway_log::HttpLog;
 use dogwoodway_types::{KeyHash, LogOffset, ModelName, Outcome, TeamName};
 use futures::{FutureExt, future::BoxFuture};
 use kameo::actor::{ActorRef, Spawn};
@@ -21,7 +22,8 @@
 use crate::{
     config_follower::ConfigHandle,
     entry::{
-        dispatch::placer::Placer, limits::Limits, retry_budget::RetryBudgetActor, router::Router,
+        dispatch::placer::Placer, limits::Limits, quarantine::QuarantineActor,
+        retry_budget::RetryBudgetActor, router::Router,
     },
     metrics_page,
     settings::EntrySettings,
@@ -42,6 +44,7 @@
     placer: ActorRef<Placer>,
     limits: ActorRef<Limits>,
     retries: ActorRef<RetryBudgetActor>,
+    quarantine: ActorRef<QuarantineActor>,
     shutdown: Shutdown,
 }
 
@@ -56,7 +59,9 @@
         let placer = Placer::spawn(Placer::default());
         let limits = Limits::spawn(Limits::new());
         let retries = RetryBudgetActor::spawn(RetryBudgetActor::default());
-        let core = Core { settings, config, router, placer, limits, retries, shutdown };
+        let log = Arc::new(HttpLog::new(settings.log_url.clone()));
+        let quarantine = QuarantineActor::start(log);
+        let core = Core { settings, config, router, placer, limits, retries, quarantine, shutdown };
         EntryDispatcher { core: Arc::new(core) }
     }
 }
--- a/src/entry/dispatch/attempt.rs
+++ b/src/entry/dispatch/attempt.rs
@@ -6,7 +6,8 @@
 use dogwoodway_peer::{AgentApi, FramesReply, PeerError, RunRequest, SettleReply, StartReply};
 use dogwoodway_routing::answer_stream::Step;
 use dogwoodway_types::{
-    AgentIncarnation, AttemptId, Frame, LogOffset, NotRunReason, Outcome, Timestamp,
+    AgentIncarnation, AttemptId, EngineIncarnation, Frame, LogOffset, NotRunReason, Outcome,
+    Timestamp,
 };
 
 use crate::{
@@ -47,6 +48,7 @@
     link: Arc<dyn AgentApi>,
     id: AttemptId,
     agent: AgentIncarnation,
+    engine: Option<EngineIncarnation>,
     start_before: Timestamp,
 }
 
@@ -57,7 +59,8 @@
     progress: &mut Progress,
 ) -> AttemptEnd {
     let (id, agent, start_before) = (run.attempt, run.agent, run.start_before);
-    let attempt = Attempt { link, id, agent, start_before };
+    let engine = run.engine;
+    let attempt = Attempt { link, id, agent, engine, start_before };
     let earlier_may_have_run = std::mem::replace(&mut progress.may_have_run, true);
     progress.stream.begin(id);
     let end = match attempt.start(run).await {
@@ -156,7 +159,10 @@
             Step::Ended { outcome: Outcome::NotRun { reason, retry_at }, .. } => {
                 return Some(AttemptEnd::NotRun { reason, retry_at });
             }
-            Step::Ended { outcome, .. } => return Some(lost(&format!("{outcome:?}"))),
+            Step::Ended { outcome, backend_lost } => {
+                progress.crashed = self.engine.filter(|_| backend_lost);
+                return Some(lost(&format!("{outcome:?}")));
+            }
             Step::Broken(fault) => return Some(lost(&fault.to_string())),
         };
         self.send(event, progress).await
--- a/src/entry/dispatch/progress.rs
+++ b/src/entry/dispatch/progress.rs
@@ -4,7 +4,10 @@
 
 use dogwoodway_caller::AnswerEvent;
 use dogwoodway_routing::answer_stream::AnswerStream;
-use dogwoodway_types::{BackendServerName, ClaimRequest, NotRunReason, Outcome, Timestamp};
+use dogwoodway_types::{
+    BackendServerName, ClaimRequest, EngineIncarnation, NotRunReason, Outcome, RequestFingerprint,
+    Timestamp,
+};
 use tokio::sync::mpsc;
 
 use crate::{
@@ -26,6 +29,10 @@
     pub(super) stream: AnswerStream,
     /// Whether an attempt was handed to a backend server, or may have been.
     pub(super) may_have_run: bool,
+    /// Digest of the request's content.
+    pub(super) fingerprint: RequestFingerprint,
+    /// Engine that crashed while it ran the last attempt.
+    pub(super) crashed: Option<EngineIncarnation>,
     /// Backend servers that have refused or lost an attempt of this request.
     pub(super) avoid: Vec<BackendServerName>,
 }
--- a/src/entry/dispatch/retries.rs
+++ b/src/entry/dispatch/retries.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dogwoodway_types::Timestamp;
+use dogwoodway_types::{NotRunReason, Timestamp};
 
 use crate::entry::dispatch::attempt::AttemptEnd;
 
@@ -23,6 +23,8 @@
 pub(super) struct Retries {
     lost: u32,
     refused: u32,
+    /// Times that the request waited for another suspect to leave an engine.
+    waited: u32,
     /// Set while a begun answer waits for a server that goes on with it.
     resume_until: Option<Timestamp>,
 }
@@ -38,6 +40,10 @@
                 self.resume_until = Some(now + Duration::from_millis(RESUME_TIMEOUT_MS));
                 self.lost < MAX_ATTEMPTS
             }
+            AttemptEnd::NotRun { reason: NotRunReason::Quarantined, .. } => {
+                self.waited += 1;
+                true
+            }
             AttemptEnd::NotRun { .. } | AttemptEnd::NoServer | AttemptEnd::Behind(_) => {
                 self.refused += 1;
                 match self.resume_until {
@@ -55,7 +61,7 @@
 
     /// Draws the pause before the next attempt: none before the first retry after a loss.
     pub(super) fn pause(&self) -> Duration {
-        let in_a_row = self.refused + u32::from(self.lost > 0);
+        let in_a_row = self.refused + self.waited + u32::from(self.lost > 0);
         match in_a_row {
             0 | 1 => Duration::ZERO,
             n => {
--- a/src/entry/dispatch/serve.rs
+++ b/src/entry/dispatch/serve.rs
@@ -4,7 +4,7 @@
 
 use dogwoodway_caller::{AnswerEvent, CallerRequest, CallerWork};
 use dogwoodway_peer::{BackendKind, RunRequest};
-use dogwoodway_routing::answer_stream::AnswerStream;
+use dogwoodway_routing::{answer_stream::AnswerStream, quarantine::Standing};
 use dogwoodway_types::{
     AttemptId, ClassName, NotRunReason, Outcome, Timestamp, WeightsVersion, Work,
 };
@@ -20,6 +20,7 @@
             retries::Retries,
         },
         idempotency,
+        quarantine::{AskStanding, Crash, NoteCrash},
         retry_budget::{NoteFirst, TakeRetry},
         router::{Eligible, EligibleAgent, FindEligible},
     },
@@ -66,6 +67,8 @@
             claim: idempotency::claim_of(&req, repeatable),
             stream: AnswerStream::new(max_tokens),
             may_have_run: false,
+            fingerprint: idempotency::fingerprint(&req.team, &req.work),
+            crashed: None,
             avoid: Vec::new(),
         };
         let class = class.map(|c| c.name.clone());
@@ -91,7 +94,13 @@
                 reason = NotRunReason::DeadlinePassed;
                 break;
             }
-            let end = self.attempt(req, class, retries.is_retry(), progress).await;
+            let standing = self.standing(progress).await;
+            if let Standing::Quarantined { until } = standing {
+                return quarantined(progress, until);
+            }
+            let is_suspect = standing == Standing::Suspect;
+            let end = self.attempt(req, class, retries.is_retry(), is_suspect, progress).await;
+            self.note_crash(progress).await;
             match &end {
                 AttemptEnd::Done(outcome) => return outcome.clone(),
                 AttemptEnd::NotRun { reason: why, retry_at } => {
@@ -125,12 +134,27 @@
         }
     }
 
+    /// Tells of a crash of the engine that ran the last attempt.
+    async fn note_crash(&self, progress: &mut Progress) {
+        if let Some(engine) = progress.crashed.take() {
+            let crash = Crash { at: Timestamp::now(), request: progress.fingerprint, engine };
+            let _ = self.quarantine.tell(NoteCrash(crash)).await;
+        }
+    }
+
+    /// Asks what is known against a request.
+    async fn standing(&self, progress: &Progress) -> Standing {
+        let standing = self.quarantine.ask(AskStanding(progress.fingerprint)).await;
+        standing.map_or(Standing::Clear, |standing| *standing)
+    }
+
     /// Makes one attempt.
     async fn attempt(
         &self,
         req: &CallerRequest,
         class: &ClassName,
         is_retry: bool,
+        is_suspect: bool,
         progress: &mut Progress,
     ) -> AttemptEnd {
         let model = match &req.work {
@@ -176,12 +200,24 @@
             agent: probe.agent,
             engine,
             claim: progress.claim,
+            is_suspect,
             work,
         };
         run_attempt(agent.link.clone(), run, progress).await
     }
 }
 
+/// The outcome of a request that must not run before `until`.
+fn quarantined(progress: &Progress, until: Timestamp) -> Outcome {
+    match progress.may_have_run || progress.stream.has_started() {
+        false => not_run(NotRunReason::Quarantined, Some(until)),
+        true => {
+            let message = "backend servers crashed while they ran the request; it is quarantined";
+            Outcome::Failed { message: message.to_owned() }
+        }
+    }
+}
+
 /// Leaves only agents that can continue the answer, and those not tried yet if there are any.
 fn restrict(eligible: &mut Eligible, progress: &Progress) {
     if let Some(version) = progress.stream.version() {
--- a/src/metrics_page.rs
+++ b/src/metrics_page.rs
@@ -4,7 +4,7 @@
 
 use dogwoodway_http::{Handler, ServerLimits, serve, text_response};
 use hyper::StatusCode;
-use metrics::{Unit, describe_counter};
+use metrics::{Unit, describe_counter, describe_gauge};
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder};
 use tokio::net::TcpListener;
 
@@ -16,6 +16,9 @@
 /// Attempts that were made, first ones and retries.
 pub(crate) const ATTEMPTS: &str = "dogwoodway_attempts_total";
 
+/// Requests that may not run, because they were there when backend servers crashed.
+pub(crate) const QUARANTINED: &str = "dogwoodway_quarantined_requests";
+
 /// Retries that the retry budget did not allow.
 pub(crate) const RETRIES_DENIED: &str = "dogwoodway_retries_denied_total";
 
@@ -56,6 +59,7 @@
 }
 
 fn describe() {
+    describe_gauge!(QUARANTINED, Unit::Count, "Requests in quarantine after crashes");
     describe_counter!(REQUESTS, Unit::Count, "Requests of callers that have ended, by outcome");
     describe_counter!(TEAM_TOKENS, Unit::Count, "Tokens that teams have used, by team and kind");
     describe_counter!(ATTEMPTS, Unit::Count, "Attempts that were made, first ones and retries");
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -28,6 +28,9 @@
 /// Bearer key of the team `demo`.
 pub(crate) const KEY: &str = "sk-demo";
 
+/// Text in a prompt that crashes each engine that runs it.
+pub(crate) const POISON: &str = "crash-the-engine";
+
 const PEPPER: &str = "pepper";
 
 const ANSWER_TIMEOUT_MS: u64 = 60_000;
@@ -189,6 +192,7 @@
         let kv_url = kv_store.as_ref().map(Process::url);
         let mut engine =
             vec!["engine", "--model", "demo-model", "--decode-us", &decode, "--load-lag-ms", "0"];
+        engine.extend(["--poison", POISON]);
         let mut agent_settings = String::new();
         if let Some(url) = &kv_url {
             engine.extend(["--kv-store-url", url]);
--- a/tests/not_run.rs
+++ b/tests/not_run.rs
@@ -36,6 +36,7 @@
         agent: described.incarnation,
         engine: None,
         claim: None,
+        is_suspect: false,
         work: Work::Service(ServiceWork {
             method: "POST".to_owned(),
             path: "/reservations".to_owned(),
--- a/tests/stale.rs
+++ b/tests/stale.rs
@@ -64,6 +64,7 @@
         agent: probed.agent,
         engine: incarnation,
         claim: None,
+        is_suspect: false,
         work: Work::Chat(ChatWork {
             model: ModelName::try_from("demo-model").unwrap(),
             version: WeightsVersion(version),
