Tell a crash from a broken connection, and clear suspects that are answered

Cause: three tests of streams.rs failed with the quarantine: a cut connection to an engine that lives, and a prompt whose engines the test kills one after the other, counted as crashes that the request had caused. Ruled out: other prompts in the tests, which would hide that innocent traffic is quarantined.

--- a/crates/dogwoodway_routing/src/quarantine.rs
+++ b/crates/dogwoodway_routing/src/quarantine.rs
@@ -2,8 +2,9 @@
 //!
 //! Every request that an engine ran when it crashed becomes a suspect, known by the fingerprint of
 //! its content. Suspects run alone among suspects on an engine, so a second crash tells the cause
-//! from the innocent requests of the first batch: whoever was there both times is quarantined. A
-//! suspicion and a quarantine end by themselves, since engines crash for other reasons too.
+//! from the innocent requests of the first batch: whoever was there both times is quarantined. An
+//! answer clears a suspect, and a suspicion and a quarantine end by themselves, since engines crash
+//! for other reasons too.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -96,6 +97,24 @@
         }
     }
 
+    /// Forgets what is known against a request, since a backend server has answered it: its crashes
+    /// had another cause.
+    ///
+    /// ```
+    /// use dogwoodway_routing::quarantine::{Quarantine, Standing};
+    /// use dogwoodway_types::{EngineIncarnation, RequestFingerprint, TeamName, Timestamp};
+    ///
+    /// let team = TeamName::try_from("demo").unwrap();
+    /// let request = RequestFingerprint::new(&team, &[b"compare"]);
+    /// let mut quarantine = Quarantine::new(100);
+    /// quarantine.note_crash(Timestamp(0), request, EngineIncarnation(1));
+    /// quarantine.note_answered(&request);
+    /// assert_eq!(quarantine.standing(Timestamp(0), &request), Standing::Clear);
+    /// ```
+    pub fn note_answered(&mut self, request: &RequestFingerprint) {
+        self.records.remove(request);
+    }
+
     /// Tells what is known against a request.
     pub fn standing(&self, now: Timestamp, request: &RequestFingerprint) -> Standing {
         match self.records.get(request) {
--- a/crates/dogwoodway_routing/tests/quarantine.rs
+++ b/crates/dogwoodway_routing/tests/quarantine.rs
@@ -37,15 +37,20 @@
 proptest! {
     #[test]
     fn quarantine_equals_a_reading_of_the_history(
-        steps in prop::collection::vec((0..400u64, 0..3u8, 0..6u64), 0..60),
+        steps in prop::collection::vec((0..400u64, 0..3u8, 0..6u64, 0..12u8), 0..60),
     ) {
         let mut quarantine = Quarantine::new(10);
         let mut history: Vec<Vec<(Timestamp, u64)>> = vec![Vec::new(); 3];
         let mut now = Timestamp::from_millis(1_000);
-        for (pass_s, i, engine) in steps {
+        for (pass_s, i, engine, kind) in steps {
             now = now + Duration::from_secs(pass_s);
-            quarantine.note_crash(now, request(i), EngineIncarnation(engine));
-            history[usize::from(i)].push((now, engine));
+            if kind == 0 {
+                quarantine.note_answered(&request(i));
+                history[usize::from(i)].clear();
+            } else {
+                quarantine.note_crash(now, request(i), EngineIncarnation(engine));
+                history[usize::from(i)].push((now, engine));
+            }
             let later = now + Duration::from_secs(130);
             for at in [now, later] {
                 for i in 0..3 {
--- a/crates/dogwoodway_types/src/work.rs
+++ b/crates/dogwoodway_types/src/work.rs
@@ -132,7 +132,7 @@
     Error {
         /// What became of the attempt.
         outcome: Outcome,
-        /// Whether the backend server was lost while it ran the attempt.
+        /// Whether the backend server crashed while it ran the attempt.
         backend_lost: bool,
     },
 }
--- a/src/agent/actor/leaving.rs
+++ b/src/agent/actor/leaving.rs
@@ -40,10 +40,10 @@
 
     async fn handle(&mut self, _: EndAll, _: &mut Context<Self, Self::Reply>) {
         for id in self.queued.keys().copied().collect::<Vec<_>>() {
-            self.end_chat(id, "the agent had to stop", true);
+            self.end_chat(id, "the agent had to stop", false);
         }
         for id in self.runs.all() {
-            self.end_chat(id, "the agent had to stop", true);
+            self.end_chat(id, "the agent had to stop", false);
             let message = "the agent had to stop while the call ran".to_owned();
             let outcome = Outcome::Unknown { message };
             self.push(id, FrameKind::Error { outcome, backend_lost: true });
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -7,7 +7,8 @@
 use dogwoodway_peer::RunRequest;
 use dogwoodway_service::PlainService;
 use dogwoodway_types::{
-    ChatWork, FinishReason, FrameKind, NotRunReason, Outcome, ServiceWork, Timestamp, Usage, Work,
+    ChatWork, EngineIncarnation, FinishReason, FrameKind, NotRunReason, Outcome, ServiceWork,
+    Timestamp, Usage, Work,
 };
 use kameo::actor::ActorRef;
 
@@ -91,7 +92,9 @@
             check_engine(engine, actor).await;
             return not_run(NotRunReason::StaleBackendServer);
         }
-        Err(e @ EngineError::Lost(_)) => return lost(&e.to_string()),
+        Err(e @ EngineError::Lost(_)) => {
+            return broken_off(engine, req.engine, actor, &e).await;
+        }
     };
     let mut started = false;
     loop {
@@ -119,8 +122,7 @@
             }
             Ok(EngineEvent::End { finish, usage }) => return FrameKind::End { finish, usage },
             Err(e) => {
-                check_engine(engine, actor).await;
-                return lost(&e.to_string());
+                return broken_off(engine, req.engine, actor, &e).await;
             }
         };
         if actor.tell(Push { id: req.attempt, kind }).await.is_err() {
@@ -129,9 +131,27 @@
     }
 }
 
-/// Reads the engine's status, so that the next attempt is routed by what the engine is now.
-async fn check_engine(engine: &dyn ModelEngine, actor: &ActorRef<AgentActor>) {
-    let _ = actor.tell(SeeEngine(engine.status().await.ok())).await;
+/// Reads the engine's status, so that the next attempt is routed by what the engine is now, and
+/// returns its incarnation.
+async fn check_engine(
+    engine: &dyn ModelEngine,
+    actor: &ActorRef<AgentActor>,
+) -> Option<EngineIncarnation> {
+    let status = engine.status().await.ok();
+    let incarnation = status.as_ref().map(|status| status.incarnation);
+    let _ = actor.tell(SeeEngine(status)).await;
+    incarnation
+}
+
+/// Ends an attempt whose answer broke off: the engine `ran` has crashed, or only its answer is lost.
+async fn broken_off(
+    engine: &dyn ModelEngine,
+    ran: Option<EngineIncarnation>,
+    actor: &ActorRef<AgentActor>,
+    error: &EngineError,
+) -> FrameKind {
+    let backend_lost = check_engine(engine, actor).await != ran;
+    FrameKind::Error { outcome: Outcome::Failed { message: error.to_string() }, backend_lost }
 }
 
 async fn run_service(service: &dyn PlainService, req: &RunRequest, work: ServiceWork) -> Ended {
@@ -164,5 +184,5 @@
 
 fn lost(message: &str) -> FrameKind {
     let outcome = Outcome::Failed { message: message.to_owned() };
-    FrameKind::Error { outcome, backend_lost: true }
+    FrameKind::Error { outcome, backend_lost: false }
 }
--- a/src/entry/dispatch/serve.rs
+++ b/src/entry/dispatch/serve.rs
@@ -20,7 +20,7 @@
             retries::Retries,
         },
         idempotency,
-        quarantine::{AskStanding, Crash, NoteCrash},
+        quarantine::{AskStanding, Crash, Note, QuarantineRecord},
         retry_budget::{NoteFirst, TakeRetry},
         router::{Eligible, EligibleAgent, FindEligible},
     },
@@ -102,7 +102,13 @@
             let end = self.attempt(req, class, retries.is_retry(), is_suspect, progress).await;
             self.note_crash(progress).await;
             match &end {
-                AttemptEnd::Done(outcome) => return outcome.clone(),
+                AttemptEnd::Done(outcome) => {
+                    if is_suspect && *outcome == Outcome::Answered {
+                        let cleared = QuarantineRecord::Answered(progress.fingerprint);
+                        let _ = self.quarantine.tell(Note(cleared)).await;
+                    }
+                    return outcome.clone();
+                }
                 AttemptEnd::NotRun { reason: why, retry_at } => {
                     (reason, come_back_at) = (*why, *retry_at);
                 }
@@ -138,7 +144,7 @@
     async fn note_crash(&self, progress: &mut Progress) {
         if let Some(engine) = progress.crashed.take() {
             let crash = Crash { at: Timestamp::now(), request: progress.fingerprint, engine };
-            let _ = self.quarantine.tell(NoteCrash(crash)).await;
+            let _ = self.quarantine.tell(Note(QuarantineRecord::Crash(crash))).await;
         }
     }
 
--- a/src/entry/quarantine.rs
+++ b/src/entry/quarantine.rs
@@ -26,7 +26,17 @@
 /// Most records of one read.
 const READ_RECORDS: u32 = 500;
 
-/// A crash of an engine while it ran a request; the record of the stream `quarantine`.
+/// A record of the stream `quarantine`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum QuarantineRecord {
+    /// An engine crashed while it ran a request.
+    Crash(Crash),
+    /// A suspected request was answered.
+    Answered(RequestFingerprint),
+}
+
+/// A crash of an engine while it ran a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct Crash {
@@ -54,10 +64,15 @@
         actor
     }
 
-    fn note(&mut self, crash: Crash) {
+    fn note(&mut self, record: QuarantineRecord) {
         let now = Timestamp::now();
-        // A clock that runs ahead must not prolong a quarantine.
-        self.table.note_crash(crash.at.min(now), crash.request, crash.engine);
+        match record {
+            QuarantineRecord::Crash(crash) => {
+                // A clock that runs ahead must not prolong a quarantine.
+                self.table.note_crash(crash.at.min(now), crash.request, crash.engine);
+            }
+            QuarantineRecord::Answered(request) => self.table.note_answered(&request),
+        }
         let quarantined = self.table.quarantined(now) as f64;
         metrics::gauge!(metrics_page::QUARANTINED).set(quarantined);
     }
@@ -72,8 +87,8 @@
                 from = from.min(answer.next).max(answer.oldest);
                 for record in answer.records {
                     from = LogOffset(record.offset.0 + 1);
-                    let Ok(crash) = serde_json::from_value::<Crash>(record.data) else { continue };
-                    if actor.tell(SeeCrash(crash)).await.is_err() {
+                    let Ok(record) = serde_json::from_value(record.data) else { continue };
+                    if actor.tell(SeeRecord(record)).await.is_err() {
                         return;
                     }
                 }
@@ -98,24 +113,24 @@
     }
 }
 
-/// Tells of a crash that another entry noticed.
-struct SeeCrash(Crash);
+/// Tells what an entry has put on the log.
+struct SeeRecord(QuarantineRecord);
 
-impl Message<SeeCrash> for QuarantineActor {
+impl Message<SeeRecord> for QuarantineActor {
     type Reply = ();
 
-    async fn handle(&mut self, msg: SeeCrash, _: &mut Context<Self, ()>) {
+    async fn handle(&mut self, msg: SeeRecord, _: &mut Context<Self, ()>) {
         self.note(msg.0);
     }
 }
 
-/// Notes a crash that this entry noticed, and tells the other entries through the log.
-pub(crate) struct NoteCrash(pub(crate) Crash);
+/// Notes what this entry saw, and tells the other entries through the log.
+pub(crate) struct Note(pub(crate) QuarantineRecord);
 
-impl Message<NoteCrash> for QuarantineActor {
+impl Message<Note> for QuarantineActor {
     type Reply = ();
 
-    async fn handle(&mut self, msg: NoteCrash, _: &mut Context<Self, ()>) {
+    async fn handle(&mut self, msg: Note, _: &mut Context<Self, ()>) {
         self.note(msg.0);
         let log = self.log.clone();
         tokio::spawn(async move {
