--- a/src/agent.rs
+++ b/src/agent.rs
@@ -37,7 +37,7 @@
 
 const ENGINE_STATUS_MS: u64 = 250;
 
-const CACHE_EVENTS_MS: u64 = 100;
+const CACHE_EVENTS_MS: u64 = 250;
 
 const SWEEP_MS: u64 = 250;
 
--- a/src/agent/claims.rs
+++ b/src/agent/claims.rs
@@ -26,6 +26,9 @@
 
 const TICK_MS: u64 = 20;
 
+/// Pause between ticks while nothing has been claimed, as beside a model engine.
+const IDLE_TICK_MS: u64 = 100;
+
 const SWEEP_TICKS: u64 = 500;
 
 /// Time after which a refused request makes sense again.
@@ -48,8 +51,8 @@
         let actor = Claims::spawn(Claims { agent, log, partitions, waiting, ticks: 0 });
         let ticked = actor.clone();
         tokio::spawn(async move {
-            while ticked.tell(Tick).await.is_ok() {
-                tokio::time::sleep(Duration::from_millis(TICK_MS)).await;
+            while let Ok(pause_ms) = ticked.ask(Tick).await {
+                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
             }
         });
         actor
@@ -173,13 +176,13 @@
     }
 }
 
-/// Lets time pass.
+/// Lets time pass; answers with the milliseconds until the next tick.
 struct Tick;
 
 impl Message<Tick> for Claims {
-    type Reply = ();
+    type Reply = u64;
 
-    async fn handle(&mut self, _: Tick, cx: &mut Context<Self, Self::Reply>) {
+    async fn handle(&mut self, _: Tick, cx: &mut Context<Self, Self::Reply>) -> u64 {
         self.ticks += 1;
         let now = Timestamp::now();
         let partitions: Vec<_> = self.partitions.keys().copied().collect();
@@ -193,6 +196,7 @@
                 self.pump(partition, cx.actor_ref());
             }
         }
+        if self.partitions.is_empty() { IDLE_TICK_MS } else { TICK_MS }
     }
 }
 
