Name the counter of claim appends with the other metrics

Cause: its name stood in the middle of src/agent/claims.rs, without a description. Left: the counter of agent descriptions in src/entry/router.rs is named there still.

--- a/src/agent/claims.rs
+++ b/src/agent/claims.rs
@@ -19,7 +19,7 @@
 };
 use tokio::sync::oneshot;
 
-use crate::agent::run::Ended;
+use crate::{agent::run::Ended, metrics_page};
 
 /// Most records of one read.
 const READ_RECORDS: u32 = 1_000;
@@ -87,7 +87,7 @@
     let Ok(values) = records.iter().map(serde_json::to_value).collect() else {
         return Appended::Refused;
     };
-    metrics::counter!("dogwoodway_claim_appends_total").increment(1);
+    metrics::counter!(metrics_page::CLAIM_APPENDS).increment(1);
     match log.append(stream, values).await {
         Ok(answer) => Appended::Done(answer.first),
         Err(LogError::Unknown(_)) => Appended::Unknown,
--- a/src/metrics_page.rs
+++ b/src/metrics_page.rs
@@ -16,6 +16,9 @@
 /// Attempts that were made, first ones and retries.
 pub(crate) const ATTEMPTS: &str = "dogwoodway_attempts_total";
 
+/// Appends to the log for requests that must not run twice.
+pub(crate) const CLAIM_APPENDS: &str = "dogwoodway_claim_appends_total";
+
 /// Requests that may not run, because they were there when backend servers crashed.
 pub(crate) const QUARANTINED: &str = "dogwoodway_quarantined_requests";
 
@@ -59,6 +62,7 @@
 }
 
 fn describe() {
+    describe_counter!(CLAIM_APPENDS, Unit::Count, "Appends to the log for claims");
     describe_gauge!(QUARANTINED, Unit::Count, "Requests in quarantine after crashes");
     describe_counter!(REQUESTS, Unit::Count, "Requests of callers that have ended, by outcome");
     describe_counter!(TEAM_TOKENS, Unit::Count, "Tokens that teams have used, by team and kind");
