Tell other routers which prompts were placed where

Change: datagrams carry the prompts placed since the last ones; every router keeps the same image of what each engine and the store hold, and fetches from whoever holds most. Oldest weights load first; loads in progress are kept when newer weights are named.

--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -11,7 +11,7 @@
 
 use dogwoodway_routing::{
     direct::{
-        fleet::{BackendKey, Fleet, Placement, Query, Refusal, ServerLoad, Ticket},
+        fleet::{BackendKey, Fleet, Placement, PromptNews, Query, Refusal, ServerLoad, Ticket},
         health::Sign,
         rollout::EngineWeights,
         table::ServingTable,
@@ -508,6 +508,7 @@
 pub(crate) struct RouterNews {
     pub(crate) loads: Vec<ServerLoad>,
     pub(crate) weights: Vec<WeightsNews>,
+    pub(crate) prompts: Vec<PromptNews>,
 }
 
 /// Asks what to tell other routers.
@@ -520,7 +521,8 @@
         let now = clock::now();
         self.news.retain(|(_, until)| *until > now);
         let weights = self.news.iter().map(|(news, _)| *news).collect();
-        RouterNews { loads: self.fleet.own_loads(), weights }
+        let prompts = self.fleet.take_prompt_news();
+        RouterNews { loads: self.fleet.own_loads(), weights, prompts }
     }
 }
 
@@ -536,6 +538,7 @@
     async fn handle(&mut self, msg: SeePeer, _: &mut Context<Self, Self::Reply>) {
         let now = clock::now();
         self.fleet.see_peer(now, msg.peer, &msg.news.loads);
+        self.fleet.see_prompts(now, msg.peer, &msg.news.prompts);
         for news in msg.news.weights {
             let Some(key) = self.fleet.find_hash(news.server) else { continue };
             let is_behind = self.fleet.listing(key).is_some_and(|listing| {
--- a/crates/dogwoodway_gateway/src/leader.rs
+++ b/crates/dogwoodway_gateway/src/leader.rs
@@ -35,11 +35,11 @@
 const STEP_MS: u64 = 50;
 
 /// Time from an accepted order to the first question whether the weights are loaded, in
-/// milliseconds: a load takes some 400 ms at the least.
-const FIRST_CHECK_MS: u64 = 420;
+/// milliseconds: a load takes some 430 ms at the least, and reports are 100 ms old.
+const FIRST_CHECK_MS: u64 = 540;
 
 /// Pause between further questions, in milliseconds.
-const CHECK_PAUSE_MS: u64 = 150;
+const CHECK_PAUSE_MS: u64 = 100;
 
 /// Time after which an order counts as without effect, in milliseconds; the engine finishes what
 /// it runs first.
@@ -281,9 +281,11 @@
             }
         };
         self.loads.retain(|key, load| {
-            targets.iter().any(|target| {
-                target.weights.server == *key && target.weights.newest == load.version()
-            }) || load.stage == Stage::Ordering
+            let target = targets.iter().find(|target| target.weights.server == *key);
+            if let (Some(target), Stage::Asking | Stage::Pausing { .. }) = (target, load.stage) {
+                load.target = target.clone();
+            }
+            target.is_some()
         });
         let engines: Vec<_> = targets
             .iter()
--- a/crates/dogwoodway_routing/src/direct/fleet.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet.rs
@@ -1,6 +1,10 @@
 //! The backend servers that a router knows, and where a request runs among them.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use dogwoodway_types::{
     AvailabilityZone, BackendServerName, ModelName, NotRunReason, PieceHash, ServiceName, TeamName,
@@ -14,7 +18,7 @@
         cost::{self, Candidate, Reading},
         health::{Health, Sign},
         load::Load,
-        prompt::{CacheScope, PrefixLevel, Prompt, levels},
+        prompt::{CacheScope, PrefixKey, PrefixLevel, Prompt, levels},
         rollout::EngineWeights,
         table::{EngineSpec, KvStoreSpec, Service, ServiceKind, ServingTable},
         token_lru::TokenLru,
@@ -29,15 +33,23 @@
     pub struct Ticket;
 }
 
-/// Share of an engine's memory that cached prefixes are believed to keep beside running requests.
-const CACHED_SHARE: f64 = 0.6;
-
-/// Share of a store's memory of which the router relies on what it saved there.
-const KEPT_SHARE: f64 = 0.5;
+/// Share of a memory that is relied on to hold what it was given last; the rest goes to answers and
+/// to requests that the router does not hear of in time.
+const RELIABLE_SHARE: f64 = 0.85;
 
-/// Chance that a prefix that this router has not sent anywhere was computed by the engine that all
+/// Chance that a prefix of which the router has not heard was computed by the engine that all
 /// routers prefer for it.
-const READ_AT_HOME_CHANCE: f64 = 0.5;
+const READ_AT_HOME_CHANCE: f64 = 0.2;
+
+/// Time from the first output to the moment at which the store has what the engine saves, in
+/// milliseconds.
+const SAVED_AFTER_MS: u64 = 60;
+
+/// News of prompts that wait to be told to other routers at most.
+const MAX_PROMPT_NEWS: usize = 64;
+
+/// Times that each piece of news is told, since datagrams are lost.
+const TOLD_TIMES: u8 = 3;
 
 /// Milliseconds to compute one prompt token before anything was measured.
 const ASSUMED_READ_MS_PER_TOKEN: f64 = 0.018;
@@ -150,12 +162,24 @@
 struct EngineGroup {
     spec: EngineSpec,
     kept: TokenLru,
-    /// Engine that last computed or fetched a prefix, by prefix.
-    read_by: HashMap<crate::direct::prompt::PrefixKey, BackendKey>,
 }
 
-/// Engines remembered as readers of a prefix at most; beyond, all are forgotten.
-const MAX_READERS: usize = 20_000;
+/// What a router tells others of a prompt that it has placed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PromptNews {
+    /// Number among the router's news.
+    pub seq: u64,
+    /// Hash of the engine's name.
+    pub server: u64,
+    /// The prefixes that other prompts may share.
+    pub shared: Vec<PrefixLevel>,
+    /// Tokens of the rest of the prompt.
+    pub own_tokens: u32,
+    /// Milliseconds until the engine has computed the prompt, as predicted.
+    pub ready_in_ms: u32,
+    /// Whether the engine saves it at the store.
+    pub is_saved: bool,
+}
 
 #[derive(Clone, Debug)]
 struct Running {
@@ -167,8 +191,6 @@
     predicted: Duration,
     alone_tokens: Option<u32>,
     has_output: bool,
-    saves: bool,
-    service: ServiceName,
 }
 
 /// A request that looks for a server.
@@ -255,6 +277,9 @@
     departed: HashMap<BackendServerName, (u64, u64)>,
     running: SlotMap<Ticket, Running>,
     read_ms_per_token: f64,
+    prompt_news: VecDeque<(PromptNews, u8)>,
+    next_seq: u64,
+    heard_seqs: HashMap<u64, u64>,
 }
 
 impl Fleet {
@@ -273,6 +298,9 @@
             departed: HashMap::new(),
             running: SlotMap::with_key(),
             read_ms_per_token: ASSUMED_READ_MS_PER_TOKEN,
+            prompt_news: VecDeque::new(),
+            next_seq: 0,
+            heard_seqs: HashMap::new(),
         }
     }
 
@@ -287,7 +315,8 @@
             }
         }
         self.groups.retain(|name, _| table.service(name).is_some());
-        let kept = self.stores.iter().map(|store| store.kv_tokens).sum::<u64>() as f64 * KEPT_SHARE;
+        let kept =
+            self.stores.iter().map(|store| store.kv_tokens).sum::<u64>() as f64 * RELIABLE_SHARE;
         for group in self.groups.values_mut() {
             group.kept.set_capacity(kept as u64);
         }
@@ -297,8 +326,7 @@
         match self.groups.get_mut(&service.name) {
             Some(group) => group.spec = spec.clone(),
             None => {
-                let (kept, read_by) = (TokenLru::default(), HashMap::new());
-                let group = EngineGroup { spec: spec.clone(), kept, read_by };
+                let group = EngineGroup { spec: spec.clone(), kept: TokenLru::default() };
                 self.groups.insert(service.name.clone(), group);
             }
         }
@@ -494,13 +522,14 @@
                     if query.version.is_some_and(|wanted| wanted != version) {
                         continue;
                     }
-                    let scope = scopes.of(prompt, version, |levels| self.home(keys, levels, query));
+                    let scope = scopes.of(prompt, version, |levels| {
+                        (self.home(keys, levels, query), self.sources(now, keys, group, levels))
+                    });
                     let Some(surcharge) = self.old_weights_ms(now, &prompt.model, version) else {
                         continue;
                     };
-                    let Scope { levels, home, .. } = &scopes.known[scope];
                     let (mut reading, fetch) =
-                        self.reading(key, server, group, prompt, levels, *home);
+                        self.reading(key, server, group, prompt, &scopes.known[scope]);
                     reading.surcharge_ms += surcharge;
                     (Some(reading), Some(scope), fetch)
                 }
@@ -553,7 +582,9 @@
             held_tokens: reading.map_or(0, |reading| u64::from(reading.needed_tokens)),
         };
         let levels = scope.as_ref().map(|scope| scope.levels.clone()).unwrap_or_default();
-        let (fetch_from, save_to) = self.transfers(&query.service, &levels, fetch);
+        let ready_at = now + Duration::from_micros((predicted_ms * 1e3) as u64);
+        let fetch_from = self.address(fetch);
+        let save_to = self.save(&query.service, &levels, ready_at);
         let server = &mut self.servers[key];
         let alone = candidate.load.unread_tokens == 0 && fetch_from.is_none();
         let running = Running {
@@ -565,21 +596,19 @@
             predicted: Duration::from_micros((predicted_ms * 1e3) as u64),
             alone_tokens: reading.filter(|_| alone).map(|reading| reading.computed_tokens),
             has_output: false,
-            saves: save_to.is_some(),
-            service: query.service.clone(),
         };
         server.own = server.own + load;
         if let Some(reading) = reading {
-            let share = reading.kv_tokens as f64 * CACHED_SHARE / f64::from(self.routers);
-            server.cached.set_capacity(share as u64);
-            server.cached.insert(&running.levels);
+            server.cached.set_capacity((reading.kv_tokens as f64 * RELIABLE_SHARE) as u64);
+            server.cached.insert(&running.levels, ready_at);
         }
         let (name, address) = (server.listing.name.clone(), server.listing.address);
-        let all_running = server.load().running;
-        let levels = running.levels.clone();
+        let (hash, all_running) = (server.hash.0, server.load().running);
+        if !running.levels.is_empty() {
+            self.tell_prompt(hash, &running.levels, predicted_ms, save_to.is_some());
+        }
         let ticket = self.running.insert(running);
         self.servers[key].owed.push((ticket, now));
-        self.note_reader(&query.service, &levels, key);
         Placement {
             ticket,
             server: key,
@@ -611,7 +640,6 @@
         }
         let (key, started_at_ms, predicted) =
             (running.server, running.started_at_ms, running.predicted);
-        let saved = running.saves.then(|| (running.service.clone(), running.levels.clone()));
         if let Some(server) = self.servers.get_mut(key)
             && server.listing.started_at_ms == started_at_ms
         {
@@ -619,11 +647,6 @@
             server.owed.retain(|(other, _)| *other != ticket);
             server.health.see_first_output(now, took, predicted);
         }
-        if let Some((service, levels)) = saved
-            && let Some(group) = self.groups.get_mut(&service)
-        {
-            group.kept.insert(&levels);
-        }
     }
 
     /// Notes that some bytes came for a request.
@@ -645,9 +668,7 @@
             server.health.see(now, sign);
         }
         if !running.has_output {
-            for level in &running.levels {
-                server.cached.remove(level.key);
-            }
+            server.cached.retract(&running.levels, now);
         }
     }
 
@@ -773,50 +794,56 @@
         up.copied().min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
+    /// Finds where a prompt's shared prefixes can be fetched.
+    fn sources(
+        &self,
+        now: Timestamp,
+        keys: &[BackendKey],
+        group: &EngineGroup,
+        levels: &[PrefixLevel],
+    ) -> Sources {
+        let shared = &levels[..levels.len().saturating_sub(1)];
+        let mut sources = Sources { kept: group.kept.ready(shared, now), ..Sources::default() };
+        for &key in keys {
+            let Some(server) = self.servers.get(key).filter(|s| s.health.is_up()) else { continue };
+            sources.known = sources.known.max(server.cached.matched(shared));
+            let ready = server.cached.ready(shared, now);
+            if ready > 0 {
+                sources.servers.push((key, ready));
+            }
+        }
+        sources.known = sources.known.max(group.kept.matched(shared));
+        sources
+    }
+
     fn reading(
         &self,
         key: BackendKey,
         server: &Server,
         group: &EngineGroup,
         prompt: &Prompt,
-        levels: &[PrefixLevel],
-        home: Option<BackendKey>,
+        scope: &Scope,
     ) -> (Reading, Fetch) {
         let tokens = |levels: &[PrefixLevel]| levels.iter().map(|level| level.tokens).sum::<u32>();
+        let levels = &scope.levels;
         let total = tokens(levels).max(prompt.input_tokens);
         let shared = &levels[..levels.len().saturating_sub(1)];
         let held = server.cached.matched(levels);
-        let kept = group.kept.matched(shared).max(held);
-        let read_elsewhere = shared.iter().rposition(|level| {
-            group.read_by.get(&level.key).is_some_and(|reader| {
-                *reader != key && self.servers.get(*reader).is_some_and(|s| s.health.is_up())
-            })
-        });
-        let elsewhere = read_elsewhere.map_or(0, |i| i + 1).max(held);
-        let (fetched_to, fetch) = if held >= shared.len() {
-            (held, Fetch::Nothing)
-        } else if kept >= elsewhere && kept > held {
-            (kept, Fetch::Store)
-        } else if elsewhere > held {
-            let reader = read_elsewhere.and_then(|i| group.read_by.get(&shared[i].key));
-            (elsewhere, reader.map_or(Fetch::Store, |reader| Fetch::Server(*reader)))
-        } else {
-            match home {
-                Some(home) if home != key => (held, Fetch::Server(home)),
-                _ => (held, Fetch::Store),
-            }
-        };
-        let missing = tokens(&shared[fetched_to.min(shared.len())..]);
-        let repeated = match home {
-            Some(home) if home != key => f64::from(missing) * READ_AT_HOME_CHANCE,
+        let (fetched_to, fetch) = self.best_source(key, server, shared.len(), held, scope);
+        let repeated = &shared[fetched_to.min(shared.len())..];
+        let known = scope.sources.known.max(fetched_to) - fetched_to;
+        let unknown_chance = match scope.home {
+            Some(home) if home != key => READ_AT_HOME_CHANCE,
             _ => 0.0,
         };
+        let repeated_tokens = f64::from(tokens(&repeated[..known]))
+            + f64::from(tokens(&repeated[known..])) * unknown_chance;
         let held_tokens = tokens(&levels[..held]);
         let fetched_tokens = tokens(&levels[held..fetched_to.max(held)]);
         let reading = Reading {
             computed_tokens: total - held_tokens - fetched_tokens,
             fetched_tokens,
-            repeated_tokens: repeated,
+            repeated_tokens,
             needed_tokens: total - held_tokens + prompt.output_tokens,
             kv_tokens: group.spec.kv_tokens,
             fetch_ms_per_token: fetch_ms_per_token(&group.spec),
@@ -826,40 +853,143 @@
         (reading, fetch)
     }
 
-    fn transfers(
+    /// Chooses where a server fetches the prefixes that it lacks; returns how many it then has.
+    fn best_source(
+        &self,
+        key: BackendKey,
+        server: &Server,
+        shared: usize,
+        held: usize,
+        scope: &Scope,
+    ) -> (usize, Fetch) {
+        if held >= shared {
+            return (held, Fetch::Nothing);
+        }
+        let mut best = (scope.sources.kept.max(held), Fetch::Store);
+        let mut is_near = false;
+        for &(other, ready) in &scope.sources.servers {
+            let other_is_near = self.servers[other].listing.zone == server.listing.zone;
+            let is_better = ready > best.0 || (ready == best.0 && other_is_near && !is_near);
+            if other != key && ready > held && is_better {
+                best = (ready, Fetch::Server(other));
+                is_near = other_is_near;
+            }
+        }
+        match scope.home {
+            // The engine that others prefer may have what nobody told of.
+            Some(home) if best.0 == held && home != key => (held, Fetch::Server(home)),
+            _ => best,
+        }
+    }
+
+    fn address(&self, fetch: Fetch) -> Option<SocketAddr> {
+        match fetch {
+            Fetch::Nothing => None,
+            Fetch::Store => self.store(),
+            Fetch::Server(key) => self.servers.get(key).map(|server| server.listing.address),
+        }
+    }
+
+    fn store(&self) -> Option<SocketAddr> {
+        let near = self.stores.iter().find(|store| store.zone.as_ref() == Some(&self.zone));
+        near.or(self.stores.first()).map(|store| store.address)
+    }
+
+    /// Names the store that an engine saves a prompt at, if the store lacks a shared prefix.
+    fn save(
         &mut self,
         service: &ServiceName,
         levels: &[PrefixLevel],
-        fetch: Fetch,
-    ) -> (Option<SocketAddr>, Option<SocketAddr>) {
-        let near = self.stores.iter().find(|store| store.zone.as_ref() == Some(&self.zone));
-        let store = near.or(self.stores.first()).map(|store| store.address);
-        let fetch_from = match fetch {
-            Fetch::Nothing => None,
-            Fetch::Store => store,
-            Fetch::Server(key) => self.servers.get(key).map(|server| server.listing.address),
+        ready_at: Timestamp,
+    ) -> Option<SocketAddr> {
+        let store = self.store()?;
+        let shared = &levels[..levels.len().saturating_sub(1)];
+        let group = self.groups.get_mut(service).filter(|_| !shared.is_empty())?;
+        if group.kept.matched(shared) == shared.len() {
+            // A fetch refreshes the store's memory of the prefixes.
+            group.kept.insert(shared, ready_at);
+            return None;
+        }
+        group.kept.insert(levels, ready_at + Duration::from_millis(SAVED_AFTER_MS));
+        Some(store)
+    }
+
+    fn tell_prompt(
+        &mut self,
+        server: u64,
+        levels: &[PrefixLevel],
+        predicted_ms: f64,
+        is_saved: bool,
+    ) {
+        let Some((own, shared)) = levels.split_last() else { return };
+        self.next_seq += 1;
+        let news = PromptNews {
+            seq: self.next_seq,
+            server,
+            shared: shared.to_vec(),
+            own_tokens: own.tokens,
+            ready_in_ms: predicted_ms as u32,
+            is_saved,
         };
-        let shared = levels.len().saturating_sub(1);
-        let Some(group) = self.groups.get_mut(service) else { return (fetch_from, None) };
-        let is_kept = group.kept.matched(&levels[..shared]) == shared;
-        if is_kept && shared > 0 {
-            // Fetching refreshes the store's memory of the prefix.
-            if fetch == Fetch::Store {
-                group.kept.insert(&levels[..shared]);
-            }
-            return (fetch_from, None);
+        if self.prompt_news.len() >= MAX_PROMPT_NEWS {
+            self.prompt_news.pop_front();
         }
-        (fetch_from, store.filter(|_| shared > 0))
+        self.prompt_news.push_back((news, 0));
     }
 
-    fn note_reader(&mut self, service: &ServiceName, levels: &[PrefixLevel], key: BackendKey) {
-        let Some(group) = self.groups.get_mut(service) else { return };
-        if group.read_by.len() >= MAX_READERS {
-            group.read_by.clear();
+    /// Returns the news of prompts to tell other routers; each is returned a few times.
+    pub fn take_prompt_news(&mut self) -> Vec<PromptNews> {
+        for (_, told) in &mut self.prompt_news {
+            *told += 1;
         }
-        let shared = levels.len().saturating_sub(1);
-        group.read_by.extend(levels[..shared].iter().map(|level| (level.key, key)));
+        let news = self.prompt_news.iter().map(|(news, _)| news.clone()).collect();
+        self.prompt_news.retain(|(_, told)| *told < TOLD_TIMES);
+        news
     }
+
+    /// Takes in another router's news of prompts.
+    pub fn see_prompts(&mut self, now: Timestamp, peer: u64, all: &[PromptNews]) {
+        let heard = self.heard_seqs.get(&peer).copied().unwrap_or_default();
+        // A router that has restarted counts from the start.
+        let has_restarted =
+            all.last().is_some_and(|last| last.seq + MAX_PROMPT_NEWS as u64 <= heard);
+        let heard = if has_restarted { 0 } else { heard };
+        for news in all.iter().filter(|news| news.seq > heard) {
+            self.see_prompt(now, peer, news);
+        }
+        if let Some(last) = all.last() {
+            self.heard_seqs.insert(peer, last.seq.max(heard));
+        }
+    }
+
+    fn see_prompt(&mut self, now: Timestamp, peer: u64, news: &PromptNews) {
+        let Some(key) = self.find_hash(news.server) else { return };
+        let Some(server) = self.servers.get_mut(key) else { return };
+        let ready_at = now + Duration::from_millis(u64::from(news.ready_in_ms));
+        let own = PrefixLevel {
+            key: PrefixKey(rendezvous::mix(peer ^ news.seq)),
+            tokens: news.own_tokens,
+        };
+        server.cached.insert(&[own], ready_at);
+        server.cached.insert(&news.shared, ready_at);
+        let Some(group) = self.groups.get_mut(&server.listing.service) else { return };
+        if news.is_saved {
+            let saved_at = ready_at + Duration::from_millis(SAVED_AFTER_MS);
+            group.kept.insert(&[own], saved_at);
+            group.kept.insert(&news.shared, saved_at);
+        }
+    }
+}
+
+/// Where a prompt's shared prefixes can be fetched.
+#[derive(Clone, Debug, Default)]
+struct Sources {
+    /// Prefixes that the store keeps.
+    kept: usize,
+    /// Engines that hold some, and how many.
+    servers: Vec<(BackendKey, usize)>,
+    /// Prefixes that some memory holds or is about to.
+    known: usize,
 }
 
 /// Where an engine gets the KV cache that it lacks.
@@ -877,6 +1007,7 @@
     levels: Vec<PrefixLevel>,
     /// The server that all routers prefer for the deepest shared prefix.
     home: Option<BackendKey>,
+    sources: Sources,
 }
 
 /// The prompt's prefixes for each version in use.
@@ -886,9 +1017,9 @@
 }
 
 impl Scopes<'_> {
-    fn of<F>(&mut self, prompt: &Prompt, version: WeightsVersion, find_home: F) -> usize
+    fn of<F>(&mut self, prompt: &Prompt, version: WeightsVersion, look_up: F) -> usize
     where
-        F: FnOnce(&[PrefixLevel]) -> Option<BackendKey>,
+        F: FnOnce(&[PrefixLevel]) -> (Option<BackendKey>, Sources),
     {
         if let Some(i) = self.known.iter().position(|scope| scope.version == version) {
             return i;
@@ -896,8 +1027,8 @@
         let scope = CacheScope { version, team: self.query.isolated_team.clone() };
         let label = scope.label();
         let levels = levels(prompt, &label);
-        let home = find_home(&levels);
-        self.known.push(Scope { version, label, levels, home });
+        let (home, sources) = look_up(&levels);
+        self.known.push(Scope { version, label, levels, home, sources });
         self.known.len() - 1
     }
 }
--- a/crates/dogwoodway_routing/src/direct/prompt.rs
+++ b/crates/dogwoodway_routing/src/direct/prompt.rs
@@ -1,6 +1,7 @@
 //! Prompts as their parts, and the keys under which engines keep them.
 
 use dogwoodway_types::{ModelName, TeamName, WeightsVersion};
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// One part of a prompt; parts are shared between requests, the last one is the request's own.
@@ -26,7 +27,7 @@
 }
 
 /// Identifies a prefix of a prompt under one [`CacheScope`]: a part and all parts before it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct PrefixKey(pub u64);
 
 /// Who may share KV cache: the same weights, and within an isolated team only that team.
@@ -58,7 +59,7 @@
 }
 
 /// A prefix of a prompt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PrefixLevel {
     /// Identifies it.
     pub key: PrefixKey,
--- a/crates/dogwoodway_routing/src/direct/rollout.rs
+++ b/crates/dogwoodway_routing/src/direct/rollout.rs
@@ -71,7 +71,7 @@
         engine.serves < engine.newest && !engine.is_loading && engine.is_available
     };
     let mut due: Vec<_> = engines.iter().filter(is_due).collect();
-    due.sort_by_key(|engine| engine.running);
+    due.sort_by_key(|engine| (engine.serves, engine.running));
     due.truncate(room);
     due
 }
