Follow what the stores of kept KV cache tell; one store for each prefix

Cause: the grown sites have three stores. What a store evicts was inferred only.

Changes: rendezvous hashing names one store for each prefix; its event list goes before what the router infers, and tells when it is lost or has restarted.

--- a/crates/dogwoodway_gateway/src/border.rs
+++ b/crates/dogwoodway_gateway/src/border.rs
@@ -2,7 +2,9 @@
 
 use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
-use dogwoodway_routing::direct::{fleet::ServerListing, prompt::Prompt, table::ServingTable};
+use dogwoodway_routing::direct::{
+    fleet::ServerListing, kv_stores::KvChange, prompt::Prompt, table::ServingTable,
+};
 use dogwoodway_types::{
     BackendServerName, LogOffset, ModelName, TeamName, Timestamp, WeightsVersion,
 };
@@ -286,6 +288,35 @@
     Unknown,
 }
 
+/// What a store of kept KV cache tells of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KvPage {
+    /// Start of the store's process; another one means that it knows nothing of before.
+    pub epoch: u64,
+    /// Where to read on.
+    pub next: u64,
+    /// Whether changes before these are no longer known.
+    pub has_gap: bool,
+    /// The changes, in order.
+    pub changes: Vec<KvChange>,
+}
+
+/// The changes of what stores of kept KV cache keep.
+pub trait KvEvents: Send + Sync {
+    /// Reads the changes from `since` on, waiting up to `wait_ms` milliseconds for the first.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason if there is no valid answer in time; `None` tells that the store
+    /// answers too many others.
+    fn changes(
+        &self,
+        address: SocketAddr,
+        since: u64,
+        wait_ms: u64,
+    ) -> BoxFuture<'_, Result<Option<KvPage>, String>>;
+}
+
 /// Calls to engines that no caller asked for.
 pub trait EngineControl: Send + Sync {
     /// Asks an engine for its state.
--- a/crates/dogwoodway_gateway/src/directory.rs
+++ b/crates/dogwoodway_gateway/src/directory.rs
@@ -58,6 +58,11 @@
         self.table.borrow().clone()
     }
 
+    /// Returns a receiver of the tables to come.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<Option<Arc<ServingTable>>> {
+        self.table.clone()
+    }
+
     /// Tells whether changes may have been missed.
     pub(crate) fn is_stale(&self, now: Timestamp) -> bool {
         self.age_ms(now) > STALE_MS
--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -16,6 +17,7 @@
             VersionAge,
         },
         health::Sign,
+        kv_stores::KvChange,
         rollout::EngineWeights,
         table::ServingTable,
     },
@@ -606,7 +608,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct EngineTarget {
     pub(crate) name: BackendServerName,
-    pub(crate) address: std::net::SocketAddr,
+    pub(crate) address: SocketAddr,
     pub(crate) weights: EngineWeights,
 }
 
@@ -675,3 +677,25 @@
         self.note_crash(clock::now(), &msg.0);
     }
 }
+
+/// Tells what a store of kept KV cache says of itself.
+pub(crate) struct ObserveStore {
+    pub(crate) address: SocketAddr,
+    /// Whether what was known of it is no longer true.
+    pub(crate) is_whole: bool,
+    /// The changes; absent if the store cannot be reached.
+    pub(crate) changes: Option<Vec<KvChange>>,
+}
+
+impl Message<ObserveStore> for FleetActor {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: ObserveStore, _: &mut Context<Self, Self::Reply>) {
+        match msg.changes {
+            Some(changes) => {
+                self.fleet.observe_store(clock::now(), msg.address, msg.is_whole, &changes);
+            }
+            None => self.fleet.lose_store(msg.address),
+        }
+    }
+}
--- a/crates/dogwoodway_gateway/src/lib.rs
+++ b/crates/dogwoodway_gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod fleet_actor;
 mod gossip;
 mod ingress;
+mod kv_watch;
 mod leader;
 mod metric;
 mod relay;
--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -590,7 +590,8 @@
         request = job.facts.id, route:% = job.route, table = job.table_version,
         server:% = placement.name, running = placement.running,
         predicted_ms = placement.predicted_ms, weights:? = placement.version.map(|v| v.0),
-        fetch:? = placement.fetch_from, attempt = job.attempts.offered + 1,
+        computes = placement.reads.0, fetches = placement.reads.1,
+        fetch:? = placement.fetch_from, saves = placement.save_to.is_some(), attempt = job.attempts.offered + 1,
         left_ms = (job.deadline - clock::now()).as_millis() as u64;
         "request placed"
     );
--- a/crates/dogwoodway_gateway/src/router.rs
+++ b/crates/dogwoodway_gateway/src/router.rs
@@ -23,11 +23,11 @@
 };
 
 use crate::{
-    border::{Directory, EngineControl, RequestProtocol, RouterLog},
+    border::{Directory, EngineControl, KvEvents, RequestProtocol, RouterLog},
     clock, directory,
     fleet_actor::{FleetActor, FleetParts, RetryBounds, Tick},
     gossip::Gossip,
-    ingress, leader,
+    ingress, kv_watch, leader,
     leader::LeaderParts,
     relay::Relay,
 };
@@ -76,6 +76,8 @@
     pub directory: Arc<dyn Directory>,
     /// The routers' own log.
     pub log: Arc<dyn RouterLog>,
+    /// What the stores of kept KV cache tell.
+    pub kv_events: Arc<dyn KvEvents>,
     /// Calls to engines.
     pub control: Arc<dyn EngineControl>,
 }
@@ -133,6 +135,7 @@
     let fleet = FleetActor::spawn_with_mailbox(fleet, mailbox::unbounded());
     tokio::spawn(tick(fleet.clone()));
     let tables = directory::follow(parts.directory, &fleet);
+    tokio::spawn(kv_watch::run(parts.kv_events, tables.subscribe(), fleet.clone()));
     let gossip = Gossip {
         router: settings.name.clone(),
         address: settings.gossip_listen,
--- a/crates/dogwoodway_routing/src/direct.rs
+++ b/crates/dogwoodway_routing/src/direct.rs
@@ -8,6 +8,7 @@
 pub mod cost;
 pub mod fleet;
 pub mod health;
+pub mod kv_stores;
 pub mod leadership;
 pub mod load;
 pub mod prompt;
--- a/crates/dogwoodway_routing/src/direct/fleet.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet.rs
@@ -17,10 +17,11 @@
     direct::{
         cost::{self, Candidate, Reading},
         health::{Health, Sign},
+        kv_stores::{KvChange, KvStores},
         load::Load,
         prompt::{CacheScope, PrefixKey, PrefixLevel, Prompt, levels},
         rollout::EngineWeights,
-        table::{EngineSpec, KvStoreSpec, Service, ServiceKind, ServingTable},
+        table::{EngineSpec, ServiceKind, ServingTable},
         token_lru::TokenLru,
     },
     rendezvous::{self, ServerKey},
@@ -45,10 +46,6 @@
 /// milliseconds.
 const SAVED_AFTER_MS: u64 = 60;
 
-/// Tokens of a prompt's own that are saved at the store for each shared token that it lacks. An
-/// engine saves whole prompts, and what nobody asks for again pushes out what others need.
-const OWN_PER_SAVED: f64 = 2.0;
-
 /// News of prompts that wait to be told to other routers at most.
 const MAX_PROMPT_NEWS: usize = 64;
 
@@ -172,13 +169,6 @@
     }
 }
 
-/// What a service's engines share, and what the router believes their store keeps.
-#[derive(Clone, Debug)]
-struct EngineGroup {
-    spec: EngineSpec,
-    kept: TokenLru,
-}
-
 /// What a router tells others of a prompt that it has placed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromptNews {
@@ -257,6 +247,8 @@
     pub fetch_from: Option<SocketAddr>,
     /// Where the engine saves KV cache that it computed.
     pub save_to: Option<SocketAddr>,
+    /// Prompt tokens that the engine computes, and that it fetches, as predicted.
+    pub reads: (u32, u32),
     /// Milliseconds to the first output, as predicted.
     pub predicted_ms: u32,
     /// Requests that all routers have at the server, this one included.
@@ -296,8 +288,8 @@
     by_name: HashMap<BackendServerName, BackendKey>,
     by_hash: HashMap<u64, BackendKey>,
     by_service: HashMap<ServiceName, Vec<BackendKey>>,
-    groups: HashMap<ServiceName, EngineGroup>,
-    stores: Vec<KvStoreSpec>,
+    engines: HashMap<ServiceName, EngineSpec>,
+    stores: KvStores,
     /// Versions named, by model, the oldest first.
     named: HashMap<ModelName, Vec<NamedVersion>>,
     /// Start and revision of servers that have left, so that a late entry does not bring them back.
@@ -319,8 +311,8 @@
             by_name: HashMap::new(),
             by_hash: HashMap::new(),
             by_service: HashMap::new(),
-            groups: HashMap::new(),
-            stores: Vec::new(),
+            engines: HashMap::new(),
+            stores: KvStores::default(),
             named: HashMap::new(),
             departed: HashMap::new(),
             running: SlotMap::with_key(),
@@ -333,30 +325,34 @@
 
     /// Takes over the services of a routing table.
     pub fn set_table(&mut self, table: &ServingTable) {
-        self.stores.clear();
+        let mut stores = Vec::new();
+        self.engines.clear();
         for service in table.services() {
             match &service.kind {
                 ServiceKind::Plain => {}
-                ServiceKind::KvStore(store) => self.stores.push(store.clone()),
-                ServiceKind::Engines(spec) => self.set_engines(service, spec),
+                ServiceKind::KvStore(store) => stores.push(store.clone()),
+                ServiceKind::Engines(spec) => {
+                    self.engines.insert(service.name.clone(), spec.clone());
+                }
             }
         }
-        self.groups.retain(|name, _| table.service(name).is_some());
-        let kept =
-            self.stores.iter().map(|store| store.kv_tokens).sum::<u64>() as f64 * RELIABLE_SHARE;
-        for group in self.groups.values_mut() {
-            group.kept.set_capacity(kept as u64);
-        }
+        self.stores.set(stores);
     }
 
-    fn set_engines(&mut self, service: &Service, spec: &EngineSpec) {
-        match self.groups.get_mut(&service.name) {
-            Some(group) => group.spec = spec.clone(),
-            None => {
-                let group = EngineGroup { spec: spec.clone(), kept: TokenLru::default() };
-                self.groups.insert(service.name.clone(), group);
-            }
-        }
+    /// Takes in what a store of kept KV cache tells of itself; `is_whole` tells that it begins anew.
+    pub fn observe_store(
+        &mut self,
+        now: Timestamp,
+        address: SocketAddr,
+        is_whole: bool,
+        changes: &[KvChange],
+    ) {
+        self.stores.observe(now, address, is_whole, changes);
+    }
+
+    /// Notes that a store of kept KV cache cannot be reached.
+    pub fn lose_store(&mut self, address: SocketAddr) {
+        self.stores.lose(address);
     }
 
     /// Notes how many routers share the fleet, this one included.
@@ -580,7 +576,7 @@
         let keys = self.by_service.get(&query.service).map_or(&[][..], Vec::as_slice);
         let refusal =
             |reason, after_ms| Refusal { reason, retry_at: now + Duration::from_millis(after_ms) };
-        let group = self.groups.get(&query.service);
+        let spec = self.engines.get(&query.service);
         let mean_failures = self.mean_failures(keys);
         let mut scopes = Scopes { query, known: Vec::new() };
         let mut best: Option<(f64, BackendKey, Candidate, Option<usize>, Fetch)> = None;
@@ -589,20 +585,20 @@
             if !self.takes_requests(now, server, query) {
                 continue;
             }
-            let (reading, scope, fetch) = match (&query.prompt, group) {
-                (Some(prompt), Some(group)) => {
+            let (reading, scope, fetch) = match (&query.prompt, spec) {
+                (Some(prompt), Some(spec)) => {
                     let Some(version) = server.version(&prompt.model) else { continue };
                     if query.version.is_some_and(|wanted| wanted != version) {
                         continue;
                     }
                     let scope = scopes.of(prompt, version, |levels| {
-                        (self.home(keys, levels, query), self.sources(now, keys, group, levels))
+                        (self.home(keys, levels, query), self.sources(now, keys, levels))
                     });
                     let Some(surcharge) = self.old_weights_ms(now, &prompt.model, version) else {
                         continue;
                     };
                     let (mut reading, fetch) =
-                        self.reading(key, server, group, prompt, &scopes.known[scope]);
+                        self.reading(key, server, spec, prompt, &scopes.known[scope]);
                     reading.surcharge_ms += surcharge;
                     (Some(reading), Some(scope), fetch)
                 }
@@ -656,8 +652,9 @@
         };
         let levels = scope.as_ref().map(|scope| scope.levels.clone()).unwrap_or_default();
         let ready_at = now + Duration::from_micros((predicted_ms * 1e3) as u64);
-        let fetch_from = self.address(fetch);
-        let save_to = self.save(&query.service, &levels, ready_at);
+        let fetch_from = self.address(fetch, &levels);
+        let saved_at = ready_at + Duration::from_millis(SAVED_AFTER_MS);
+        let save_to = self.stores.save(now, &levels, saved_at);
         let server = &mut self.servers[key];
         let alone = candidate.load.unread_tokens == 0 && fetch_from.is_none();
         let running = Running {
@@ -691,6 +688,7 @@
             scope: scope.map(|scope| scope.label),
             fetch_from,
             save_to,
+            reads: reading.map_or((0, 0), |r| (r.computed_tokens, r.fetched_tokens)),
             predicted_ms: predicted_ms as u32,
             running: all_running,
         }
@@ -868,15 +866,9 @@
     }
 
     /// Finds where a prompt's shared prefixes can be fetched.
-    fn sources(
-        &self,
-        now: Timestamp,
-        keys: &[BackendKey],
-        group: &EngineGroup,
-        levels: &[PrefixLevel],
-    ) -> Sources {
+    fn sources(&self, now: Timestamp, keys: &[BackendKey], levels: &[PrefixLevel]) -> Sources {
         let shared = &levels[..levels.len().saturating_sub(1)];
-        let mut sources = Sources { kept: group.kept.ready(shared, now), ..Sources::default() };
+        let mut sources = Sources { kept: self.stores.ready(shared, now), ..Sources::default() };
         for &key in keys {
             let Some(server) = self.servers.get(key).filter(|s| s.health.is_up()) else { continue };
             sources.known = sources.known.max(server.cached.matched(shared));
@@ -885,7 +877,7 @@
                 sources.servers.push((key, ready));
             }
         }
-        sources.known = sources.known.max(group.kept.matched(shared));
+        sources.known = sources.known.max(self.stores.matched(shared));
         sources
     }
 
@@ -893,7 +885,7 @@
         &self,
         key: BackendKey,
         server: &Server,
-        group: &EngineGroup,
+        spec: &EngineSpec,
         prompt: &Prompt,
         scope: &Scope,
     ) -> (Reading, Fetch) {
@@ -918,8 +910,8 @@
             fetched_tokens,
             repeated_tokens,
             needed_tokens: total - held_tokens + prompt.output_tokens,
-            kv_tokens: group.spec.kv_tokens,
-            fetch_ms_per_token: fetch_ms_per_token(&group.spec),
+            kv_tokens: spec.kv_tokens,
+            fetch_ms_per_token: fetch_ms_per_token(spec),
             read_ms_per_token: self.read_ms_per_token,
             surcharge_ms: 0.0,
         };
@@ -959,44 +951,14 @@
         }
     }
 
-    fn address(&self, fetch: Fetch) -> Option<SocketAddr> {
+    fn address(&self, fetch: Fetch, levels: &[PrefixLevel]) -> Option<SocketAddr> {
         match fetch {
             Fetch::Nothing => None,
-            Fetch::Store => self.store(),
+            Fetch::Store => self.stores.address_for(&levels[..levels.len().saturating_sub(1)]),
             Fetch::Server(key) => self.servers.get(key).map(|server| server.listing.address),
         }
     }
 
-    fn store(&self) -> Option<SocketAddr> {
-        let near = self.stores.iter().find(|store| store.zone.as_ref() == Some(&self.zone));
-        near.or(self.stores.first()).map(|store| store.address)
-    }
-
-    /// Names the store that an engine saves a prompt at, if the store lacks a shared prefix.
-    fn save(
-        &mut self,
-        service: &ServiceName,
-        levels: &[PrefixLevel],
-        ready_at: Timestamp,
-    ) -> Option<SocketAddr> {
-        let store = self.store()?;
-        let shared = &levels[..levels.len().saturating_sub(1)];
-        let group = self.groups.get_mut(service).filter(|_| !shared.is_empty())?;
-        if group.kept.matched(shared) == shared.len() {
-            // A fetch refreshes the store's memory of the prefixes.
-            group.kept.insert(shared, ready_at);
-            return None;
-        }
-        let missing = &shared[group.kept.matched(shared)..];
-        let missing: u32 = missing.iter().map(|level| level.tokens).sum();
-        let own = levels.last().map_or(0, |level| level.tokens);
-        if f64::from(own) > f64::from(missing) * OWN_PER_SAVED {
-            return None;
-        }
-        group.kept.insert(levels, ready_at + Duration::from_millis(SAVED_AFTER_MS));
-        Some(store)
-    }
-
     fn tell_prompt(
         &mut self,
         server: u64,
@@ -1055,11 +1017,9 @@
         };
         server.cached.insert(&[own], ready_at);
         server.cached.insert(&news.shared, ready_at);
-        let Some(group) = self.groups.get_mut(&server.listing.service) else { return };
         if news.is_saved {
             let saved_at = ready_at + Duration::from_millis(SAVED_AFTER_MS);
-            group.kept.insert(&[own], saved_at);
-            group.kept.insert(&news.shared, saved_at);
+            self.stores.note_saved(now, &news.shared, own, saved_at);
         }
     }
 }
--- /dev/null
+++ b/crates/dogwoodway_routing/src/direct/kv_stores.rs
@@ -0,0 +1,236 @@
+//! The stores of kept KV cache, and what they are believed to keep.
+//!
+//! The pattern that this answers: engines forget a prefix within seconds, and reading it again takes
+//! longer than fetching it. Each prefix has one store, which all routers name by the same hashing:
+//! so several stores keep more together than one does.
+
+use std::{net::SocketAddr, time::Duration};
+
+use dogwoodway_types::{PieceHash, Timestamp};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    direct::{
+        prompt::{PrefixKey, PrefixLevel},
+        table::KvStoreSpec,
+        token_lru::TokenLru,
+    },
+    rendezvous::{self, ServerKey},
+};
+
+/// Share of a store's memory that is relied on to hold what it was given last.
+const RELIABLE_SHARE: f64 = 0.85;
+
+/// Tokens of a prompt's own that are saved for each shared token that the store lacks. An engine
+/// saves whole prompts, and what nobody asks for again pushes out what others need.
+const OWN_PER_SAVED: f64 = 2.0;
+
+/// Time for which what a store said of itself is relied on, in milliseconds: some times that
+/// between two questions.
+const OBSERVED_MS: u64 = 1_500;
+
+/// Time after which a save that the store did not tell of counts as failed, in milliseconds.
+const SAVE_WITHIN_MS: u64 = 1_500;
+
+/// A change of what a store keeps.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KvChange {
+    /// It keeps a part, or as many tokens of it.
+    Kept(PrefixLevel),
+    /// It has dropped a part, or some tokens of it.
+    Dropped(PrefixKey),
+}
+
+#[derive(Clone, Debug)]
+struct Store {
+    spec: KvStoreSpec,
+    hash: ServerKey,
+    kept: TokenLru,
+    /// Until when the store's own word goes before what the router infers.
+    observed_until: Timestamp,
+    /// Whether the store could be reached the last time.
+    is_up: bool,
+    /// Saves that the store has not told of yet.
+    pending: Vec<(PrefixKey, Timestamp)>,
+}
+
+impl Store {
+    fn is_observed(&self, now: Timestamp) -> bool {
+        now < self.observed_until
+    }
+
+    /// Bounds the image while the store does not tell what it drops.
+    fn fit(&mut self, now: Timestamp) {
+        let capacity = match self.is_observed(now) {
+            true => u64::MAX,
+            false => (self.spec.kv_tokens as f64 * RELIABLE_SHARE) as u64,
+        };
+        self.kept.set_capacity(capacity);
+    }
+
+    /// Notes that an engine saves a prompt.
+    fn expect(&mut self, now: Timestamp, levels: &[PrefixLevel], saved_at: Timestamp) {
+        if !self.is_observed(now) {
+            return self.kept.insert(levels, saved_at);
+        }
+        // The store's own word tells when they can be fetched.
+        let new = levels.iter().filter(|level| !self.kept.contains(level.key));
+        let give_up_at = saved_at + Duration::from_millis(SAVE_WITHIN_MS);
+        self.pending.extend(new.map(|level| (level.key, give_up_at)));
+        self.kept.insert(levels, Timestamp::MAX);
+    }
+}
+
+/// The stores that the engines can fetch from and save to.
+#[derive(Clone, Debug, Default)]
+pub struct KvStores {
+    stores: Vec<Store>,
+}
+
+impl KvStores {
+    /// Takes over the stores of a routing table; what is known of those that stay is kept.
+    ///
+    /// ```
+    /// use dogwoodway_routing::direct::{kv_stores::KvStores, table::KvStoreSpec};
+    ///
+    /// let address = "10.0.0.9:80".parse().unwrap();
+    /// let store = KvStoreSpec { address, zone: None, kv_tokens: 1_000, link_mbps: 1e5 };
+    /// let mut stores = KvStores::default();
+    /// stores.set(vec![store]);
+    /// assert_eq!(stores.address_for(&[]), None);
+    /// ```
+    pub fn set(&mut self, specs: Vec<KvStoreSpec>) {
+        let mut known = std::mem::take(&mut self.stores);
+        for spec in specs {
+            let place = known.iter().position(|store| store.spec.address == spec.address);
+            let mut store = match place {
+                Some(i) => Store { spec, ..known.swap_remove(i) },
+                None => Store {
+                    hash: ServerKey(xxh3_64(spec.address.to_string().as_bytes())),
+                    spec,
+                    kept: TokenLru::default(),
+                    observed_until: Timestamp::default(),
+                    is_up: true,
+                    pending: Vec::new(),
+                },
+            };
+            store.fit(Timestamp::default());
+            self.stores.push(store);
+        }
+    }
+
+    /// Returns the address of the store for a prompt's shared prefixes.
+    pub fn address_for(&self, shared: &[PrefixLevel]) -> Option<SocketAddr> {
+        self.place_for(shared).map(|i| self.stores[i].spec.address)
+    }
+
+    /// Returns how many of a prompt's shared prefixes can be fetched from their store.
+    pub fn ready(&self, shared: &[PrefixLevel], now: Timestamp) -> usize {
+        self.place_for(shared).map_or(0, |i| self.stores[i].kept.ready(shared, now))
+    }
+
+    /// Returns how many of a prompt's shared prefixes their store keeps or is about to.
+    pub fn matched(&self, shared: &[PrefixLevel]) -> usize {
+        self.place_for(shared).map_or(0, |i| self.stores[i].kept.matched(shared))
+    }
+
+    /// Decides whether an engine saves a prompt, the last level of which is its own: returns the
+    /// store's address if so, and notes that the store has it from `saved_at` on.
+    pub fn save(
+        &mut self,
+        now: Timestamp,
+        levels: &[PrefixLevel],
+        saved_at: Timestamp,
+    ) -> Option<SocketAddr> {
+        let (own, shared) = levels.split_last()?;
+        let place = self.place_for(shared)?;
+        let store = &mut self.stores[place];
+        let missing = &shared[store.kept.matched(shared)..];
+        if missing.is_empty() {
+            // A fetch refreshes the store's memory of the prefixes.
+            store.kept.insert(shared, Timestamp::MAX);
+            return None;
+        }
+        let missing: u32 = missing.iter().map(|level| level.tokens).sum();
+        if f64::from(own.tokens) > f64::from(missing) * OWN_PER_SAVED {
+            return None;
+        }
+        store.expect(now, levels, saved_at);
+        Some(store.spec.address)
+    }
+
+    /// Notes that another router has an engine save a prompt.
+    pub fn note_saved(
+        &mut self,
+        now: Timestamp,
+        shared: &[PrefixLevel],
+        own: PrefixLevel,
+        saved_at: Timestamp,
+    ) {
+        let Some(place) = self.place_for(shared) else { return };
+        let store = &mut self.stores[place];
+        if !store.is_observed(now) {
+            store.kept.insert(&[own], saved_at);
+        }
+        store.expect(now, shared, saved_at);
+    }
+
+    /// Takes in what a store tells of itself; `is_whole` tells that it begins anew.
+    pub fn observe(
+        &mut self,
+        now: Timestamp,
+        address: SocketAddr,
+        is_whole: bool,
+        changes: &[KvChange],
+    ) {
+        let Some(store) = self.find(address) else { return };
+        if is_whole || !store.is_observed(now) {
+            store.kept.clear();
+            store.pending.clear();
+        }
+        store.is_up = true;
+        store.observed_until = now + Duration::from_millis(OBSERVED_MS);
+        store.fit(now);
+        for change in changes {
+            match change {
+                KvChange::Kept(level) => {
+                    store.kept.insert(&[*level], now);
+                    store.pending.retain(|(key, _)| *key != level.key);
+                }
+                KvChange::Dropped(key) => store.kept.remove(*key),
+            }
+        }
+        let failed = store.pending.extract_if(.., |(_, give_up_at)| *give_up_at <= now);
+        for (key, _) in failed {
+            store.kept.remove(key);
+        }
+    }
+
+    /// Notes that a store cannot be reached: nothing is fetched from it or saved there.
+    pub fn lose(&mut self, address: SocketAddr) {
+        if let Some(store) = self.find(address) {
+            store.is_up = false;
+            store.observed_until = Timestamp::default();
+            store.kept.clear();
+            store.pending.clear();
+        }
+    }
+
+    /// Returns the addresses of all stores.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.stores.iter().map(|store| store.spec.address).collect()
+    }
+
+    fn find(&mut self, address: SocketAddr) -> Option<&mut Store> {
+        self.stores.iter_mut().find(|store| store.spec.address == address)
+    }
+
+    fn place_for(&self, shared: &[PrefixLevel]) -> Option<usize> {
+        let deepest = PieceHash(u128::from(shared.last()?.key.0));
+        let cost = |store: &Store| {
+            rendezvous::cost(deepest, rendezvous::Server { key: store.hash, weight: 1 })
+        };
+        let stores = self.stores.iter().enumerate().filter(|(_, store)| store.is_up);
+        stores.min_by(|(_, a), (_, b)| cost(a).total_cmp(&cost(b))).map(|(i, _)| i)
+    }
+}
--- a/crates/dogwoodway_routing/src/direct/prompt.rs
+++ b/crates/dogwoodway_routing/src/direct/prompt.rs
@@ -26,10 +26,26 @@
     pub parts: Vec<PromptPart>,
 }
 
-/// Identifies a prefix of a prompt under one [`CacheScope`]: a part and all parts before it.
+/// Identifies a part of a prompt under one [`CacheScope`]. Parts are named by their content, so a
+/// part stands for the prefix that it ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct PrefixKey(pub u64);
 
+impl PrefixKey {
+    /// Returns the key of a part as the engines of a scope keep it.
+    ///
+    /// ```
+    /// use dogwoodway_routing::direct::prompt::PrefixKey;
+    ///
+    /// assert_ne!(PrefixKey::new("w1", "m", "a1"), PrefixKey::new("w2", "m", "a1"));
+    /// ```
+    pub fn new(scope_label: &str, model: &str, part: &str) -> PrefixKey {
+        let seed = xxh3_64_with_seed(scope_label.as_bytes(), 0);
+        let seed = xxh3_64_with_seed(model.as_bytes(), seed);
+        PrefixKey(xxh3_64_with_seed(part.as_bytes(), seed))
+    }
+}
+
 /// Who may share KV cache: the same weights, and within an isolated team only that team.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CacheScope {
@@ -82,13 +98,6 @@
 /// assert_ne!(old, levels(&prompt, &scope(2).label()));
 /// ```
 pub fn levels(prompt: &Prompt, scope_label: &str) -> Vec<PrefixLevel> {
-    let mut key = xxh3_64_with_seed(scope_label.as_bytes(), 0);
-    key = xxh3_64_with_seed(prompt.model.as_str().as_bytes(), key);
-    let parts = prompt.parts.iter();
-    parts
-        .map(|part| {
-            key = xxh3_64_with_seed(part.id.as_bytes(), key);
-            PrefixLevel { key: PrefixKey(key), tokens: part.tokens }
-        })
-        .collect()
+    let key = |part: &PromptPart| PrefixKey::new(scope_label, prompt.model.as_str(), &part.id);
+    prompt.parts.iter().map(|part| PrefixLevel { key: key(part), tokens: part.tokens }).collect()
 }
--- a/crates/dogwoodway_routing/src/direct/token_lru.rs
+++ b/crates/dogwoodway_routing/src/direct/token_lru.rs
@@ -9,6 +9,9 @@
 
 use crate::direct::prompt::{PrefixKey, PrefixLevel};
 
+/// Tokens that a memory rounds a part's length by.
+const BLOCK_TOKENS: u32 = 16;
+
 #[derive(Clone, Copy, Debug)]
 struct Entry {
     tick: u64,
@@ -94,6 +97,11 @@
         }
     }
 
+    /// Tells whether a prefix is held.
+    pub fn contains(&self, key: PrefixKey) -> bool {
+        self.entries.contains_key(&key)
+    }
+
     /// Returns how many of a prompt's prefixes are held, from the start without a gap.
     pub fn matched(&self, levels: &[PrefixLevel]) -> usize {
         levels.iter().take_while(|level| self.entries.contains_key(&level.key)).count()
@@ -102,7 +110,10 @@
     /// Returns how many of a prompt's prefixes can be fetched, from the start without a gap.
     pub fn ready(&self, levels: &[PrefixLevel], now: Timestamp) -> usize {
         let is_ready = |level: &&PrefixLevel| {
-            self.entries.get(&level.key).is_some_and(|entry| entry.ready_at <= now)
+            let entry = self.entries.get(&level.key);
+            entry.is_some_and(|entry| {
+                entry.ready_at <= now && entry.tokens + BLOCK_TOKENS > level.tokens
+            })
         };
         levels.iter().take_while(is_ready).count()
     }
