Refuse prompts at once while the engines are behind

Change: a prompt whose predicted wait uses up 0.6 of the expected time (0.2 for patient requests) is refused at once with the time to come back. `admission` holds the decision.

--- a/crates/dogwoodway_routing/src/direct.rs
+++ b/crates/dogwoodway_routing/src/direct.rs
@@ -5,6 +5,7 @@
 //! [`fleet::Fleet`] holds that knowledge and answers where a request runs; the other modules are
 //! its parts. The same rules hold as elsewhere in this crate: no I/O, and `now` is an argument.
 
+pub mod admission;
 pub mod cost;
 pub mod fleet;
 pub mod health;
--- a/crates/dogwoodway_routing/src/direct/cost.rs
+++ b/crates/dogwoodway_routing/src/direct/cost.rs
@@ -84,6 +84,12 @@
     pub surcharge_ms: f64,
 }
 
+/// Predicts the milliseconds until a server begins with a request.
+pub fn wait_ms(candidate: &Candidate) -> f64 {
+    let read_ms = candidate.reading.map_or(0.0, |reading| reading.read_ms_per_token);
+    candidate.load.unread_tokens as f64 * read_ms * candidate.slowdown
+}
+
 /// Predicts the milliseconds to the answer of a call or the first event of a stream.
 pub fn first_output_ms(candidate: &Candidate) -> f64 {
     let running = f64::from(candidate.load.running);
--- a/crates/dogwoodway_routing/src/direct/fleet.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     direct::{
+        admission,
         cost::{self, Candidate, Reading},
         health::{Health, Sign},
         kv_stores::{KvChange, KvStores},
@@ -209,8 +210,12 @@
     pub isolated_team: Option<TeamName>,
     /// The only version of the weights that may run it, if any.
     pub version: Option<WeightsVersion>,
+    /// Its urgency among the service's requests, 0 first.
+    pub urgency: u8,
     /// When its answer is of no use any more.
     pub deadline: Timestamp,
+    /// When callers expect its answer, or the first event of it.
+    pub expected_by: Timestamp,
     /// Servers that were tried.
     pub tried: Vec<BackendServerName>,
     /// Random number, to spread equal choices.
@@ -574,8 +579,6 @@
     /// Fails if no server can run the request in time.
     pub fn place(&mut self, now: Timestamp, query: &Query) -> Result<Placement, Refusal> {
         let keys = self.by_service.get(&query.service).map_or(&[][..], Vec::as_slice);
-        let refusal =
-            |reason, after_ms| Refusal { reason, retry_at: now + Duration::from_millis(after_ms) };
         let spec = self.engines.get(&query.service);
         let mean_failures = self.mean_failures(keys);
         let mut scopes = Scopes { query, known: Vec::new() };
@@ -621,23 +624,41 @@
             }
         }
         let Some((_, key, candidate, scope, fetch)) = best else {
-            return Err(refusal(NotRunReason::NoBackendServer, COME_BACK_MS));
+            return Err(refusal(now, NotRunReason::NoBackendServer, COME_BACK_MS));
         };
-        let predicted_ms = cost::first_output_ms(&candidate);
+        let predicted_ms = self.check_time(now, query, &candidate)?;
+        let scope = scope.map(|i| scopes.known.swap_remove(i));
+        Ok(self.send(now, key, &candidate, scope, fetch, predicted_ms))
+    }
+
+    /// Refuses a request that the best server cannot run in time; returns the milliseconds to the
+    /// first output, as predicted.
+    fn check_time(
+        &self,
+        now: Timestamp,
+        query: &Query,
+        candidate: &Candidate,
+    ) -> Result<f64, Refusal> {
+        // A prompt that a server has refused has waited already.
+        if query.prompt.is_some() && query.tried.is_empty() {
+            let (wait_ms, expected) = (cost::wait_ms(candidate), query.expected_by - now);
+            if let Some(after) = admission::refuse_for_wait(wait_ms, expected, query.urgency) {
+                let reason = NotRunReason::Overloaded;
+                return Err(Refusal { reason, retry_at: now + after });
+            }
+        }
+        let predicted_ms = cost::first_output_ms(candidate);
         let left_ms = (query.deadline - now).as_secs_f64() * 1e3;
         if predicted_ms > left_ms {
-            let after_ms = (predicted_ms - left_ms).min(5_000.0) as u64;
-            return Err(refusal(NotRunReason::Overloaded, after_ms.max(COME_BACK_MS)));
+            let after_ms = (predicted_ms - left_ms) as u64;
+            return Err(refusal(now, NotRunReason::Overloaded, after_ms.max(COME_BACK_MS)));
         }
-        let scope = scope.map(|i| scopes.known.swap_remove(i));
-        Ok(self.send(now, query, key, &candidate, scope, fetch, predicted_ms))
+        Ok(predicted_ms)
     }
 
-    #[expect(clippy::too_many_arguments, reason = "the parts of one decision, used once")]
     fn send(
         &mut self,
         now: Timestamp,
-        query: &Query,
         key: BackendKey,
         candidate: &Candidate,
         scope: Option<Scope>,
@@ -1076,6 +1097,10 @@
     }
 }
 
+fn refusal(now: Timestamp, reason: NotRunReason, after_ms: u64) -> Refusal {
+    Refusal { reason, retry_at: now + Duration::from_millis(after_ms) }
+}
+
 fn fetch_ms_per_token(spec: &EngineSpec) -> f64 {
     match spec.link_mbps > 0.0 {
         true => spec.kv_token_bytes as f64 * 8.0 / (spec.link_mbps * 1e3),
