Test the router against stand-ins of the platform; let new servers be chosen

Found by the tests: a server that had just come was never chosen while the others were idle, since its predictions were not yet scaled down like theirs; it is now taken for as fast as the median. A router alone took its share of the retries for one of 24 for ever. A first leader waited 4.7 s though the log was whole and had never held a leader.

--- a/crates/dogwoodway_gateway/src/gossip.rs
+++ b/crates/dogwoodway_gateway/src/gossip.rs
@@ -38,6 +38,9 @@
 /// Time without a word after which a router no longer counts, in milliseconds.
 const GONE_MS: u64 = 60_000;
 
+/// Time after the start in which all other routers are heard of, in milliseconds.
+const SETTLED_AFTER_MS: u64 = 3_000;
+
 /// Largest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
@@ -70,6 +73,8 @@
         let mut buf = vec![0; MAX_DATAGRAM_BYTES];
         let mut send_at = clock::now();
         let mut is_dirty = true;
+        let settled_at = send_at + Duration::from_millis(SETTLED_AFTER_MS);
+        let mut is_settled = false;
         loop {
             let now = clock::now();
             let longest = send_at + Duration::from_millis(LONGEST_PAUSE_MS);
@@ -86,6 +91,10 @@
                         self.count(&peers).await;
                     }
                 }
+                () = clock::sleep_until(settled_at), if !is_settled => {
+                    is_settled = true;
+                    self.count(&peers).await;
+                }
                 () = self.loads_changed.notified(), if !is_dirty => is_dirty = true,
                 () = clock::sleep_until(due) => {
                     self.tell(&socket, &mut peers).await;
--- a/crates/dogwoodway_gateway/src/leader.rs
+++ b/crates/dogwoodway_gateway/src/leader.rs
@@ -213,7 +213,9 @@
         }
         let read_to = LogOffset(page.from.0 + page.records.len() as u64);
         if read_to >= page.end {
-            self.leadership.see_end(now, page.end, page.end == LogOffset(0));
+            // Nothing was lost, so that nobody has led if no record says so.
+            let is_whole = page.first == LogOffset(0);
+            self.leadership.see_end(now, page.end, is_whole);
         }
     }
 
--- a/crates/dogwoodway_routing/src/direct/fleet.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet.rs
@@ -580,7 +580,9 @@
     pub fn place(&mut self, now: Timestamp, query: &Query) -> Result<Placement, Refusal> {
         let keys = self.by_service.get(&query.service).map_or(&[][..], Vec::as_slice);
         let spec = self.engines.get(&query.service);
-        let mean_failures = self.mean_failures(keys);
+        let failures = self.median(keys, |health| Some(health.failure_share())).unwrap_or(0.0);
+        // A server that has not answered yet is taken for as fast as the others.
+        let slowdown = self.median(keys, Health::slowdown).unwrap_or(1.0);
         let mut scopes = Scopes { query, known: Vec::new() };
         let mut best: Option<(f64, BackendKey, Candidate, Option<usize>, Fetch)> = None;
         for &key in keys {
@@ -611,8 +613,8 @@
                 load: server.load(),
                 slots: server.listing.slots,
                 is_near: server.listing.zone == self.zone,
-                slowdown: server.health.slowdown(),
-                failure_share: (server.health.failure_share() - mean_failures).max(0.0),
+                slowdown: server.health.slowdown().unwrap_or(slowdown),
+                failure_share: (server.health.failure_share() - failures).max(0.0),
                 refusal_share: server.health.refusal_share(),
                 reading,
             };
@@ -856,14 +858,15 @@
         }
     }
 
-    fn mean_failures(&self, keys: &[BackendKey]) -> f64 {
-        let shares = keys.iter().filter_map(|key| self.servers.get(*key));
-        let mut shares: Vec<_> = shares.map(|server| server.health.failure_share()).collect();
-        if shares.is_empty() {
-            return 0.0;
-        }
-        let middle = (shares.len() - 1) / 2;
-        *shares.select_nth_unstable_by(middle, f64::total_cmp).1
+    /// Returns the median over servers of a figure that is known of some of them.
+    fn median<F>(&self, keys: &[BackendKey], figure: F) -> Option<f64>
+    where
+        F: Fn(&Health) -> Option<f64>,
+    {
+        let servers = keys.iter().filter_map(|key| self.servers.get(*key));
+        let mut known: Vec<_> = servers.filter_map(|server| figure(&server.health)).collect();
+        let middle = known.len().checked_sub(1)? / 2;
+        Some(*known.select_nth_unstable_by(middle, f64::total_cmp).1)
     }
 
     /// Returns the server that all routers prefer for a prompt's deepest shared prefix.
--- a/crates/dogwoodway_routing/src/direct/health.rs
+++ b/crates/dogwoodway_routing/src/direct/health.rs
@@ -68,7 +68,7 @@
     reach: Reach,
     failure_share: f64,
     refusal_share: f64,
-    slowdown: f64,
+    slowdown: Option<f64>,
     heard_at: Timestamp,
 }
 
@@ -79,7 +79,7 @@
             reach: Reach::Up,
             failure_share: 0.0,
             refusal_share: 0.0,
-            slowdown: 1.0,
+            slowdown: None,
             heard_at: now,
         }
     }
@@ -113,7 +113,8 @@
         self.hear(now);
         let ratio = took.as_secs_f64() / predicted.as_secs_f64().max(0.010);
         let ratio = ratio.clamp(SLOWDOWN.0, SLOWDOWN.1);
-        self.slowdown += (ratio - self.slowdown) * NEWEST_SHARE;
+        let known = self.slowdown.unwrap_or(1.0);
+        self.slowdown = Some(known + (ratio - known) * NEWEST_SHARE);
     }
 
     /// Notes the result of a trial connection.
@@ -169,8 +170,8 @@
         self.refusal_share
     }
 
-    /// Returns the factor by which predictions are to be stretched.
-    pub fn slowdown(&self) -> f64 {
+    /// Returns the factor by which predictions are to be stretched, once the server has answered.
+    pub fn slowdown(&self) -> Option<f64> {
         self.slowdown
     }
 }
--- a/crates/dogwoodway_routing/src/direct/leadership.rs
+++ b/crates/dogwoodway_routing/src/direct/leadership.rs
@@ -132,12 +132,12 @@
         self.free_at = if is_own { now } else { free_at };
     }
 
-    /// Notes where the log ends; `is_new` tells that it never held a record.
-    pub fn see_end(&mut self, now: Timestamp, end: LogOffset, is_new: bool) {
+    /// Notes where the log ends; `is_whole` tells that it still holds all records from the first.
+    pub fn see_end(&mut self, now: Timestamp, end: LogOffset, is_whole: bool) {
         self.end = Some(end);
         if self.holder.is_none() && self.free_at == Timestamp::MAX {
             let unseen = Duration::from_millis(TENURE_MS + self.lease_ms + CLOCK_MARGIN_MS);
-            self.free_at = if is_new { now } else { now + unseen };
+            self.free_at = if is_whole { now } else { now + unseen };
         }
     }
 
--- /dev/null
+++ b/crates/dogwoodway_routing/tests/direct_fleet.rs
@@ -0,0 +1,409 @@
+//! Placement among backend servers that a router reaches itself, and replays of the loads that the
+//! rules answer.
+
+use std::{collections::BinaryHeap, time::Duration};
+
+use dogwoodway_routing::direct::{
+    fleet::{Availability, BackendKey, Fleet, Placement, Query, ServerListing, Ticket},
+    health::Sign,
+    kv_stores::KvChange,
+    prompt::{PrefixKey, PrefixLevel, Prompt, PromptPart},
+    rollout::next_orders,
+    table::{EngineSpec, KvStoreSpec, Service, ServiceKind, ServingTable, TableParts},
+};
+use dogwoodway_types::{
+    AvailabilityZone, BackendServerName, ModelName, NotRunReason, ServiceName, Timestamp,
+    WeightsVersion,
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+const MODEL: &str = "m0";
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(100_000 + ms)
+}
+
+fn zone(name: &str) -> AvailabilityZone {
+    AvailabilityZone::try_from(name).unwrap()
+}
+
+fn service(name: &str) -> ServiceName {
+    ServiceName::try_from(name).unwrap()
+}
+
+fn name(n: usize) -> BackendServerName {
+    BackendServerName::try_from(format!("engine-{n}")).unwrap()
+}
+
+fn listing(n: usize, version: u32) -> ServerListing {
+    ServerListing {
+        name: name(n),
+        service: service("llm"),
+        address: format!("10.0.0.{n}:80").parse().unwrap(),
+        zone: zone("a"),
+        slots: 64,
+        availability: Availability::Ready,
+        weights: vec![(ModelName::try_from(MODEL).unwrap(), WeightsVersion(version))],
+        started_at_ms: 1,
+        revision: 1,
+    }
+}
+
+fn table(stores: &[&str]) -> ServingTable {
+    let spec = EngineSpec {
+        slots: 64,
+        kv_tokens: 200_000,
+        kv_token_bytes: 160_000,
+        link_mbps: 370_000.0,
+        models: vec![ModelName::try_from(MODEL).unwrap()],
+    };
+    let engines = Service {
+        name: service("llm"),
+        health_path: "/health".to_owned(),
+        max_connections: 100,
+        kind: ServiceKind::Engines(spec),
+    };
+    let stores = stores.iter().enumerate().map(|(n, address)| Service {
+        name: service(&format!("store-{n}")),
+        health_path: String::new(),
+        max_connections: 10,
+        kind: ServiceKind::KvStore(KvStoreSpec {
+            address: address.parse().unwrap(),
+            zone: None,
+            kv_tokens: 100_000,
+            link_mbps: 240_000.0,
+        }),
+    });
+    let services = std::iter::once(engines).chain(stores).collect();
+    ServingTable::from(TableParts { version: 1, services, ..TableParts::default() })
+}
+
+fn fleet(engines: usize) -> (Fleet, Vec<BackendKey>) {
+    let mut fleet = Fleet::new(zone("a"));
+    fleet.set_table(&table(&[]));
+    let keys = (0..engines).filter_map(|n| fleet.list(at(0), listing(n, 1)));
+    let keys = keys.map(|(key, _)| key).collect();
+    (fleet, keys)
+}
+
+/// A prompt with one shared part of `shared` tokens and `own` tokens of its own.
+fn prompt(catalogue: u32, shared: u32, own: u32, draw: u64) -> Prompt {
+    let part = |id: String, tokens| PromptPart { id, tokens };
+    Prompt {
+        model: ModelName::try_from(MODEL).unwrap(),
+        input_tokens: shared + own,
+        output_tokens: 40,
+        parts: vec![part(format!("c{catalogue}"), shared), part(format!("o{draw}"), own)],
+    }
+}
+
+fn query(now: Timestamp, prompt: Prompt, urgency: u8, expected_ms: u64, draw: u64) -> Query {
+    Query {
+        service: service("llm"),
+        prompt: Some(prompt),
+        isolated_team: None,
+        version: None,
+        urgency,
+        deadline: now + Duration::from_secs(15),
+        expected_by: now + Duration::from_millis(expected_ms),
+        tried: Vec::new(),
+        draw,
+    }
+}
+
+fn place(fleet: &mut Fleet, now: Timestamp, catalogue: u32, draw: u64) -> Placement {
+    let query = query(now, prompt(catalogue, 5_000, 1_000, draw), 1, 800, draw);
+    fleet.place(now, &query).expect("a server is free")
+}
+
+fn finish(fleet: &mut Fleet, now: Timestamp, ticket: Ticket) {
+    fleet.note_output(now, ticket);
+    fleet.end(now, ticket, Some(Sign::Answered));
+}
+
+#[test]
+fn prompts_with_a_shared_prefix_go_where_it_was_computed() {
+    let (mut fleet, _) = fleet(9);
+    let first = place(&mut fleet, at(0), 7, 1);
+    finish(&mut fleet, at(200), first.ticket);
+    for draw in 2..20 {
+        let next = place(&mut fleet, at(200 * draw), 7, draw);
+        assert_eq!(next.server, first.server);
+        finish(&mut fleet, at(200 * draw + 100), next.ticket);
+    }
+}
+
+#[test]
+fn two_routers_that_tell_each_other_choose_the_same_engine() {
+    let (mut a, _) = fleet(9);
+    let (mut b, _) = fleet(9);
+    let first = place(&mut a, at(0), 7, 1);
+    finish(&mut a, at(200), first.ticket);
+    let news = a.take_prompt_news();
+    b.see_prompts(at(210), 1, &news);
+    b.see_prompts(at(211), 1, &news);
+    assert_eq!(place(&mut b, at(400), 7, 2).name, first.name);
+    assert_eq!(a.take_prompt_news().len(), 1, "news is told again, since datagrams are lost");
+}
+
+#[test]
+fn a_busy_holder_is_passed_by_and_asked_for_what_it_holds() {
+    let (mut fleet, keys) = fleet(3);
+    let first = place(&mut fleet, at(0), 7, 1);
+    finish(&mut fleet, at(200), first.ticket);
+    let busy = fleet.listing(first.server).unwrap().name.clone();
+    let load = dogwoodway_routing::direct::load::Load {
+        running: 20,
+        unread_tokens: 40_000,
+        held_tokens: 100_000,
+    };
+    let hash = dogwoodway_routing::rendezvous::ServerKey::new(&busy).0;
+    let told = dogwoodway_routing::direct::fleet::ServerLoad { server: hash, load };
+    fleet.see_peer(at(300), 1, &[told]);
+    let next = place(&mut fleet, at(301), 7, 2);
+    assert_ne!(next.server, first.server);
+    assert_eq!(next.fetch_from, Some(first.address));
+    assert!(keys.contains(&next.server));
+    // What a peer told counts for a short time only.
+    fleet.expire_peers(at(2_000));
+    finish(&mut fleet, at(2_000), next.ticket);
+    assert_eq!(fleet.own_loads().len(), 0);
+}
+
+#[test]
+fn old_weights_run_nothing_once_the_first_newer_ones_are_too_old() {
+    let (mut fleet, _) = fleet(2);
+    let model = ModelName::try_from(MODEL).unwrap();
+    let news = Duration::ZERO;
+    fleet.name_version(at(0), model.clone(), WeightsVersion(2), news);
+    fleet.name_version(at(5_000), model.clone(), WeightsVersion(3), news);
+    let query = |now| query(now, prompt(1, 100, 100, 1), 1, 800, 1);
+    assert!(fleet.place(at(6_000), &query(at(6_000))).is_ok());
+    let refusal = fleet.place(at(7_500), &query(at(7_500))).unwrap_err();
+    assert_eq!(refusal.reason, NotRunReason::NoBackendServer);
+    let key = fleet.find(&name(1)).unwrap();
+    fleet.see_version(key, Some(&model), WeightsVersion(3));
+    assert_eq!(fleet.place(at(7_600), &query(at(7_600))).unwrap().server, key);
+}
+
+#[test]
+fn an_engine_that_loads_runs_nothing_and_forgets_its_cache() {
+    let (mut fleet, keys) = fleet(1);
+    let first = place(&mut fleet, at(0), 7, 1);
+    finish(&mut fleet, at(100), first.ticket);
+    fleet.note_loading(at(200), keys[0]);
+    let query = query(at(300), prompt(7, 5_000, 1_000, 2), 1, 800, 2);
+    assert!(fleet.place(at(300), &query).is_err());
+    fleet.see_version(keys[0], None, WeightsVersion(2));
+    let next = place(&mut fleet, at(900), 7, 3);
+    assert_eq!(next.reads.0, 6_000, "the old prefix must not count");
+    assert_eq!(next.scope.as_deref(), Some("w2"));
+}
+
+#[test]
+fn weights_are_loaded_where_they_are_oldest_first() {
+    let (mut fleet, _) = fleet(0);
+    for (n, version) in [(1, 3), (2, 1), (3, 2), (4, 1)] {
+        fleet.list(at(0), listing(n, version));
+    }
+    let model = ModelName::try_from(MODEL).unwrap();
+    fleet.name_version(at(0), model, WeightsVersion(3), Duration::ZERO);
+    let engines = fleet.engine_weights(at(1));
+    let order: Vec<_> = next_orders(&engines).iter().map(|engine| engine.serves.0).collect();
+    assert_eq!(order, [1, 1, 2]);
+}
+
+#[test]
+fn late_entries_bring_no_server_back() {
+    let (mut fleet, keys) = fleet(1);
+    let newer = ServerListing { revision: 9, ..listing(0, 1) };
+    assert_eq!(fleet.list(at(1), newer), Some((keys[0], false)));
+    assert_eq!(fleet.list(at(2), ServerListing { revision: 4, ..listing(0, 1) }), None);
+    fleet.forget(&name(0));
+    assert_eq!(fleet.list(at(3), ServerListing { revision: 9, ..listing(0, 1) }), None);
+    assert!(fleet.list(at(4), ServerListing { revision: 10, ..listing(0, 1) }).is_some());
+    let restarted = ServerListing { started_at_ms: 2, revision: 1, ..listing(0, 1) };
+    assert!(fleet.list(at(5), restarted).is_some_and(|(_, is_new)| is_new));
+}
+
+#[test]
+fn a_server_missing_after_an_outage_is_used_until_it_must_be_listed() {
+    let (mut fleet, _) = fleet(1);
+    fleet.miss(&name(0), at(2_300));
+    let place_at = |fleet: &mut Fleet, ms| {
+        fleet.place(at(ms), &query(at(ms), prompt(1, 10, 10, 1), 1, 800, 1)).is_ok()
+    };
+    assert!(place_at(&mut fleet, 1_000));
+    assert!(!place_at(&mut fleet, 2_400));
+    assert_eq!(fleet.forget_missing(at(2_400)).len(), 1);
+}
+
+#[test]
+fn a_leaving_or_unreachable_server_runs_nothing() {
+    let (mut fleet, keys) = fleet(2);
+    let draining =
+        ServerListing { availability: Availability::Draining, revision: 2, ..listing(0, 1) };
+    fleet.list(at(1), draining);
+    for draw in 0..20 {
+        let placed = place(&mut fleet, at(10 + draw), draw as u32, draw);
+        assert_eq!(placed.server, keys[1]);
+        finish(&mut fleet, at(10 + draw), placed.ticket);
+    }
+    fleet.see_trial(at(50), keys[1], false);
+    let query = query(at(60), prompt(1, 10, 10, 1), 1, 800, 1);
+    assert!(fleet.place(at(60), &query).is_err());
+    assert_eq!(fleet.begin_trials(at(300)), [keys[1]]);
+    fleet.see_trial(at(310), keys[1], true);
+    assert!(fleet.place(at(320), &query).is_ok());
+}
+
+#[test]
+fn a_silent_engine_that_owes_an_answer_is_found() {
+    let (mut fleet, _) = fleet(1);
+    let placed = place(&mut fleet, at(0), 1, 1);
+    assert!(fleet.silent(at(300)).is_empty());
+    assert_eq!(fleet.silent(at(1_000)), [placed.server]);
+    fleet.note_bytes(at(990), placed.server);
+    assert!(fleet.silent(at(1_000)).is_empty());
+}
+
+#[test]
+fn a_store_that_is_lost_is_neither_fetched_from_nor_saved_to() {
+    let mut fleet = Fleet::new(zone("a"));
+    let store = "10.0.9.9:80".parse().unwrap();
+    fleet.set_table(&table(&["10.0.9.9:80"]));
+    fleet.list(at(0), listing(0, 1));
+    let first = place(&mut fleet, at(0), 7, 1);
+    assert_eq!(first.save_to, Some(store));
+    fleet.lose_store(store);
+    let next = place(&mut fleet, at(10), 8, 2);
+    assert_eq!((next.fetch_from, next.save_to), (None, None));
+    // It is back, and tells that it keeps the first catalogue.
+    let key = PrefixKey::new("w1", MODEL, "c7");
+    let kept = KvChange::Kept(PrefixLevel { key, tokens: 5_000 });
+    fleet.observe_store(at(500), store, true, &[kept]);
+    fleet.forget(&name(0));
+    fleet.list(at(510), listing(1, 1));
+    let next = place(&mut fleet, at(520), 7, 3);
+    assert_eq!((next.fetch_from, next.save_to), (Some(store), None));
+    fleet.observe_store(at(600), store, false, &[KvChange::Dropped(key)]);
+    assert_eq!(place(&mut fleet, at(610), 7, 4).server, next.server);
+}
+
+#[test]
+fn a_prompt_that_is_mostly_its_own_is_not_saved() {
+    let mut fleet = Fleet::new(zone("a"));
+    fleet.set_table(&table(&["10.0.9.9:80"]));
+    fleet.list(at(0), listing(0, 1));
+    let large = query(at(0), prompt(7, 1_000, 9_000, 1), 1, 800, 1);
+    let placed = fleet.place(at(0), &large).unwrap();
+    assert_eq!(placed.save_to, None);
+    finish(&mut fleet, at(1), placed.ticket);
+    let small = query(at(1), prompt(7, 1_000, 900, 2), 1, 800, 2);
+    assert!(fleet.place(at(1), &small).unwrap().save_to.is_some());
+}
+
+/// One engine of the replay: computes prompts one after the other.
+#[derive(Clone, Debug)]
+struct Engine {
+    free_at_us: u64,
+    is_silent: bool,
+}
+
+/// Counts of a replay.
+#[derive(Clone, Copy, Debug, Default)]
+struct Replay {
+    asked: u32,
+    in_time: u32,
+    refused: u32,
+    urgent_asked: u32,
+    urgent_in_time: u32,
+    computed: u64,
+}
+
+const US_PER_TOKEN: u64 = 18;
+
+/// Replays seeded arrivals at engines of which some fall silent; `refuses` tells whether routers
+/// may refuse because of the line.
+fn replay(load: f64, silent: usize, refuses: bool, seed: u64) -> Replay {
+    const ENGINES: usize = 9;
+    let (mut fleet, keys) = fleet(ENGINES);
+    let mut engines = vec![Engine { free_at_us: 0, is_silent: false }; ENGINES];
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut ends: BinaryHeap<std::cmp::Reverse<(u64, u64)>> = BinaryHeap::new();
+    let mut tickets = Vec::new();
+    let mut counts = Replay::default();
+    let mean_us = US_PER_TOKEN as f64 * 2_600.0 / (ENGINES as f64 * load);
+    let mut now_us = 0.0;
+    for (n, engine) in engines.iter_mut().enumerate().take(silent) {
+        engine.is_silent = true;
+        fleet.see_trial(at(0), keys[n], false);
+    }
+    for draw in 0..6_000_u64 {
+        now_us += -mean_us * (1.0 - rng.random::<f64>()).ln();
+        let now = Timestamp(at(0).0 + now_us as u64);
+        while let Some(std::cmp::Reverse((us, i))) = ends.peek().copied()
+            && us <= now_us as u64
+        {
+            ends.pop();
+            finish(&mut fleet, Timestamp(at(0).0 + us), tickets[i as usize]);
+        }
+        let is_urgent = rng.random::<f64>() < 0.8;
+        let (own, expected_ms) = if is_urgent { (1_400, 400) } else { (5_000, 800) };
+        let shared = prompt(rng.random_range(0..40), 400, own, draw);
+        let mut query = query(now, shared, u8::from(!is_urgent), expected_ms, draw);
+        let expected_by = query.expected_by;
+        if !refuses {
+            query.expected_by = now + Duration::from_secs(3_600);
+            query.deadline = query.expected_by;
+        }
+        counts.asked += 1;
+        counts.urgent_asked += u32::from(is_urgent);
+        let Ok(placed) = fleet.place(now, &query) else {
+            counts.refused += 1;
+            continue;
+        };
+        let place = keys.iter().position(|key| *key == placed.server).unwrap();
+        assert!(!engines[place].is_silent);
+        let begin_us = engines[place].free_at_us.max(now_us as u64);
+        let end_us = begin_us + u64::from(placed.reads.0) * US_PER_TOKEN;
+        engines[place].free_at_us = end_us;
+        counts.computed += u64::from(placed.reads.0);
+        let is_in_time = at(0).0 + end_us <= expected_by.0;
+        counts.in_time += u32::from(is_in_time);
+        counts.urgent_in_time += u32::from(is_in_time && is_urgent);
+        ends.push(std::cmp::Reverse((end_us, tickets.len() as u64)));
+        tickets.push(placed.ticket);
+    }
+    counts
+}
+
+#[test]
+fn replay_a_third_of_the_engines_gone_in_a_peak() {
+    let patient = replay(0.95, 3, false, 1);
+    let refusing = replay(0.95, 3, true, 1);
+    println!("queueing {patient:?}\nrefusing {refusing:?}");
+    let share = |counts: &Replay| f64::from(counts.in_time) / f64::from(counts.asked);
+    assert!(share(&patient) < 0.2, "the replay does not overload the engines");
+    assert!(share(&refusing) > 0.6);
+    let urgent = f64::from(refusing.urgent_in_time) / f64::from(refusing.urgent_asked);
+    assert!(urgent >= share(&refusing), "patient requests give way first");
+}
+
+#[test]
+fn replay_a_burst_beyond_capacity() {
+    let at_capacity = replay(1.0, 0, true, 2);
+    let beyond = replay(1.7, 0, true, 2);
+    println!("at capacity {at_capacity:?}\nbeyond {beyond:?}");
+    // The work done in time does not fall when more is asked for.
+    let per_second = f64::from(beyond.in_time) * 1.7 / f64::from(at_capacity.in_time);
+    assert!(per_second >= 0.95, "{per_second}");
+}
+
+#[test]
+fn replay_a_calm_day_without_refusals() {
+    let calm = replay(0.5, 0, true, 3);
+    println!("calm {calm:?}");
+    assert!(calm.refused * 200 < calm.asked, "{calm:?}");
+    assert!(calm.in_time * 100 > calm.asked * 98, "{calm:?}");
+}
--- /dev/null
+++ b/crates/dogwoodway_routing/tests/direct_retry.rs
@@ -0,0 +1,47 @@
+//! What follows an attempt, for every kind of route.
+
+use dogwoodway_routing::direct::{
+    retry::{AttemptEnd, Attempts, MAX_OFFERS, Step, next_step},
+    table::RouteKind,
+};
+
+const KINDS: [RouteKind; 4] =
+    [RouteKind::Idempotent, RouteKind::AtMostOnce, RouteKind::Stream, RouteKind::ResumableStream];
+
+const ENDS: [AttemptEnd; 5] = [
+    AttemptEnd::Answered { is_error: false },
+    AttemptEnd::Answered { is_error: true },
+    AttemptEnd::NotExecuted,
+    AttemptEnd::Unreachable,
+    AttemptEnd::Lost,
+];
+
+/// Plays all sequences of ends up to a length, and checks what callers are told.
+fn check(kind: RouteKind, max_attempts: u32, attempts: Attempts, depth: u32) {
+    for end in ENDS {
+        let mut attempts = attempts;
+        attempts.note(end);
+        let step = next_step(kind, max_attempts, attempts, end);
+        match step {
+            Step::Refuse(_) => assert_eq!(attempts.may_have_run, 0, "{kind:?} {end:?}"),
+            Step::Fail => assert!(attempts.may_have_run > 0, "{kind:?} {end:?}"),
+            Step::Deliver => assert!(matches!(end, AttemptEnd::Answered { .. })),
+            Step::TryAgain => {
+                assert!(attempts.may_have_run == 0 || kind.is_repeatable(), "{kind:?} {end:?}");
+                assert!(attempts.may_have_run < max_attempts.max(1));
+                assert!(attempts.offered < MAX_OFFERS.max(max_attempts));
+                assert!(depth > 0, "no end of attempts");
+                check(kind, max_attempts, attempts, depth - 1);
+            }
+        }
+    }
+}
+
+#[test]
+fn refusals_are_true_and_attempts_are_bounded() {
+    for kind in KINDS {
+        for max_attempts in 1..=4 {
+            check(kind, max_attempts, Attempts::default(), 6);
+        }
+    }
+}
