Learn what an engine serves when it refuses for its weights; handle hangups from the first moment

(3) A router without the store wrote a line and made a call every 150 ms.

Changes: an engine that refused is asked for its version once and passed over meanwhile; engines on weights that are too old are asked for the newest ones; SIGHUP is handled before the settings are read; the loss of the routers' log is told once, claims are tried every 0.5 s; refusals name the predicted wait and the age of the configuration.

--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -37,7 +37,12 @@
 use slotmap::SecondaryMap;
 use tokio::sync::{Notify, mpsc, watch};
 
-use crate::{border::DirectoryChange, clock, connection::Connection, metric};
+use crate::{
+    border::{DirectoryChange, EngineControl},
+    clock,
+    connection::Connection,
+    metric,
+};
 
 /// Idle connections to one server that are kept.
 const MAX_IDLE: usize = 64;
@@ -123,6 +128,7 @@
     quarantine_in_use: Arc<AtomicBool>,
     suspects: Vec<Suspect>,
     crashes: mpsc::Sender<CrashNote>,
+    control: Arc<dyn EngineControl>,
     news: Vec<(WeightsNews, Timestamp)>,
     loads_changed: Arc<Notify>,
     directory_version: u64,
@@ -133,6 +139,7 @@
     pub(crate) zone: AvailabilityZone,
     pub(crate) retry_bounds: RetryBounds,
     pub(crate) crashes: mpsc::Sender<CrashNote>,
+    pub(crate) control: Arc<dyn EngineControl>,
     pub(crate) quarantine_in_use: Arc<AtomicBool>,
     pub(crate) loads_changed: Arc<Notify>,
 }
@@ -150,6 +157,7 @@
             quarantine_in_use: parts.quarantine_in_use,
             suspects: Vec::new(),
             crashes: parts.crashes,
+            control: parts.control,
             news: Vec::new(),
             loads_changed: parts.loads_changed,
             directory_version: 0,
@@ -317,7 +325,11 @@
         if let Some(fingerprint) = msg.fingerprint
             && let Standing::Quarantined { until } = self.quarantine.standing(now, &fingerprint)
         {
-            return Placed::Nowhere(Refusal { reason: NotRunReason::Quarantined, retry_at: until });
+            return Placed::Nowhere(Refusal {
+                reason: NotRunReason::Quarantined,
+                retry_at: until,
+                wait_ms: 0,
+            });
         }
         let budget = self.budget(&msg.query.service);
         if !msg.is_repeat {
@@ -325,7 +337,11 @@
         } else if !budget.take_retry() {
             metrics::counter!(metric::RETRIES_DENIED).increment(1);
             let retry_at = now + Duration::from_secs(1);
-            return Placed::Nowhere(Refusal { reason: NotRunReason::Overloaded, retry_at });
+            return Placed::Nowhere(Refusal {
+                reason: NotRunReason::Overloaded,
+                retry_at,
+                wait_ms: 0,
+            });
         }
         match self.fleet.place(now, &msg.query) {
             Ok(placement) => {
@@ -630,12 +646,14 @@
     Serves(WeightsVersion),
     /// The order to load has ended without effect.
     NotLoaded,
+    /// It refused a request since it serves other weights.
+    Mismatch,
 }
 
 impl Message<SeeWeights> for FleetActor {
     type Reply = ();
 
-    async fn handle(&mut self, msg: SeeWeights, _: &mut Context<Self, Self::Reply>) {
+    async fn handle(&mut self, msg: SeeWeights, cx: &mut Context<Self, Self::Reply>) {
         let now = clock::now();
         let Some(listing) = self.fleet.listing(msg.server) else { return };
         let hash = dogwoodway_routing::rendezvous::ServerKey::new(&listing.name).0;
@@ -653,6 +671,12 @@
                 self.fleet.see_version(msg.server, msg.model.as_ref(), version);
                 None
             }
+            WeightsState::Mismatch => {
+                if self.fleet.note_mismatch(now, msg.server) {
+                    self.ask_weights(msg.server, msg.model, cx.actor_ref());
+                }
+                None
+            }
             WeightsState::NotLoaded => {
                 self.fleet.note_load_ended(msg.server);
                 self.news.retain(|(news, _)| news.server != hash);
@@ -667,6 +691,30 @@
     }
 }
 
+impl FleetActor {
+    /// Asks an engine which version it serves.
+    fn ask_weights(&self, server: BackendKey, model: Option<ModelName>, actor: &ActorRef<Self>) {
+        let Some(listing) = self.fleet.listing(server) else { return };
+        let (name, address) = (listing.name.clone(), listing.address);
+        let (control, actor) = (self.control.clone(), actor.clone());
+        tokio::spawn(async move {
+            let report = match control.report(&name, address).await {
+                Ok(report) => report,
+                Err(why) => return log::debug!("{name} does not report: {why}"),
+            };
+            for (served, version) in report.weights {
+                if model.as_ref().is_none_or(|model| *model == served) {
+                    let state = WeightsState::Serves(version);
+                    let seen = SeeWeights { server, model: Some(served), state };
+                    if let Err(e) = actor.tell(seen).await {
+                        log::error!("an engine's weights were not noted: {e}");
+                    }
+                }
+            }
+        });
+    }
+}
+
 /// Tells that another router saw a crash.
 pub(crate) struct SeeCrash(pub(crate) CrashNote);
 
--- a/crates/dogwoodway_gateway/src/leader.rs
+++ b/crates/dogwoodway_gateway/src/leader.rs
@@ -31,6 +31,9 @@
 /// Pause after a failed call to the log, in milliseconds.
 const FAILED_PAUSE_MS: u64 = 150;
 
+/// Pause after a failed claim to lead, in milliseconds: nobody waits for one router among many.
+const CLAIM_PAUSE_MS: u64 = 500;
+
 /// Pause between two looks at what is due, in milliseconds.
 const STEP_MS: u64 = 50;
 
@@ -128,6 +131,7 @@
     loads: HashMap<BackendKey, Load>,
     events: mpsc::Sender<Event>,
     was_leading: bool,
+    is_log_lost: bool,
 }
 
 /// Follows the log, leads when it can, and orders while it leads, until the process leaves.
@@ -137,8 +141,14 @@
     tokio::spawn(announce(parts.log.clone(), parts.router.clone(), parts.address));
     let leadership = Leadership::new(parts.router.clone(), parts.lease_ms);
     let mut is_ending = parts.is_ending.clone();
-    let mut leader =
-        Leader { parts, leadership, loads: HashMap::new(), events, was_leading: false };
+    let mut leader = Leader {
+        parts,
+        leadership,
+        loads: HashMap::new(),
+        events,
+        was_leading: false,
+        is_log_lost: false,
+    };
     let mut step = tokio::time::interval(Duration::from_millis(STEP_MS));
     step.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -238,17 +248,30 @@
     async fn keep_leading(&mut self) {
         let now = clock::now();
         let Wish::Append { record, at } = self.leadership.wish(now) else { return };
+        let leads = self.leadership.leads(now);
         let bytes = encode(&RouterRecord::Leader(record.clone()));
         match self.parts.log.append(bytes, Some(at)).await {
-            Ok(offset) => self.leadership.appended(now, offset, &record),
+            Ok(offset) => {
+                self.leadership.appended(now, offset, &record);
+                if std::mem::take(&mut self.is_log_lost) {
+                    log::info!("routers' log reached again");
+                }
+            }
             // The reader brings what came in between.
             Err(StoreError::Conflict(end)) => {
                 log::debug!("the log has gone on from {at} to {end}");
                 self.leadership.see_conflict();
             }
             Err(e) => {
-                log::warn!(leads = self.was_leading; "leadership not renewed: {e}");
-                tokio::time::sleep(Duration::from_millis(FAILED_PAUSE_MS)).await;
+                if !std::mem::replace(&mut self.is_log_lost, true) {
+                    log::warn!(leads = self.was_leading; "routers' log lost: {e}");
+                }
+                metrics::counter!(metric::STORE_FAILURES).increment(1);
+                let pause_ms = match leads {
+                    true => FAILED_PAUSE_MS,
+                    false => CLAIM_PAUSE_MS,
+                };
+                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
             }
         }
     }
--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -18,7 +18,7 @@
 };
 use dogwoodway_types::{
     BackendServerName, KeyHash, NotRunReason, RequestFingerprint, RouteName, ServiceName, TeamName,
-    Timestamp, WeightsVersion,
+    Timestamp,
 };
 use http_body_util::{BodyExt, Limited};
 use hyper::{Request, Response, StatusCode, body::Incoming, header, http};
@@ -264,7 +264,7 @@
                         Step::TryAgain | Step::Deliver => {}
                         Step::Refuse(reason) => {
                             let retry_at = clock::now();
-                            return self.give_up(&job, Refusal { reason, retry_at });
+                            return self.give_up(&job, Refusal { reason, retry_at, wait_ms: 0 });
                         }
                         Step::Fail => return self.fail(&job, StatusCode::BAD_GATEWAY, &why),
                     }
@@ -285,7 +285,7 @@
             Err(e) => {
                 log::error!("the fleet's state is not available: {e}");
                 let reason = NotRunReason::Overloaded;
-                Placed::Nowhere(Refusal { reason, retry_at: clock::now() })
+                Placed::Nowhere(Refusal { reason, retry_at: clock::now(), wait_ms: 0 })
             }
         }
     }
@@ -358,14 +358,14 @@
     /// Judges an answer; tells whether a valid one is the server's own failure.
     fn judge(
         &self,
-        job: &mut Job,
+        job: &Job,
         at: &PlacedAt,
         answer: &Answer,
     ) -> Result<bool, (AttemptEnd, Sign, String)> {
         if let Some(version) = self.protocol.version(&answer.head.headers)
             && at.placement.version != Some(version)
         {
-            self.see_version(job, at, version);
+            self.see_weights(job, at, WeightsState::Serves(version));
         }
         match self.protocol.judge(&job.facts.id, &at.placement.name, &answer.head) {
             Verdict::Answer => Ok(false),
@@ -373,8 +373,9 @@
             Verdict::NotExecuted(why) => {
                 match why {
                     NotExecuted::Busy => {}
-                    // It may run the request after all, once its version is known.
-                    NotExecuted::OtherWeights => drop(job.tried.pop()),
+                    NotExecuted::OtherWeights => {
+                        self.see_weights(job, at, WeightsState::Mismatch);
+                    }
                     NotExecuted::OtherServer => self.forget(at.placement.name.clone()),
                 }
                 Err((AttemptEnd::NotExecuted, Sign::Refused, format!("{why:?}")))
@@ -390,12 +391,11 @@
         }
     }
 
-    fn see_version(&self, job: &Job, at: &PlacedAt, version: WeightsVersion) {
+    fn see_weights(&self, job: &Job, at: &PlacedAt, state: WeightsState) {
         let model = job.facts.prompt.as_ref().map(|prompt| prompt.model.clone());
-        let state = WeightsState::Serves(version);
         let seen = SeeWeights { server: at.placement.server, model, state };
         if let Err(e) = self.fleet.tell(seen).try_send() {
-            log::warn!("a version was not noted: {e}");
+            log::warn!("an engine's weights were not noted: {e}");
         }
     }
 
@@ -487,6 +487,12 @@
         // Callers that were refused together come back at different times.
         let spread = soonest.mul_f64(rand::random::<f64>());
         let come_back = (refusal.retry_at - now).min(latest).max(soonest) + spread;
+        log::info!(
+            request = job.facts.id, why = refusal.reason.as_str(), wait_ms = refusal.wait_ms,
+            come_back_ms = come_back.as_millis() as u64, attempts = job.attempts.offered,
+            table_age_ms = self.tables.age_ms(now);
+            "request refused"
+        );
         log_outcome(job, StatusCode::SERVICE_UNAVAILABLE, "not-run", refusal.reason.as_str());
         self.not_run(refusal.reason, come_back)
     }
--- a/crates/dogwoodway_gateway/src/router.rs
+++ b/crates/dogwoodway_gateway/src/router.rs
@@ -128,6 +128,7 @@
         zone: settings.zone.clone(),
         retry_bounds: RetryBounds { ratio: settings.retry_ratio, slack: settings.retry_slack },
         crashes: crash_tx,
+        control: parts.control.clone(),
         quarantine_in_use: quarantine_in_use.clone(),
         loads_changed: loads_changed.clone(),
     });
--- a/crates/dogwoodway_routing/src/direct/admission.rs
+++ b/crates/dogwoodway_routing/src/direct/admission.rs
@@ -14,7 +14,7 @@
 
 /// Part of the expected time for which an urgent prompt may wait. Reading the prompt and the
 /// prediction's error take the rest.
-const URGENT_WAIT_PART: f64 = 0.6;
+const URGENT_WAIT_PART: f64 = 0.8;
 
 /// Part of the expected time for which any other prompt may wait. Patient prompts are expected
 /// within about twice the time of urgent ones, so this makes them give way first.
--- a/crates/dogwoodway_routing/src/direct/fleet.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet.rs
@@ -80,6 +80,14 @@
 /// Cost of a request on old weights after that time, in milliseconds.
 const OLD_WEIGHTS_MS: f64 = 120.0;
 
+/// Cost of asking an engine for weights that it may not have yet, in milliseconds: a refusal, and
+/// the way to another engine.
+const GUESSED_WEIGHTS_MS: f64 = 400.0;
+
+/// Time for which an engine that refused for its weights gets no requests, in milliseconds, unless
+/// it is known before what it serves.
+const MISMATCH_MS: u64 = 500;
+
 /// Time from the naming of new weights after which no request begins on old ones, in milliseconds.
 const OLD_WEIGHTS_UNTIL_MS: u64 = 7_200;
 
@@ -267,6 +275,8 @@
     pub reason: NotRunReason,
     /// When a retry makes sense.
     pub retry_at: Timestamp,
+    /// Milliseconds that the request would have waited at the best server, as predicted.
+    pub wait_ms: u32,
 }
 
 /// What one router tells others of its load at one server.
@@ -527,6 +537,18 @@
         }
     }
 
+    /// Notes that a server refused a request since it serves other weights; returns
+    /// whether it should be asked what it serves.
+    pub fn note_mismatch(&mut self, now: Timestamp, key: BackendKey) -> bool {
+        match self.servers.get_mut(key) {
+            Some(server) if server.loading_until <= now => {
+                server.loading_until = now + Duration::from_millis(MISMATCH_MS);
+                true
+            }
+            _ => false,
+        }
+    }
+
     /// Notes that an order to load weights has ended without effect.
     pub fn note_load_ended(&mut self, key: BackendKey) {
         if let Some(server) = self.servers.get_mut(key) {
@@ -592,16 +614,14 @@
             }
             let (reading, scope, fetch) = match (&query.prompt, spec) {
                 (Some(prompt), Some(spec)) => {
-                    let Some(version) = server.version(&prompt.model) else { continue };
+                    let Some(serves) = server.version(&prompt.model) else { continue };
+                    let (version, surcharge) = self.wanted_version(now, &prompt.model, serves);
                     if query.version.is_some_and(|wanted| wanted != version) {
                         continue;
                     }
                     let scope = scopes.of(prompt, version, |levels| {
                         (self.home(keys, levels, query), self.sources(now, keys, levels))
                     });
-                    let Some(surcharge) = self.old_weights_ms(now, &prompt.model, version) else {
-                        continue;
-                    };
                     let (mut reading, fetch) =
                         self.reading(key, server, spec, prompt, &scopes.known[scope]);
                     reading.surcharge_ms += surcharge;
@@ -646,7 +666,8 @@
             let (wait_ms, expected) = (cost::wait_ms(candidate), query.expected_by - now);
             if let Some(after) = admission::refuse_for_wait(wait_ms, expected, query.urgency) {
                 let reason = NotRunReason::Overloaded;
-                return Err(Refusal { reason, retry_at: now + after });
+                let wait_ms = wait_ms as u32;
+                return Err(Refusal { reason, retry_at: now + after, wait_ms });
             }
         }
         let predicted_ms = cost::first_output_ms(candidate);
@@ -840,21 +861,25 @@
             && !query.tried.contains(&server.listing.name)
     }
 
-    /// Returns the cost of running on `version`, or `None` if that is too old.
-    fn old_weights_ms(
+    /// Returns the version that a request asks an engine for, which is believed to serve `serves`,
+    /// and the cost of that.
+    ///
+    /// On weights that are too old nothing runs any more. The engine may have newer ones meanwhile,
+    /// of which this router has not heard, so it is asked for the newest; if it does not have
+    /// them, it refuses.
+    fn wanted_version(
         &self,
         now: Timestamp,
         model: &ModelName,
-        version: WeightsVersion,
-    ) -> Option<f64> {
+        serves: WeightsVersion,
+    ) -> (WeightsVersion, f64) {
         let named = self.named.get(model).map_or(&[][..], Vec::as_slice);
-        let Some(newer) = named.iter().find(|named| named.version > version) else {
-            return Some(0.0);
-        };
+        let newer = named.iter().find(|named| named.version > serves);
+        let (Some(newer), Some(newest)) = (newer, named.last()) else { return (serves, 0.0) };
         match u64::try_from((now - newer.named_at).as_millis()).unwrap_or(u64::MAX) {
-            ..OLD_WEIGHTS_FROM_MS => Some(0.0),
-            OLD_WEIGHTS_FROM_MS..OLD_WEIGHTS_UNTIL_MS => Some(OLD_WEIGHTS_MS),
-            OLD_WEIGHTS_UNTIL_MS.. => None,
+            ..OLD_WEIGHTS_FROM_MS => (serves, 0.0),
+            OLD_WEIGHTS_FROM_MS..OLD_WEIGHTS_UNTIL_MS => (serves, OLD_WEIGHTS_MS),
+            OLD_WEIGHTS_UNTIL_MS.. => (newest.version, GUESSED_WEIGHTS_MS),
         }
     }
 
@@ -1101,7 +1126,7 @@
 }
 
 fn refusal(now: Timestamp, reason: NotRunReason, after_ms: u64) -> Refusal {
-    Refusal { reason, retry_at: now + Duration::from_millis(after_ms) }
+    Refusal { reason, retry_at: now + Duration::from_millis(after_ms), wait_ms: 0 }
 }
 
 fn fetch_ms_per_token(spec: &EngineSpec) -> f64 {
--- a/src/router.rs
+++ b/src/router.rs
@@ -5,7 +5,7 @@
 use dogwoodway_gateway::ShutdownNotice;
 use dogwoodway_platform::{PlatformSettings, connect, load_settings};
 use futures::FutureExt;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::{
     cli::EXIT_FAILURE,
@@ -13,8 +13,19 @@
     shutdown::{Phase, Shutdown},
 };
 
+/// Time for the last log lines to be written, in milliseconds.
+const LAST_LINES_MS: u64 = 60;
+
 /// Runs a router until it is asked to stop and its requests have ended.
 pub(crate) async fn run() -> ExitCode {
+    // First of all: a hangup that nobody handles ends the process.
+    let hangups = match signal(SignalKind::hangup()) {
+        Ok(hangups) => hangups,
+        Err(e) => {
+            eprintln!("dogwoodway: SIGHUP cannot be handled: {e}");
+            return EXIT_FAILURE;
+        }
+    };
     let settings = match load_settings() {
         Ok(settings) => settings,
         Err(e) => {
@@ -30,7 +41,7 @@
         return EXIT_FAILURE;
     }
     let shutdown = Shutdown::listen(Duration::from_millis(settings.shutdown_limit_ms));
-    tokio::spawn(follow_settings(settings.clone()));
+    tokio::spawn(follow_settings(hangups, settings.clone()));
     let notice = ShutdownNotice {
         draining: shutdown.reached(Phase::Draining).boxed(),
         ending: shutdown.reached(Phase::Ending).boxed(),
@@ -50,16 +61,9 @@
     }
 }
 
-/// Time for the last log lines to be written, in milliseconds.
-const LAST_LINES_MS: u64 = 60;
-
 /// Reads the settings file again on SIGHUP. What it holds is fixed for the life of a process, so a
 /// change is only told.
-async fn follow_settings(settings: PlatformSettings) {
-    let mut hangups = match signal(SignalKind::hangup()) {
-        Ok(hangups) => hangups,
-        Err(e) => return log::error!("SIGHUP cannot be handled: {e}"),
-    };
+async fn follow_settings(mut hangups: Signal, settings: PlatformSettings) {
     while hangups.recv().await.is_some() {
         match load_settings() {
             Ok(read) if read == settings => log::info!("settings read again: unchanged"),
