--- a/crates/dogwoodway_routing/src/direct/table.rs
+++ b/crates/dogwoodway_routing/src/direct/table.rs
@@ -56,7 +56,7 @@
     /// Host that requests name, in lower case.
     pub host: String,
     /// Beginning of the paths that it covers; begins and ends with a slash.
-    pub path_prefix: String,
+    pub prefix: String,
     /// How often a request may run.
     pub kind: RouteKind,
     /// Where requests go.
@@ -202,9 +202,7 @@
         }
         // Longest prefix first, so that the first match is the one in force.
         for keys in by_host.values_mut() {
-            keys.sort_by_key(|key| {
-                std::cmp::Reverse(parts.routes[key.0 as usize].path_prefix.len())
-            });
+            keys.sort_by_key(|key| std::cmp::Reverse(parts.routes[key.0 as usize].prefix.len()));
         }
         let mut by_key = HashMap::new();
         let mut teams = Vec::new();
@@ -240,7 +238,7 @@
     /// let route = |name: &str, prefix: &str| Route {
     ///     name: RouteName::try_from(name).unwrap(),
     ///     host: "desk.example".to_owned(),
-    ///     path_prefix: prefix.to_owned(),
+    ///     prefix: prefix.to_owned(),
     ///     kind: RouteKind::Idempotent,
     ///     targets: Vec::new(),
     ///     answer_within_ms: 600,
@@ -261,7 +259,7 @@
             Some(keys) => keys,
             None => self.by_host.get(&name.to_ascii_lowercase())?,
         };
-        keys.iter().copied().find(|key| path.starts_with(&self.route(*key).path_prefix))
+        keys.iter().copied().find(|key| path.starts_with(&self.route(*key).prefix))
     }
 
     /// Returns a route of this table.
