--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -1,5 +1,8 @@
 //! The actor that owns what the router knows of backend servers, and its idle connections to them.
 
+mod routers;
+mod weights;
+
 use std::{
     collections::HashMap,
     net::SocketAddr,
@@ -12,21 +15,17 @@
 
 use dogwoodway_routing::{
     direct::{
-        fleet::{
-            BackendKey, Fleet, Placement, PromptNews, Query, Refusal, ServerLoad, Ticket,
-            VersionAge,
-        },
+        fleet::{BackendKey, Fleet, Placement, Query, Refusal, Ticket},
         health::Sign,
         kv_stores::KvChange,
-        rollout::EngineWeights,
         table::ServingTable,
     },
     quarantine::{Quarantine, Standing},
     retry_budget::{RetryBudget, RetryLimits},
 };
 use dogwoodway_types::{
-    AvailabilityZone, BackendServerName, EngineIncarnation, ModelName, NotRunReason,
-    RequestFingerprint, ServiceName, Timestamp, WeightsVersion,
+    AvailabilityZone, BackendServerName, EngineIncarnation, NotRunReason, RequestFingerprint,
+    ServiceName, Timestamp, WeightsVersion,
 };
 use kameo::{
     Actor, Reply,
@@ -44,6 +43,11 @@
     metric,
 };
 
+pub(crate) use self::{
+    routers::{AskNews, RouterNews, SeeCrash, SeePeer, SetRouters},
+    weights::{AskWeights, EngineTarget, SeeWeights, WeightsState},
+};
+
 /// Idle connections to one server that are kept.
 const MAX_IDLE: usize = 64;
 
@@ -533,199 +537,6 @@
     }
 }
 
-/// What a router tells others.
-#[derive(Clone, Debug, Default, Reply, Serialize, Deserialize)]
-pub(crate) struct RouterNews {
-    pub(crate) loads: Vec<ServerLoad>,
-    pub(crate) weights: Vec<WeightsNews>,
-    pub(crate) prompts: Vec<PromptNews>,
-    pub(crate) versions: Vec<VersionAge>,
-}
-
-/// Asks what to tell other routers.
-pub(crate) struct AskNews;
-
-impl Message<AskNews> for FleetActor {
-    type Reply = RouterNews;
-
-    async fn handle(&mut self, _: AskNews, _: &mut Context<Self, Self::Reply>) -> RouterNews {
-        let now = clock::now();
-        self.news.retain(|(_, until)| *until > now);
-        let weights = self.news.iter().map(|(news, _)| *news).collect();
-        let prompts = self.fleet.take_prompt_news();
-        let versions = self.fleet.young_versions(now);
-        RouterNews { loads: self.fleet.own_loads(), weights, prompts, versions }
-    }
-}
-
-/// Tells what another router said.
-pub(crate) struct SeePeer {
-    pub(crate) peer: u64,
-    pub(crate) news: RouterNews,
-}
-
-impl Message<SeePeer> for FleetActor {
-    type Reply = ();
-
-    async fn handle(&mut self, msg: SeePeer, _: &mut Context<Self, Self::Reply>) {
-        let now = clock::now();
-        self.fleet.see_peer(now, msg.peer, &msg.news.loads);
-        self.fleet.see_prompts(now, msg.peer, &msg.news.prompts);
-        for told in &msg.news.versions {
-            self.fleet.see_version_age(now, told);
-        }
-        for news in msg.news.weights {
-            let Some(key) = self.fleet.find_hash(news.server) else { continue };
-            let is_behind = self.fleet.listing(key).is_some_and(|listing| {
-                listing.weights.iter().any(|(_, version)| *version < news.version)
-            });
-            match news.stage {
-                LoadStage::Loading if is_behind => self.fleet.note_loading(now, key),
-                LoadStage::Loading => {}
-                LoadStage::Loaded => self.fleet.see_version(key, None, news.version),
-            }
-        }
-    }
-}
-
-/// Tells how many routers there are.
-pub(crate) struct SetRouters(pub(crate) u32);
-
-impl Message<SetRouters> for FleetActor {
-    type Reply = ();
-
-    async fn handle(&mut self, msg: SetRouters, _: &mut Context<Self, Self::Reply>) {
-        self.routers = msg.0.max(1);
-        self.fleet.set_routers(msg.0);
-    }
-}
-
-/// Asks for the state of the roll-out of new weights.
-pub(crate) struct AskWeights;
-
-impl Message<AskWeights> for FleetActor {
-    type Reply = Vec<EngineTarget>;
-
-    async fn handle(
-        &mut self,
-        _: AskWeights,
-        _: &mut Context<Self, Self::Reply>,
-    ) -> Vec<EngineTarget> {
-        let engines = self.fleet.engine_weights(clock::now()).into_iter();
-        let targets = engines.filter_map(|weights| {
-            let listing = self.fleet.listing(weights.server)?;
-            Some(EngineTarget { name: listing.name.clone(), address: listing.address, weights })
-        });
-        targets.collect()
-    }
-}
-
-/// An engine and its weights.
-#[derive(Clone, Debug)]
-pub(crate) struct EngineTarget {
-    pub(crate) name: BackendServerName,
-    pub(crate) address: SocketAddr,
-    pub(crate) weights: EngineWeights,
-}
-
-/// Tells what is known of an engine's weights.
-pub(crate) struct SeeWeights {
-    pub(crate) server: BackendKey,
-    pub(crate) model: Option<ModelName>,
-    pub(crate) state: WeightsState,
-}
-
-/// What an engine does about its weights.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum WeightsState {
-    /// It was ordered to load them; other routers are told.
-    Loading(WeightsVersion),
-    /// It was seen to have loaded them; other routers are told.
-    Loaded(WeightsVersion),
-    /// It answers with them.
-    Serves(WeightsVersion),
-    /// The order to load has ended without effect.
-    NotLoaded,
-    /// It refused a request since it serves other weights.
-    Mismatch,
-}
-
-impl Message<SeeWeights> for FleetActor {
-    type Reply = ();
-
-    async fn handle(&mut self, msg: SeeWeights, cx: &mut Context<Self, Self::Reply>) {
-        let now = clock::now();
-        let Some(listing) = self.fleet.listing(msg.server) else { return };
-        let hash = dogwoodway_routing::rendezvous::ServerKey::new(&listing.name).0;
-        let tell = |version, stage| WeightsNews { server: hash, version, stage };
-        let told = match msg.state {
-            WeightsState::Loading(version) => {
-                self.fleet.note_loading(now, msg.server);
-                Some(tell(version, LoadStage::Loading))
-            }
-            WeightsState::Loaded(version) => {
-                self.fleet.see_version(msg.server, msg.model.as_ref(), version);
-                Some(tell(version, LoadStage::Loaded))
-            }
-            WeightsState::Serves(version) => {
-                self.fleet.see_version(msg.server, msg.model.as_ref(), version);
-                None
-            }
-            WeightsState::Mismatch => {
-                if self.fleet.note_mismatch(now, msg.server) {
-                    self.ask_weights(msg.server, msg.model, cx.actor_ref());
-                }
-                None
-            }
-            WeightsState::NotLoaded => {
-                self.fleet.note_load_ended(msg.server);
-                self.news.retain(|(news, _)| news.server != hash);
-                None
-            }
-        };
-        if let Some(news) = told {
-            self.news.retain(|(other, _)| other.server != hash);
-            self.news.push((news, now + Duration::from_millis(TELL_LOADED_FOR_MS)));
-            self.loads_changed.notify_one();
-        }
-    }
-}
-
-impl FleetActor {
-    /// Asks an engine which version it serves.
-    fn ask_weights(&self, server: BackendKey, model: Option<ModelName>, actor: &ActorRef<Self>) {
-        let Some(listing) = self.fleet.listing(server) else { return };
-        let (name, address) = (listing.name.clone(), listing.address);
-        let (control, actor) = (self.control.clone(), actor.clone());
-        tokio::spawn(async move {
-            let report = match control.report(&name, address).await {
-                Ok(report) => report,
-                Err(why) => return log::debug!("{name} does not report: {why}"),
-            };
-            for (served, version) in report.weights {
-                if model.as_ref().is_none_or(|model| *model == served) {
-                    let state = WeightsState::Serves(version);
-                    let seen = SeeWeights { server, model: Some(served), state };
-                    if let Err(e) = actor.tell(seen).await {
-                        log::error!("an engine's weights were not noted: {e}");
-                    }
-                }
-            }
-        });
-    }
-}
-
-/// Tells that another router saw a crash.
-pub(crate) struct SeeCrash(pub(crate) CrashNote);
-
-impl Message<SeeCrash> for FleetActor {
-    type Reply = ();
-
-    async fn handle(&mut self, msg: SeeCrash, _: &mut Context<Self, Self::Reply>) {
-        self.note_crash(clock::now(), &msg.0);
-    }
-}
-
 /// Tells what a store of kept KV cache says of itself.
 pub(crate) struct ObserveStore {
     pub(crate) address: SocketAddr,
--- /dev/null
+++ b/crates/dogwoodway_gateway/src/fleet_actor/routers.rs
@@ -0,0 +1,91 @@
+//! Messages about other routers: what they are told, and what they tell.
+
+use dogwoodway_routing::direct::fleet::{PromptNews, ServerLoad, VersionAge};
+use kameo::{
+    Reply,
+    message::{Context, Message},
+};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    clock,
+    fleet_actor::{CrashNote, FleetActor, LoadStage, WeightsNews},
+};
+
+/// What a router tells others.
+#[derive(Clone, Debug, Default, Reply, Serialize, Deserialize)]
+pub(crate) struct RouterNews {
+    pub(crate) loads: Vec<ServerLoad>,
+    pub(crate) weights: Vec<WeightsNews>,
+    pub(crate) prompts: Vec<PromptNews>,
+    pub(crate) versions: Vec<VersionAge>,
+}
+
+/// Asks what to tell other routers.
+pub(crate) struct AskNews;
+
+impl Message<AskNews> for FleetActor {
+    type Reply = RouterNews;
+
+    async fn handle(&mut self, _: AskNews, _: &mut Context<Self, Self::Reply>) -> RouterNews {
+        let now = clock::now();
+        self.news.retain(|(_, until)| *until > now);
+        let weights = self.news.iter().map(|(news, _)| *news).collect();
+        let prompts = self.fleet.take_prompt_news();
+        let versions = self.fleet.young_versions(now);
+        RouterNews { loads: self.fleet.own_loads(), weights, prompts, versions }
+    }
+}
+
+/// Tells what another router said.
+pub(crate) struct SeePeer {
+    pub(crate) peer: u64,
+    pub(crate) news: RouterNews,
+}
+
+impl Message<SeePeer> for FleetActor {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: SeePeer, _: &mut Context<Self, Self::Reply>) {
+        let now = clock::now();
+        self.fleet.see_peer(now, msg.peer, &msg.news.loads);
+        self.fleet.see_prompts(now, msg.peer, &msg.news.prompts);
+        for told in &msg.news.versions {
+            self.fleet.see_version_age(now, told);
+        }
+        for news in msg.news.weights {
+            let Some(key) = self.fleet.find_hash(news.server) else { continue };
+            let is_behind = self.fleet.listing(key).is_some_and(|listing| {
+                listing.weights.iter().any(|(_, version)| *version < news.version)
+            });
+            match news.stage {
+                LoadStage::Loading if is_behind => self.fleet.note_loading(now, key),
+                LoadStage::Loading => {}
+                LoadStage::Loaded => self.fleet.see_version(key, None, news.version),
+            }
+        }
+    }
+}
+
+/// Tells how many routers there are.
+pub(crate) struct SetRouters(pub(crate) u32);
+
+impl Message<SetRouters> for FleetActor {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: SetRouters, _: &mut Context<Self, Self::Reply>) {
+        self.routers = msg.0.max(1);
+        self.fleet.set_routers(msg.0);
+    }
+}
+
+/// Tells that another router saw a crash.
+pub(crate) struct SeeCrash(pub(crate) CrashNote);
+
+impl Message<SeeCrash> for FleetActor {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: SeeCrash, _: &mut Context<Self, Self::Reply>) {
+        self.note_crash(clock::now(), &msg.0);
+    }
+}
--- /dev/null
+++ b/crates/dogwoodway_gateway/src/fleet_actor/weights.rs
@@ -0,0 +1,133 @@
+//! Messages about the weights that engines serve.
+
+use std::{net::SocketAddr, time::Duration};
+
+use dogwoodway_routing::{
+    direct::{fleet::BackendKey, rollout::EngineWeights},
+    rendezvous::ServerKey,
+};
+use dogwoodway_types::{BackendServerName, ModelName, WeightsVersion};
+use kameo::{
+    actor::ActorRef,
+    message::{Context, Message},
+};
+
+use crate::{
+    clock,
+    fleet_actor::{FleetActor, LoadStage, TELL_LOADED_FOR_MS, WeightsNews},
+};
+
+/// Asks for the state of the roll-out of new weights.
+pub(crate) struct AskWeights;
+
+impl Message<AskWeights> for FleetActor {
+    type Reply = Vec<EngineTarget>;
+
+    async fn handle(
+        &mut self,
+        _: AskWeights,
+        _: &mut Context<Self, Self::Reply>,
+    ) -> Vec<EngineTarget> {
+        let engines = self.fleet.engine_weights(clock::now()).into_iter();
+        let targets = engines.filter_map(|weights| {
+            let listing = self.fleet.listing(weights.server)?;
+            Some(EngineTarget { name: listing.name.clone(), address: listing.address, weights })
+        });
+        targets.collect()
+    }
+}
+
+/// An engine and its weights.
+#[derive(Clone, Debug)]
+pub(crate) struct EngineTarget {
+    pub(crate) name: BackendServerName,
+    pub(crate) address: SocketAddr,
+    pub(crate) weights: EngineWeights,
+}
+
+/// Tells what is known of an engine's weights.
+pub(crate) struct SeeWeights {
+    pub(crate) server: BackendKey,
+    pub(crate) model: Option<ModelName>,
+    pub(crate) state: WeightsState,
+}
+
+/// What an engine does about its weights.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum WeightsState {
+    /// It was ordered to load them; other routers are told.
+    Loading(WeightsVersion),
+    /// It was seen to have loaded them; other routers are told.
+    Loaded(WeightsVersion),
+    /// It answers with them.
+    Serves(WeightsVersion),
+    /// The order to load has ended without effect.
+    NotLoaded,
+    /// It refused a request since it serves other weights.
+    Mismatch,
+}
+
+impl Message<SeeWeights> for FleetActor {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: SeeWeights, cx: &mut Context<Self, Self::Reply>) {
+        let now = clock::now();
+        let Some(listing) = self.fleet.listing(msg.server) else { return };
+        let hash = ServerKey::new(&listing.name).0;
+        let tell = |version, stage| WeightsNews { server: hash, version, stage };
+        let told = match msg.state {
+            WeightsState::Loading(version) => {
+                self.fleet.note_loading(now, msg.server);
+                Some(tell(version, LoadStage::Loading))
+            }
+            WeightsState::Loaded(version) => {
+                self.fleet.see_version(msg.server, msg.model.as_ref(), version);
+                Some(tell(version, LoadStage::Loaded))
+            }
+            WeightsState::Serves(version) => {
+                self.fleet.see_version(msg.server, msg.model.as_ref(), version);
+                None
+            }
+            WeightsState::Mismatch => {
+                if self.fleet.note_mismatch(now, msg.server) {
+                    self.ask_weights(msg.server, msg.model, cx.actor_ref());
+                }
+                None
+            }
+            WeightsState::NotLoaded => {
+                self.fleet.note_load_ended(msg.server);
+                self.news.retain(|(news, _)| news.server != hash);
+                None
+            }
+        };
+        if let Some(news) = told {
+            self.news.retain(|(other, _)| other.server != hash);
+            self.news.push((news, now + Duration::from_millis(TELL_LOADED_FOR_MS)));
+            self.loads_changed.notify_one();
+        }
+    }
+}
+
+impl FleetActor {
+    /// Asks an engine which version it serves.
+    fn ask_weights(&self, server: BackendKey, model: Option<ModelName>, actor: &ActorRef<Self>) {
+        let Some(listing) = self.fleet.listing(server) else { return };
+        let (name, address) = (listing.name.clone(), listing.address);
+        let (control, actor) = (self.control.clone(), actor.clone());
+        tokio::spawn(async move {
+            let report = match control.report(&name, address).await {
+                Ok(report) => report,
+                Err(why) => return log::debug!("{name} does not report: {why}"),
+            };
+            for (served, version) in report.weights {
+                if model.as_ref().is_none_or(|model| *model == served) {
+                    let state = WeightsState::Serves(version);
+                    let seen = SeeWeights { server, model: Some(served), state };
+                    if let Err(e) = actor.tell(seen).await {
+                        log::error!("an engine's weights were not noted: {e}");
+                    }
+                }
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/dogwoodway_routing/src/direct/fleet/requests.rs
@@ -0,0 +1,113 @@
+//! Requests in flight, and what their course tells of the servers.
+
+use std::time::Duration;
+
+use dogwoodway_types::Timestamp;
+
+use crate::direct::{
+    fleet::{BackendKey, Fleet, Server, Ticket},
+    health::Sign,
+    load::Load,
+    prompt::PrefixLevel,
+};
+
+/// Tokens from which on a first event tells how fast prompts are computed.
+const MEASURED_TOKENS: u32 = 1_500;
+
+/// Share of the newest measurement in the mean.
+const NEWEST_SHARE: f64 = 0.05;
+
+/// A request that was sent and has not ended.
+#[derive(Clone, Debug)]
+pub(super) struct Running {
+    pub(super) server: BackendKey,
+    pub(super) started_at_ms: u64,
+    pub(super) load: Load,
+    pub(super) levels: Vec<PrefixLevel>,
+    pub(super) sent_at: Timestamp,
+    pub(super) predicted: Duration,
+    pub(super) alone_tokens: Option<u32>,
+    pub(super) has_output: bool,
+}
+
+impl Fleet {
+    /// Notes that a request brought its first output.
+    pub fn note_output(&mut self, now: Timestamp, ticket: Ticket) {
+        let Some(running) = self.running.get_mut(ticket) else { return };
+        if std::mem::replace(&mut running.has_output, true) {
+            return;
+        }
+        let unread = Load { unread_tokens: running.load.unread_tokens, ..Load::default() };
+        running.load = running.load - unread;
+        let took = now - running.sent_at;
+        if let Some(tokens) = running.alone_tokens.filter(|tokens| *tokens >= MEASURED_TOKENS) {
+            let ms = took.as_secs_f64() * 1e3 / f64::from(tokens);
+            // Other routers' requests only ever make a prompt look slower.
+            let ms = ms.clamp(0.002, self.read_ms_per_token * 2.0);
+            self.read_ms_per_token += (ms - self.read_ms_per_token) * NEWEST_SHARE;
+        }
+        let (key, started_at_ms, predicted) =
+            (running.server, running.started_at_ms, running.predicted);
+        if let Some(server) = self.servers.get_mut(key)
+            && server.listing.started_at_ms == started_at_ms
+        {
+            server.own = server.own - unread;
+            server.owed.retain(|(other, _)| *other != ticket);
+            server.health.see_first_output(now, took, predicted);
+        }
+    }
+
+    /// Notes that some bytes came for a request.
+    pub fn note_bytes(&mut self, now: Timestamp, key: BackendKey) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.health.hear(now);
+        }
+    }
+
+    /// Notes that a request has ended; `sign` is absent if the caller left.
+    pub fn end(&mut self, now: Timestamp, ticket: Ticket, sign: Option<Sign>) {
+        let Some(running) = self.running.remove(ticket) else { return };
+        let Some(server) = self.servers.get_mut(running.server) else { return };
+        if server.listing.started_at_ms == running.started_at_ms {
+            server.own = server.own - running.load;
+            server.owed.retain(|(other, _)| *other != ticket);
+        }
+        if let Some(sign) = sign {
+            server.health.see(now, sign);
+        }
+        if !running.has_output {
+            server.cached.retract(&running.levels, now);
+        }
+    }
+
+    /// Returns the servers that owe an answer and have been silent for too long.
+    pub fn silent(&self, now: Timestamp) -> Vec<BackendKey> {
+        let is_silent = |server: &Server| {
+            let owed = server.owed.iter().filter_map(|(ticket, sent_at)| {
+                Some(*sent_at + self.running.get(*ticket)?.predicted)
+            });
+            let owed_since = owed.min();
+            server.health.is_up()
+                && owed_since.is_some_and(|since| server.health.is_silent(now, since))
+        };
+        self.servers.iter().filter(|(_, server)| is_silent(server)).map(|(key, _)| key).collect()
+    }
+
+    /// Returns the servers that are out of use and due for a trial connection.
+    pub fn begin_trials(&mut self, now: Timestamp) -> Vec<BackendKey> {
+        let servers = self.servers.iter_mut();
+        servers.filter_map(|(key, s)| s.health.begin_trial(now).then_some(key)).collect()
+    }
+
+    /// Notes the result of a trial connection.
+    pub fn see_trial(&mut self, now: Timestamp, key: BackendKey, is_reached: bool) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.health.see_trial(now, is_reached);
+        }
+    }
+
+    /// Tells whether a server may be sent requests.
+    pub fn is_up(&self, key: BackendKey) -> bool {
+        self.servers.get(key).is_some_and(|server| server.health.is_up())
+    }
+}
--- /dev/null
+++ b/crates/dogwoodway_routing/src/direct/fleet/sharing.rs
@@ -0,0 +1,147 @@
+//! What routers tell each other.
+
+use std::time::Duration;
+
+use dogwoodway_types::Timestamp;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    direct::{
+        fleet::{Fleet, SAVED_AFTER_MS},
+        load::Load,
+        prompt::{PrefixKey, PrefixLevel},
+    },
+    rendezvous,
+};
+
+/// News of prompts that wait to be told to other routers at most.
+const MAX_PROMPT_NEWS: usize = 64;
+
+/// Times that each piece of news is told, since datagrams are lost.
+const TOLD_TIMES: u8 = 3;
+
+/// Time for which a peer's report counts, in milliseconds: several times that between reports.
+const PEER_REPORT_MS: u64 = 700;
+
+/// What a router tells others of a prompt that it has placed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PromptNews {
+    /// Number among the router's news.
+    pub seq: u64,
+    /// Hash of the engine's name.
+    pub server: u64,
+    /// The prefixes that other prompts may share.
+    pub shared: Vec<PrefixLevel>,
+    /// Tokens of the rest of the prompt.
+    pub own_tokens: u32,
+    /// Milliseconds until the engine has computed the prompt, as predicted.
+    pub ready_in_ms: u32,
+    /// Whether the engine saves it at the store.
+    pub is_saved: bool,
+}
+
+/// What one router tells others of its load at one server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerLoad {
+    /// Hash of the server's name.
+    pub server: u64,
+    /// Load of the router's own requests.
+    pub load: Load,
+}
+
+impl Fleet {
+    /// Returns the load of this router's requests, for other routers.
+    pub fn own_loads(&self) -> Vec<ServerLoad> {
+        let busy = self.servers.values().filter(|server| server.own != Load::default());
+        busy.map(|server| ServerLoad { server: server.hash.0, load: server.own }).collect()
+    }
+
+    /// Takes over the load that another router tells of; servers that it does not name are idle.
+    pub fn see_peer(&mut self, now: Timestamp, peer: u64, loads: &[ServerLoad]) {
+        for server in self.servers.values_mut() {
+            if let Some((load, _)) = server.peers.remove(&peer) {
+                server.peer_sum = server.peer_sum - load;
+            }
+        }
+        for told in loads {
+            let key = self.by_hash.get(&told.server).copied();
+            let Some(server) = key.and_then(|key| self.servers.get_mut(key)) else { continue };
+            server.peers.insert(peer, (told.load, now));
+            server.peer_sum = server.peer_sum + told.load;
+        }
+    }
+
+    /// Forgets what peers told too long ago.
+    pub fn expire_peers(&mut self, now: Timestamp) {
+        let limit = Duration::from_millis(PEER_REPORT_MS);
+        for server in self.servers.values_mut() {
+            server.peers.retain(|_, (_, at)| now - *at < limit);
+            let fresh = server.peers.values().map(|(load, _)| *load);
+            server.peer_sum = fresh.fold(Load::default(), |sum, load| sum + load);
+        }
+    }
+
+    pub(super) fn tell_prompt(
+        &mut self,
+        server: u64,
+        levels: &[PrefixLevel],
+        predicted_ms: f64,
+        is_saved: bool,
+    ) {
+        let Some((own, shared)) = levels.split_last() else { return };
+        self.next_seq += 1;
+        let news = PromptNews {
+            seq: self.next_seq,
+            server,
+            shared: shared.to_vec(),
+            own_tokens: own.tokens,
+            ready_in_ms: predicted_ms as u32,
+            is_saved,
+        };
+        if self.prompt_news.len() >= MAX_PROMPT_NEWS {
+            self.prompt_news.pop_front();
+        }
+        self.prompt_news.push_back((news, 0));
+    }
+
+    /// Returns the news of prompts to tell other routers; each is returned a few times.
+    pub fn take_prompt_news(&mut self) -> Vec<PromptNews> {
+        for (_, told) in &mut self.prompt_news {
+            *told += 1;
+        }
+        let news = self.prompt_news.iter().map(|(news, _)| news.clone()).collect();
+        self.prompt_news.retain(|(_, told)| *told < TOLD_TIMES);
+        news
+    }
+
+    /// Takes in another router's news of prompts.
+    pub fn see_prompts(&mut self, now: Timestamp, peer: u64, all: &[PromptNews]) {
+        let heard = self.heard_seqs.get(&peer).copied().unwrap_or_default();
+        // A router that has restarted counts from the start.
+        let has_restarted =
+            all.last().is_some_and(|last| last.seq + MAX_PROMPT_NEWS as u64 <= heard);
+        let heard = if has_restarted { 0 } else { heard };
+        for news in all.iter().filter(|news| news.seq > heard) {
+            self.see_prompt(now, peer, news);
+        }
+        if let Some(last) = all.last() {
+            self.heard_seqs.insert(peer, last.seq.max(heard));
+        }
+    }
+
+    fn see_prompt(&mut self, now: Timestamp, peer: u64, news: &PromptNews) {
+        let Some(key) = self.find_hash(news.server) else { return };
+        let Some(server) = self.servers.get_mut(key) else { return };
+        let ready_at = now + Duration::from_millis(u64::from(news.ready_in_ms));
+        let own = PrefixLevel {
+            key: PrefixKey(rendezvous::mix(peer ^ news.seq)),
+            tokens: news.own_tokens,
+        };
+        server.cached.insert(&[own], ready_at);
+        server.cached.insert(&news.shared, ready_at);
+        if news.is_saved {
+            let saved_at = ready_at + Duration::from_millis(SAVED_AFTER_MS);
+            self.stores.note_saved(now, &news.shared, own, saved_at);
+        }
+    }
+}
