--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -1,5 +1,7 @@
 //! The path of one request: from the caller to a backend server, and the answer back.
 
+mod admit;
+
 use std::{
     sync::{
         Arc,
@@ -14,20 +16,18 @@
     fleet::{Query, Refusal},
     health::Sign,
     retry::{AttemptEnd, Attempts, Step, next_step},
-    table::{Route, RouteKind, ServingTable, TeamRule},
+    table::{RouteKind, TeamRule},
 };
 use dogwoodway_types::{
-    BackendServerName, KeyHash, NotRunReason, RequestFingerprint, RouteName, ServiceName, TeamName,
+    BackendServerName, NotRunReason, RequestFingerprint, RouteName, ServiceName, TeamName,
     Timestamp,
 };
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::{Request, Response, StatusCode, body::Incoming, header, http};
 use kameo::actor::ActorRef;
 
 use crate::{
-    border::{
-        DirectoryChange, HeadFault, NotExecuted, RequestHead, RequestProtocol, RunOrder, Verdict,
-    },
+    border::{DirectoryChange, NotExecuted, RequestHead, RequestProtocol, RunOrder, Verdict},
     clock,
     directory::TableWatch,
     exchange::{Answer, ExchangeError, exchange},
@@ -36,16 +36,10 @@
     stream::{self, Ticketed},
 };
 
-/// Bytes of a request's body where the configuration sets no bound.
-const DEFAULT_BODY_BYTES: usize = 4 << 20;
-
 /// Bytes of an answer that is read whole before its first byte goes to the caller, so that an
 /// answer that breaks off can be replaced.
 const WHOLE_ANSWER_BYTES: usize = 256 << 10;
 
-/// Milliseconds after which a caller comes back when the router has no configuration yet.
-const NO_CONFIG_COME_BACK_MS: u64 = 500;
-
 /// Soonest time at which a refused caller is asked to come back, in milliseconds.
 const SOONEST_COME_BACK_MS: u64 = 60;
 
@@ -53,9 +47,6 @@
 /// would not be in time.
 const COME_BACK_PART: u32 = 4;
 
-/// Longest path written to the log, in bytes.
-const LOGGED_PATH_BYTES: usize = 80;
-
 /// Serves callers' requests.
 pub(crate) struct Relay {
     pub(crate) protocol: Arc<dyn RequestProtocol>,
@@ -166,84 +157,6 @@
         resp
     }
 
-    /// Checks a request against the configuration and reads its body.
-    async fn admit(
-        &self,
-        arrived: Timestamp,
-        head: http::request::Parts,
-        body: Incoming,
-    ) -> Result<Job, Box<Response<Body>>> {
-        let facts = match self.protocol.read_head(arrived, &head) {
-            Ok(facts) => facts,
-            Err(fault) => return Err(self.reject(&head, StatusCode::BAD_REQUEST, &fault)),
-        };
-        let Some(table) = self.tables.current() else {
-            return Err(self.no_configuration(arrived, &facts));
-        };
-        let is_stale = self.tables.is_stale(arrived);
-        let Some(key) = table.find(&facts.host, head.uri.path()) else {
-            if is_stale {
-                return Err(self.no_configuration(arrived, &facts));
-            }
-            return Err(self.turn_away(&facts, &head, StatusCode::NOT_FOUND, &table));
-        };
-        let route = table.route(key);
-        let team = match self.team(&table, route, &facts) {
-            Ok(team) => team,
-            Err(_) if is_stale => return Err(self.no_configuration(arrived, &facts)),
-            Err(status) => return Err(self.turn_away(&facts, &head, status, &table)),
-        };
-        let Some(service) = route.service(rand::random()).cloned() else {
-            return Err(self.no_configuration(arrived, &facts));
-        };
-        let limit = arrived + Duration::from_millis(u64::from(route.answer_within_ms));
-        let deadline = facts.deadline.map_or(limit, |deadline| deadline.min(limit));
-        let bounds = table.bounds();
-        let body_bytes = bounds.map_or(DEFAULT_BODY_BYTES, |bounds| bounds.body_bytes as usize);
-        let body = match read_body(body, body_bytes, deadline).await {
-            Ok(body) => body,
-            Err(status) => return Err(self.turn_away(&facts, &head, status, &table)),
-        };
-        let urgency = match team.as_ref().and_then(|team| team.urgency) {
-            Some(urgency) => urgency.saturating_mul(3).saturating_add(route.urgency),
-            None => route.urgency,
-        };
-        Ok(Job {
-            head,
-            body,
-            arrived,
-            deadline,
-            expected_by: arrived + Duration::from_millis(u64::from(route.expected_within_ms)),
-            route: route.name.clone(),
-            kind: route.kind,
-            max_attempts: route.max_attempts.max(1),
-            urgency,
-            route_urgency: route.urgency,
-            service,
-            team,
-            attempts: Attempts::default(),
-            tried: Vec::new(),
-            table_version: table.version(),
-            facts,
-        })
-    }
-
-    /// Finds the team that holds the key of a request, if the route wants one.
-    fn team(
-        &self,
-        table: &ServingTable,
-        route: &Route,
-        facts: &RequestHead,
-    ) -> Result<Option<TeamRule>, StatusCode> {
-        if route.is_anonymous {
-            return Ok(None);
-        }
-        let key = facts.key.as_ref().ok_or(StatusCode::UNAUTHORIZED)?;
-        let team = table.team_of(&KeyHash::new(&self.key_pepper, key));
-        let team = team.ok_or(StatusCode::UNAUTHORIZED)?;
-        Ok(Some(table.team(team).clone()))
-    }
-
     /// Takes a request through its attempts.
     async fn run(self: Arc<Relay>, mut job: Job) -> Response<Body> {
         loop {
@@ -440,42 +353,6 @@
         }
     }
 
-    fn reject(
-        &self,
-        head: &http::request::Parts,
-        status: StatusCode,
-        fault: &HeadFault,
-    ) -> Box<Response<Body>> {
-        log::info!(path = short(path(head)), status = status.as_u16(), why:% = fault;
-            "request rejected");
-        metrics::counter!(metric::REQUESTS, "outcome" => "rejected").increment(1);
-        let mut resp = plain(status, &fault.to_string());
-        let close = header::HeaderValue::from_static("close");
-        resp.headers_mut().insert(header::CONNECTION, close);
-        Box::new(resp)
-    }
-
-    fn turn_away(
-        &self,
-        facts: &RequestHead,
-        head: &http::request::Parts,
-        status: StatusCode,
-        table: &ServingTable,
-    ) -> Box<Response<Body>> {
-        log::info!(request = facts.id, host = facts.host, path = short(path(head)),
-            status = status.as_u16(), table = table.version(); "request turned away");
-        metrics::counter!(metric::REQUESTS, "outcome" => "turned-away").increment(1);
-        Box::new(plain(status, status.canonical_reason().unwrap_or("refused")))
-    }
-
-    fn no_configuration(&self, now: Timestamp, facts: &RequestHead) -> Box<Response<Body>> {
-        let come_back = Duration::from_millis(NO_CONFIG_COME_BACK_MS);
-        log::info!(request = facts.id, status = 503, why = "no-configuration",
-            age_ms = self.tables.age_ms(now); "request refused");
-        metrics::counter!(metric::REQUESTS, "outcome" => "no-configuration").increment(1);
-        Box::new(self.not_run(NotRunReason::NoConfiguration, come_back))
-    }
-
     /// Tells the caller that the request did not run, or that it may have.
     pub(crate) fn give_up(&self, job: &Job, refusal: Refusal) -> Response<Body> {
         if job.attempts.may_have_run > 0 {
@@ -559,22 +436,6 @@
     }
 }
 
-async fn read_body(
-    body: Incoming,
-    max_bytes: usize,
-    deadline: Timestamp,
-) -> Result<Bytes, StatusCode> {
-    let whole = Limited::new(body, max_bytes).collect();
-    match tokio::time::timeout_at(clock::timer_instant(deadline), whole).await {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-            Err(StatusCode::PAYLOAD_TOO_LARGE)
-        }
-        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
-        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
-    }
-}
-
 fn plain(status: StatusCode, text: &str) -> Response<Body> {
     dogwoodway_http::text_response(status, text)
 }
@@ -583,10 +444,6 @@
     head.uri.path_and_query().map_or("/", |path| path.as_str())
 }
 
-fn short(path: &str) -> &str {
-    path.get(..LOGGED_PATH_BYTES).unwrap_or(path)
-}
-
 fn end_name(end: AttemptEnd) -> &'static str {
     match end {
         AttemptEnd::Answered { .. } => "answered",
--- /dev/null
+++ b/crates/dogwoodway_gateway/src/relay/admit.rs
@@ -0,0 +1,170 @@
+//! Checks requests against the configuration before they go anywhere.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use dogwoodway_http::Body;
+use dogwoodway_routing::direct::{
+    retry::Attempts,
+    table::{Route, ServingTable, TeamRule},
+};
+use dogwoodway_types::{KeyHash, NotRunReason, Timestamp};
+use http_body_util::{BodyExt, Limited};
+use hyper::{Response, StatusCode, body::Incoming, header, http};
+
+use crate::{
+    border::{HeadFault, RequestHead},
+    clock, metric,
+    relay::{Job, Relay, path, plain},
+};
+
+/// Bytes of a request's body where the configuration sets no bound.
+const DEFAULT_BODY_BYTES: usize = 4 << 20;
+
+/// Urgencies of routes that are told apart within one urgency of a team; engines know ten in all.
+const ROUTE_URGENCIES: u8 = 3;
+
+/// Milliseconds after which a caller comes back when the router has no configuration yet.
+const NO_CONFIG_COME_BACK_MS: u64 = 500;
+
+/// Longest path written to the log, in bytes.
+const LOGGED_PATH_BYTES: usize = 80;
+
+impl Relay {
+    /// Checks a request against the configuration and reads its body.
+    pub(super) async fn admit(
+        &self,
+        arrived: Timestamp,
+        head: http::request::Parts,
+        body: Incoming,
+    ) -> Result<Job, Box<Response<Body>>> {
+        let facts = match self.protocol.read_head(arrived, &head) {
+            Ok(facts) => facts,
+            Err(fault) => return Err(self.reject(&head, StatusCode::BAD_REQUEST, &fault)),
+        };
+        let Some(table) = self.tables.current() else {
+            return Err(self.no_configuration(arrived, &facts));
+        };
+        let is_stale = self.tables.is_stale(arrived);
+        let Some(key) = table.find(&facts.host, head.uri.path()) else {
+            if is_stale {
+                return Err(self.no_configuration(arrived, &facts));
+            }
+            return Err(self.turn_away(&facts, &head, StatusCode::NOT_FOUND, &table));
+        };
+        let route = table.route(key);
+        let team = match self.team(&table, route, &facts) {
+            Ok(team) => team,
+            Err(_) if is_stale => return Err(self.no_configuration(arrived, &facts)),
+            Err(status) => return Err(self.turn_away(&facts, &head, status, &table)),
+        };
+        let Some(service) = route.service(rand::random()).cloned() else {
+            return Err(self.no_configuration(arrived, &facts));
+        };
+        let limit = arrived + Duration::from_millis(u64::from(route.answer_within_ms));
+        let deadline = facts.deadline.map_or(limit, |deadline| deadline.min(limit));
+        let bounds = table.bounds();
+        let body_bytes = bounds.map_or(DEFAULT_BODY_BYTES, |bounds| bounds.body_bytes as usize);
+        let body = match read_body(body, body_bytes, deadline).await {
+            Ok(body) => body,
+            Err(status) => return Err(self.turn_away(&facts, &head, status, &table)),
+        };
+        let urgency = match team.as_ref().and_then(|team| team.urgency) {
+            Some(urgency) => {
+                let of_route = route.urgency.min(ROUTE_URGENCIES - 1);
+                urgency.saturating_mul(ROUTE_URGENCIES).saturating_add(of_route)
+            }
+            None => route.urgency,
+        };
+        Ok(Job {
+            head,
+            body,
+            arrived,
+            deadline,
+            expected_by: arrived + Duration::from_millis(u64::from(route.expected_within_ms)),
+            route: route.name.clone(),
+            kind: route.kind,
+            max_attempts: route.max_attempts.max(1),
+            urgency,
+            route_urgency: route.urgency,
+            service,
+            team,
+            attempts: Attempts::default(),
+            tried: Vec::new(),
+            table_version: table.version(),
+            facts,
+        })
+    }
+
+    /// Finds the team that holds the key of a request, if the route wants one.
+    fn team(
+        &self,
+        table: &ServingTable,
+        route: &Route,
+        facts: &RequestHead,
+    ) -> Result<Option<TeamRule>, StatusCode> {
+        if route.is_anonymous {
+            return Ok(None);
+        }
+        let key = facts.key.as_ref().ok_or(StatusCode::UNAUTHORIZED)?;
+        let team = table.team_of(&KeyHash::new(&self.key_pepper, key));
+        let team = team.ok_or(StatusCode::UNAUTHORIZED)?;
+        Ok(Some(table.team(team).clone()))
+    }
+
+    fn reject(
+        &self,
+        head: &http::request::Parts,
+        status: StatusCode,
+        fault: &HeadFault,
+    ) -> Box<Response<Body>> {
+        log::info!(path = short(path(head)), status = status.as_u16(), why:% = fault;
+            "request rejected");
+        metrics::counter!(metric::REQUESTS, "outcome" => "rejected").increment(1);
+        let mut resp = plain(status, &fault.to_string());
+        let close = header::HeaderValue::from_static("close");
+        resp.headers_mut().insert(header::CONNECTION, close);
+        Box::new(resp)
+    }
+
+    fn turn_away(
+        &self,
+        facts: &RequestHead,
+        head: &http::request::Parts,
+        status: StatusCode,
+        table: &ServingTable,
+    ) -> Box<Response<Body>> {
+        log::info!(request = facts.id, host = facts.host, path = short(path(head)),
+            status = status.as_u16(), table = table.version(); "request turned away");
+        metrics::counter!(metric::REQUESTS, "outcome" => "turned-away").increment(1);
+        Box::new(plain(status, status.canonical_reason().unwrap_or("refused")))
+    }
+
+    fn no_configuration(&self, now: Timestamp, facts: &RequestHead) -> Box<Response<Body>> {
+        let come_back = Duration::from_millis(NO_CONFIG_COME_BACK_MS);
+        log::info!(request = facts.id, status = 503, why = "no-configuration",
+            age_ms = self.tables.age_ms(now); "request refused");
+        metrics::counter!(metric::REQUESTS, "outcome" => "no-configuration").increment(1);
+        Box::new(self.not_run(NotRunReason::NoConfiguration, come_back))
+    }
+}
+
+async fn read_body(
+    body: Incoming,
+    max_bytes: usize,
+    deadline: Timestamp,
+) -> Result<Bytes, StatusCode> {
+    let whole = Limited::new(body, max_bytes).collect();
+    match tokio::time::timeout_at(clock::timer_instant(deadline), whole).await {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+            Err(StatusCode::PAYLOAD_TOO_LARGE)
+        }
+        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
+        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
+    }
+}
+
+fn short(path: &str) -> &str {
+    path.get(..LOGGED_PATH_BYTES).unwrap_or(path)
+}
--- a/crates/dogwoodway_routing/src/direct/fleet/versions.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/versions.rs
@@ -69,7 +69,7 @@
         version: WeightsVersion,
         age: Duration,
     ) {
-        let named_at = Timestamp::default() + (now - Timestamp::default()).saturating_sub(age);
+        let named_at = now.earlier_by(age);
         let named = self.named.entry(model).or_default();
         if let Some(known) = named.iter_mut().find(|known| known.version == version) {
             known.named_at = known.named_at.min(named_at);
@@ -106,8 +106,7 @@
     /// Takes over what another router knows of a version's age; it cannot be older than it was
     /// there.
     pub fn see_version_age(&mut self, now: Timestamp, told: &VersionAge) {
-        let named_at = Timestamp::default()
-            + (now - Timestamp::default()).saturating_sub(Duration::from_millis(told.age_ms));
+        let named_at = now.earlier_by(Duration::from_millis(told.age_ms));
         let named = self.named.get_mut(&told.model);
         let known = named.and_then(|n| n.iter_mut().find(|known| known.version == told.version));
         if let Some(known) = known {
--- a/crates/dogwoodway_routing/src/direct/leadership.rs
+++ b/crates/dogwoodway_routing/src/direct/leadership.rs
@@ -184,9 +184,8 @@
     /// asked immediately before each order.
     pub fn fence(&self, now: Timestamp) -> Option<LogOffset> {
         let tenure = self.tenure?;
-        let usable_until = tenure.ends_at - Timestamp::default();
-        let usable_until = usable_until.saturating_sub(Duration::from_millis(ORDER_MARGIN_MS));
-        (now - Timestamp::default() < usable_until).then_some(tenure.fence)
+        let usable_until = tenure.ends_at.earlier_by(Duration::from_millis(ORDER_MARGIN_MS));
+        (now < usable_until).then_some(tenure.fence)
     }
 
     /// Tells whether the router leads.
--- a/crates/dogwoodway_types/src/time.rs
+++ b/crates/dogwoodway_types/src/time.rs
@@ -43,6 +43,20 @@
         Timestamp(millis * 1_000)
     }
 
+    /// Returns the time that lies `span` earlier, at most back to the Unix epoch.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use dogwoodway_types::Timestamp;
+    ///
+    /// let now = Timestamp::from_millis(5);
+    /// assert_eq!(now.earlier_by(Duration::from_millis(3)), Timestamp::from_millis(2));
+    /// assert_eq!(now.earlier_by(Duration::from_millis(9)), Timestamp::default());
+    /// ```
+    pub fn earlier_by(self, span: Duration) -> Timestamp {
+        Timestamp(self.0.saturating_sub(u64::try_from(span.as_micros()).unwrap_or(u64::MAX)))
+    }
+
     /// Returns the milliseconds since the Unix epoch, rounded down.
     pub const fn as_millis(self) -> u64 {
         self.0 / 1_000
