Compare failures with the servers that fail least

Change: failures are compared with the lower quartile, less the noise between equal servers. The new test gives the sound server at least 90 of 100 requests; it fails with the median.

--- a/crates/dogwoodway_routing/src/direct/fleet.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet.rs
@@ -182,14 +182,15 @@
         self.servers.get(key).map(|server| &server.listing)
     }
 
-    /// Returns the median over servers of a figure that is known of some of them.
-    fn median<F>(&self, keys: &[BackendKey], figure: F) -> Option<f64>
+    /// Returns a figure that is known of some servers, as it is at the given part of them in
+    /// ascending order: 2 for the median, 4 for the lower quartile.
+    fn quantile<F>(&self, keys: &[BackendKey], part: usize, figure: F) -> Option<f64>
     where
         F: Fn(&Health) -> Option<f64>,
     {
         let servers = keys.iter().filter_map(|key| self.servers.get(*key));
         let mut known: Vec<_> = servers.filter_map(|server| figure(&server.health)).collect();
-        let middle = known.len().checked_sub(1)? / 2;
-        Some(*known.select_nth_unstable_by(middle, f64::total_cmp).1)
+        let place = known.len().checked_sub(1)? / part;
+        Some(*known.select_nth_unstable_by(place, f64::total_cmp).1)
     }
 }
--- a/crates/dogwoodway_routing/src/direct/fleet/placing.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/placing.rs
@@ -30,6 +30,9 @@
 /// routers prefer for it.
 const READ_AT_HOME_CHANCE: f64 = 0.5;
 
+/// Difference between the failure shares of equal servers, by chance.
+const FAILURE_NOISE: f64 = 0.08;
+
 /// Requests that wait at a plain server at most, in multiples of its places.
 const QUEUED_PER_PLACE: u32 = 4;
 
@@ -106,9 +109,11 @@
     pub fn place(&mut self, now: Timestamp, query: &Query) -> Result<Placement, Refusal> {
         let keys = self.by_service.get(&query.service).map_or(&[][..], Vec::as_slice);
         let spec = self.engines.get(&query.service);
-        let failures = self.median(keys, |health| Some(health.failure_share())).unwrap_or(0.0);
+        // Some requests fail at every server. With most servers failing, the median would hide it.
+        let failures = self.quantile(keys, 4, |health| Some(health.failure_share()));
+        let usual_failures = failures.unwrap_or(0.0) + FAILURE_NOISE;
         // A server that has not answered yet is taken for as fast as the others.
-        let slowdown = self.median(keys, Health::slowdown).unwrap_or(1.0);
+        let slowdown = self.quantile(keys, 2, Health::slowdown).unwrap_or(1.0);
         let mut scopes = Scopes { query, known: Vec::new() };
         let mut best: Option<(f64, BackendKey, Candidate, Option<usize>, Fetch)> = None;
         for &key in keys {
@@ -138,7 +143,7 @@
                 slots: server.listing.slots,
                 is_near: server.listing.zone == self.zone,
                 slowdown: server.health.slowdown().unwrap_or(slowdown),
-                failure_share: (server.health.failure_share() - failures).max(0.0),
+                failure_share: (server.health.failure_share() - usual_failures).max(0.0),
                 refusal_share: server.health.refusal_share(),
                 reading,
             };
--- a/crates/dogwoodway_routing/tests/direct_fleet.rs
+++ b/crates/dogwoodway_routing/tests/direct_fleet.rs
@@ -264,6 +264,20 @@
     assert!(fleet.place(at(320), &query).is_ok());
 }
 
+#[test]
+fn two_of_three_failing_servers_do_not_hide_each_other() {
+    let (mut fleet, keys) = fleet(3);
+    let mut chosen = 0;
+    for draw in 0..200 {
+        let now = at(20 * draw);
+        let placed = place(&mut fleet, now, draw as u32, draw);
+        let is_sound = placed.server == keys[2];
+        chosen += u32::from(draw >= 100 && is_sound);
+        fleet.end(now, placed.ticket, Some(if is_sound { Sign::Answered } else { Sign::Broken }));
+    }
+    assert!(chosen >= 90, "the sound server got {chosen} of the last 100");
+}
+
 #[test]
 fn a_silent_engine_that_owes_an_answer_is_found() {
     let (mut fleet, _) = fleet(1);
