--- a/crates/dogwoodway_routing/src/direct/fleet.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet.rs
@@ -82,6 +82,47 @@
 }
 
 /// The backend servers, and the requests that the router has sent to them.
+///
+/// ```
+/// use std::time::Duration;
+/// use dogwoodway_routing::direct::{
+///     fleet::{Availability, Fleet, Query, ServerListing},
+///     health::Sign,
+/// };
+/// use dogwoodway_types::{AvailabilityZone, BackendServerName, ServiceName, Timestamp};
+///
+/// let zone = AvailabilityZone::try_from("lj-a").unwrap();
+/// let service = ServiceName::try_from("desk").unwrap();
+/// let now = Timestamp::from_millis(1);
+/// let mut fleet = Fleet::new(zone.clone());
+/// let listing = ServerListing {
+///     name: BackendServerName::try_from("desk-1").unwrap(),
+///     service: service.clone(),
+///     address: "10.0.0.1:80".parse().unwrap(),
+///     zone,
+///     slots: 6,
+///     availability: Availability::Ready,
+///     weights: Vec::new(),
+///     started_at_ms: 7,
+///     revision: 1,
+/// };
+/// fleet.list(now, listing);
+/// let query = Query {
+///     service,
+///     prompt: None,
+///     isolated_team: None,
+///     version: None,
+///     urgency: 0,
+///     deadline: now + Duration::from_millis(600),
+///     expected_by: now + Duration::from_millis(100),
+///     tried: Vec::new(),
+///     draw: 1,
+/// };
+/// let placement = fleet.place(now, &query).unwrap();
+/// assert_eq!(placement.name.as_str(), "desk-1");
+/// fleet.end(now, placement.ticket, Some(Sign::Answered));
+/// assert!(fleet.own_loads().is_empty());
+/// ```
 #[derive(Debug)]
 pub struct Fleet {
     zone: AvailabilityZone,
--- a/crates/dogwoodway_routing/src/direct/fleet/sharing.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/sharing.rs
@@ -20,9 +20,13 @@
 /// Times that each piece of news is told, since datagrams are lost.
 const TOLD_TIMES: u8 = 3;
 
-/// Time for which a peer's report counts, in milliseconds: several times that between reports.
+/// Time for which another router's report counts, in milliseconds: several times that between
+/// reports.
 const PEER_REPORT_MS: u64 = 700;
 
+/// Further time for each router, in milliseconds: with more routers each one is told less often.
+const PEER_REPORT_PER_ROUTER_MS: u64 = 6;
+
 /// What a router tells others of a prompt that it has placed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromptNews {
@@ -73,7 +77,8 @@
 
     /// Forgets what peers told too long ago.
     pub fn expire_peers(&mut self, now: Timestamp) {
-        let limit = Duration::from_millis(PEER_REPORT_MS);
+        let per_router = PEER_REPORT_PER_ROUTER_MS * u64::from(self.routers);
+        let limit = Duration::from_millis(PEER_REPORT_MS + per_router);
         for server in self.servers.values_mut() {
             server.peers.retain(|_, (_, at)| now - *at < limit);
             let fresh = server.peers.values().map(|(load, _)| *load);
--- a/crates/dogwoodway_routing/src/direct/load.rs
+++ b/crates/dogwoodway_routing/src/direct/load.rs
@@ -43,6 +43,14 @@
 }
 
 /// Returns the number by which a router's load is told apart from that of others.
+///
+/// ```
+/// use dogwoodway_routing::direct::load::router_id;
+/// use dogwoodway_types::RouterName;
+///
+/// let name = |text| RouterName::try_from(text).unwrap();
+/// assert_ne!(router_id(&name("router-1")), router_id(&name("router-2")));
+/// ```
 pub fn router_id(router: &RouterName) -> u64 {
     xxh3_64(router.as_str().as_bytes())
 }
--- a/crates/dogwoodway_routing/tests/direct_fleet.rs
+++ b/crates/dogwoodway_routing/tests/direct_fleet.rs
@@ -163,8 +163,15 @@
     assert_ne!(next.server, first.server);
     assert_eq!(next.fetch_from, Some(first.address));
     assert!(keys.contains(&next.server));
-    // What a peer told counts for a short time only.
+    // What a peer told counts for a short time only, longer among many routers.
+    fleet.set_routers(380);
     fleet.expire_peers(at(2_000));
+    let third = place(&mut fleet, at(2_001), 7, 3);
+    assert_ne!(third.server, first.server);
+    finish(&mut fleet, at(2_002), third.ticket);
+    fleet.set_routers(4);
+    fleet.expire_peers(at(2_002));
+    assert_eq!(fleet.find(&busy), Some(first.server));
     finish(&mut fleet, at(2_000), next.ticket);
     assert_eq!(fleet.own_loads().len(), 0);
 }
