Remove what nobody reads, and let one piece of code serve where two stood

Found by reading the whole change again; behaviour stays as it is.

- `ServingTable::kv_stores` serves the fleet and the follower of the stores, which each matched it out.
- `Ticketed::complete` serves streams and answers that are read whole; it replaces `reuse`.
- Claims and renewals of the leadership had the same arm twice.

--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -18,7 +18,6 @@
         fleet::{BackendKey, Fleet, Placement, Query, Refusal, Ticket},
         health::Sign,
         kv_stores::KvChange,
-        table::ServingTable,
     },
     quarantine::{Quarantine, Standing},
     retry_budget::{RetryBudget, RetryLimits},
@@ -135,7 +134,6 @@
     control: Arc<dyn EngineControl>,
     news: Vec<(WeightsNews, Timestamp)>,
     loads_changed: Arc<Notify>,
-    directory_version: u64,
 }
 
 /// What an actor is built from.
@@ -164,7 +162,6 @@
             control: parts.control,
             news: Vec::new(),
             loads_changed: parts.loads_changed,
-            directory_version: 0,
         }
     }
 
@@ -259,7 +256,7 @@
 
     fn apply(&mut self, now: Timestamp, change: DirectoryChange) {
         match change {
-            DirectoryChange::Table(table) => self.set_table(&table),
+            DirectoryChange::Table(table) => self.fleet.set_table(&table),
             DirectoryChange::Version { model, version, is_news } => {
                 let age = if is_news { Duration::ZERO } else { Fleet::assumed_age() };
                 self.fleet.name_version(now, model, version, age);
@@ -284,11 +281,6 @@
         }
     }
 
-    fn set_table(&mut self, table: &ServingTable) {
-        self.directory_version = table.version();
-        self.fleet.set_table(table);
-    }
-
     fn remove(&mut self, key: BackendKey) {
         self.idle.remove(key);
         self.lost.remove(key);
--- a/crates/dogwoodway_gateway/src/kv_watch.rs
+++ b/crates/dogwoodway_gateway/src/kv_watch.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use dogwoodway_routing::direct::table::{ServiceKind, ServingTable};
+use dogwoodway_routing::direct::table::ServingTable;
 use kameo::actor::ActorRef;
 use tokio::{sync::watch, task::JoinHandle};
 
@@ -34,13 +34,7 @@
     while tables.changed().await.is_ok() {
         let table = tables.borrow_and_update().clone();
         let Some(table) = table else { continue };
-        let stores: Vec<_> = table
-            .services()
-            .filter_map(|service| match &service.kind {
-                ServiceKind::KvStore(store) => Some(store.address),
-                ServiceKind::Plain | ServiceKind::Engines(_) => None,
-            })
-            .collect();
+        let stores: Vec<_> = table.kv_stores().map(|store| store.address).collect();
         for (_, task) in followers.extract_if(|address, _| !stores.contains(address)) {
             task.abort();
         }
--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -411,18 +411,17 @@
 
 async fn read_whole(
     answer: Answer,
-    mut ticket: Ticketed,
+    ticket: Ticketed,
     job: &Job,
     keeps_open_ms: Option<u64>,
     is_error: bool,
 ) -> Result<Bytes, WholeError> {
-    let Answer { body, mut connection, .. } = answer;
+    let Answer { body, connection, .. } = answer;
     let limit = clock::timer_instant(job.deadline);
     match tokio::time::timeout_at(limit, body.collect()).await {
         Ok(Ok(whole)) => {
-            connection.rest(keeps_open_ms);
-            ticket.reuse((keeps_open_ms != Some(0)).then_some(connection));
-            ticket.end(Some(if is_error { Sign::Failed } else { Sign::Answered }));
+            let sign = if is_error { Sign::Failed } else { Sign::Answered };
+            ticket.complete(connection, keeps_open_ms, sign);
             Ok(whole.to_bytes())
         }
         Ok(Err(e)) => {
--- a/crates/dogwoodway_gateway/src/stream.rs
+++ b/crates/dogwoodway_gateway/src/stream.rs
@@ -77,9 +77,17 @@
         }
     }
 
-    /// Hands back the connection, to be used again.
-    pub(crate) fn reuse(&mut self, connection: Option<Connection>) {
-        self.connection = connection;
+    /// Ends an attempt whose answer was read whole, and hands back the connection unless the server
+    /// closes it; `keeps_open_ms` is what the server said of it.
+    pub(crate) fn complete(
+        mut self,
+        mut connection: Connection,
+        keeps_open_ms: Option<u64>,
+        sign: Sign,
+    ) {
+        connection.rest(keeps_open_ms);
+        self.connection = (keeps_open_ms != Some(0)).then_some(connection);
+        self.sign = Some(sign);
     }
 
     /// Ends the attempt.
@@ -237,12 +245,8 @@
 
     fn finish(&mut self) -> Option<Result<Bytes, BrokenBody>> {
         self.is_ended = true;
-        if let (Some(mut ticket), Some(mut connection)) =
-            (self.ticket.take(), self.connection.take())
-        {
-            connection.rest(self.keeps_open_ms);
-            ticket.reuse((self.keeps_open_ms != Some(0)).then_some(connection));
-            ticket.end(Some(Sign::Answered));
+        if let (Some(ticket), Some(connection)) = (self.ticket.take(), self.connection.take()) {
+            ticket.complete(connection, self.keeps_open_ms, Sign::Answered);
         }
         log_outcome(&self.job, hyper::StatusCode::OK, "answered", "");
         let rest = self.cutter.as_mut().map(EventCutter::rest).unwrap_or_default();
--- a/crates/dogwoodway_routing/src/direct/fleet.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet.rs
@@ -168,18 +168,13 @@
 
     /// Takes over the services of a routing table.
     pub fn set_table(&mut self, table: &ServingTable) {
-        let mut stores = Vec::new();
         self.engines.clear();
         for service in table.services() {
-            match &service.kind {
-                ServiceKind::Plain => {}
-                ServiceKind::KvStore(store) => stores.push(store.clone()),
-                ServiceKind::Engines(spec) => {
-                    self.engines.insert(service.name.clone(), spec.clone());
-                }
+            if let ServiceKind::Engines(spec) = &service.kind {
+                self.engines.insert(service.name.clone(), spec.clone());
             }
         }
-        self.stores.set(stores);
+        self.stores.set(table.kv_stores().cloned().collect());
     }
 
     /// Takes in what a store of kept KV cache tells of itself; `is_whole` tells that it begins anew.
--- a/crates/dogwoodway_routing/src/direct/kv_stores.rs
+++ b/crates/dogwoodway_routing/src/direct/kv_stores.rs
@@ -216,11 +216,6 @@
         }
     }
 
-    /// Returns the addresses of all stores.
-    pub fn addresses(&self) -> Vec<SocketAddr> {
-        self.stores.iter().map(|store| store.spec.address).collect()
-    }
-
     fn find(&mut self, address: SocketAddr) -> Option<&mut Store> {
         self.stores.iter_mut().find(|store| store.spec.address == address)
     }
--- a/crates/dogwoodway_routing/src/direct/leadership.rs
+++ b/crates/dogwoodway_routing/src/direct/leadership.rs
@@ -114,10 +114,7 @@
     pub fn see(&mut self, now: Timestamp, offset: LogOffset, record: &LeaderRecord) {
         let lease = Duration::from_millis(self.lease_ms + CLOCK_MARGIN_MS);
         let (router, free_at) = match record {
-            LeaderRecord::Claim { router } => {
-                (router, now + lease + Duration::from_millis(TENURE_MS))
-            }
-            LeaderRecord::Renew { router } => {
+            LeaderRecord::Claim { router } | LeaderRecord::Renew { router } => {
                 (router, now + lease + Duration::from_millis(TENURE_MS))
             }
             LeaderRecord::Release { router, quiet_ms } => {
--- a/crates/dogwoodway_routing/src/direct/table.rs
+++ b/crates/dogwoodway_routing/src/direct/table.rs
@@ -292,6 +292,14 @@
         self.services.values()
     }
 
+    /// Returns the stores of kept KV cache.
+    pub fn kv_stores(&self) -> impl Iterator<Item = &KvStoreSpec> {
+        self.services().filter_map(|service| match &service.kind {
+            ServiceKind::KvStore(store) => Some(store),
+            ServiceKind::Plain | ServiceKind::Engines(_) => None,
+        })
+    }
+
     /// Returns the bounds for callers, if any are set.
     pub fn bounds(&self) -> Option<CallerBounds> {
         self.bounds
