--- a/crates/dogwoodway_gateway/src/directory.rs
+++ b/crates/dogwoodway_gateway/src/directory.rs
@@ -1,24 +1,23 @@
 //! Follows the operator's configuration and the list of servers.
 
 use std::{
-    collections::HashSet,
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
+    collections::{BTreeMap, HashSet},
+    sync::Arc,
     time::Duration,
 };
 
-use dogwoodway_routing::direct::table::ServingTable;
+use dogwoodway_routing::direct::{fleet::ServerListing, table::ServingTable};
 use dogwoodway_types::{BackendServerName, LogOffset, Timestamp};
 use kameo::actor::ActorRef;
 use tokio::sync::watch;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     border::{Directory, DirectoryChange, DirectoryPage, DirectoryPart, StoreError},
     clock,
     fleet_actor::{Apply, AskNames, FleetActor, Miss},
     metric,
+    store_watch::{Feeds, StoreWatch, wait_for_turn},
 };
 
 /// Longest wait for a change of the configuration, in milliseconds: bounds how old the
@@ -48,7 +47,7 @@
 #[derive(Clone)]
 pub(crate) struct TableWatch {
     table: watch::Receiver<Option<Arc<ServingTable>>>,
-    heard_at: Arc<AtomicU64>,
+    store: StoreWatch,
     has_servers: watch::Receiver<bool>,
 }
 
@@ -68,9 +67,9 @@
         self.age_ms(now) > STALE_MS
     }
 
-    /// Returns the milliseconds since the store last told of the configuration.
+    /// Returns the milliseconds since the configuration was last known to be the newest.
     pub(crate) fn age_ms(&self, now: Timestamp) -> u64 {
-        (now - Timestamp(self.heard_at.load(Ordering::Relaxed))).as_millis() as u64
+        (now - self.store.configuration_held_at()).as_millis() as u64
     }
 
     /// Tells whether requests can be served.
@@ -80,41 +79,58 @@
 }
 
 /// Starts to follow the directory.
-pub(crate) fn follow(directory: Arc<dyn Directory>, fleet: &ActorRef<FleetActor>) -> TableWatch {
+pub(crate) fn follow(
+    directory: Arc<dyn Directory>,
+    store: StoreWatch,
+    fleet: &ActorRef<FleetActor>,
+) -> TableWatch {
     let (table_tx, table) = watch::channel(None);
     let (servers_tx, has_servers) = watch::channel(false);
-    let heard_at = Arc::new(AtomicU64::new(0));
-    let operator = Follower::new(directory.clone(), fleet.clone(), DirectoryPart::Operator);
-    tokio::spawn(operator.run(Sink::Table(table_tx, heard_at.clone())));
-    let servers = Follower::new(directory, fleet.clone(), DirectoryPart::Servers);
-    tokio::spawn(servers.run(Sink::Servers(servers_tx)));
-    TableWatch { table, heard_at, has_servers }
+    let follower = |part| Follower::new(directory.clone(), store.clone(), fleet.clone(), part);
+    tokio::spawn(follower(DirectoryPart::Operator).run(Sink::Table(table_tx)));
+    tokio::spawn(follower(DirectoryPart::Servers).run(Sink::Servers(servers_tx)));
+    TableWatch { table, store, has_servers }
 }
 
 /// Where a follower tells what it read, besides the fleet.
 enum Sink {
-    Table(watch::Sender<Option<Arc<ServingTable>>>, Arc<AtomicU64>),
+    Table(watch::Sender<Option<Arc<ServingTable>>>),
     Servers(watch::Sender<bool>),
 }
 
 struct Follower {
     directory: Arc<dyn Directory>,
+    store: StoreWatch,
+    feeds: watch::Receiver<Feeds>,
     fleet: ActorRef<FleetActor>,
     part: DirectoryPart,
     next: Option<LogOffset>,
     failures: u32,
     /// Until when the list of servers may lack some that live.
     incomplete_until: Timestamp,
+    /// Hashes of the servers' entries as they were read.
+    entries: BTreeMap<BackendServerName, u64>,
 }
 
 impl Follower {
     fn new(
         directory: Arc<dyn Directory>,
+        store: StoreWatch,
         fleet: ActorRef<FleetActor>,
         part: DirectoryPart,
     ) -> Follower {
-        let incomplete_until = Timestamp::default();
-        Follower { directory, fleet, part, next: None, failures: 0, incomplete_until }
+        let feeds = store.subscribe();
+        Follower {
+            directory,
+            store,
+            feeds,
+            fleet,
+            part,
+            next: None,
+            failures: 0,
+            incomplete_until: Timestamp::default(),
+            entries: BTreeMap::new(),
+        }
     }
 
     async fn run(mut self, sink: Sink) {
@@ -123,7 +139,10 @@
                 Ok((page, is_whole)) => {
                     self.recover();
                     self.next = Some(page.next);
+                    let mark = self.mark(&page, is_whole);
                     self.take(page, is_whole, &sink).await;
+                    self.store.read(self.part, mark);
+                    wait_for_turn(&mut self.feeds, self.part).await;
                     if self.part == DirectoryPart::Servers {
                         tokio::time::sleep(Duration::from_millis(SERVERS_PAUSE_MS)).await;
                     }
@@ -154,6 +173,28 @@
         }
     }
 
+    /// Returns what stands for all that was read so far.
+    fn mark(&mut self, page: &DirectoryPage, is_whole: bool) -> u64 {
+        if self.part == DirectoryPart::Operator {
+            return page.next.0;
+        }
+        if is_whole {
+            self.entries.clear();
+        }
+        for change in &page.changes {
+            match change {
+                DirectoryChange::Listed(listing) => {
+                    self.entries.insert(listing.name.clone(), entry_hash(listing));
+                }
+                DirectoryChange::Gone(name) => {
+                    self.entries.remove(name);
+                }
+                _ => {}
+            }
+        }
+        self.entries.values().fold(0, |sum, hash| sum ^ hash)
+    }
+
     fn recover(&mut self) {
         if self.failures > 0 {
             log::info!(part:? = self.part, failures = self.failures; "store reached again");
@@ -172,8 +213,7 @@
 
     async fn take(&self, page: DirectoryPage, is_whole: bool, sink: &Sink) {
         let mut changes = page.changes;
-        if let Sink::Table(tx, heard_at) = sink {
-            heard_at.store(clock::now().0, Ordering::Relaxed);
+        if let Sink::Table(tx) = sink {
             changes.retain(|change| match change {
                 DirectoryChange::Table(table) => put_in_force(tx, table),
                 _ => true,
@@ -234,6 +274,16 @@
     }
 }
 
+/// Hashes what makes a router send a server requests or none; the weights in use change often, and
+/// routers tell each other of them.
+fn entry_hash(listing: &ServerListing) -> u64 {
+    let text = format!(
+        "{} {} {} {:?} {}",
+        listing.name, listing.started_at_ms, listing.address, listing.availability, listing.service,
+    );
+    xxh3_64(text.as_bytes())
+}
+
 /// Puts a table in force unless a newer one is; returns whether it did.
 fn put_in_force(tx: &watch::Sender<Option<Arc<ServingTable>>>, table: &Arc<ServingTable>) -> bool {
     let known = tx.borrow().as_ref().map(|known| known.version());
--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -15,7 +15,7 @@
 
 use dogwoodway_routing::{
     direct::{
-        fleet::{BackendKey, Fleet, Placement, Query, Refusal, Ticket},
+        fleet::{BackendKey, Fleet, Placement, Query, Refusal, ServerTag, Ticket},
         health::Sign,
         kv_stores::KvChange,
     },
@@ -43,7 +43,7 @@
 };
 
 pub(crate) use self::{
-    routers::{AskNews, RouterNews, SeeCrash, SeePeer, SetRouters},
+    routers::{AskNews, RouterNews, SeeContent, SeePeer, SetRouters},
     weights::{AskWeights, EngineTarget, SeeWeights, WeightsState},
 };
 
@@ -63,6 +63,10 @@
 /// Time for which a finished load of weights is told to other routers, in milliseconds.
 const TELL_LOADED_FOR_MS: u64 = 3_000;
 
+/// Time between two times that the ages of versions are told, in milliseconds: a router needs them
+/// soon after its start only.
+const TELL_VERSIONS_EVERY_MS: u64 = 300;
+
 /// Share of the retry budget that is used, in thousandths: routers count requests at slightly
 /// different times.
 const BUDGET_USED_MILLIS: u32 = 750;
@@ -87,6 +91,15 @@
     pub(crate) started_at_ms: u64,
 }
 
+/// What routers tell each other of a request's content.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum ContentNote {
+    /// A server crashed while it ran it.
+    Crashed(CrashNote),
+    /// A server answered it, after crashes that it was suspected of.
+    Answered(RequestFingerprint),
+}
+
 impl CrashNote {
     fn incarnation(&self) -> EngineIncarnation {
         let hash = dogwoodway_routing::rendezvous::ServerKey::new(&self.server).0;
@@ -97,8 +110,7 @@
 /// What a router says of an engine's weights.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct WeightsNews {
-    /// Hash of the server's name.
-    pub(crate) server: u64,
+    pub(crate) server: ServerTag,
     pub(crate) version: WeightsVersion,
     pub(crate) stage: LoadStage,
 }
@@ -130,9 +142,10 @@
     quarantine: Quarantine,
     quarantine_in_use: Arc<AtomicBool>,
     suspects: Vec<Suspect>,
-    crashes: mpsc::Sender<CrashNote>,
+    contents: mpsc::Sender<ContentNote>,
     control: Arc<dyn EngineControl>,
     news: Vec<(WeightsNews, Timestamp)>,
+    versions_due_at: Timestamp,
     loads_changed: Arc<Notify>,
 }
 
@@ -140,7 +153,7 @@
 pub(crate) struct FleetParts {
     pub(crate) zone: AvailabilityZone,
     pub(crate) retry_bounds: RetryBounds,
-    pub(crate) crashes: mpsc::Sender<CrashNote>,
+    pub(crate) contents: mpsc::Sender<ContentNote>,
     pub(crate) control: Arc<dyn EngineControl>,
     pub(crate) quarantine_in_use: Arc<AtomicBool>,
     pub(crate) loads_changed: Arc<Notify>,
@@ -158,9 +171,10 @@
             quarantine: Quarantine::new(MAX_QUARANTINED),
             quarantine_in_use: parts.quarantine_in_use,
             suspects: Vec::new(),
-            crashes: parts.crashes,
+            contents: parts.contents,
             control: parts.control,
             news: Vec::new(),
+            versions_due_at: Timestamp::default(),
             loads_changed: parts.loads_changed,
         }
     }
@@ -238,9 +252,13 @@
         let guilty: Vec<_> = self.suspects.extract_if(.., |suspect| suspect.key == key).collect();
         for suspect in guilty {
             self.note_crash(now, &suspect.note);
-            if let Err(e) = self.crashes.try_send(suspect.note) {
-                log::warn!("a crash was not told to other routers: {e}");
-            }
+            self.tell_content(ContentNote::Crashed(suspect.note));
+        }
+    }
+
+    fn tell_content(&self, note: ContentNote) {
+        if let Err(e) = self.contents.try_send(note) {
+            log::warn!("a crash or its end was not told to other routers: {e}");
         }
     }
 
@@ -382,7 +400,7 @@
     pub(crate) sign: Option<Sign>,
     /// The connection, if it can be used again.
     pub(crate) connection: Option<Connection>,
-    /// Content of the request, if the connection broke.
+    /// Content of the request, if the connection broke or contents are watched.
     pub(crate) fingerprint: Option<RequestFingerprint>,
 }
 
@@ -407,6 +425,14 @@
                 }
                 self.try_server(msg.server, cx.actor_ref());
             }
+            // The server lives on: earlier crashes had another cause.
+            Some(Sign::Answered | Sign::Failed) => {
+                if let Some(fingerprint) = msg.fingerprint
+                    && self.quarantine.note_answered(&fingerprint)
+                {
+                    self.tell_content(ContentNote::Answered(fingerprint));
+                }
+            }
             _ => {}
         }
     }
--- a/crates/dogwoodway_gateway/src/fleet_actor/routers.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/routers.rs
@@ -1,5 +1,7 @@
 //! Messages about other routers: what they are told, and what they tell.
 
+use std::time::Duration;
+
 use dogwoodway_routing::direct::fleet::{PromptNews, ServerLoad, VersionAge};
 use kameo::{
     Reply,
@@ -9,7 +11,7 @@
 
 use crate::{
     clock,
-    fleet_actor::{CrashNote, FleetActor, LoadStage, WeightsNews},
+    fleet_actor::{ContentNote, FleetActor, LoadStage, TELL_VERSIONS_EVERY_MS, WeightsNews},
 };
 
 /// What a router tells others.
@@ -32,7 +34,13 @@
         self.news.retain(|(_, until)| *until > now);
         let weights = self.news.iter().map(|(news, _)| *news).collect();
         let prompts = self.fleet.take_prompt_news();
-        let versions = self.fleet.young_versions(now);
+        let versions = match now >= self.versions_due_at {
+            true => self.fleet.young_versions(now),
+            false => Vec::new(),
+        };
+        if !versions.is_empty() {
+            self.versions_due_at = now + Duration::from_millis(TELL_VERSIONS_EVERY_MS);
+        }
         RouterNews { loads: self.fleet.own_loads(), weights, prompts, versions }
     }
 }
@@ -54,7 +62,7 @@
             self.fleet.see_version_age(now, told);
         }
         for news in msg.news.weights {
-            let Some(key) = self.fleet.find_hash(news.server) else { continue };
+            let Some(key) = self.fleet.find_tag(news.server) else { continue };
             let is_behind = self.fleet.listing(key).is_some_and(|listing| {
                 listing.weights.iter().any(|(_, version)| *version < news.version)
             });
@@ -79,13 +87,18 @@
     }
 }
 
-/// Tells that another router saw a crash.
-pub(crate) struct SeeCrash(pub(crate) CrashNote);
+/// Tells what a router saw of a request's content.
+pub(crate) struct SeeContent(pub(crate) ContentNote);
 
-impl Message<SeeCrash> for FleetActor {
+impl Message<SeeContent> for FleetActor {
     type Reply = ();
 
-    async fn handle(&mut self, msg: SeeCrash, _: &mut Context<Self, Self::Reply>) {
-        self.note_crash(clock::now(), &msg.0);
+    async fn handle(&mut self, msg: SeeContent, _: &mut Context<Self, Self::Reply>) {
+        match msg.0 {
+            ContentNote::Crashed(note) => self.note_crash(clock::now(), &note),
+            ContentNote::Answered(fingerprint) => {
+                self.quarantine.note_answered(&fingerprint);
+            }
+        }
     }
 }
--- a/crates/dogwoodway_gateway/src/fleet_actor/weights.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/weights.rs
@@ -3,7 +3,10 @@
 use std::{net::SocketAddr, time::Duration};
 
 use dogwoodway_routing::{
-    direct::{fleet::BackendKey, rollout::EngineWeights},
+    direct::{
+        fleet::{BackendKey, ServerTag},
+        rollout::EngineWeights,
+    },
     rendezvous::ServerKey,
 };
 use dogwoodway_types::{BackendServerName, ModelName, WeightsVersion};
@@ -73,8 +76,8 @@
     async fn handle(&mut self, msg: SeeWeights, cx: &mut Context<Self, Self::Reply>) {
         let now = clock::now();
         let Some(listing) = self.fleet.listing(msg.server) else { return };
-        let hash = ServerKey::new(&listing.name).0;
-        let tell = |version, stage| WeightsNews { server: hash, version, stage };
+        let tag = ServerTag::from(ServerKey::new(&listing.name));
+        let tell = |version, stage| WeightsNews { server: tag, version, stage };
         let told = match msg.state {
             WeightsState::Loading(version) => {
                 self.fleet.note_loading(now, msg.server);
@@ -96,12 +99,12 @@
             }
             WeightsState::NotLoaded => {
                 self.fleet.note_load_ended(msg.server);
-                self.news.retain(|(news, _)| news.server != hash);
+                self.news.retain(|(news, _)| news.server != tag);
                 None
             }
         };
         if let Some(news) = told {
-            self.news.retain(|(other, _)| other.server != hash);
+            self.news.retain(|(other, _)| other.server != tag);
             self.news.push((news, now + Duration::from_millis(TELL_LOADED_FOR_MS)));
             self.loads_changed.notify_one();
         }
--- a/crates/dogwoodway_gateway/src/leader.rs
+++ b/crates/dogwoodway_gateway/src/leader.rs
@@ -20,14 +20,19 @@
     },
     clock,
     fleet_actor::{
-        AskWeights, CrashNote, EngineTarget, FleetActor, SeeCrash, SeeWeights, WeightsState,
+        AskWeights, ContentNote, EngineTarget, FleetActor, SeeContent, SeeWeights, WeightsState,
     },
     metric,
+    store_watch::Feeds,
 };
 
 /// Longest wait for a record, in milliseconds.
 const READ_WAIT_MS: u64 = 2_000;
 
+/// Pause between two reads of the log by a router that neither leads nor watches, in milliseconds:
+/// what it reads there are crashes that others saw, which must be known within three seconds.
+const READ_PAUSE_MS: u64 = 2_000;
+
 /// Pause after a failed call to the log, in milliseconds.
 const FAILED_PAUSE_MS: u64 = 150;
 
@@ -67,8 +72,8 @@
     Started { router: RouterName, address: SocketAddr },
     /// Who leads.
     Leader(LeaderRecord),
-    /// A server crashed while it ran a request.
-    Crashed(CrashNote),
+    /// What befell a server that ran a request.
+    Content(ContentNote),
 }
 
 /// What the task of the log is built from.
@@ -79,7 +84,9 @@
     pub(crate) log: Arc<dyn RouterLog>,
     pub(crate) control: Arc<dyn EngineControl>,
     pub(crate) fleet: ActorRef<FleetActor>,
-    pub(crate) crashes: mpsc::Receiver<CrashNote>,
+    /// Tells whether this router reads the store for all.
+    pub(crate) feeds: watch::Receiver<Feeds>,
+    pub(crate) contents: mpsc::Receiver<ContentNote>,
     /// Takes the addresses of routers that have started.
     pub(crate) found: mpsc::Sender<SocketAddr>,
     /// Turns true when the router has no work left.
@@ -130,6 +137,8 @@
     leadership: Leadership,
     loads: HashMap<BackendKey, Load>,
     events: mpsc::Sender<Event>,
+    /// Tells the reader of the log to go on without pause.
+    hurry: watch::Sender<bool>,
     was_leading: bool,
     is_log_lost: bool,
 }
@@ -137,7 +146,9 @@
 /// Follows the log, leads when it can, and orders while it leads, until the process leaves.
 pub(crate) async fn run(parts: LeaderParts) {
     let (events, mut inbox) = mpsc::channel(64);
-    tokio::spawn(read_log(parts.log.clone(), events.clone()));
+    let (hurry, is_hurried) = watch::channel(true);
+    let reader = LogReader { log: parts.log.clone(), feeds: parts.feeds.clone(), is_hurried };
+    tokio::spawn(reader.run(events.clone()));
     tokio::spawn(announce(parts.log.clone(), parts.router.clone(), parts.address));
     let leadership = Leadership::new(parts.router.clone(), parts.lease_ms);
     let mut is_ending = parts.is_ending.clone();
@@ -146,6 +157,7 @@
         leadership,
         loads: HashMap::new(),
         events,
+        hurry,
         was_leading: false,
         is_log_lost: false,
     };
@@ -154,7 +166,7 @@
     loop {
         tokio::select! {
             Some(event) = inbox.recv() => leader.take(event).await,
-            Some(note) = leader.parts.crashes.recv() => leader.tell_crash(note).await,
+            Some(note) = leader.parts.contents.recv() => leader.tell_content(note).await,
             _ = step.tick() => leader.step().await,
             Ok(()) = is_ending.changed() => {
                 leader.release().await;
@@ -164,20 +176,42 @@
     }
 }
 
-async fn read_log(log: Arc<dyn RouterLog>, events: mpsc::Sender<Event>) {
-    let mut from = LogOffset(0);
-    loop {
-        match log.read(from, READ_WAIT_MS).await {
-            Ok(page) => {
-                from = LogOffset(page.from.0 + page.records.len() as u64);
-                if events.send(Event::Page(page)).await.is_err() {
-                    return;
+/// Reads the routers' log: all the time while the router leads, watches the store or must know the
+/// log's end, else from time to time.
+struct LogReader {
+    log: Arc<dyn RouterLog>,
+    feeds: watch::Receiver<Feeds>,
+    is_hurried: watch::Receiver<bool>,
+}
+
+impl LogReader {
+    async fn run(mut self, events: mpsc::Sender<Event>) {
+        let mut from = LogOffset(0);
+        loop {
+            match self.log.read(from, READ_WAIT_MS).await {
+                Ok(page) => {
+                    from = LogOffset(page.from.0 + page.records.len() as u64);
+                    if events.send(Event::Page(page)).await.is_err() {
+                        return;
+                    }
+                    self.pause().await;
+                }
+                Err(StoreError::Expired(first)) => from = first,
+                Err(e) => {
+                    log::debug!("the routers' log was not read: {e}");
+                    tokio::time::sleep(Duration::from_millis(FAILED_PAUSE_MS)).await;
                 }
             }
-            Err(StoreError::Expired(first)) => from = first,
-            Err(e) => {
-                log::debug!("the routers' log was not read: {e}");
-                tokio::time::sleep(Duration::from_millis(FAILED_PAUSE_MS)).await;
+        }
+    }
+
+    async fn pause(&mut self) {
+        let until = clock::now() + Duration::from_millis(READ_PAUSE_MS);
+        while !self.feeds.borrow_and_update().is_watcher && !*self.is_hurried.borrow_and_update() {
+            tokio::select! {
+                Ok(()) = self.feeds.changed() => {}
+                Ok(()) = self.is_hurried.changed() => {}
+                () = clock::sleep_until(until) => return,
             }
         }
     }
@@ -213,9 +247,9 @@
                         log::error!("a router that has started is not told of loads");
                     }
                 }
-                Ok(RouterRecord::Crashed(note)) => {
-                    if let Err(e) = self.parts.fleet.tell(SeeCrash(note)).await {
-                        log::error!("a crash was not noted: {e}");
+                Ok(RouterRecord::Content(note)) => {
+                    if let Err(e) = self.parts.fleet.tell(SeeContent(note)).await {
+                        log::error!("a crash or its end was not noted: {e}");
                     }
                 }
                 Err(e) => log::warn!(offset = offset.0; "a record cannot be read: {e}"),
@@ -232,6 +266,8 @@
     async fn step(&mut self) {
         self.keep_leading().await;
         let leads = self.leadership.leads(clock::now());
+        let is_hurried = leads || !self.leadership.knows_end();
+        self.hurry.send_if_modified(|was| std::mem::replace(was, is_hurried) != is_hurried);
         if leads != self.was_leading {
             self.was_leading = leads;
             log::info!(leads = leads; "leadership changed");
@@ -289,10 +325,10 @@
         }
     }
 
-    async fn tell_crash(&self, note: CrashNote) {
-        let bytes = encode(&RouterRecord::Crashed(note));
+    async fn tell_content(&self, note: ContentNote) {
+        let bytes = encode(&RouterRecord::Content(note));
         if let Err(e) = self.parts.log.append(bytes, None).await {
-            log::warn!("a crash was not told to other routers: {e}");
+            log::warn!("a crash or its end was not told to other routers: {e}");
         }
     }
 
--- a/crates/dogwoodway_gateway/src/lib.rs
+++ b/crates/dogwoodway_gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod metric;
 mod relay;
 mod router;
+mod store_watch;
 mod stream;
 
 pub use crate::router::{RouterError, RouterParts, RouterSettings, ShutdownNotice, run};
--- a/crates/dogwoodway_gateway/src/metric.rs
+++ b/crates/dogwoodway_gateway/src/metric.rs
@@ -29,3 +29,6 @@
 
 /// Routers heard of, this one included.
 pub(crate) const ROUTERS: &str = "dogwoodway_router_routers";
+
+/// Bytes of datagrams sent to other routers.
+pub(crate) const GOSSIP_BYTES: &str = "dogwoodway_router_gossip_bytes_total";
--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -186,12 +186,17 @@
         }
     }
 
-    /// Asks where a request runs.
-    pub(crate) async fn place(&self, job: &Job, query: Query) -> Placed {
-        let fingerprint = match self.quarantine_in_use.load(Ordering::Relaxed) {
+    /// Returns the digest of a request's content if some contents are suspected of crashing servers.
+    pub(crate) fn watched_fingerprint(&self, job: &Job) -> Option<RequestFingerprint> {
+        match self.quarantine_in_use.load(Ordering::Relaxed) {
             true => job.fingerprint(),
             false => None,
-        };
+        }
+    }
+
+    /// Asks where a request runs.
+    pub(crate) async fn place(&self, job: &Job, query: Query) -> Placed {
+        let fingerprint = self.watched_fingerprint(job);
         let is_repeat = job.attempts.offered > 0;
         match self.fleet.ask(Place { query, is_repeat, fingerprint }).await {
             Ok(placed) => placed,
@@ -333,7 +338,7 @@
             let body = stream::body(self, job, answer, ticket, keeps_open_ms);
             return Delivery::Done(resp.map(|()| body));
         }
-        let end = match read_whole(answer, ticket, &job, keeps_open_ms, is_error).await {
+        let end = match self.read_whole(answer, ticket, &job, keeps_open_ms, is_error).await {
             Ok(bytes) => {
                 let end = AttemptEnd::Answered { is_error };
                 let step = next_step(job.kind, job.max_attempts, job.attempts, end);
@@ -353,6 +358,34 @@
         }
     }
 
+    /// Reads an answer to its end.
+    async fn read_whole(
+        &self,
+        answer: Answer,
+        ticket: Ticketed,
+        job: &Job,
+        keeps_open_ms: Option<u64>,
+        is_error: bool,
+    ) -> Result<Bytes, WholeError> {
+        let Answer { body, connection, .. } = answer;
+        let limit = clock::timer_instant(job.deadline);
+        match tokio::time::timeout_at(limit, body.collect()).await {
+            Ok(Ok(whole)) => {
+                let sign = if is_error { Sign::Failed } else { Sign::Answered };
+                ticket.complete(connection, keeps_open_ms, sign, self.watched_fingerprint(job));
+                Ok(whole.to_bytes())
+            }
+            Ok(Err(e)) => {
+                ticket.broken(job.fingerprint());
+                Err(WholeError::Broken(format!("the answer broke off: {e}")))
+            }
+            Err(_) => {
+                ticket.end(None);
+                Err(WholeError::TimedOut)
+            }
+        }
+    }
+
     /// Tells the caller that the request did not run, or that it may have.
     pub(crate) fn give_up(&self, job: &Job, refusal: Refusal) -> Response<Body> {
         if job.attempts.may_have_run > 0 {
@@ -409,32 +442,6 @@
     Broken(String),
 }
 
-async fn read_whole(
-    answer: Answer,
-    ticket: Ticketed,
-    job: &Job,
-    keeps_open_ms: Option<u64>,
-    is_error: bool,
-) -> Result<Bytes, WholeError> {
-    let Answer { body, connection, .. } = answer;
-    let limit = clock::timer_instant(job.deadline);
-    match tokio::time::timeout_at(limit, body.collect()).await {
-        Ok(Ok(whole)) => {
-            let sign = if is_error { Sign::Failed } else { Sign::Answered };
-            ticket.complete(connection, keeps_open_ms, sign);
-            Ok(whole.to_bytes())
-        }
-        Ok(Err(e)) => {
-            ticket.broken(job.fingerprint());
-            Err(WholeError::Broken(format!("the answer broke off: {e}")))
-        }
-        Err(_) => {
-            ticket.end(None);
-            Err(WholeError::TimedOut)
-        }
-    }
-}
-
 fn plain(status: StatusCode, text: &str) -> Response<Body> {
     dogwoodway_http::text_response(status, text)
 }
--- a/crates/dogwoodway_gateway/src/router.rs
+++ b/crates/dogwoodway_gateway/src/router.rs
@@ -11,6 +11,7 @@
 };
 
 use dogwoodway_http::{ServerLimits, serve};
+use dogwoodway_routing::direct::peers::ZoneTag;
 use dogwoodway_types::{AvailabilityZone, RouterName};
 use futures::future::BoxFuture;
 use kameo::{
@@ -30,10 +31,11 @@
     ingress, kv_watch, leader,
     leader::LeaderParts,
     relay::Relay,
+    store_watch::StoreWatch,
 };
 
-/// Crashes that wait to be told to other routers.
-const CRASH_QUEUE: usize = 64;
+/// Notes of crashes and their ends that wait to be told to other routers.
+const CONTENT_QUEUE: usize = 64;
 
 /// Routers found that wait to be told of loads.
 const FOUND_QUEUE: usize = 64;
@@ -119,7 +121,7 @@
 ) -> Result<(), RouterError> {
     let callers = bind(settings.listen).await?;
     let checks = bind(settings.ready_listen).await?;
-    let (crash_tx, crashes) = mpsc::channel(CRASH_QUEUE);
+    let (content_tx, contents) = mpsc::channel(CONTENT_QUEUE);
     let (found_tx, found) = mpsc::channel(FOUND_QUEUE);
     let (ending_tx, is_ending) = watch::channel(false);
     let quarantine_in_use = Arc::new(AtomicBool::new(false));
@@ -127,7 +129,7 @@
     let fleet = FleetActor::new(FleetParts {
         zone: settings.zone.clone(),
         retry_bounds: RetryBounds { ratio: settings.retry_ratio, slack: settings.retry_slack },
-        crashes: crash_tx,
+        contents: content_tx,
         control: parts.control.clone(),
         quarantine_in_use: quarantine_in_use.clone(),
         loads_changed: loads_changed.clone(),
@@ -135,12 +137,14 @@
     // Ends of attempts are told from destructors, which cannot wait for room.
     let fleet = FleetActor::spawn_with_mailbox(fleet, mailbox::unbounded());
     tokio::spawn(tick(fleet.clone()));
-    let tables = directory::follow(parts.directory, &fleet);
+    let store = StoreWatch::new();
+    let tables = directory::follow(parts.directory, store.clone(), &fleet);
     tokio::spawn(kv_watch::run(parts.kv_events, tables.subscribe(), fleet.clone()));
     let gossip = Gossip {
-        router: settings.name.clone(),
+        zone: ZoneTag::from(&settings.zone),
         address: settings.gossip_listen,
         fleet: fleet.clone(),
+        store: store.clone(),
         loads_changed,
         found,
     };
@@ -151,8 +155,9 @@
         lease_ms: u64::from(settings.lease_ms),
         log: parts.log,
         control: parts.control,
+        feeds: store.subscribe(),
         fleet: fleet.clone(),
-        crashes,
+        contents,
         found: found_tx,
         is_ending,
     }));
--- /dev/null
+++ b/crates/dogwoodway_gateway/src/store_watch.rs
@@ -0,0 +1,123 @@
+//! What the router knows of the store's feeds, shared by those who read them and those who tell
+//! other routers.
+
+use std::sync::Arc;
+
+use dogwoodway_routing::direct::feed::{Feed, FeedLimits, MarkOrder, Sighting};
+use dogwoodway_types::Timestamp;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+
+use crate::{border::DirectoryPart, clock};
+
+/// How long other routers are relied on for the configuration: watchers wait up to a second for a
+/// change, and a router must take up changes within two seconds.
+const OPERATOR_LIMITS: FeedLimits = FeedLimits { rely_ms: 1_400, own_every_ms: 10_000 };
+
+/// The same for the list of servers, which watchers read every 0.6 s. A leaving server must have
+/// no new requests within two seconds. Its own reading brings a router the entries' weights.
+const SERVERS_LIMITS: FeedLimits = FeedLimits { rely_ms: 1_100, own_every_ms: 5_000 };
+
+/// What a router tells others of its reading of the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Sightings {
+    operator: Option<Sighting>,
+    servers: Option<Sighting>,
+}
+
+/// The feeds, and whether this router reads them all the time.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Feeds {
+    pub(crate) is_watcher: bool,
+    operator: Feed,
+    servers: Feed,
+}
+
+impl Feeds {
+    /// Returns the feed of a part of the directory.
+    pub(crate) fn of(&self, part: DirectoryPart) -> &Feed {
+        match part {
+            DirectoryPart::Operator => &self.operator,
+            DirectoryPart::Servers => &self.servers,
+        }
+    }
+
+    fn of_mut(&mut self, part: DirectoryPart) -> &mut Feed {
+        match part {
+            DirectoryPart::Operator => &mut self.operator,
+            DirectoryPart::Servers => &mut self.servers,
+        }
+    }
+}
+
+/// The shared knowledge of the store's feeds.
+#[derive(Clone, Debug)]
+pub(crate) struct StoreWatch(Arc<watch::Sender<Feeds>>);
+
+impl StoreWatch {
+    /// Builds the knowledge of a router that has read nothing.
+    pub(crate) fn new() -> StoreWatch {
+        StoreWatch(Arc::new(watch::Sender::new(Feeds {
+            is_watcher: true,
+            operator: Feed::new(MarkOrder::Ascending, OPERATOR_LIMITS),
+            servers: Feed::new(MarkOrder::Unordered, SERVERS_LIMITS),
+        })))
+    }
+
+    /// Returns a receiver that tells when a feed should be read earlier than planned.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<Feeds> {
+        self.0.subscribe()
+    }
+
+    /// Notes that this router has read a feed.
+    pub(crate) fn read(&self, part: DirectoryPart, mark: u64) {
+        self.0.send_if_modified(|feeds| {
+            feeds.of_mut(part).read(clock::now(), mark);
+            false
+        });
+    }
+
+    /// Takes in what another router has read, and whether this one is a watcher.
+    pub(crate) fn hear(&self, now: Timestamp, told: &Sightings, is_watcher: bool) {
+        self.0.send_if_modified(|feeds| {
+            let is_role_new = std::mem::replace(&mut feeds.is_watcher, is_watcher) != is_watcher;
+            if is_role_new {
+                log::info!(is_watcher = is_watcher; "role at the store changed");
+            }
+            let operator = told.operator.is_some_and(|told| feeds.operator.hear(now, &told));
+            let servers = told.servers.is_some_and(|told| feeds.servers.hear(now, &told));
+            is_role_new || operator || servers
+        });
+    }
+
+    /// Returns what to tell other routers.
+    pub(crate) fn sightings(&self, now: Timestamp) -> Sightings {
+        let feeds = self.0.borrow();
+        Sightings { operator: feeds.operator.sighting(now), servers: feeds.servers.sighting(now) }
+    }
+
+    /// Returns when the configuration was last known to be the newest.
+    pub(crate) fn configuration_held_at(&self) -> Timestamp {
+        self.0.borrow().operator.held_at()
+    }
+}
+
+/// Waits until a feed is due to be read.
+pub(crate) async fn wait_for_turn(feeds: &mut watch::Receiver<Feeds>, part: DirectoryPart) {
+    loop {
+        let read_at = {
+            let feeds = feeds.borrow_and_update();
+            if feeds.is_watcher {
+                return;
+            }
+            feeds.of(part).read_at()
+        };
+        if read_at <= clock::now() {
+            return;
+        }
+        tokio::select! {
+            Ok(()) = feeds.changed() => {}
+            () = clock::sleep_until(read_at) => {}
+        }
+    }
+}
--- a/crates/dogwoodway_gateway/src/stream.rs
+++ b/crates/dogwoodway_gateway/src/stream.rs
@@ -78,13 +78,16 @@
     }
 
     /// Ends an attempt whose answer was read whole, and hands back the connection unless the server
-    /// closes it; `keeps_open_ms` is what the server said of it.
+    /// closes it; `keeps_open_ms` is what the server said of it, `fingerprint` the request's content
+    /// if contents are watched.
     pub(crate) fn complete(
         mut self,
         mut connection: Connection,
         keeps_open_ms: Option<u64>,
         sign: Sign,
+        fingerprint: Option<RequestFingerprint>,
     ) {
+        self.fingerprint = fingerprint;
         connection.rest(keeps_open_ms);
         self.connection = (keeps_open_ms != Some(0)).then_some(connection);
         self.sign = Some(sign);
@@ -246,7 +249,8 @@
     fn finish(&mut self) -> Option<Result<Bytes, BrokenBody>> {
         self.is_ended = true;
         if let (Some(ticket), Some(connection)) = (self.ticket.take(), self.connection.take()) {
-            ticket.complete(connection, self.keeps_open_ms, Sign::Answered);
+            let fingerprint = self.relay.watched_fingerprint(&self.job);
+            ticket.complete(connection, self.keeps_open_ms, Sign::Answered, fingerprint);
         }
         log_outcome(&self.job, hyper::StatusCode::OK, "answered", "");
         let rest = self.cutter.as_mut().map(EventCutter::rest).unwrap_or_default();
--- a/crates/dogwoodway_routing/src/direct.rs
+++ b/crates/dogwoodway_routing/src/direct.rs
@@ -7,11 +7,13 @@
 
 pub mod admission;
 pub mod cost;
+pub mod feed;
 pub mod fleet;
 pub mod health;
 pub mod kv_stores;
 pub mod leadership;
 pub mod load;
+pub mod peers;
 pub mod prompt;
 pub mod retry;
 pub mod rollout;
--- /dev/null
+++ b/crates/dogwoodway_routing/src/direct/feed.rs
@@ -0,0 +1,132 @@
+//! When a router reads the platform's store, and when it relies on what others have read.
+//!
+//! The load pattern that this answers: hundreds of routers follow the same configuration and the
+//! same list of servers, while the store bounds the calls of all of them together. Two routers, the
+//! watchers, read all the time and tell how far they have read, and how long ago. The others read
+//! when a watcher has seen more than they have, and by themselves when the watchers' word is old:
+//! so that each router's knowledge is as fresh as its own reading would make it, also while the
+//! watchers are cut off.
+
+use std::time::Duration;
+
+use dogwoodway_types::Timestamp;
+use serde::{Deserialize, Serialize};
+
+/// Time since which another router's word is no longer told, in milliseconds.
+const TOLD_FOR_MS: u64 = 2_000;
+
+/// How two marks of a feed compare.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MarkOrder {
+    /// A higher mark is newer, such as the end of a log.
+    Ascending,
+    /// Marks are only equal or not, such as the digest of a list.
+    Unordered,
+}
+
+/// What a router tells of a feed that it has read itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sighting {
+    /// Stands for what it read.
+    pub mark: u64,
+    /// Milliseconds since it read that.
+    pub age_ms: u32,
+}
+
+/// How long a router relies on others for a feed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FeedLimits {
+    /// Age of another router's word up to which it counts, in milliseconds.
+    pub rely_ms: u64,
+    /// Longest time between two readings of the router's own, in milliseconds.
+    pub own_every_ms: u64,
+}
+
+/// What a router knows of one feed of the store.
+///
+/// ```
+/// use dogwoodway_routing::direct::feed::{Feed, FeedLimits, MarkOrder, Sighting};
+/// use dogwoodway_types::Timestamp;
+///
+/// let at = Timestamp::from_millis;
+/// let limits = FeedLimits { rely_ms: 1_400, own_every_ms: 10_000 };
+/// let mut feed = Feed::new(MarkOrder::Ascending, limits);
+/// feed.read(at(1_000), 7);
+/// feed.hear(at(2_000), &Sighting { mark: 7, age_ms: 300 });
+/// assert_eq!(feed.read_at(), at(1_700 + 1_400));
+/// assert!(feed.hear(at(2_100), &Sighting { mark: 8, age_ms: 10 }));
+/// assert!(feed.read_at() <= at(2_100));
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct Feed {
+    order: MarkOrder,
+    limits: FeedLimits,
+    mark: Option<u64>,
+    /// When the router read the feed itself.
+    read_at: Timestamp,
+    /// When what it knows was known to hold.
+    held_at: Timestamp,
+    is_behind: bool,
+}
+
+impl Feed {
+    /// Builds the state of a feed that was not read.
+    pub fn new(order: MarkOrder, limits: FeedLimits) -> Feed {
+        Feed {
+            order,
+            limits,
+            mark: None,
+            read_at: Timestamp::default(),
+            held_at: Timestamp::default(),
+            is_behind: false,
+        }
+    }
+
+    /// Notes that the router has read the feed.
+    pub fn read(&mut self, now: Timestamp, mark: u64) {
+        self.mark = Some(mark);
+        self.read_at = now;
+        self.held_at = now;
+        self.is_behind = false;
+    }
+
+    /// Takes in what another router has read; returns whether the router is now behind.
+    pub fn hear(&mut self, now: Timestamp, told: &Sighting) -> bool {
+        let Some(mark) = self.mark else { return false };
+        let seen_at = now.earlier_by(Duration::from_millis(u64::from(told.age_ms)));
+        let is_known = match self.order {
+            MarkOrder::Ascending => told.mark <= mark,
+            MarkOrder::Unordered => told.mark == mark,
+        };
+        if is_known {
+            self.held_at = self.held_at.max(seen_at);
+            return false;
+        }
+        // Of two lists that differ, the one read later counts.
+        let is_news = self.order == MarkOrder::Ascending || seen_at > self.read_at;
+        let was_behind = self.is_behind;
+        self.is_behind |= is_news;
+        self.is_behind && !was_behind
+    }
+
+    /// Returns what the router tells others of its own reading, unless that is long ago.
+    pub fn sighting(&self, now: Timestamp) -> Option<Sighting> {
+        let age_ms = (now - self.read_at).as_millis() as u64;
+        let mark = self.mark.filter(|_| age_ms < TOLD_FOR_MS)?;
+        Some(Sighting { mark, age_ms: age_ms as u32 })
+    }
+
+    /// Returns when the router reads the feed next, unless it is a watcher: those read all the time.
+    pub fn read_at(&self) -> Timestamp {
+        if self.is_behind || self.mark.is_none() {
+            return Timestamp::default();
+        }
+        let rely_until = self.held_at + Duration::from_millis(self.limits.rely_ms);
+        rely_until.min(self.read_at + Duration::from_millis(self.limits.own_every_ms))
+    }
+
+    /// Returns when what the router knows was last known to hold.
+    pub fn held_at(&self) -> Timestamp {
+        self.held_at
+    }
+}
--- a/crates/dogwoodway_routing/src/direct/fleet.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet.rs
@@ -30,7 +30,7 @@
 pub use self::{
     membership::{Availability, ServerListing},
     placing::{Placement, Query, Refusal},
-    sharing::{PromptNews, ServerLoad},
+    sharing::{PromptNews, ServerLoad, ServerTag},
     versions::VersionAge,
 };
 use self::{requests::Running, versions::NamedVersion};
@@ -129,7 +129,7 @@
     routers: u32,
     servers: SlotMap<BackendKey, Server>,
     by_name: HashMap<BackendServerName, BackendKey>,
-    by_hash: HashMap<u64, BackendKey>,
+    by_tag: HashMap<ServerTag, BackendKey>,
     by_service: HashMap<ServiceName, Vec<BackendKey>>,
     engines: HashMap<ServiceName, EngineSpec>,
     stores: KvStores,
@@ -152,7 +152,7 @@
             routers: 1,
             servers: SlotMap::with_key(),
             by_name: HashMap::new(),
-            by_hash: HashMap::new(),
+            by_tag: HashMap::new(),
             by_service: HashMap::new(),
             engines: HashMap::new(),
             stores: KvStores::default(),
@@ -208,9 +208,9 @@
         self.by_name.get(name).copied()
     }
 
-    /// Finds a server by the hash of its name.
-    pub fn find_hash(&self, hash: u64) -> Option<BackendKey> {
-        self.by_hash.get(&hash).copied()
+    /// Finds a server by the tag under which routers tell each other of it.
+    pub fn find_tag(&self, tag: ServerTag) -> Option<BackendKey> {
+        self.by_tag.get(&tag).copied()
     }
 
     /// Returns the listing of a server.
--- a/crates/dogwoodway_routing/src/direct/fleet/membership.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/membership.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     direct::{
-        fleet::{BackendKey, Fleet, Server},
+        fleet::{BackendKey, Fleet, Server, ServerTag},
         health::Health,
         load::Load,
         token_lru::TokenLru,
@@ -101,7 +101,7 @@
             missing_until: None,
         });
         self.by_name.insert(name, key);
-        self.by_hash.insert(hash.0, key);
+        self.by_tag.insert(ServerTag::from(hash), key);
         self.by_service.entry(service).or_default().push(key);
         Some((key, true))
     }
@@ -119,7 +119,7 @@
     pub fn forget(&mut self, name: &BackendServerName) -> Option<BackendKey> {
         let key = self.by_name.remove(name)?;
         let server = self.servers.remove(key)?;
-        self.by_hash.remove(&server.hash.0);
+        self.by_tag.remove(&ServerTag::from(server.hash));
         if self.departed.len() >= MAX_DEPARTED {
             self.departed.clear();
         }
--- a/crates/dogwoodway_routing/src/direct/fleet/placing.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/placing.rs
@@ -226,9 +226,9 @@
             server.cached.insert(&running.levels, ready_at);
         }
         let (name, address) = (server.listing.name.clone(), server.listing.address);
-        let (hash, all_running) = (server.hash.0, server.load().running);
+        let (tag, all_running) = (server.hash.into(), server.load().running);
         if !running.levels.is_empty() {
-            self.tell_prompt(hash, &running.levels, predicted_ms, save_to.is_some());
+            self.tell_prompt(tag, &running.levels, predicted_ms, save_to.is_some());
         }
         let ticket = self.running.insert(running);
         self.servers[key].owed.push((ticket, now));
--- a/crates/dogwoodway_routing/src/direct/fleet/sharing.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/sharing.rs
@@ -11,14 +11,15 @@
         load::Load,
         prompt::{PrefixKey, PrefixLevel},
     },
-    rendezvous,
+    rendezvous::{self, ServerKey},
 };
 
 /// News of prompts that wait to be told to other routers at most.
 const MAX_PROMPT_NEWS: usize = 64;
 
-/// Times that each piece of news is told, since datagrams are lost.
-const TOLD_TIMES: u8 = 3;
+/// Times that each piece of news is told: a hundredth of the datagrams is lost, so that one in ten
+/// thousand is missed.
+const TOLD_TIMES: u8 = 2;
 
 /// Time for which another router's report counts, in milliseconds: several times that between
 /// reports.
@@ -27,13 +28,29 @@
 /// Further time for each router, in milliseconds: with more routers each one is told less often.
 const PEER_REPORT_PER_ROUTER_MS: u64 = 6;
 
+/// Unread tokens are told in units of this many, so that most numbers take one byte.
+const UNREAD_UNIT_TOKENS: u64 = 64;
+
+/// Tokens held are told in units of this many.
+const HELD_UNIT_TOKENS: u64 = 512;
+
+/// Identifies a backend server among routers: part of the hash of its name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ServerTag(pub u32);
+
+impl From<ServerKey> for ServerTag {
+    fn from(key: ServerKey) -> ServerTag {
+        ServerTag((key.0 >> 32) as u32)
+    }
+}
+
 /// What a router tells others of a prompt that it has placed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromptNews {
     /// Number among the router's news.
     pub seq: u64,
-    /// Hash of the engine's name.
-    pub server: u64,
+    /// The engine.
+    pub server: ServerTag,
     /// The prefixes that other prompts may share.
     pub shared: Vec<PrefixLevel>,
     /// Tokens of the rest of the prompt.
@@ -44,20 +61,51 @@
     pub is_saved: bool,
 }
 
-/// What one router tells others of its load at one server.
+/// What one router tells others of its load at one server, in few bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerLoad {
-    /// Hash of the server's name.
-    pub server: u64,
-    /// Load of the router's own requests.
-    pub load: Load,
+    /// The server.
+    pub server: ServerTag,
+    running: u32,
+    unread_units: u64,
+    held_units: u64,
+}
+
+impl ServerLoad {
+    /// Rounds the load of a router's own requests.
+    ///
+    /// ```
+    /// use dogwoodway_routing::direct::{fleet::{ServerLoad, ServerTag}, load::Load};
+    ///
+    /// let load = Load { running: 3, unread_tokens: 6_410, held_tokens: 30_000 };
+    /// let told = ServerLoad::new(ServerTag(7), load);
+    /// assert_eq!(told.load(), Load { unread_tokens: 6_400, held_tokens: 30_208, ..load });
+    /// ```
+    pub fn new(server: ServerTag, load: Load) -> ServerLoad {
+        let units = |tokens: u64, unit: u64| (tokens + unit / 2) / unit;
+        ServerLoad {
+            server,
+            running: load.running,
+            unread_units: units(load.unread_tokens, UNREAD_UNIT_TOKENS),
+            held_units: units(load.held_tokens, HELD_UNIT_TOKENS),
+        }
+    }
+
+    /// Returns the load.
+    pub fn load(&self) -> Load {
+        Load {
+            running: self.running,
+            unread_tokens: self.unread_units.saturating_mul(UNREAD_UNIT_TOKENS),
+            held_tokens: self.held_units.saturating_mul(HELD_UNIT_TOKENS),
+        }
+    }
 }
 
 impl Fleet {
     /// Returns the load of this router's requests, for other routers.
     pub fn own_loads(&self) -> Vec<ServerLoad> {
         let busy = self.servers.values().filter(|server| server.own != Load::default());
-        busy.map(|server| ServerLoad { server: server.hash.0, load: server.own }).collect()
+        busy.map(|server| ServerLoad::new(server.hash.into(), server.own)).collect()
     }
 
     /// Takes over the load that another router tells of; servers that it does not name are idle.
@@ -68,10 +116,10 @@
             }
         }
         for told in loads {
-            let key = self.by_hash.get(&told.server).copied();
+            let key = self.find_tag(told.server);
             let Some(server) = key.and_then(|key| self.servers.get_mut(key)) else { continue };
-            server.peers.insert(peer, (told.load, now));
-            server.peer_sum = server.peer_sum + told.load;
+            server.peers.insert(peer, (told.load(), now));
+            server.peer_sum = server.peer_sum + told.load();
         }
     }
 
@@ -88,7 +136,7 @@
 
     pub(super) fn tell_prompt(
         &mut self,
-        server: u64,
+        server: ServerTag,
         levels: &[PrefixLevel],
         predicted_ms: f64,
         is_saved: bool,
@@ -135,7 +183,7 @@
     }
 
     fn see_prompt(&mut self, now: Timestamp, peer: u64, news: &PromptNews) {
-        let Some(key) = self.find_hash(news.server) else { return };
+        let Some(key) = self.find_tag(news.server) else { return };
         let Some(server) = self.servers.get_mut(key) else { return };
         let ready_at = now + Duration::from_millis(u64::from(news.ready_in_ms));
         let own = PrefixLevel {
--- a/crates/dogwoodway_routing/src/direct/leadership.rs
+++ b/crates/dogwoodway_routing/src/direct/leadership.rs
@@ -143,6 +143,11 @@
         self.end = None;
     }
 
+    /// Tells whether it is known where the log ends.
+    pub fn knows_end(&self) -> bool {
+        self.end.is_some()
+    }
+
     /// Tells what to append now.
     pub fn wish(&self, now: Timestamp) -> Wish {
         let Some(at) = self.end else { return Wish::Nothing };
--- a/crates/dogwoodway_routing/src/direct/load.rs
+++ b/crates/dogwoodway_routing/src/direct/load.rs
@@ -1,8 +1,10 @@
 //! Work that routers have given to one backend server.
 
-use std::ops::{Add, Sub};
+use std::{
+    net::SocketAddr,
+    ops::{Add, Sub},
+};
 
-use dogwoodway_types::RouterName;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -42,15 +44,13 @@
     }
 }
 
-/// Returns the number by which a router's load is told apart from that of others.
+/// Returns the number by which the load of the router at an address is told apart from others'.
 ///
 /// ```
 /// use dogwoodway_routing::direct::load::router_id;
-/// use dogwoodway_types::RouterName;
 ///
-/// let name = |text| RouterName::try_from(text).unwrap();
-/// assert_ne!(router_id(&name("router-1")), router_id(&name("router-2")));
+/// assert_ne!(router_id("10.0.0.1:7340".parse().unwrap()), router_id("10.0.0.2:7340".parse().unwrap()));
 /// ```
-pub fn router_id(router: &RouterName) -> u64 {
-    xxh3_64(router.as_str().as_bytes())
+pub fn router_id(address: SocketAddr) -> u64 {
+    xxh3_64(address.to_string().as_bytes())
 }
--- /dev/null
+++ b/crates/dogwoodway_routing/src/direct/peers.rs
@@ -0,0 +1,163 @@
+//! Which routers there are, and which of them are told of this one's load.
+//!
+//! The load pattern that this answers: each router tells all others of its requests many times a
+//! second, and bytes between zones are dear. Routers of the own zone are told directly. Of each
+//! other zone one router is told, another one each time, and passes the datagram on in its zone: so
+//! the bytes between zones grow with the number of zones instead of the number of routers.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use dogwoodway_types::{AvailabilityZone, Timestamp};
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{direct::load::router_id, rendezvous};
+
+/// Time without a word after which a router is told less often and passes nothing on, in
+/// milliseconds: several times the longest pause between two datagrams.
+const QUIET_MS: u64 = 2_000;
+
+/// Pause between datagrams to such a router, in milliseconds: it may be back after a partition.
+const QUIET_PAUSE_MS: u64 = 1_000;
+
+/// Time without a word after which a router no longer counts, in milliseconds.
+const GONE_MS: u64 = 60_000;
+
+/// Routers that read the store all the time: two, so that one may be cut off.
+const WATCHERS: usize = 2;
+
+/// Stands for a zone in datagrams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ZoneTag(pub u16);
+
+impl From<&AvailabilityZone> for ZoneTag {
+    fn from(zone: &AvailabilityZone) -> ZoneTag {
+        ZoneTag((xxh3_64(zone.as_str().as_bytes()) >> 48) as u16)
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Peer {
+    /// Its zone; absent until it is heard of by itself.
+    zone: Option<ZoneTag>,
+    heard_at: Timestamp,
+    told_at: Timestamp,
+}
+
+impl Peer {
+    fn is_quiet(&self, now: Timestamp) -> bool {
+        now - self.heard_at > Duration::from_millis(QUIET_MS)
+    }
+}
+
+/// A router that is sent a datagram.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Addressee {
+    /// Where it takes datagrams.
+    pub address: SocketAddr,
+    /// Whether it is to pass the datagram on in its zone.
+    pub passes_on: bool,
+}
+
+/// The other routers.
+///
+/// ```
+/// use dogwoodway_routing::direct::peers::{Peers, ZoneTag};
+/// use dogwoodway_types::Timestamp;
+///
+/// let mut peers = Peers::new(ZoneTag(1));
+/// let now = Timestamp::from_millis(1);
+/// for n in 1..=3 {
+///     peers.hear(now, format!("10.0.2.{n}:7340").parse().unwrap(), ZoneTag(2));
+/// }
+/// let told = peers.to_tell(now, 7);
+/// assert_eq!(told.len(), 1);
+/// assert!(told[0].passes_on);
+/// assert_eq!(peers.routers(), 4);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Peers {
+    zone: ZoneTag,
+    known: BTreeMap<SocketAddr, Peer>,
+}
+
+impl Peers {
+    /// Builds the knowledge of a router in `zone` that has heard of nobody.
+    pub fn new(zone: ZoneTag) -> Peers {
+        Peers { zone, known: BTreeMap::new() }
+    }
+
+    /// Notes that a router was announced; returns whether it was unknown.
+    pub fn find(&mut self, now: Timestamp, address: SocketAddr) -> bool {
+        let is_new = !self.known.contains_key(&address);
+        let peer = Peer { zone: None, heard_at: now, told_at: Timestamp::default() };
+        self.known.entry(address).or_insert(peer);
+        is_new
+    }
+
+    /// Notes a word of a router; returns whether it was unknown.
+    pub fn hear(&mut self, now: Timestamp, address: SocketAddr, zone: ZoneTag) -> bool {
+        let is_new = self.find(now, address);
+        if let Some(peer) = self.known.get_mut(&address) {
+            (peer.heard_at, peer.zone) = (now, Some(zone));
+        }
+        is_new
+    }
+
+    /// Forgets routers that have been silent for long; returns whether there were any.
+    pub fn forget_gone(&mut self, now: Timestamp) -> bool {
+        let count = self.known.len();
+        self.known.retain(|_, peer| now - peer.heard_at < Duration::from_millis(GONE_MS));
+        self.known.len() != count
+    }
+
+    /// Returns how many routers there are, this one included.
+    pub fn routers(&self) -> u32 {
+        self.known.len() as u32 + 1
+    }
+
+    /// Tells whether the router at `own` is one of those that read the store for all; routers that
+    /// have fallen silent are passed over.
+    pub fn is_watcher(&self, now: Timestamp, own: SocketAddr) -> bool {
+        let rank = |address| rendezvous::mix(router_id(address));
+        let first = |(address, peer): &(&SocketAddr, &Peer)| {
+            !peer.is_quiet(now) && rank(**address) < rank(own)
+        };
+        self.known.iter().filter(first).count() < WATCHERS
+    }
+
+    /// Names the routers to send the next datagram to; `draw` is a random number that spreads what
+    /// is passed on.
+    pub fn to_tell(&mut self, now: Timestamp, draw: u64) -> Vec<Addressee> {
+        let mut told = Vec::new();
+        let mut by_zone: BTreeMap<ZoneTag, Vec<SocketAddr>> = BTreeMap::new();
+        for (&address, peer) in &mut self.known {
+            match peer.zone {
+                Some(zone) if zone != self.zone && !peer.is_quiet(now) => {
+                    by_zone.entry(zone).or_default().push(address);
+                    continue;
+                }
+                _ if peer.is_quiet(now)
+                    && now - peer.told_at < Duration::from_millis(QUIET_PAUSE_MS) =>
+                {
+                    continue;
+                }
+                _ => {}
+            }
+            peer.told_at = now;
+            told.push(Addressee { address, passes_on: false });
+        }
+        for (zone, addresses) in by_zone {
+            let pick = rendezvous::mix(draw ^ u64::from(zone.0)) as usize % addresses.len();
+            told.push(Addressee { address: addresses[pick], passes_on: addresses.len() > 1 });
+        }
+        told
+    }
+
+    /// Names the routers of the own zone that a datagram of `origin` is passed on to.
+    pub fn to_pass_on(&self, now: Timestamp, origin: SocketAddr) -> Vec<SocketAddr> {
+        let is_near = |peer: &Peer| peer.zone == Some(self.zone) && !peer.is_quiet(now);
+        let near = self.known.iter().filter(|(address, peer)| **address != origin && is_near(peer));
+        near.map(|(address, _)| *address).collect()
+    }
+}
--- a/crates/dogwoodway_routing/src/quarantine.rs
+++ b/crates/dogwoodway_routing/src/quarantine.rs
@@ -40,6 +40,9 @@
 struct Record {
     /// Engines that crashed while they ran the request.
     engines: Vec<EngineIncarnation>,
+    /// Engines that crashed before a server answered the request. Routers tell of a crash more than
+    /// once, and later than it happened.
+    excused: Vec<EngineIncarnation>,
     until: Timestamp,
     forget_at: Timestamp,
 }
@@ -85,7 +88,7 @@
         if record.forget_at <= at {
             *record = Record::default();
         }
-        if record.engines.contains(&engine) {
+        if record.engines.contains(&engine) || record.excused.contains(&engine) {
             return;
         }
         record.engines.push(engine);
@@ -97,8 +100,9 @@
         }
     }
 
-    /// Forgets what is known against a request, since a backend server has answered it: its crashes
-    /// had another cause.
+    /// Notes that a backend server has answered a request: the crashes so far had another cause, and
+    /// count no longer, also when they are told of again.
+    /// Returns whether anything was held against it.
     ///
     /// ```
     /// use dogwoodway_routing::quarantine::{Quarantine, Standing};
@@ -108,18 +112,24 @@
     /// let request = RequestFingerprint::new(&team, &[b"compare"]);
     /// let mut quarantine = Quarantine::new(100);
     /// quarantine.note_crash(Timestamp(0), request, EngineIncarnation(1));
-    /// quarantine.note_answered(&request);
+    /// assert!(quarantine.note_answered(&request));
     /// assert_eq!(quarantine.standing(Timestamp(0), &request), Standing::Clear);
     /// ```
-    pub fn note_answered(&mut self, request: &RequestFingerprint) {
-        self.records.remove(request);
+    pub fn note_answered(&mut self, request: &RequestFingerprint) -> bool {
+        let Some(record) = self.records.get_mut(request) else { return false };
+        let was_blamed = !record.engines.is_empty();
+        record.excused.append(&mut record.engines);
+        record.until = Timestamp::default();
+        was_blamed
     }
 
     /// Tells what is known against a request.
     pub fn standing(&self, now: Timestamp, request: &RequestFingerprint) -> Standing {
         match self.records.get(request) {
             Some(record) if record.until > now => Standing::Quarantined { until: record.until },
-            Some(record) if record.forget_at > now => Standing::Suspect,
+            Some(record) if record.forget_at > now && !record.engines.is_empty() => {
+                Standing::Suspect
+            }
             Some(_) | None => Standing::Clear,
         }
     }
--- /dev/null
+++ b/crates/dogwoodway_routing/tests/direct_feed.rs
@@ -0,0 +1,53 @@
+//! Reading the store in turn.
+
+use std::time::Duration;
+
+use dogwoodway_routing::direct::feed::{Feed, FeedLimits, MarkOrder, Sighting};
+use dogwoodway_types::Timestamp;
+
+const LIMITS: FeedLimits = FeedLimits { rely_ms: 1_400, own_every_ms: 10_000 };
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(1_000_000 + ms)
+}
+
+#[test]
+fn a_feed_that_was_not_read_is_read_at_once() {
+    let mut feed = Feed::new(MarkOrder::Ascending, LIMITS);
+    assert!(!feed.hear(at(0), &Sighting { mark: 3, age_ms: 0 }));
+    assert!(feed.read_at() <= at(0));
+    assert_eq!(feed.sighting(at(0)), None);
+}
+
+#[test]
+fn silent_watchers_are_relied_on_no_longer_than_the_limit() {
+    let mut feed = Feed::new(MarkOrder::Ascending, LIMITS);
+    feed.read(at(0), 5);
+    for ms in (0..20_000).step_by(100) {
+        feed.hear(at(ms), &Sighting { mark: 5, age_ms: 900 });
+        assert!(feed.read_at() <= at(ms) + Duration::from_millis(LIMITS.rely_ms - 900));
+    }
+    assert_eq!(feed.read_at(), at(LIMITS.own_every_ms), "its own reading is due in any case");
+}
+
+#[test]
+fn a_late_word_of_an_older_list_is_no_news() {
+    let mut feed = Feed::new(MarkOrder::Unordered, LIMITS);
+    feed.read(at(1_000), 77);
+    assert!(!feed.hear(at(1_200), &Sighting { mark: 66, age_ms: 500 }));
+    assert_eq!(feed.read_at(), at(2_400));
+    assert!(feed.hear(at(1_600), &Sighting { mark: 66, age_ms: 500 }));
+    assert!(!feed.hear(at(1_601), &Sighting { mark: 66, age_ms: 501 }), "once is enough");
+    feed.read(at(1_650), 66);
+    assert_eq!(feed.read_at(), at(3_050));
+}
+
+#[test]
+fn only_own_readings_are_told_and_not_for_long() {
+    let mut feed = Feed::new(MarkOrder::Ascending, LIMITS);
+    feed.read(at(0), 5);
+    feed.hear(at(1_900), &Sighting { mark: 5, age_ms: 0 });
+    assert_eq!(feed.sighting(at(1_900)), Some(Sighting { mark: 5, age_ms: 1_900 }));
+    assert_eq!(feed.sighting(at(2_000)), None);
+    assert_eq!(feed.held_at(), at(1_900));
+}
--- a/src/entry/quarantine.rs
+++ b/src/entry/quarantine.rs
@@ -71,7 +71,9 @@
                 // A clock that runs ahead must not prolong a quarantine.
                 self.table.note_crash(crash.at.min(now), crash.request, crash.engine);
             }
-            QuarantineRecord::Answered(request) => self.table.note_answered(&request),
+            QuarantineRecord::Answered(request) => {
+                self.table.note_answered(&request);
+            }
         }
         let quarantined = self.table.quarantined(now) as f64;
         metrics::gauge!(metrics_page::QUARANTINED).set(quarantined);
