Replay loads against a model of engines; wait by pressure; predict servers as slow as they are

What it showed, and what was changed: - Patient prompts were refused for a wait of 0.2 of the expected time also in short peaks. Now the limit goes by the mean wait of the last 1.5 s, from 0.5 down to 0.15. Slow links are learned now. - come_back (Retry-After) moved out of the I/O into direct::admission. Also: limits of the configuration for heads and idle connections are in force; idle connections to a server keep within a router's share of what it accepts; the unused health path is gone.

--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -47,9 +47,13 @@
     weights::{AskWeights, EngineTarget, SeeWeights, WeightsState},
 };
 
-/// Idle connections to one server that are kept.
+/// Idle connections to one server that are kept at most.
 const MAX_IDLE: usize = 64;
 
+/// Part of a router's share of a server's connections that may be idle, as a divisor; the rest is for
+/// requests in flight.
+const IDLE_PART: u32 = 2;
+
 /// Requests in quarantine at most.
 const MAX_QUARANTINED: usize = 1_000;
 
@@ -146,6 +150,8 @@
     control: Arc<dyn EngineControl>,
     news: Vec<(WeightsNews, Timestamp)>,
     versions_due_at: Timestamp,
+    /// Connections that a server of each service accepts from all routers together.
+    connections: HashMap<ServiceName, u32>,
     loads_changed: Arc<Notify>,
 }
 
@@ -175,6 +181,7 @@
             control: parts.control,
             news: Vec::new(),
             versions_due_at: Timestamp::default(),
+            connections: HashMap::new(),
             loads_changed: parts.loads_changed,
         }
     }
@@ -204,12 +211,22 @@
     }
 
     fn keep_idle(&mut self, now: Timestamp, key: BackendKey, connection: Connection) {
+        let max_idle = self.max_idle(key);
         let Some(idle) = self.idle.get_mut(key) else { return };
-        if idle.len() < MAX_IDLE && connection.is_worth_keeping(now) {
+        if idle.len() < max_idle && connection.is_worth_keeping(now) {
             idle.push(connection);
         }
     }
 
+    /// Returns how many idle connections to a server are kept.
+    fn max_idle(&self, key: BackendKey) -> usize {
+        let service = self.fleet.listing(key).map(|listing| &listing.service);
+        match service.and_then(|service| self.connections.get(service)) {
+            Some(all) => (all / self.routers / IDLE_PART).clamp(1, MAX_IDLE as u32) as usize,
+            None => MAX_IDLE,
+        }
+    }
+
     fn lost_signal(&mut self, key: BackendKey) -> watch::Receiver<bool> {
         match self.lost.get(key) {
             Some(tx) => tx.subscribe(),
@@ -274,7 +291,13 @@
 
     fn apply(&mut self, now: Timestamp, change: DirectoryChange) {
         match change {
-            DirectoryChange::Table(table) => self.fleet.set_table(&table),
+            DirectoryChange::Table(table) => {
+                self.fleet.set_table(&table);
+                let services = table.services();
+                let limits =
+                    services.map(|service| (service.name.clone(), service.max_connections));
+                self.connections = limits.collect();
+            }
             DirectoryChange::Version { model, version, is_news } => {
                 let age = if is_news { Duration::ZERO } else { Fleet::assumed_age() };
                 self.fleet.name_version(now, model, version, age);
--- a/crates/dogwoodway_gateway/src/ingress.rs
+++ b/crates/dogwoodway_gateway/src/ingress.rs
@@ -18,14 +18,21 @@
 const HEAD_BYTES: usize = 32 << 10;
 
 /// Connections of callers at once; the rest of the process needs some descriptors too.
-const CALLER_CONNECTIONS: usize = 2_000;
+pub(crate) const CALLER_CONNECTIONS: usize = 2_000;
 
-/// Returns the limits for callers' connections.
-pub(crate) fn caller_limits() -> ServerLimits {
+/// Least bytes of a request's head that a connection can be limited to.
+const LEAST_HEAD_BYTES: usize = 8 << 10;
+
+/// Returns the limits for callers' connections that begin now. A connection waits for the next
+/// request as long as it may be idle; heads arrive in one piece as a rule, so that this bounds them
+/// as well.
+pub(crate) fn caller_limits(tables: &TableWatch) -> ServerLimits {
+    let bounds = tables.current().and_then(|table| table.bounds());
+    let head_bytes = bounds.map_or(HEAD_BYTES, |bounds| bounds.head_bytes as usize);
     ServerLimits {
         connections: CALLER_CONNECTIONS,
-        header_read_ms: IDLE_MS,
-        header_bytes: HEAD_BYTES,
+        header_read_ms: bounds.map_or(IDLE_MS, |bounds| u64::from(bounds.idle_within_ms)),
+        header_bytes: head_bytes.max(LEAST_HEAD_BYTES),
         silent_for_ms: Some(CALLER_SILENT_FOR_MS),
     }
 }
--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use dogwoodway_http::{Body, full_body};
 use dogwoodway_routing::direct::{
+    admission,
     fleet::{Query, Refusal},
     health::Sign,
     retry::{AttemptEnd, Attempts, Step, next_step},
@@ -40,13 +41,6 @@
 /// answer that breaks off can be replaced.
 const WHOLE_ANSWER_BYTES: usize = 256 << 10;
 
-/// Soonest time at which a refused caller is asked to come back, in milliseconds.
-const SOONEST_COME_BACK_MS: u64 = 60;
-
-/// Part of the time left after which a refused caller comes back at the latest: later, its answer
-/// would not be in time.
-const COME_BACK_PART: u32 = 4;
-
 /// Serves callers' requests.
 pub(crate) struct Relay {
     pub(crate) protocol: Arc<dyn RequestProtocol>,
@@ -392,11 +386,7 @@
             return self.fail(job, StatusCode::BAD_GATEWAY, refusal.reason.as_str());
         }
         let now = clock::now();
-        let latest = (job.deadline - now) / COME_BACK_PART;
-        let soonest = Duration::from_millis(SOONEST_COME_BACK_MS);
-        // Callers that were refused together come back at different times.
-        let spread = soonest.mul_f64(rand::random::<f64>());
-        let come_back = (refusal.retry_at - now).min(latest).max(soonest) + spread;
+        let come_back = admission::come_back(now, refusal.retry_at, job.deadline, rand::random());
         log::info!(
             request = job.facts.id, why = refusal.reason.as_str(), wait_ms = refusal.wait_ms,
             come_back_ms = come_back.as_millis() as u64, attempts = job.attempts.offered,
--- a/crates/dogwoodway_gateway/src/router.rs
+++ b/crates/dogwoodway_gateway/src/router.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use dogwoodway_http::{ServerLimits, serve};
+use dogwoodway_http::{ServerLimits, serve, serve_within};
 use dogwoodway_routing::direct::peers::ZoneTag;
 use dogwoodway_types::{AvailabilityZone, RouterName};
 use futures::future::BoxFuture;
@@ -182,13 +182,15 @@
 /// Serves callers until the process is asked to stop, then until their requests have ended.
 async fn serve_callers(listener: TcpListener, relay: Arc<Relay>, shutdown: ShutdownNotice) {
     let handler = ingress::caller_handler(relay.clone());
+    let tables = relay.tables.clone();
+    let limits = move || ingress::caller_limits(&tables);
     let notice = async move {
         shutdown.draining.await;
         relay.is_leaving.store(true, Ordering::Relaxed);
         clock::sleep_until(clock::now() + Duration::from_millis(LEAVING_NOTICE_MS)).await;
     };
     tokio::select! {
-        () = serve(listener, ingress::caller_limits(), handler, notice) => {}
+        () = serve_within(listener, ingress::CALLER_CONNECTIONS, limits, handler, notice) => {}
         () = shutdown.ending => log::warn!("ended with requests in flight"),
     }
 }
--- a/crates/dogwoodway_http/src/server.rs
+++ b/crates/dogwoodway_http/src/server.rs
@@ -50,9 +50,24 @@
 pub async fn serve<F>(listener: TcpListener, limits: ServerLimits, handler: Handler, shutdown: F)
 where
     F: Future<Output = ()> + Send,
+{
+    serve_within(listener, limits.connections, move || limits, handler, shutdown).await;
+}
+
+/// The same with limits that may change: each connection gets those in force when it begins. Only
+/// the number of connections is fixed.
+pub async fn serve_within<F, L>(
+    listener: TcpListener,
+    connections: usize,
+    limits: L,
+    handler: Handler,
+    shutdown: F,
+) where
+    F: Future<Output = ()> + Send,
+    L: Fn() -> ServerLimits + Send,
 {
     let graceful = GracefulShutdown::new();
-    let slots = Arc::new(Semaphore::new(limits.connections));
+    let slots = Arc::new(Semaphore::new(connections));
     let mut shutdown = std::pin::pin!(shutdown);
     loop {
         let accept = async {
@@ -72,6 +87,7 @@
                 continue;
             }
         };
+        let limits = limits();
         if let Err(e) = set_options(&stream, &limits) {
             log::debug!("options of a connection could not be set: {e}");
         }
--- a/crates/dogwoodway_routing/src/direct/admission.rs
+++ b/crates/dogwoodway_routing/src/direct/admission.rs
@@ -9,6 +9,8 @@
 
 use std::time::Duration;
 
+use dogwoodway_types::Timestamp;
+
 /// Urgency of requests that go before all others of a service.
 const MOST_URGENT: u8 = 0;
 
@@ -16,30 +18,121 @@
 /// prediction's error take the rest.
 const URGENT_WAIT_PART: f64 = 0.8;
 
-/// Part of the expected time for which any other prompt may wait. Patient prompts are expected
-/// within about twice the time of urgent ones, so this makes them give way first.
-const PATIENT_WAIT_PART: f64 = 0.2;
+/// Part of the expected time for which any other prompt may wait while the line is short on the
+/// whole: a peak of some hundred milliseconds is over before it does harm.
+const CALM_WAIT_PART: f64 = 0.5;
+
+/// The same while the line stays long: patient prompts give way to urgent ones then.
+const PRESSED_WAIT_PART: f64 = 0.15;
+
+/// Mean wait up to which the line counts as short, in milliseconds.
+const CALM_WAIT_MS: f64 = 20.0;
+
+/// Mean wait from which on it counts as long, in milliseconds.
+const PRESSED_WAIT_MS: f64 = 100.0;
+
+/// Time over which waits are averaged, in milliseconds: longer than a clump of arrivals, shorter
+/// than a peak.
+const MEAN_OVER_MS: f64 = 1_500.0;
 
 /// Soonest time to come back, in milliseconds: the line does not get shorter within less.
 const SOONEST_MS: f64 = 300.0;
 
+/// Soonest time at which a refused caller is asked to come back, in milliseconds: what comes back
+/// earlier finds the same line.
+const SOONEST_COME_BACK_MS: u64 = 60;
+
+/// Part of the time left after which a refused caller comes back at the latest, as a divisor: later,
+/// its answer would not be in time.
+const COME_BACK_PART: u32 = 4;
+
+/// How long prompts wait at the best engine of a service, on the mean of the last seconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Pressure {
+    mean_wait_ms: f64,
+    noted_at: Timestamp,
+}
+
+impl Pressure {
+    /// Takes in the wait that was predicted for one prompt.
+    ///
+    /// ```
+    /// use dogwoodway_routing::direct::admission::Pressure;
+    /// use dogwoodway_types::Timestamp;
+    ///
+    /// let mut pressure = Pressure::default();
+    /// for n in 1..1_000 {
+    ///     pressure.note(Timestamp::from_millis(10 * n), 80.0);
+    /// }
+    /// assert!((pressure.mean_wait_ms() - 80.0).abs() < 1.0);
+    /// ```
+    pub fn note(&mut self, now: Timestamp, wait_ms: f64) {
+        let passed_ms = (now - self.noted_at).as_secs_f64() * 1e3;
+        let newest = 1.0 - (-passed_ms / MEAN_OVER_MS).exp();
+        self.mean_wait_ms += (wait_ms - self.mean_wait_ms) * newest;
+        self.noted_at = now;
+    }
+
+    /// Returns the mean wait in milliseconds.
+    pub fn mean_wait_ms(&self) -> f64 {
+        self.mean_wait_ms
+    }
+
+    /// Returns the part of the expected time for which a patient prompt may wait.
+    fn patient_part(&self) -> f64 {
+        let long = (self.mean_wait_ms - CALM_WAIT_MS) / (PRESSED_WAIT_MS - CALM_WAIT_MS);
+        CALM_WAIT_PART + (PRESSED_WAIT_PART - CALM_WAIT_PART) * long.clamp(0.0, 1.0)
+    }
+}
+
 /// Decides whether a prompt is refused because of the line in front of it, and returns the time
 /// after which it may come back.
 ///
 /// ```
 /// use std::time::Duration;
-/// use dogwoodway_routing::direct::admission::refuse_for_wait;
+/// use dogwoodway_routing::direct::admission::{Pressure, refuse_for_wait};
+/// use dogwoodway_types::Timestamp;
 ///
 /// let expected = Duration::from_millis(400);
-/// assert_eq!(refuse_for_wait(100.0, expected, 0), None);
-/// assert_eq!(refuse_for_wait(500.0, expected, 0), Some(Duration::from_millis(500)));
-/// assert!(refuse_for_wait(100.0, expected, 1).is_some());
+/// let mut pressure = Pressure::default();
+/// assert_eq!(refuse_for_wait(100.0, expected, 0, &pressure), None);
+/// assert_eq!(refuse_for_wait(500.0, expected, 0, &pressure), Some(Duration::from_millis(500)));
+/// assert_eq!(refuse_for_wait(100.0, expected, 1, &pressure), None);
+/// pressure.note(Timestamp::from_millis(9_000), 300.0);
+/// assert!(refuse_for_wait(100.0, expected, 1, &pressure).is_some());
 /// ```
-pub fn refuse_for_wait(wait_ms: f64, expected: Duration, urgency: u8) -> Option<Duration> {
+pub fn refuse_for_wait(
+    wait_ms: f64,
+    expected: Duration,
+    urgency: u8,
+    pressure: &Pressure,
+) -> Option<Duration> {
     let part = match urgency {
         MOST_URGENT => URGENT_WAIT_PART,
-        _ => PATIENT_WAIT_PART,
+        _ => pressure.patient_part(),
     };
     let is_too_long = wait_ms > expected.as_secs_f64() * 1e3 * part;
     is_too_long.then(|| Duration::from_micros((wait_ms.max(SOONEST_MS) * 1e3) as u64))
 }
+
+/// Returns when a refused caller is asked to come back, from `now`; `retry_at` is when a retry makes
+/// sense, and `draw` a random number. Callers that were refused together come back at different
+/// times.
+///
+/// ```
+/// use std::time::Duration;
+/// use dogwoodway_routing::direct::admission::come_back;
+/// use dogwoodway_types::Timestamp;
+///
+/// let at = Timestamp::from_millis;
+/// let wait = come_back(at(0), at(500), at(3_000), 7);
+/// assert!(wait >= Duration::from_millis(500) && wait <= Duration::from_millis(560));
+/// let short = come_back(at(0), at(9_000), at(400), 7);
+/// assert!(short <= Duration::from_millis(160), "later, its answer would not be in time");
+/// ```
+pub fn come_back(now: Timestamp, retry_at: Timestamp, deadline: Timestamp, draw: u64) -> Duration {
+    let soonest = Duration::from_millis(SOONEST_COME_BACK_MS);
+    let latest = (deadline - now) / COME_BACK_PART;
+    let spread = soonest.mul_f64(draw as f64 / u64::MAX as f64);
+    (retry_at - now).min(latest).max(soonest) + spread
+}
--- a/crates/dogwoodway_routing/src/direct/cost.rs
+++ b/crates/dogwoodway_routing/src/direct/cost.rs
@@ -99,12 +99,8 @@
         None => CALL_MS * (1.0 + beyond / places),
         Some(reading) => {
             let ahead = candidate.load.unread_tokens as f64 + f64::from(reading.computed_tokens);
-            let fetch = match reading.fetched_tokens {
-                0 => 0.0,
-                tokens => FETCH_SETUP_MS + f64::from(tokens) * reading.fetch_ms_per_token,
-            };
             ahead * reading.read_ms_per_token
-                + fetch
+                + fetch_ms(reading)
                 + running * NEIGHBOUR_MS
                 + beyond * FULL_BATCH_MS
         }
@@ -112,6 +108,14 @@
     ms * candidate.slowdown
 }
 
+/// Predicts the milliseconds to fetch what a prompt needs.
+pub fn fetch_ms(reading: &Reading) -> f64 {
+    match reading.fetched_tokens {
+        0 => 0.0,
+        tokens => FETCH_SETUP_MS + f64::from(tokens) * reading.fetch_ms_per_token,
+    }
+}
+
 /// Returns the cost of a candidate in milliseconds.
 ///
 /// ```
--- a/crates/dogwoodway_routing/src/direct/fleet.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet.rs
@@ -18,8 +18,10 @@
 
 use crate::{
     direct::{
+        admission::Pressure,
         health::Health,
         kv_stores::{KvChange, KvStores},
+        link_pace::LinkPace,
         load::Load,
         table::{EngineSpec, ServiceKind, ServingTable},
         token_lru::TokenLru,
@@ -58,6 +60,7 @@
     peers: HashMap<u64, (Load, Timestamp)>,
     peer_sum: Load,
     health: Health,
+    link: LinkPace,
     cached: TokenLru,
     loading_until: Timestamp,
     /// When the request that waits longest for its first byte was sent.
@@ -138,6 +141,7 @@
     /// Start and revision of servers that have left, so that a late entry does not bring them back.
     departed: HashMap<BackendServerName, (u64, u64)>,
     running: SlotMap<Ticket, Running>,
+    pressure: HashMap<ServiceName, Pressure>,
     read_ms_per_token: f64,
     prompt_news: VecDeque<(PromptNews, u8)>,
     next_seq: u64,
@@ -159,6 +163,7 @@
             named: HashMap::new(),
             departed: HashMap::new(),
             running: SlotMap::with_key(),
+            pressure: HashMap::new(),
             read_ms_per_token: ASSUMED_READ_MS_PER_TOKEN,
             prompt_news: VecDeque::new(),
             next_seq: 0,
--- a/crates/dogwoodway_routing/src/direct/fleet/membership.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/membership.rs
@@ -11,6 +11,7 @@
     direct::{
         fleet::{BackendKey, Fleet, Server, ServerTag},
         health::Health,
+        link_pace::LinkPace,
         load::Load,
         token_lru::TokenLru,
     },
@@ -95,6 +96,7 @@
             peers: HashMap::new(),
             peer_sum: Load::default(),
             health: Health::new(now),
+            link: LinkPace::default(),
             cached: TokenLru::default(),
             loading_until: Timestamp::default(),
             owed: Vec::new(),
--- a/crates/dogwoodway_routing/src/direct/fleet/placing.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/placing.rs
@@ -30,6 +30,14 @@
 /// routers prefer for it.
 const READ_AT_HOME_CHANCE: f64 = 0.5;
 
+/// Prompt tokens ahead of a request up to which its time tells how fast the server is: the first
+/// pieces of one prompt.
+const NEARLY_ALONE_TOKENS: u64 = 4_096;
+
+/// Factor by which fetching must take longer than reading for a prompt to be read instead. A fetch
+/// delays one request, and reading delays all on the engine.
+const READ_INSTEAD_FACTOR: f64 = 4.0;
+
 /// Difference between the failure shares of equal servers, by chance.
 const FAILURE_NOISE: f64 = 0.08;
 
@@ -132,7 +140,7 @@
                         (self.home(keys, levels, query), self.sources(now, keys, levels))
                     });
                     let (mut reading, fetch) =
-                        self.reading(key, server, spec, prompt, &scopes.known[scope]);
+                        self.reading(now, key, spec, prompt, &scopes.known[scope]);
                     reading.surcharge_ms += surcharge;
                     (Some(reading), Some(scope), fetch)
                 }
@@ -165,7 +173,7 @@
     /// Refuses a request that the best server cannot run in time; returns the milliseconds to the
     /// first output, as predicted.
     fn check_time(
-        &self,
+        &mut self,
         now: Timestamp,
         query: &Query,
         candidate: &Candidate,
@@ -173,7 +181,10 @@
         // A prompt that a server has refused has waited already.
         if query.prompt.is_some() && query.tried.is_empty() {
             let (wait_ms, expected) = (cost::wait_ms(candidate), query.expected_by - now);
-            if let Some(after) = admission::refuse_for_wait(wait_ms, expected, query.urgency) {
+            let pressure = self.pressure.entry(query.service.clone()).or_default();
+            pressure.note(now, wait_ms);
+            let refused = admission::refuse_for_wait(wait_ms, expected, query.urgency, pressure);
+            if let Some(after) = refused {
                 let reason = NotRunReason::Overloaded;
                 let wait_ms = wait_ms as u32;
                 return Err(Refusal { reason, retry_at: now + after, wait_ms });
@@ -209,7 +220,8 @@
         let saved_at = ready_at + Duration::from_millis(SAVED_AFTER_MS);
         let save_to = self.stores.save(now, &levels, saved_at);
         let server = &mut self.servers[key];
-        let alone = candidate.load.unread_tokens == 0 && fetch_from.is_none();
+        let ahead_tokens = candidate.load.unread_tokens;
+        let alone = reading.filter(|_| ahead_tokens <= NEARLY_ALONE_TOKENS);
         let running = Running {
             server: key,
             started_at_ms: server.listing.started_at_ms,
@@ -217,7 +229,8 @@
             levels,
             sent_at: now,
             predicted: Duration::from_micros((predicted_ms * 1e3) as u64),
-            alone_tokens: reading.filter(|_| alone).map(|reading| reading.computed_tokens),
+            predicted_at_par: Duration::from_secs_f64(predicted_ms / candidate.slowdown / 1e3),
+            alone: alone.map(|reading| (reading, ahead_tokens)),
             has_output: false,
         };
         server.own = server.own + load;
@@ -297,18 +310,24 @@
 
     fn reading(
         &self,
+        now: Timestamp,
         key: BackendKey,
-        server: &Server,
         spec: &EngineSpec,
         prompt: &Prompt,
         scope: &Scope,
     ) -> (Reading, Fetch) {
+        let server = &self.servers[key];
+        let fetch_ms_per_token = fetch_ms_per_token(spec) * server.link.factor(now);
         let tokens = |levels: &[PrefixLevel]| levels.iter().map(|level| level.tokens).sum::<u32>();
         let levels = &scope.levels;
         let total = tokens(levels).max(prompt.input_tokens);
         let shared = &levels[..levels.len().saturating_sub(1)];
         let held = server.cached.matched(levels);
-        let (fetched_to, fetch) = self.best_source(key, server, shared.len(), held, scope);
+        let is_slow = fetch_ms_per_token > self.read_ms_per_token * READ_INSTEAD_FACTOR;
+        let (fetched_to, fetch) = match is_slow {
+            true => (held, Fetch::Nothing),
+            false => self.best_source(key, server, shared.len(), held, scope),
+        };
         let repeated = &shared[fetched_to.min(shared.len())..];
         let known = scope.sources.known.max(fetched_to) - fetched_to;
         let unknown_chance = match scope.home {
@@ -325,7 +344,7 @@
             repeated_tokens,
             needed_tokens: total - held_tokens + prompt.output_tokens,
             kv_tokens: spec.kv_tokens,
-            fetch_ms_per_token: fetch_ms_per_token(spec),
+            fetch_ms_per_token,
             read_ms_per_token: self.read_ms_per_token,
             surcharge_ms: 0.0,
         };
--- a/crates/dogwoodway_routing/src/direct/fleet/requests.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/requests.rs
@@ -5,15 +5,23 @@
 use dogwoodway_types::Timestamp;
 
 use crate::direct::{
+    cost::{self, Reading},
     fleet::{BackendKey, Fleet, Server, Ticket},
     health::Sign,
     load::Load,
     prompt::PrefixLevel,
 };
 
-/// Tokens from which on a first event tells how fast prompts are computed.
+/// Milliseconds to compute one prompt token that are believed at the least.
+const FASTEST_READ_MS: f64 = 0.002;
+
+/// Tokens from which on a first event tells how fast prompts are computed, or fetched.
 const MEASURED_TOKENS: u32 = 1_500;
 
+/// Time of a first output besides reading the prompt, in milliseconds: the way there and back, and
+/// the steps of an engine that decodes as well.
+const FIRST_STEP_MS: f64 = 15.0;
+
 /// Share of the newest measurement in the mean.
 const NEWEST_SHARE: f64 = 0.05;
 
@@ -26,7 +34,10 @@
     pub(super) levels: Vec<PrefixLevel>,
     pub(super) sent_at: Timestamp,
     pub(super) predicted: Duration,
-    pub(super) alone_tokens: Option<u32>,
+    /// The same for a server that is as fast as assumed.
+    pub(super) predicted_at_par: Duration,
+    /// What the server has to do for it, and the prompt tokens ahead of it, if those are few.
+    pub(super) alone: Option<(Reading, u64)>,
     pub(super) has_output: bool,
 }
 
@@ -40,14 +51,14 @@
         let unread = Load { unread_tokens: running.load.unread_tokens, ..Load::default() };
         running.load = running.load - unread;
         let took = now - running.sent_at;
-        if let Some(tokens) = running.alone_tokens.filter(|tokens| *tokens >= MEASURED_TOKENS) {
-            let ms = took.as_secs_f64() * 1e3 / f64::from(tokens);
-            // Other routers' requests only ever make a prompt look slower.
-            let ms = ms.clamp(0.002, self.read_ms_per_token * 2.0);
-            self.read_ms_per_token += (ms - self.read_ms_per_token) * NEWEST_SHARE;
-        }
+        let alone = running.alone;
         let (key, started_at_ms, predicted) =
-            (running.server, running.started_at_ms, running.predicted);
+            (running.server, running.started_at_ms, running.predicted_at_par);
+        if let Some((reading, ahead_tokens)) = alone {
+            let ahead_ms = ahead_tokens as f64 * self.read_ms_per_token;
+            let took_ms = took.as_secs_f64() * 1e3 - FIRST_STEP_MS - ahead_ms;
+            self.learn_speed(now, key, &reading, took_ms);
+        }
         if let Some(server) = self.servers.get_mut(key)
             && server.listing.started_at_ms == started_at_ms
         {
@@ -57,6 +68,24 @@
         }
     }
 
+    /// Learns how fast prompts are computed and fetched from one that took `took_ms` milliseconds by
+    /// itself.
+    fn learn_speed(&mut self, now: Timestamp, key: BackendKey, reading: &Reading, took_ms: f64) {
+        if reading.fetched_tokens >= MEASURED_TOKENS {
+            let read_ms = f64::from(reading.computed_tokens) * self.read_ms_per_token;
+            if let Some(server) = self.servers.get_mut(key) {
+                let stated_ms = cost::fetch_ms(reading) / server.link.factor(now);
+                server.link.see(now, took_ms - read_ms, stated_ms);
+            }
+        } else if reading.computed_tokens >= MEASURED_TOKENS {
+            let read_ms = took_ms - cost::fetch_ms(reading);
+            // Other routers' requests only ever make a prompt look slower.
+            let ms = (read_ms / f64::from(reading.computed_tokens))
+                .clamp(FASTEST_READ_MS, self.read_ms_per_token * 2.0);
+            self.read_ms_per_token += (ms - self.read_ms_per_token) * NEWEST_SHARE;
+        }
+    }
+
     /// Notes that some bytes came for a request.
     pub fn note_bytes(&mut self, now: Timestamp, key: BackendKey) {
         if let Some(server) = self.servers.get_mut(key) {
--- a/crates/dogwoodway_routing/src/direct/table.rs
+++ b/crates/dogwoodway_routing/src/direct/table.rs
@@ -135,8 +135,6 @@
 pub struct Service {
     /// Unique name.
     pub name: ServiceName,
-    /// Path that tells whether a server is well.
-    pub health_path: String,
     /// Connections that one server accepts from all callers together.
     pub max_connections: u32,
     /// What its servers are.
--- a/crates/dogwoodway_routing/tests/direct_feed.rs
+++ b/crates/dogwoodway_routing/tests/direct_feed.rs
@@ -25,9 +25,12 @@
     feed.read(at(0), 5);
     for ms in (0..20_000).step_by(100) {
         feed.hear(at(ms), &Sighting { mark: 5, age_ms: 900 });
-        assert!(feed.read_at() <= at(ms) + Duration::from_millis(LIMITS.rely_ms - 900));
+        // Its own reading counts until what it was told is later.
+        let known_at = at(ms.saturating_sub(900));
+        let rely_until = known_at + Duration::from_millis(LIMITS.rely_ms);
+        // Its own reading is due in any case.
+        assert_eq!(feed.read_at(), rely_until.min(at(LIMITS.own_every_ms)));
     }
-    assert_eq!(feed.read_at(), at(LIMITS.own_every_ms), "its own reading is due in any case");
 }
 
 #[test]
--- a/crates/dogwoodway_routing/tests/direct_fleet.rs
+++ b/crates/dogwoodway_routing/tests/direct_fleet.rs
@@ -62,15 +62,10 @@
         link_mbps: 370_000.0,
         models: vec![ModelName::try_from(MODEL).unwrap()],
     };
-    let engines = Service {
-        name: service("llm"),
-        health_path: "/health".to_owned(),
-        max_connections: 100,
-        kind: ServiceKind::Engines(spec),
-    };
+    let engines =
+        Service { name: service("llm"), max_connections: 100, kind: ServiceKind::Engines(spec) };
     let stores = stores.iter().enumerate().map(|(n, address)| Service {
         name: service(&format!("store-{n}")),
-        health_path: String::new(),
         max_connections: 10,
         kind: ServiceKind::KvStore(KvStoreSpec {
             address: address.parse().unwrap(),
@@ -441,3 +436,36 @@
     assert!(calm.refused * 200 < calm.asked, "{calm:?}");
     assert!(calm.in_time * 100 > calm.asked * 98, "{calm:?}");
 }
+
+#[test]
+fn the_speed_of_reading_is_learned_also_where_a_source_is_named() {
+    let mut fleet = Fleet::new(zone("a"));
+    fleet.set_table(&table(&["10.0.9.9:80"]));
+    fleet.list(at(0), listing(0, 1));
+    let predicted = |fleet: &mut Fleet, n: u64| {
+        let now = at(1_000 * n);
+        let placed =
+            fleet.place(now, &query(now, prompt(n as u32, 500, 9_500, n), 1, 800, n)).unwrap();
+        // The engine reads three times as fast as assumed.
+        finish(fleet, now + Duration::from_millis(75), placed.ticket);
+        placed.predicted_ms
+    };
+    let first = predicted(&mut fleet, 1);
+    let all: Vec<_> = (2..100).map(|n| predicted(&mut fleet, n)).collect();
+    let last = *all.last().unwrap();
+    assert!(first > 150 && last < 80, "{first} {last}");
+}
+
+#[test]
+fn a_server_that_is_slower_is_predicted_so() {
+    let (mut fleet, _) = fleet(1);
+    let mut predicted_ms = 0;
+    for n in 1..100 {
+        let now = at(1_000 * n);
+        let placed =
+            fleet.place(now, &query(now, prompt(n as u32, 0, 1_400, n), 1, 800, n)).unwrap();
+        predicted_ms = placed.predicted_ms;
+        finish(&mut fleet, now + Duration::from_millis(150), placed.ticket);
+    }
+    assert!((130..=170).contains(&predicted_ms), "{predicted_ms}");
+}
--- a/crates/dogwoodway_standin/src/lib.rs
+++ b/crates/dogwoodway_standin/src/lib.rs
@@ -11,6 +11,7 @@
 mod load;
 mod log_service;
 mod overhead;
+pub mod replay;
 mod service;
 mod slopes;
 mod vm_list;
--- a/crates/dogwoodway_standin/src/main.rs
+++ b/crates/dogwoodway_standin/src/main.rs
@@ -1,6 +1,7 @@
 //! The stand-ins as processes.
 
 mod load_command;
+mod replay_command;
 
 use std::{net::SocketAddr, path::PathBuf, process::ExitCode};
 
@@ -14,7 +15,7 @@
 use dogwoodway_types::{ModelName, WeightsVersion};
 use dogwoodway_vms::Vm;
 
-use crate::load_command::LoadArgs;
+use crate::{load_command::LoadArgs, replay_command::ReplayArgs};
 
 /// Stand-ins of the systems around dogwoodway, for demos, tests and experiments.
 #[derive(Debug, Parser)]
@@ -96,6 +97,8 @@
         #[arg(long, default_value_t = 100_000)]
         decisions: u64,
     },
+    /// Replays a load against a model of engines, in simulated time; prints JSON.
+    Replay(ReplayArgs),
     /// Runs a scenario and measures it.
     Load(LoadArgs),
     /// Prints the sizes of a scenario's fleet as shell variables.
@@ -221,6 +224,7 @@
         Command::Decisions { servers, decisions } => {
             print_result(Ok(time_decisions(servers, decisions)))
         }
+        Command::Replay(args) => print_result(Ok(args.run())),
         Command::Load(args) => exit_code(load_command::load(&args).await),
         Command::FleetSizes { scenario } => exit_code(load_command::print_fleet_sizes(&scenario)),
         Command::Compare { reports, plot } => {
@@ -289,6 +293,7 @@
         | Command::Usage { .. }
         | Command::Decisions { .. }
         | Command::Load(_)
+        | Command::Replay(_)
         | Command::FleetSizes { .. }
         | Command::Compare { .. } => Err("not a server".to_owned()),
         Command::Service => Ok(service_handler()),
