--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -1,15 +1,13 @@
 //! The actor that owns what the router knows of backend servers, and its idle connections to them.
 
+mod contents;
 mod routers;
 mod weights;
 
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, atomic::AtomicBool},
     time::Duration,
 };
 
@@ -19,12 +17,11 @@
         health::Sign,
         kv_stores::KvChange,
     },
-    quarantine::{Quarantine, Standing},
     retry_budget::{RetryBudget, RetryLimits},
 };
 use dogwoodway_types::{
-    AvailabilityZone, BackendServerName, EngineIncarnation, NotRunReason, RequestFingerprint,
-    ServiceName, Timestamp, WeightsVersion,
+    AvailabilityZone, BackendServerName, NotRunReason, RequestFingerprint, ServiceName, Timestamp,
+    WeightsVersion,
 };
 use kameo::{
     Actor, Reply,
@@ -42,7 +39,9 @@
     metric,
 };
 
+use self::contents::Contents;
 pub(crate) use self::{
+    contents::ContentNote,
     routers::{AskNews, RouterNews, SeeContent, SeePeer, SetRouters},
     weights::{AskWeights, EngineTarget, SeeWeights, WeightsState},
 };
@@ -54,16 +53,6 @@
 /// requests in flight.
 const IDLE_PART: u32 = 2;
 
-/// Requests in quarantine at most.
-const MAX_QUARANTINED: usize = 1_000;
-
-/// Time after a broken connection in which a crash of the server counts against the request that
-/// it ran, in milliseconds.
-const SUSPECT_FOR_MS: u64 = 15_000;
-
-/// Requests that are remembered as possible causes of a crash.
-const MAX_SUSPECTS: usize = 512;
-
 /// Time for which a finished load of weights is told to other routers, in milliseconds.
 const TELL_LOADED_FOR_MS: u64 = 3_000;
 
@@ -87,30 +76,6 @@
     pub(crate) slack: u32,
 }
 
-/// A crash of a server that ran a request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct CrashNote {
-    pub(crate) fingerprint: RequestFingerprint,
-    pub(crate) server: BackendServerName,
-    pub(crate) started_at_ms: u64,
-}
-
-/// What routers tell each other of a request's content.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum ContentNote {
-    /// A server crashed while it ran it.
-    Crashed(CrashNote),
-    /// A server answered it, after crashes that it was suspected of.
-    Answered(RequestFingerprint),
-}
-
-impl CrashNote {
-    fn incarnation(&self) -> EngineIncarnation {
-        let hash = dogwoodway_routing::rendezvous::ServerKey::new(&self.server).0;
-        EngineIncarnation(hash ^ self.started_at_ms)
-    }
-}
-
 /// What a router says of an engine's weights.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct WeightsNews {
@@ -128,12 +93,6 @@
     Loaded,
 }
 
-struct Suspect {
-    note: CrashNote,
-    key: BackendKey,
-    until: Timestamp,
-}
-
 /// What the router knows of backend servers; only this actor changes it.
 #[derive(Actor)]
 pub(crate) struct FleetActor {
@@ -143,10 +102,7 @@
     retry_bounds: RetryBounds,
     budgets: HashMap<ServiceName, RetryBudget>,
     routers: u32,
-    quarantine: Quarantine,
-    quarantine_in_use: Arc<AtomicBool>,
-    suspects: Vec<Suspect>,
-    contents: mpsc::Sender<ContentNote>,
+    contents: Contents,
     control: Arc<dyn EngineControl>,
     news: Vec<(WeightsNews, Timestamp)>,
     versions_due_at: Timestamp,
@@ -174,10 +130,7 @@
             retry_bounds: parts.retry_bounds,
             budgets: HashMap::new(),
             routers: ASSUMED_ROUTERS,
-            quarantine: Quarantine::new(MAX_QUARANTINED),
-            quarantine_in_use: parts.quarantine_in_use,
-            suspects: Vec::new(),
-            contents: parts.contents,
+            contents: Contents::new(parts.contents, parts.quarantine_in_use),
             control: parts.control,
             news: Vec::new(),
             versions_due_at: Timestamp::default(),
@@ -263,32 +216,6 @@
         }
     }
 
-    /// Counts a crash against the requests that the server ran.
-    fn confirm_crash(&mut self, now: Timestamp, key: BackendKey) {
-        self.suspects.retain(|suspect| suspect.until > now);
-        let guilty: Vec<_> = self.suspects.extract_if(.., |suspect| suspect.key == key).collect();
-        for suspect in guilty {
-            self.note_crash(now, &suspect.note);
-            self.tell_content(ContentNote::Crashed(suspect.note));
-        }
-    }
-
-    fn tell_content(&self, note: ContentNote) {
-        if let Err(e) = self.contents.try_send(note) {
-            log::warn!("a crash or its end was not told to other routers: {e}");
-        }
-    }
-
-    fn note_crash(&mut self, now: Timestamp, note: &CrashNote) {
-        self.quarantine.note_crash(now, note.fingerprint, note.incarnation());
-        self.quarantine_in_use.store(true, Ordering::Relaxed);
-        log::info!(
-            fingerprint:? = note.fingerprint, server:% = note.server,
-            outcome:? = self.quarantine.standing(now, &note.fingerprint);
-            "a backend server crashed while it ran a request"
-        );
-    }
-
     fn apply(&mut self, now: Timestamp, change: DirectoryChange) {
         match change {
             DirectoryChange::Table(table) => {
@@ -308,7 +235,7 @@
                     self.idle.insert(key, Vec::new());
                     self.lose(key);
                     self.lost.remove(key);
-                    self.confirm_crash(now, key);
+                    self.contents.confirm_crash(now, key);
                     log::info!(server:% = name; "backend server listed");
                 }
             }
@@ -360,7 +287,7 @@
     async fn handle(&mut self, msg: Place, _: &mut Context<Self, Self::Reply>) -> Placed {
         let now = clock::now();
         if let Some(fingerprint) = msg.fingerprint
-            && let Standing::Quarantined { until } = self.quarantine.standing(now, &fingerprint)
+            && let Some(until) = self.contents.quarantined_until(now, &fingerprint)
         {
             return Placed::Nowhere(Refusal {
                 reason: NotRunReason::Quarantined,
@@ -443,17 +370,15 @@
                 self.try_server(msg.server, cx.actor_ref());
             }
             Some(Sign::Broken) => {
-                if let Some(fingerprint) = msg.fingerprint {
-                    self.suspect(now, msg.server, fingerprint);
+                let listing = self.fleet.listing(msg.server);
+                if let (Some(listing), Some(fingerprint)) = (listing, msg.fingerprint) {
+                    self.contents.suspect(now, msg.server, listing, fingerprint);
                 }
                 self.try_server(msg.server, cx.actor_ref());
             }
-            // The server lives on: earlier crashes had another cause.
             Some(Sign::Answered | Sign::Failed) => {
-                if let Some(fingerprint) = msg.fingerprint
-                    && self.quarantine.note_answered(&fingerprint)
-                {
-                    self.tell_content(ContentNote::Answered(fingerprint));
+                if let Some(fingerprint) = msg.fingerprint {
+                    self.contents.note_answered(fingerprint);
                 }
             }
             _ => {}
@@ -461,19 +386,6 @@
     }
 }
 
-impl FleetActor {
-    fn suspect(&mut self, now: Timestamp, key: BackendKey, fingerprint: RequestFingerprint) {
-        let Some(listing) = self.fleet.listing(key) else { return };
-        let (server, started_at_ms) = (listing.name.clone(), listing.started_at_ms);
-        if self.suspects.len() >= MAX_SUSPECTS {
-            self.suspects.remove(0);
-        }
-        let note = CrashNote { fingerprint, server, started_at_ms };
-        let until = now + Duration::from_millis(SUSPECT_FOR_MS);
-        self.suspects.push(Suspect { note, key, until });
-    }
-}
-
 /// Tells the result of a trial connection.
 struct SeeTrial {
     key: BackendKey,
@@ -505,7 +417,7 @@
                         "backend server lost");
                 }
                 if msg.is_refused {
-                    self.confirm_crash(now, msg.key);
+                    self.contents.confirm_crash(now, msg.key);
                 }
             }
         }
--- a/crates/dogwoodway_gateway/src/fleet_actor/routers.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/routers.rs
@@ -94,11 +94,6 @@
     type Reply = ();
 
     async fn handle(&mut self, msg: SeeContent, _: &mut Context<Self, Self::Reply>) {
-        match msg.0 {
-            ContentNote::Crashed(note) => self.note_crash(clock::now(), &note),
-            ContentNote::Answered(fingerprint) => {
-                self.quarantine.note_answered(&fingerprint);
-            }
-        }
+        self.contents.see(clock::now(), &msg.0);
     }
 }
--- a/crates/dogwoodway_gateway/src/leader.rs
+++ b/crates/dogwoodway_gateway/src/leader.rs
@@ -1,6 +1,8 @@
 //! The routers' own log: who is there, who leads, which requests crash servers. The leader orders
 //! the engines to load new weights.
 
+mod log_reader;
+
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use dogwoodway_routing::direct::{
@@ -14,6 +16,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, watch};
 
+use self::log_reader::LogReader;
 use crate::{
     border::{
         EngineControl, EngineReport, LoadOrder, OrderAnswer, RecordPage, RouterLog, StoreError,
@@ -26,13 +29,6 @@
     store_watch::Feeds,
 };
 
-/// Longest wait for a record, in milliseconds.
-const READ_WAIT_MS: u64 = 2_000;
-
-/// Pause between two reads of the log by a router that neither leads nor watches, in milliseconds:
-/// what it reads there are crashes that others saw, which must be known within three seconds.
-const READ_PAUSE_MS: u64 = 2_000;
-
 /// Pause after a failed call to the log, in milliseconds.
 const FAILED_PAUSE_MS: u64 = 150;
 
@@ -176,47 +172,6 @@
     }
 }
 
-/// Reads the routers' log: all the time while the router leads, watches the store or must know the
-/// log's end, else from time to time.
-struct LogReader {
-    log: Arc<dyn RouterLog>,
-    feeds: watch::Receiver<Feeds>,
-    is_hurried: watch::Receiver<bool>,
-}
-
-impl LogReader {
-    async fn run(mut self, events: mpsc::Sender<Event>) {
-        let mut from = LogOffset(0);
-        loop {
-            match self.log.read(from, READ_WAIT_MS).await {
-                Ok(page) => {
-                    from = LogOffset(page.from.0 + page.records.len() as u64);
-                    if events.send(Event::Page(page)).await.is_err() {
-                        return;
-                    }
-                    self.pause().await;
-                }
-                Err(StoreError::Expired(first)) => from = first,
-                Err(e) => {
-                    log::debug!("the routers' log was not read: {e}");
-                    tokio::time::sleep(Duration::from_millis(FAILED_PAUSE_MS)).await;
-                }
-            }
-        }
-    }
-
-    async fn pause(&mut self) {
-        let until = clock::now() + Duration::from_millis(READ_PAUSE_MS);
-        while !self.feeds.borrow_and_update().is_watcher && !*self.is_hurried.borrow_and_update() {
-            tokio::select! {
-                Ok(()) = self.feeds.changed() => {}
-                Ok(()) = self.is_hurried.changed() => {}
-                () = clock::sleep_until(until) => return,
-            }
-        }
-    }
-}
-
 /// Tells other routers where this one is.
 async fn announce(log: Arc<dyn RouterLog>, router: RouterName, address: SocketAddr) {
     let record = encode(&RouterRecord::Started { router, address });
--- /dev/null
+++ b/crates/dogwoodway_gateway/src/leader/log_reader.rs
@@ -0,0 +1,63 @@
+//! Reads the routers' log.
+
+use std::{sync::Arc, time::Duration};
+
+use dogwoodway_types::LogOffset;
+use tokio::sync::{mpsc, watch};
+
+use crate::{
+    border::{RouterLog, StoreError},
+    clock,
+    leader::{Event, FAILED_PAUSE_MS},
+    store_watch::Feeds,
+};
+
+/// Longest wait for a record, in milliseconds.
+const READ_WAIT_MS: u64 = 2_000;
+
+/// Pause between two reads of the log by a router that neither leads nor watches, in milliseconds:
+/// what it reads there are crashes that others saw, which must be known within three seconds.
+const READ_PAUSE_MS: u64 = 2_000;
+
+/// Reads the routers' log: all the time while the router leads, watches the store or must know the
+/// log's end, else from time to time.
+pub(super) struct LogReader {
+    pub(super) log: Arc<dyn RouterLog>,
+    pub(super) feeds: watch::Receiver<Feeds>,
+    /// Whether the router leads, or must know where the log ends.
+    pub(super) is_hurried: watch::Receiver<bool>,
+}
+
+impl LogReader {
+    /// Reads until nobody takes the pages any more.
+    pub(super) async fn run(mut self, events: mpsc::Sender<Event>) {
+        let mut from = LogOffset(0);
+        loop {
+            match self.log.read(from, READ_WAIT_MS).await {
+                Ok(page) => {
+                    from = LogOffset(page.from.0 + page.records.len() as u64);
+                    if events.send(Event::Page(page)).await.is_err() {
+                        return;
+                    }
+                    self.pause().await;
+                }
+                Err(StoreError::Expired(first)) => from = first,
+                Err(e) => {
+                    log::debug!("the routers' log was not read: {e}");
+                    tokio::time::sleep(Duration::from_millis(FAILED_PAUSE_MS)).await;
+                }
+            }
+        }
+    }
+
+    async fn pause(&mut self) {
+        let until = clock::now() + Duration::from_millis(READ_PAUSE_MS);
+        while !self.feeds.borrow_and_update().is_watcher && !*self.is_hurried.borrow_and_update() {
+            tokio::select! {
+                Ok(()) = self.feeds.changed() => {}
+                Ok(()) = self.is_hurried.changed() => {}
+                () = clock::sleep_until(until) => return,
+            }
+        }
+    }
+}
