Keep prompts, stores and sources of prefixes in the region

Change: direct::distance; an engine of the own region is preferred for a prefix, stores of the own region are used if there are any, the time of a fetch goes by the distance of its source.

--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -13,6 +13,7 @@
 
 use dogwoodway_routing::{
     direct::{
+        distance::Regions,
         fleet::{BackendKey, Fleet, Placement, Query, Refusal, ServerTag, Ticket},
         health::Sign,
         kv_stores::KvChange,
@@ -114,6 +115,7 @@
 /// What an actor is built from.
 pub(crate) struct FleetParts {
     pub(crate) zone: AvailabilityZone,
+    pub(crate) regions: Regions,
     pub(crate) retry_bounds: RetryBounds,
     pub(crate) contents: mpsc::Sender<ContentNote>,
     pub(crate) control: Arc<dyn EngineControl>,
@@ -123,8 +125,10 @@
 
 impl FleetActor {
     pub(crate) fn new(parts: FleetParts) -> FleetActor {
+        let mut fleet = Fleet::new(parts.zone);
+        fleet.set_regions(parts.regions);
         FleetActor {
-            fleet: Fleet::new(parts.zone),
+            fleet,
             idle: SecondaryMap::new(),
             lost: SecondaryMap::new(),
             retry_bounds: parts.retry_bounds,
--- a/crates/dogwoodway_gateway/src/router.rs
+++ b/crates/dogwoodway_gateway/src/router.rs
@@ -11,7 +11,7 @@
 };
 
 use dogwoodway_http::{ServerLimits, serve, serve_within};
-use dogwoodway_routing::direct::peers::ZoneTag;
+use dogwoodway_routing::direct::{distance::Regions, peers::ZoneTag};
 use dogwoodway_types::{AvailabilityZone, RouterName};
 use futures::future::BoxFuture;
 use kameo::{
@@ -54,6 +54,8 @@
     pub name: RouterName,
     /// Its zone.
     pub zone: AvailabilityZone,
+    /// The regions of all zones.
+    pub regions: Regions,
     /// Address for callers.
     pub listen: SocketAddr,
     /// Address for the platform's health check.
@@ -128,6 +130,7 @@
     let loads_changed = Arc::new(Notify::new());
     let fleet = FleetActor::new(FleetParts {
         zone: settings.zone.clone(),
+        regions: settings.regions.clone(),
         retry_bounds: RetryBounds { ratio: settings.retry_ratio, slack: settings.retry_slack },
         contents: content_tx,
         control: parts.control.clone(),
--- a/crates/dogwoodway_routing/src/direct.rs
+++ b/crates/dogwoodway_routing/src/direct.rs
@@ -7,6 +7,7 @@
 
 pub mod admission;
 pub mod cost;
+pub mod distance;
 pub mod feed;
 pub mod fleet;
 pub mod health;
--- a/crates/dogwoodway_routing/src/direct/cost.rs
+++ b/crates/dogwoodway_routing/src/direct/cost.rs
@@ -5,7 +5,7 @@
 //! other. The pattern that this answers: a few prefixes draw much of the traffic, and reading one
 //! of them again takes longer than most waits.
 
-use crate::direct::load::Load;
+use crate::direct::{distance::Distance, load::Load};
 
 /// Price of computing one prompt token that an engine has computed before for the same scope, in
 /// milliseconds; about ten times its own time, since it delays everyone on the engine.
@@ -27,6 +27,9 @@
 /// Cost of a call to a server of another zone, in milliseconds.
 const FAR_CALL_MS: f64 = 2.0;
 
+/// Cost of a request to another region, in milliseconds: a round trip of some 40, and traffic.
+const OTHER_REGION_MS: f64 = 60.0;
+
 /// Time that a call holds a place of a plain server, in milliseconds, where nothing was measured.
 const CALL_MS: f64 = 20.0;
 
@@ -50,8 +53,8 @@
     pub load: Load,
     /// Requests that it runs together.
     pub slots: u32,
-    /// Whether it is in the router's zone.
-    pub is_near: bool,
+    /// How far it is from the router.
+    pub distance: Distance,
     /// Factor by which the server is slower than predicted.
     pub slowdown: f64,
     /// Share of its requests that fail, beyond that of the service's other servers.
@@ -119,7 +122,11 @@
 /// Returns the cost of a candidate in milliseconds.
 ///
 /// ```
-/// use dogwoodway_routing::direct::{cost::{Candidate, Reading, cost_ms}, load::Load};
+/// use dogwoodway_routing::direct::{
+///     cost::{Candidate, Reading, cost_ms},
+///     distance::Distance,
+///     load::Load,
+/// };
 ///
 /// let reading = Reading {
 ///     computed_tokens: 6_000,
@@ -134,7 +141,7 @@
 /// let holder = Candidate {
 ///     load: Load { running: 3, unread_tokens: 5_000, held_tokens: 30_000 },
 ///     slots: 64,
-///     is_near: true,
+///     distance: Distance::SameZone,
 ///     slowdown: 1.0,
 ///     failure_share: 0.0,
 ///     refusal_share: 0.0,
@@ -145,10 +152,11 @@
 /// assert!(cost_ms(&holder) < cost_ms(&idle));
 /// ```
 pub fn cost_ms(candidate: &Candidate) -> f64 {
-    let far_ms = match (candidate.is_near, &candidate.reading) {
-        (true, _) => 0.0,
-        (false, None) => FAR_CALL_MS,
-        (false, Some(_)) => FAR_PROMPT_MS,
+    let far_ms = match (candidate.distance, &candidate.reading) {
+        (Distance::SameZone, _) => 0.0,
+        (Distance::SameRegion, None) => FAR_CALL_MS,
+        (Distance::SameRegion, Some(_)) => FAR_PROMPT_MS,
+        (Distance::OtherRegion, _) => OTHER_REGION_MS,
     };
     let shared_ms = match &candidate.reading {
         None => f64::from(candidate.load.running) / f64::from(candidate.slots.max(1)) * CALL_MS,
--- a/crates/dogwoodway_routing/src/direct/fleet.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet.rs
@@ -19,6 +19,7 @@
 use crate::{
     direct::{
         admission::Pressure,
+        distance::{Distance, Regions},
         health::Health,
         kv_stores::{KvChange, KvStores},
         link_pace::LinkPace,
@@ -129,6 +130,7 @@
 #[derive(Debug)]
 pub struct Fleet {
     zone: AvailabilityZone,
+    regions: Regions,
     routers: u32,
     servers: SlotMap<BackendKey, Server>,
     by_name: HashMap<BackendServerName, BackendKey>,
@@ -153,6 +155,7 @@
     pub fn new(zone: AvailabilityZone) -> Fleet {
         Fleet {
             zone,
+            regions: Regions::default(),
             routers: 1,
             servers: SlotMap::with_key(),
             by_name: HashMap::new(),
@@ -171,6 +174,16 @@
         }
     }
 
+    /// Takes over the regions that zones belong to.
+    pub fn set_regions(&mut self, regions: Regions) {
+        self.regions = regions;
+    }
+
+    /// Returns how far a zone is from the router.
+    fn distance(&self, zone: &AvailabilityZone) -> Distance {
+        self.regions.distance(&self.zone, zone)
+    }
+
     /// Takes over the services of a routing table.
     pub fn set_table(&mut self, table: &ServingTable) {
         self.engines.clear();
@@ -179,7 +192,12 @@
                 self.engines.insert(service.name.clone(), spec.clone());
             }
         }
-        self.stores.set(table.kv_stores().cloned().collect());
+        // Each region keeps prefixes for itself, unless only another one has a store.
+        let (own, others): (Vec<_>, Vec<_>) = table.kv_stores().cloned().partition(|store| {
+            let distance = store.zone.as_ref().map(|zone| self.distance(zone));
+            distance.is_none_or(|distance| distance < Distance::OtherRegion)
+        });
+        self.stores.set(if own.is_empty() { others } else { own });
     }
 
     /// Takes in what a store of kept KV cache tells of itself; `is_whole` tells that it begins anew.
--- a/crates/dogwoodway_routing/src/direct/fleet/placing.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/placing.rs
@@ -10,6 +10,7 @@
     direct::{
         admission,
         cost::{self, Candidate, Reading},
+        distance::Distance,
         fleet::{
             ASSUMED_READ_MS_PER_TOKEN, Availability, BackendKey, Fleet, SAVED_AFTER_MS, Server,
             Ticket, requests::Running,
@@ -149,7 +150,7 @@
             let candidate = Candidate {
                 load: server.load(),
                 slots: server.listing.slots,
-                is_near: server.listing.zone == self.zone,
+                distance: self.distance(&server.listing.zone),
                 slowdown: server.health.slowdown().unwrap_or(slowdown),
                 failure_share: (server.health.failure_share() - usual_failures).max(0.0),
                 refusal_share: server.health.refusal_share(),
@@ -272,7 +273,7 @@
             && !query.tried.contains(&server.listing.name)
     }
 
-    /// Returns the server that all routers prefer for a prompt's deepest shared prefix.
+    /// Returns the server that all routers of the region prefer for a prompt's deepest shared prefix.
     fn home(
         &self,
         keys: &[BackendKey],
@@ -281,11 +282,16 @@
     ) -> Option<BackendKey> {
         let shared = levels.len().checked_sub(2).and_then(|i| levels.get(i))?;
         let piece = PieceHash(u128::from(shared.key.0));
-        let up = keys.iter().filter(|key| {
+        let is_usable = |key: &&BackendKey| {
             self.servers.get(**key).is_some_and(|server| {
                 server.health.is_up() && !query.tried.contains(&server.listing.name)
             })
-        });
+        };
+        let is_in_region = |key: &&BackendKey| {
+            self.distance(&self.servers[**key].listing.zone) < Distance::OtherRegion
+        };
+        let has_region = keys.iter().filter(is_usable).any(|key| is_in_region(&key));
+        let up = keys.iter().filter(is_usable).filter(|key| !has_region || is_in_region(key));
         let cost = |key: &BackendKey| {
             rendezvous::cost(piece, rendezvous::Server { key: self.servers[*key].hash, weight: 1 })
         };
@@ -317,7 +323,7 @@
         scope: &Scope,
     ) -> (Reading, Fetch) {
         let server = &self.servers[key];
-        let fetch_ms_per_token = fetch_ms_per_token(spec) * server.link.factor(now);
+        let mut fetch_ms_per_token = fetch_ms_per_token(spec) * server.link.factor(now);
         let tokens = |levels: &[PrefixLevel]| levels.iter().map(|level| level.tokens).sum::<u32>();
         let levels = &scope.levels;
         let total = tokens(levels).max(prompt.input_tokens);
@@ -328,6 +334,7 @@
             true => (held, Fetch::Nothing),
             false => self.best_source(key, server, shared.len(), held, scope),
         };
+        fetch_ms_per_token *= self.fetch_distance(fetch, shared, server).transfer_factor();
         let repeated = &shared[fetched_to.min(shared.len())..];
         let known = scope.sources.known.max(fetched_to) - fetched_to;
         let unknown_chance = match scope.home {
@@ -367,13 +374,15 @@
         if scope.sources.kept > lacking {
             best = (scope.sources.kept, Fetch::Store);
         }
-        let mut is_near = false;
+        // Engines of the same zone are as good as the store, and others only if it has less.
+        let mut nearest = Distance::SameRegion;
         for &(other, ready) in &scope.sources.servers {
-            let other_is_near = self.servers[other].listing.zone == server.listing.zone;
-            let is_better = ready > best.0 || (ready == best.0 && other_is_near && !is_near);
+            let other_zone = &self.servers[other].listing.zone;
+            let distance = self.regions.distance(other_zone, &server.listing.zone);
+            let is_better = ready > best.0 || (ready == best.0 && distance < nearest);
             if other != key && ready > lacking && is_better {
                 best = (ready, Fetch::Server(other));
-                is_near = other_is_near;
+                nearest = distance;
             }
         }
         match (best.1, scope.home) {
@@ -384,6 +393,19 @@
         }
     }
 
+    /// Returns how far a server is from where it fetches.
+    fn fetch_distance(&self, fetch: Fetch, shared: &[PrefixLevel], server: &Server) -> Distance {
+        let source = match fetch {
+            Fetch::Nothing => None,
+            Fetch::Store => self.stores.zone_for(shared),
+            Fetch::Server(key) => self.servers.get(key).map(|source| &source.listing.zone),
+        };
+        match source {
+            Some(zone) => self.regions.distance(zone, &server.listing.zone),
+            None => Distance::SameRegion,
+        }
+    }
+
     fn address(&self, fetch: Fetch, levels: &[PrefixLevel]) -> Option<SocketAddr> {
         match fetch {
             Fetch::Nothing => None,
--- a/crates/dogwoodway_routing/src/direct/fleet/sharing.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/sharing.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     direct::{
+        distance::Distance,
         fleet::{Fleet, SAVED_AFTER_MS},
         load::Load,
         prompt::{PrefixKey, PrefixLevel},
@@ -192,7 +193,8 @@
         };
         server.cached.insert(&[own], ready_at);
         server.cached.insert(&news.shared, ready_at);
-        if news.is_saved {
+        let region_of_server = self.regions.distance(&self.zone, &server.listing.zone);
+        if news.is_saved && region_of_server < Distance::OtherRegion {
             let saved_at = ready_at + Duration::from_millis(SAVED_AFTER_MS);
             self.stores.note_saved(now, &news.shared, own, saved_at);
         }
--- a/crates/dogwoodway_routing/src/direct/kv_stores.rs
+++ b/crates/dogwoodway_routing/src/direct/kv_stores.rs
@@ -6,7 +6,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use dogwoodway_types::{PieceHash, Timestamp};
+use dogwoodway_types::{AvailabilityZone, PieceHash, Timestamp};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
@@ -124,6 +124,11 @@
         self.place_for(shared).map(|i| self.stores[i].spec.address)
     }
 
+    /// Returns the zone of the store for a prompt's shared prefixes.
+    pub fn zone_for(&self, shared: &[PrefixLevel]) -> Option<&AvailabilityZone> {
+        self.place_for(shared).and_then(|i| self.stores[i].spec.zone.as_ref())
+    }
+
     /// Returns how many of a prompt's shared prefixes can be fetched from their store.
     pub fn ready(&self, shared: &[PrefixLevel], now: Timestamp) -> usize {
         self.place_for(shared).map_or(0, |i| self.stores[i].kept.ready(shared, now))
--- a/crates/dogwoodway_routing/tests/direct_fleet.rs
+++ b/crates/dogwoodway_routing/tests/direct_fleet.rs
@@ -469,3 +469,29 @@
     }
     assert!((130..=170).contains(&predicted_ms), "{predicted_ms}");
 }
+
+#[test]
+fn prompts_stay_in_the_region_and_leave_it_when_nobody_else_is_there() {
+    let mut fleet = Fleet::new(zone("a"));
+    let regions = [("a", "east"), ("b", "east"), ("c", "west")];
+    fleet.set_regions(
+        regions.map(|(name, region)| (zone(name), region.to_owned())).into_iter().collect(),
+    );
+    fleet.set_table(&table(&[]));
+    for (n, name) in ["b", "b", "c", "c", "c", "c"].into_iter().enumerate() {
+        fleet.list(at(0), ServerListing { zone: zone(name), ..listing(n, 1) });
+    }
+    let in_region =
+        |fleet: &Fleet, placed: &Placement| fleet.listing(placed.server).unwrap().zone == zone("b");
+    for draw in 0..40 {
+        let now = at(50 * draw);
+        let placed = place(&mut fleet, now, draw as u32 % 5, draw);
+        assert!(in_region(&fleet, &placed), "{}", placed.name);
+        finish(&mut fleet, now + Duration::from_millis(40), placed.ticket);
+    }
+    for n in [0, 1] {
+        fleet.forget(&name(n));
+    }
+    let placed = place(&mut fleet, at(5_000), 1, 99);
+    assert!(!in_region(&fleet, &placed));
+}
