Read the list of servers at once when a watcher has seen more

Cause: a router waited for its turn and then for the pause between two reads, so that it took up a leaving server 0.6 s later than it could, up to 1.7 s after the watchers fell silent, with two seconds allowed. The pause comes first now.

--- a/crates/dogwoodway_gateway/src/directory.rs
+++ b/crates/dogwoodway_gateway/src/directory.rs
@@ -142,10 +142,10 @@
                     let mark = self.mark(&page, is_whole);
                     self.take(page, is_whole, &sink).await;
                     self.store.read(self.part, mark);
-                    wait_for_turn(&mut self.feeds, self.part).await;
                     if self.part == DirectoryPart::Servers {
                         tokio::time::sleep(Duration::from_millis(SERVERS_PAUSE_MS)).await;
                     }
+                    wait_for_turn(&mut self.feeds, self.part).await;
                 }
                 Err(StoreError::Expired(first)) => {
                     log::info!(part:? = self.part, from:? = self.next.map(|n| n.0), first = first.0;
