Compute once what each datagram and each placement computed again, and name what was said twice

Found in a last read of the change; behaviour stays as it is. - Whether a router watches the store was decided anew for each datagram by formatting and hashing the address of every router; the rank is now kept with the router.

--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -57,10 +57,6 @@
 /// Time for which a finished load of weights is told to other routers, in milliseconds.
 const TELL_LOADED_FOR_MS: u64 = 3_000;
 
-/// Time between two times that the ages of versions are told, in milliseconds: a router needs them
-/// soon after its start only.
-const TELL_VERSIONS_EVERY_MS: u64 = 300;
-
 /// Share of the retry budget that is used, in thousandths: routers count requests at slightly
 /// different times.
 const BUDGET_USED_MILLIS: u32 = 750;
--- a/crates/dogwoodway_gateway/src/fleet_actor/routers.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/routers.rs
@@ -11,9 +11,13 @@
 
 use crate::{
     clock,
-    fleet_actor::{ContentNote, FleetActor, LoadStage, TELL_VERSIONS_EVERY_MS, WeightsNews},
+    fleet_actor::{ContentNote, FleetActor, LoadStage, WeightsNews},
 };
 
+/// Time between two times that the ages of versions are told, in milliseconds: a router needs them
+/// soon after its start only.
+const TELL_VERSIONS_EVERY_MS: u64 = 300;
+
 /// What a router tells others.
 #[derive(Clone, Debug, Default, Reply, Serialize, Deserialize)]
 pub(crate) struct RouterNews {
--- a/crates/dogwoodway_gateway/src/store_watch.rs
+++ b/crates/dogwoodway_gateway/src/store_watch.rs
@@ -105,19 +105,19 @@
 /// Waits until a feed is due to be read.
 pub(crate) async fn wait_for_turn(feeds: &mut watch::Receiver<Feeds>, part: DirectoryPart) {
     loop {
-        let read_at = {
+        let due_at = {
             let feeds = feeds.borrow_and_update();
             if feeds.is_watcher {
                 return;
             }
-            feeds.of(part).read_at()
+            feeds.of(part).due_at()
         };
-        if read_at <= clock::now() {
+        if due_at <= clock::now() {
             return;
         }
         tokio::select! {
             Ok(()) = feeds.changed() => {}
-            () = clock::sleep_until(read_at) => {}
+            () = clock::sleep_until(due_at) => {}
         }
     }
 }
--- a/crates/dogwoodway_routing/src/direct/cost.rs
+++ b/crates/dogwoodway_routing/src/direct/cost.rs
@@ -9,7 +9,7 @@
 
 /// Price of computing one prompt token that an engine has computed before for the same scope, in
 /// milliseconds; about ten times its own time, since it delays everyone on the engine.
-const REPEAT_MS_PER_TOKEN: f64 = 0.15;
+pub const REPEAT_MS_PER_TOKEN: f64 = 0.15;
 
 /// Cost of a request that fails and has to be sent again, in milliseconds; a failed call costs a
 /// round trip, its time in the queue, and part of the shared retry budget.
--- a/crates/dogwoodway_routing/src/direct/feed.rs
+++ b/crates/dogwoodway_routing/src/direct/feed.rs
@@ -53,9 +53,9 @@
 /// let mut feed = Feed::new(MarkOrder::Ascending, limits);
 /// feed.read(at(1_000), 7);
 /// feed.hear(at(2_000), &Sighting { mark: 7, age_ms: 300 });
-/// assert_eq!(feed.read_at(), at(1_700 + 1_400));
+/// assert_eq!(feed.due_at(), at(1_700 + 1_400));
 /// assert!(feed.hear(at(2_100), &Sighting { mark: 8, age_ms: 10 }));
-/// assert!(feed.read_at() <= at(2_100));
+/// assert!(feed.due_at() <= at(2_100));
 /// ```
 #[derive(Clone, Copy, Debug)]
 pub struct Feed {
@@ -117,7 +117,7 @@
     }
 
     /// Returns when the router reads the feed next, unless it is a watcher: those read all the time.
-    pub fn read_at(&self) -> Timestamp {
+    pub fn due_at(&self) -> Timestamp {
         if self.is_behind || self.mark.is_none() {
             return Timestamp::default();
         }
--- a/crates/dogwoodway_routing/src/direct/fleet/placing.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/placing.rs
@@ -3,7 +3,8 @@
 use std::{net::SocketAddr, time::Duration};
 
 use dogwoodway_types::{
-    BackendServerName, NotRunReason, PieceHash, ServiceName, TeamName, Timestamp, WeightsVersion,
+    AvailabilityZone, BackendServerName, NotRunReason, PieceHash, ServiceName, TeamName, Timestamp,
+    WeightsVersion,
 };
 
 use crate::{
@@ -301,7 +302,11 @@
     /// Finds where a prompt's shared prefixes can be fetched.
     fn sources(&self, now: Timestamp, keys: &[BackendKey], levels: &[PrefixLevel]) -> Sources {
         let shared = &levels[..levels.len().saturating_sub(1)];
-        let mut sources = Sources { kept: self.stores.ready(shared, now), ..Sources::default() };
+        let mut sources = Sources {
+            kept: self.stores.ready(shared, now),
+            store_zone: self.stores.zone_for(shared).cloned(),
+            ..Sources::default()
+        };
         for &key in keys {
             let Some(server) = self.servers.get(key).filter(|s| s.health.is_up()) else { continue };
             sources.known = sources.known.max(server.cached.matched(shared));
@@ -334,7 +339,7 @@
             true => (held, Fetch::Nothing),
             false => self.best_source(key, server, shared.len(), held, scope),
         };
-        fetch_ms_per_token *= self.fetch_distance(fetch, shared, server).transfer_factor();
+        fetch_ms_per_token *= self.fetch_distance(fetch, &scope.sources, server).transfer_factor();
         let repeated = &shared[fetched_to.min(shared.len())..];
         let known = scope.sources.known.max(fetched_to) - fetched_to;
         let unknown_chance = match scope.home {
@@ -377,10 +382,12 @@
         // Engines of the same zone are as good as the store, and others only if it has less.
         let mut nearest = Distance::SameRegion;
         for &(other, ready) in &scope.sources.servers {
+            if other == key || ready <= lacking || ready < best.0 {
+                continue;
+            }
             let other_zone = &self.servers[other].listing.zone;
             let distance = self.regions.distance(other_zone, &server.listing.zone);
-            let is_better = ready > best.0 || (ready == best.0 && distance < nearest);
-            if other != key && ready > lacking && is_better {
+            if ready > best.0 || distance < nearest {
                 best = (ready, Fetch::Server(other));
                 nearest = distance;
             }
@@ -394,10 +401,10 @@
     }
 
     /// Returns how far a server is from where it fetches.
-    fn fetch_distance(&self, fetch: Fetch, shared: &[PrefixLevel], server: &Server) -> Distance {
+    fn fetch_distance(&self, fetch: Fetch, sources: &Sources, server: &Server) -> Distance {
         let source = match fetch {
             Fetch::Nothing => None,
-            Fetch::Store => self.stores.zone_for(shared),
+            Fetch::Store => sources.store_zone.as_ref(),
             Fetch::Server(key) => self.servers.get(key).map(|source| &source.listing.zone),
         };
         match source {
@@ -420,6 +427,8 @@
 struct Sources {
     /// Prefixes that the store keeps.
     kept: usize,
+    /// The store's zone, if it is known.
+    store_zone: Option<AvailabilityZone>,
     /// Engines that hold some, and how many.
     servers: Vec<(BackendKey, usize)>,
     /// Prefixes that some memory holds or is about to.
--- a/crates/dogwoodway_routing/src/direct/fleet/sharing.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/sharing.rs
@@ -193,8 +193,8 @@
         };
         server.cached.insert(&[own], ready_at);
         server.cached.insert(&news.shared, ready_at);
-        let region_of_server = self.regions.distance(&self.zone, &server.listing.zone);
-        if news.is_saved && region_of_server < Distance::OtherRegion {
+        let distance = self.regions.distance(&self.zone, &server.listing.zone);
+        if news.is_saved && distance < Distance::OtherRegion {
             let saved_at = ready_at + Duration::from_millis(SAVED_AFTER_MS);
             self.stores.note_saved(now, &news.shared, own, saved_at);
         }
--- a/crates/dogwoodway_routing/src/direct/peers.rs
+++ b/crates/dogwoodway_routing/src/direct/peers.rs
@@ -5,7 +5,11 @@
 //! other zone one router is told, another one each time, and passes the datagram on in its zone: so
 //! the bytes between zones grow with the number of zones instead of the number of routers.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, btree_map::Entry},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use dogwoodway_types::{AvailabilityZone, Timestamp};
 use serde::{Deserialize, Serialize};
@@ -42,6 +46,8 @@
     zone: Option<ZoneTag>,
     heard_at: Timestamp,
     told_at: Timestamp,
+    /// Its place in the order in which routers are watchers; the lowest come first.
+    rank: u64,
 }
 
 impl Peer {
@@ -89,10 +95,10 @@
 
     /// Notes that a router was announced; returns whether it was unknown.
     pub fn find(&mut self, now: Timestamp, address: SocketAddr) -> bool {
-        let is_new = !self.known.contains_key(&address);
-        let peer = Peer { zone: None, heard_at: now, told_at: Timestamp::default() };
-        self.known.entry(address).or_insert(peer);
-        is_new
+        let Entry::Vacant(entry) = self.known.entry(address) else { return false };
+        let told_at = Timestamp::default();
+        entry.insert(Peer { zone: None, heard_at: now, told_at, rank: rank(address) });
+        true
     }
 
     /// Notes a word of a router; returns whether it was unknown.
@@ -119,11 +125,9 @@
     /// Tells whether the router at `own` is one of those that read the store for all; routers that
     /// have fallen silent are passed over.
     pub fn is_watcher(&self, now: Timestamp, own: SocketAddr) -> bool {
-        let rank = |address| rendezvous::mix(router_id(address));
-        let first = |(address, peer): &(&SocketAddr, &Peer)| {
-            !peer.is_quiet(now) && rank(**address) < rank(own)
-        };
-        self.known.iter().filter(first).count() < WATCHERS
+        let own_rank = rank(own);
+        let comes_first = |peer: &&Peer| !peer.is_quiet(now) && peer.rank < own_rank;
+        self.known.values().filter(comes_first).count() < WATCHERS
     }
 
     /// Names the routers to send the next datagram to; `draw` is a random number that spreads what
@@ -132,17 +136,13 @@
         let mut told = Vec::new();
         let mut by_zone: BTreeMap<ZoneTag, Vec<SocketAddr>> = BTreeMap::new();
         for (&address, peer) in &mut self.known {
-            match peer.zone {
-                Some(zone) if zone != self.zone && !peer.is_quiet(now) => {
-                    by_zone.entry(zone).or_default().push(address);
-                    continue;
-                }
-                _ if peer.is_quiet(now)
-                    && now - peer.told_at < Duration::from_millis(QUIET_PAUSE_MS) =>
-                {
-                    continue;
-                }
-                _ => {}
+            let is_quiet = peer.is_quiet(now);
+            if let Some(zone) = peer.zone.filter(|zone| *zone != self.zone && !is_quiet) {
+                by_zone.entry(zone).or_default().push(address);
+                continue;
+            }
+            if is_quiet && now - peer.told_at < Duration::from_millis(QUIET_PAUSE_MS) {
+                continue;
             }
             peer.told_at = now;
             told.push(Addressee { address, passes_on: false });
@@ -161,3 +161,7 @@
         near.map(|(address, _)| *address).collect()
     }
 }
+
+fn rank(address: SocketAddr) -> u64 {
+    rendezvous::mix(router_id(address))
+}
--- a/crates/dogwoodway_routing/tests/direct_feed.rs
+++ b/crates/dogwoodway_routing/tests/direct_feed.rs
@@ -15,7 +15,7 @@
 fn a_feed_that_was_not_read_is_read_at_once() {
     let mut feed = Feed::new(MarkOrder::Ascending, LIMITS);
     assert!(!feed.hear(at(0), &Sighting { mark: 3, age_ms: 0 }));
-    assert!(feed.read_at() <= at(0));
+    assert!(feed.due_at() <= at(0));
     assert_eq!(feed.sighting(at(0)), None);
 }
 
@@ -29,7 +29,7 @@
         let known_at = at(ms.saturating_sub(900));
         let rely_until = known_at + Duration::from_millis(LIMITS.rely_ms);
         // Its own reading is due in any case.
-        assert_eq!(feed.read_at(), rely_until.min(at(LIMITS.own_every_ms)));
+        assert_eq!(feed.due_at(), rely_until.min(at(LIMITS.own_every_ms)));
     }
 }
 
@@ -38,11 +38,11 @@
     let mut feed = Feed::new(MarkOrder::Unordered, LIMITS);
     feed.read(at(1_000), 77);
     assert!(!feed.hear(at(1_200), &Sighting { mark: 66, age_ms: 500 }));
-    assert_eq!(feed.read_at(), at(2_400));
+    assert_eq!(feed.due_at(), at(2_400));
     assert!(feed.hear(at(1_600), &Sighting { mark: 66, age_ms: 500 }));
     assert!(!feed.hear(at(1_601), &Sighting { mark: 66, age_ms: 501 }), "once is enough");
     feed.read(at(1_650), 66);
-    assert_eq!(feed.read_at(), at(3_050));
+    assert_eq!(feed.due_at(), at(3_050));
 }
 
 #[test]
--- a/crates/dogwoodway_standin/src/replay/arrivals.rs
+++ b/crates/dogwoodway_standin/src/replay/arrivals.rs
@@ -1,13 +1,16 @@
 //! Seeded requests of the two kinds that engines serve.
 
-use std::time::Duration;
+use std::{str::FromStr, time::Duration};
 
 use dogwoodway_routing::direct::prompt::{Prompt, PromptPart};
-use dogwoodway_types::{ModelName, Timestamp};
+use dogwoodway_types::{IdError, ModelName, Timestamp};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 use super::pattern::{Pattern, Setting};
 
+/// The only model.
+pub(super) const MODEL: &str = "m0";
+
 /// Start of each replay.
 pub(super) const START: Timestamp = Timestamp::from_millis(1_000_000);
 
@@ -136,13 +139,12 @@
         part(format!("{}-{subject}", kind.name), kind.shared_tokens),
         part(format!("own-{draw:x}"), own),
     ];
-    let model = ModelName::try_from("m0").unwrap_or_else(|e| unreachable!("a plain name: {e}"));
     Arrival {
         at,
         kind: kind_place,
         router: rng.random_range(0..setting.routers),
         prompt: Prompt {
-            model,
+            model: plain::<ModelName>(MODEL),
             input_tokens: kind.shared_tokens + own,
             output_tokens: output,
             parts,
@@ -160,3 +162,11 @@
     let normal = (-2.0 * (1.0 - rng.random::<f64>()).ln()).sqrt() * angle.cos();
     (mean.ln() - spread * spread / 2.0 + spread * normal).exp()
 }
+
+/// Reads a name that is written in this program.
+pub(super) fn plain<T>(name: &str) -> T
+where
+    T: FromStr<Err = IdError>,
+{
+    name.parse().unwrap_or_else(|e| unreachable!("{name} is a valid name: {e}"))
+}
--- a/crates/dogwoodway_standin/src/replay/policy.rs
+++ b/crates/dogwoodway_standin/src/replay/policy.rs
@@ -6,6 +6,7 @@
 use dogwoodway_routing::{
     direct::{
         admission::{self, Pressure},
+        cost::REPEAT_MS_PER_TOKEN,
         fleet::{
             Availability, BackendKey, Fleet, PromptNews, Query, ServerListing, ServerLoad, Ticket,
         },
@@ -24,14 +25,14 @@
 use serde::Serialize;
 
 use super::{
-    arrivals::{Arrival, KINDS},
+    arrivals::{Arrival, KINDS, MODEL, plain},
     engine::{Engine, KV_TOKEN_BYTES, KV_TOKENS, LINK_MBPS, Run, SLOTS, read_tokens_per_ms},
     pattern::Setting,
     run::Store,
 };
 
-/// Price of computing a token that an engine has computed before, to the oracle, in milliseconds.
-const REPEAT_MS_PER_TOKEN: f64 = 0.15;
+/// Soonest time to come back for a caller that found no engine, in milliseconds.
+const COME_BACK_MS: u64 = 300;
 
 /// A way to choose an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, ValueEnum)]
@@ -140,7 +141,12 @@
     levels(&request.prompt, &scope.label())
 }
 
-/// Choices that need no state.
+/// Returns the prefixes that other prompts may share.
+pub(super) fn shared(levels: &[PrefixLevel]) -> &[PrefixLevel] {
+    levels.split_last().map_or(&[], |(_, shared)| shared)
+}
+
+/// Choices that need little state.
 struct Simple {
     kind: PolicyKind,
     pressure: Pressure,
@@ -151,7 +157,7 @@
     /// the price of what is computed again.
     fn predict(engine: &Engine, request: &Arrival, store: &Store) -> (f64, f64, f64) {
         let levels = levels_for(request, engine.version);
-        let kept = store.kept.matched(&levels[..levels.len() - 1]);
+        let kept = store.kept.matched(shared(&levels));
         let run = Run {
             request: 0,
             urgency: KINDS[request.kind].urgency,
@@ -180,7 +186,7 @@
         let is_usable = |engine: &Engine| engine.is_up && !engine.is_draining && !engine.is_loading;
         let usable: Vec<_> = (0..engines.len()).filter(|i| is_usable(&engines[*i])).collect();
         let Some(&first) = usable.first() else {
-            return Choice::Refuse { come_back_at: now + Duration::from_millis(300) };
+            return Choice::Refuse { come_back_at: now + Duration::from_millis(COME_BACK_MS) };
         };
         let engine = match self.kind {
             PolicyKind::Random => usable[request.draw as usize % usable.len()],
@@ -218,7 +224,7 @@
             }
         };
         let levels = levels_for(request, engines[engine].version);
-        let shared = &levels[..levels.len() - 1];
+        let shared = shared(&levels);
         let saves = store.kept.matched(shared) < shared.len();
         Choice::Run { engine, fetch_from: Some(Source::Store), saves, ticket: None }
     }
@@ -231,13 +237,12 @@
     engines: HashMap<SocketAddr, usize>,
     revisions: Vec<u64>,
     model: ModelName,
+    zone: AvailabilityZone,
 }
 
 impl Routers {
     fn new(setting: &Setting) -> Routers {
-        let model = ModelName::try_from("m0").unwrap_or_else(|e| unreachable!("a plain name: {e}"));
-        let zone =
-            AvailabilityZone::try_from("a").unwrap_or_else(|e| unreachable!("a plain name: {e}"));
+        let (model, zone): (ModelName, AvailabilityZone) = (plain(MODEL), plain("a"));
         let table = table(&model);
         let now = super::arrivals::START;
         let mut routers = Routers {
@@ -246,9 +251,10 @@
             engines: (0..setting.engines).map(|i| (address(i), i)).collect(),
             revisions: vec![1; setting.engines],
             model,
+            zone,
         };
         for _ in 0..setting.routers {
-            let mut fleet = Fleet::new(zone.clone());
+            let mut fleet = Fleet::new(routers.zone.clone());
             fleet.set_table(&table);
             fleet.set_routers(setting.routers as u32);
             fleet.observe_store(now, store_address(), true, &[]);
@@ -274,8 +280,7 @@
             name: engine_name(engine),
             service: service(),
             address: address(engine),
-            zone: AvailabilityZone::try_from("a")
-                .unwrap_or_else(|e| unreachable!("a plain name: {e}")),
+            zone: self.zone.clone(),
             slots: SLOTS as u32,
             availability,
             weights: vec![(self.model.clone(), WeightsVersion(version))],
@@ -393,12 +398,11 @@
 }
 
 fn service() -> ServiceName {
-    ServiceName::try_from("llm").unwrap_or_else(|e| unreachable!("a plain name: {e}"))
+    plain("llm")
 }
 
 fn engine_name(engine: usize) -> BackendServerName {
-    let name = format!("engine-{engine}");
-    BackendServerName::try_from(name).unwrap_or_else(|e| unreachable!("a plain name: {e}"))
+    plain(&format!("engine-{engine}"))
 }
 
 fn address(engine: usize) -> SocketAddr {
@@ -410,11 +414,7 @@
 }
 
 fn table(model: &ModelName) -> ServingTable {
-    let named = |name: &str, kind| Service {
-        name: ServiceName::try_from(name).unwrap_or_else(|e| unreachable!("a plain name: {e}")),
-        max_connections: 360,
-        kind,
-    };
+    let named = |name: &str, kind| Service { name: plain(name), max_connections: 360, kind };
     let engines = EngineSpec {
         slots: SLOTS as u32,
         kv_tokens: KV_TOKENS,
--- a/crates/dogwoodway_standin/src/replay/run.rs
+++ b/crates/dogwoodway_standin/src/replay/run.rs
@@ -16,7 +16,7 @@
     arrivals::{Arrival, KINDS, START, draw, mean_own_tokens},
     engine::{Engine, LOAD_MS, Output, Run, fetch_ms_per_token, read_tokens_per_ms},
     pattern::{BEGINS_S, ENDS_S, Pattern, Setting},
-    policy::{Choice, EngineState, News, Policy, PolicyKind, Source, build, levels_for},
+    policy::{Choice, EngineState, News, Policy, PolicyKind, Source, build, levels_for, shared},
     summary::{Ended, Summary},
 };
 
@@ -44,6 +44,12 @@
 /// Milliseconds after which a grey engine fails a request.
 const GREY_MS: u64 = 5;
 
+/// Milliseconds from the first output to the moment at which the store has a prompt.
+const SAVED_AFTER_MS: u64 = 40;
+
+/// Milliseconds after which a caller repeats at once, and repeats again.
+const REPEAT_AFTER_MS: u64 = 20;
+
 /// Milliseconds from the loss of an engine to the moment when routers know of it.
 const LOSS_SEEN_MS: u64 = 250;
 
@@ -287,11 +293,10 @@
             return self.plan(now + after, Event::GreyFailure { request: place });
         }
         let levels = levels_for(request, self.engines[engine].version);
-        let shared = &levels[..levels.len() - 1];
         let fetchable = match fetch_from {
             None => 0,
-            Some(Source::Store) => self.store.kept.matched(shared),
-            Some(Source::Engine(other)) => self.engines[other].held(shared),
+            Some(Source::Store) => self.store.kept.matched(shared(&levels)),
+            Some(Source::Engine(other)) => self.engines[other].held(shared(&levels)),
         };
         let slow = if self.setting.pattern == Pattern::SlowLinks { 10.0 } else { 1.0 };
         let run = Run {
@@ -304,9 +309,8 @@
         };
         let (_, unread) = self.engines[engine].to_read(&run);
         let own = request.prompt.input_tokens - request.shared_tokens();
-        let shared_again = run.levels[..run.levels.len() - 1]
-            .iter()
-            .all(|level| self.computed.contains(&level.key));
+        let shared_again =
+            shared(&run.levels).iter().all(|level| self.computed.contains(&level.key));
         if shared_again {
             self.repeated += u64::from(unread.saturating_sub(own));
         }
@@ -370,7 +374,7 @@
                 fetchable: 0,
                 fetch_ms_per_token: 0.0,
             };
-            self.plan(now + Duration::from_millis(40), Event::Saved(run));
+            self.plan(now + Duration::from_millis(SAVED_AFTER_MS), Event::Saved(run));
         }
     }
 
@@ -394,7 +398,8 @@
     fn refuse(&mut self, now: Timestamp, place: usize, come_back_at: Timestamp) {
         let request = &self.requests[place];
         let abuses = self.setting.pattern == Pattern::RepeatAtOnce;
-        let back_at = if abuses { now + Duration::from_millis(20) } else { come_back_at };
+        let at_once = Duration::from_millis(REPEAT_AFTER_MS);
+        let back_at = if abuses { now + at_once } else { come_back_at };
         if request.is_return || back_at >= request.deadline {
             self.ended.push(Ended::refused(request));
             return;
@@ -402,9 +407,9 @@
         let again = Arrival { is_return: true, at: back_at, ..request.clone() };
         if abuses {
             // The same caller asks twice more; only its first answer counts.
-            for n in 1..3_u64 {
-                let extra = Arrival { draw: again.draw ^ n, ..again.clone() };
-                let at = back_at + Duration::from_millis(20 * n);
+            for n in 1..3_u32 {
+                let extra = Arrival { draw: again.draw ^ u64::from(n), ..again.clone() };
+                let at = back_at + at_once * n;
                 self.policy.place(at, &extra, &self.engines, &self.store);
             }
         }
--- a/crates/dogwoodway_standin/tests/replay.rs
+++ b/crates/dogwoodway_standin/tests/replay.rs
@@ -18,15 +18,19 @@
     SEEDS.map(|seed| replay(&Setting { seed, ..*setting }, policy)).into()
 }
 
-fn worth(setting: &Setting, policy: PolicyKind) -> f64 {
-    let summaries = replays(setting, policy);
+fn mean_worth(summaries: &[Summary]) -> f64 {
     summaries.iter().map(|summary| summary.worth).sum::<f64>() / summaries.len() as f64
 }
 
+fn worth(setting: &Setting, policy: PolicyKind) -> f64 {
+    mean_worth(&replays(setting, policy))
+}
+
 /// Expects the router to earn nearly as much as the oracle, and more than the simple ways.
 fn expect_near_oracle(pattern: Pattern, load: f64) {
     let setting = setting(pattern, load);
-    let router = worth(&setting, PolicyKind::Router);
+    let summaries = replays(&setting, PolicyKind::Router);
+    let router = mean_worth(&summaries);
     let oracle = worth(&setting, PolicyKind::Oracle);
     assert!(router >= oracle * OF_ORACLE, "{pattern:?}: {router:.3} of the oracle's {oracle:.3}");
     for simple in [PolicyKind::Random, PolicyKind::LeastLoaded, PolicyKind::Rendezvous] {
@@ -35,11 +39,9 @@
     }
     // Patient requests give way to urgent ones, not the other way round.
     let served = |kind: usize| {
-        let of_kind =
-            replays(&setting, PolicyKind::Router).into_iter().map(|s| s.kinds[kind].clone());
-        let (served, asked) = of_kind
-            .map(|kind| (kind.in_time + kind.late, kind.asked))
-            .fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+        let of_kind = || summaries.iter().map(|summary| &summary.kinds[kind]);
+        let served: usize = of_kind().map(|kind| kind.in_time + kind.late).sum();
+        let asked: usize = of_kind().map(|kind| kind.asked).sum();
         served as f64 / asked as f64
     };
     assert!(served(0) >= served(1), "{pattern:?}: {:.3} {:.3}", served(0), served(1));
