Read the store by two watchers, also the routers' log

Change: events in the routers' log are a feed like the others, read when a watcher reports a newer one. Only watchers claim the leadership, and a leader reads the log only if its end has moved. Watchers introduce routers that the log announces. Routers that do not reach the store are passed over as watchers, and others than watchers retry more slowly. Watchers poll the servers' list for 0.3 s, so that their reports never get too old in a quiet store.

--- a/crates/dogwoodway_gateway/src/directory.rs
+++ b/crates/dogwoodway_gateway/src/directory.rs
@@ -27,16 +27,24 @@
 /// configuration can be outdated without the router's knowledge.
 const OPERATOR_POLL_MS: u64 = 1_000;
 
-/// Duration of one long poll for changes in the list of servers, in milliseconds.
-const SERVERS_POLL_MS: u64 = 1_500;
+/// Duration of one long poll for changes in the list of servers, in milliseconds. Together with
+/// [`SERVERS_PAUSE_MS`] it bounds the age of the watchers' reports, on which the other routers rely.
+const SERVERS_POLL_MS: u64 = 300;
 
 /// Pause between two polls of the list of servers, in milliseconds. Each server writes its entry
 /// about once a second, so polls without a pause would always return at once. The pause must be
 /// short enough that a server that leaves gets no new requests after two seconds.
 const SERVERS_PAUSE_MS: u64 = 600;
 
-/// First and longest pause after a failed read, in milliseconds; the pause doubles each time.
-const RETRY_PAUSE_MS: (u64, u64) = (50, 400);
+/// First pause after a failed read, in milliseconds; the pause doubles each time.
+const FIRST_RETRY_PAUSE_MS: u64 = 50;
+
+/// Longest pause after a failed read of a watcher, in milliseconds.
+const WATCHER_RETRY_PAUSE_MS: u64 = 400;
+
+/// Longest pause after a failed read of another router, in milliseconds. The watchers report when
+/// the store is back, and hundreds of routers would add to the load that it fails under.
+const RETRY_PAUSE_MS: u64 = 1_500;
 
 /// Time since the configuration was last known to be current after which it counts as stale, in
 /// milliseconds.
@@ -155,7 +163,8 @@
                     if self.part == DirectoryPart::Servers {
                         tokio::time::sleep(Duration::from_millis(SERVERS_PAUSE_MS)).await;
                     }
-                    wait_until_due(&mut self.feeds, self.part).await;
+                    let part = self.part;
+                    wait_until_due(&mut self.feeds, |feeds| feeds.of(part)).await;
                 }
                 Err(StoreError::Expired(first)) => {
                     log::info!(part:? = self.part, from:? = self.next.map(|n| n.0), first = first.0;
@@ -164,8 +173,12 @@
                 }
                 Err(e) => {
                     self.record_failure(&e);
-                    let (first, longest) = RETRY_PAUSE_MS;
-                    let pause_ms = first.checked_shl(self.failures).unwrap_or(longest).min(longest);
+                    let longest_ms = match self.feeds.borrow().is_watcher {
+                        true => WATCHER_RETRY_PAUSE_MS,
+                        false => RETRY_PAUSE_MS,
+                    };
+                    let pause_ms = FIRST_RETRY_PAUSE_MS.checked_shl(self.failures);
+                    let pause_ms = pause_ms.unwrap_or(longest_ms).min(longest_ms);
                     tokio::time::sleep(Duration::from_millis(pause_ms)).await;
                 }
             }
@@ -220,6 +233,7 @@
             log::warn!(part:? = self.part; "store lost: {e}");
         }
         metrics::counter!(metric::STORE_FAILURES).increment(1);
+        self.shared_feeds.mark_failed(self.part);
         self.failures = self.failures.saturating_add(1);
     }
 
--- a/crates/dogwoodway_gateway/src/feeds.rs
+++ b/crates/dogwoodway_gateway/src/feeds.rs
@@ -18,19 +18,29 @@
 /// How long a router relies on others for the configuration. Watchers poll for up to a second, and
 /// a router must apply changes within two seconds.
 const OPERATOR_LIMITS: FeedLimits =
-    FeedLimits { max_report_age_ms: 1_400, max_read_interval_ms: 10_000 };
+    FeedLimits { max_report_age_ms: 1_400, max_read_interval_ms: 60_000 };
 
 /// How long a router relies on others for the list of servers, which watchers read every 0.6 s. A
 /// server that leaves must get no new requests after two seconds. A router still reads the list
-/// itself from time to time to learn the weights that the entries name.
+/// itself from time to time to learn the weights that the entries name; answers and the leader name
+/// them earlier.
 const SERVERS_LIMITS: FeedLimits =
-    FeedLimits { max_report_age_ms: 1_100, max_read_interval_ms: 5_000 };
+    FeedLimits { max_report_age_ms: 1_100, max_read_interval_ms: 15_000 };
+
+/// How long a router relies on others for the events in the routers' log. Watchers poll it for up to
+/// 1.5 s, and a request that crashes servers must be known everywhere within three seconds.
+const EVENTS_LIMITS: FeedLimits =
+    FeedLimits { max_report_age_ms: 2_200, max_read_interval_ms: 60_000 };
 
 /// What a router has last read from the store, as it reports it to other routers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct FeedReports {
     operator: Option<FeedReport>,
     servers: Option<FeedReport>,
+    /// Events in the routers' log; records of the leadership do not count.
+    events: Option<FeedReport>,
+    /// Whether the last calls of the router to the store succeeded.
+    pub(crate) reaches_store: bool,
 }
 
 /// State of both feeds.
@@ -40,6 +50,9 @@
     pub(crate) is_watcher: bool,
     operator: Feed,
     servers: Feed,
+    events: Feed,
+    /// Parts of the directory whose last read failed.
+    failed: [bool; 2],
 }
 
 impl Feeds {
@@ -51,6 +64,16 @@
         }
     }
 
+    /// Returns the feed of events in the routers' log.
+    pub(crate) fn events(&self) -> &Feed {
+        &self.events
+    }
+
+    /// Returns whether the last reads of the directory succeeded.
+    pub(crate) fn reaches_store(&self) -> bool {
+        self.failed == [false; 2]
+    }
+
     fn of_mut(&mut self, part: DirectoryPart) -> &mut Feed {
         match part {
             DirectoryPart::Operator => &mut self.operator,
@@ -64,13 +87,15 @@
 pub(crate) struct SharedFeeds(Arc<watch::Sender<Feeds>>);
 
 impl SharedFeeds {
-    /// Builds the state of a router that has read nothing. It is a watcher until it hears from
-    /// other routers.
+    /// Builds the state of a router that has read nothing. It is no watcher until it has had the
+    /// time to hear from other routers.
     pub(crate) fn new() -> SharedFeeds {
         SharedFeeds(Arc::new(watch::Sender::new(Feeds {
-            is_watcher: true,
+            is_watcher: false,
             operator: Feed::new(RevisionOrder::Ascending, OPERATOR_LIMITS),
             servers: Feed::new(RevisionOrder::Unordered, SERVERS_LIMITS),
+            events: Feed::new(RevisionOrder::Ascending, EVENTS_LIMITS),
+            failed: [false; 2],
         })))
     }
 
@@ -82,31 +107,72 @@
     /// Records that this router has read a feed up to `revision`.
     pub(crate) fn mark_read(&self, part: DirectoryPart, revision: u64) {
         self.0.send_if_modified(|feeds| {
+            feeds.failed[part as usize] = false;
             feeds.of_mut(part).record_read(clock::now(), revision);
             false
         });
     }
 
-    /// Applies what another router has read, and sets whether this router is a watcher.
-    pub(crate) fn apply_peer(&self, now: Timestamp, peer: &FeedReports, is_watcher: bool) {
+    /// Records that this router could not read a part of the directory.
+    pub(crate) fn mark_failed(&self, part: DirectoryPart) {
+        self.0.send_if_modified(|feeds| {
+            feeds.failed[part as usize] = true;
+            false
+        });
+    }
+
+    /// Records that this router has read the routers' log to its end; `revision` is the offset
+    /// after the last event.
+    pub(crate) fn mark_events_read(&self, revision: u64) {
+        self.0.send_if_modified(|feeds| {
+            feeds.events.record_read(clock::now(), revision);
+            false
+        });
+    }
+
+    /// Sets whether this router is a watcher.
+    pub(crate) fn set_watcher(&self, is_watcher: bool) {
         self.0.send_if_modified(|feeds| {
-            let is_role_changed =
-                std::mem::replace(&mut feeds.is_watcher, is_watcher) != is_watcher;
-            if is_role_changed {
-                log::info!(is_watcher = is_watcher; "role at the store changed");
+            let is_changed = std::mem::replace(&mut feeds.is_watcher, is_watcher) != is_watcher;
+            if is_changed {
+                log::info!(is_watcher = is_watcher, reaches_store = feeds.reaches_store();
+                    "role at the store changed");
             }
+            is_changed
+        });
+    }
+
+    /// Returns whether this router is a watcher.
+    pub(crate) fn is_watcher(&self) -> bool {
+        self.0.borrow().is_watcher
+    }
+
+    /// Returns whether the last reads of the directory by this router succeeded.
+    pub(crate) fn reaches_store(&self) -> bool {
+        self.0.borrow().reaches_store()
+    }
+
+    /// Applies what another router has read.
+    pub(crate) fn apply_peer(&self, now: Timestamp, peer: &FeedReports) {
+        self.0.send_if_modified(|feeds| {
             let operator =
                 peer.operator.is_some_and(|report| feeds.operator.apply_report(now, &report));
             let servers =
                 peer.servers.is_some_and(|report| feeds.servers.apply_report(now, &report));
-            is_role_changed || operator || servers
+            let events = peer.events.is_some_and(|report| feeds.events.apply_report(now, &report));
+            operator || servers || events
         });
     }
 
     /// Returns what this router has read, to report it to others.
     pub(crate) fn feed_reports(&self, now: Timestamp) -> FeedReports {
         let feeds = self.0.borrow();
-        FeedReports { operator: feeds.operator.report(now), servers: feeds.servers.report(now) }
+        FeedReports {
+            operator: feeds.operator.report(now),
+            servers: feeds.servers.report(now),
+            events: feeds.events.report(now),
+            reaches_store: feeds.reaches_store(),
+        }
     }
 
     /// Returns when the configuration was last known to be current.
@@ -115,15 +181,18 @@
     }
 }
 
-/// Waits until a feed is due to be read, which is at once for a watcher.
-pub(crate) async fn wait_until_due(feeds: &mut watch::Receiver<Feeds>, part: DirectoryPart) {
+/// Waits until a feed is due to be read, which is at once for a watcher. `feed` selects the feed.
+pub(crate) async fn wait_until_due<F>(feeds: &mut watch::Receiver<Feeds>, feed: F)
+where
+    F: Fn(&Feeds) -> &Feed,
+{
     loop {
         let due_at = {
             let feeds = feeds.borrow_and_update();
             if feeds.is_watcher {
                 return;
             }
-            feeds.of(part).next_read_at()
+            feed(&feeds).next_read_at()
         };
         if due_at <= clock::now() {
             return;
--- a/crates/dogwoodway_gateway/src/gossip.rs
+++ b/crates/dogwoodway_gateway/src/gossip.rs
@@ -11,6 +11,7 @@
     load::router_id,
     peers::{Peers, ZoneTag},
 };
+use dogwoodway_types::Timestamp;
 use kameo::actor::ActorRef;
 use serde::{Deserialize, Serialize};
 use tokio::{
@@ -40,6 +41,14 @@
 /// router reports how many it knows, so that it no longer assumes a number if it is the only one.
 const DISCOVERY_PERIOD_MS: u64 = 3_000;
 
+/// Time after the start in which a router takes no role at the store, in milliseconds. Routers that
+/// start together hear from each other within that time; otherwise each of them would take it.
+const ROLE_DELAY_MS: u64 = 500;
+
+/// Time for which a router that the log has announced is introduced to the others, in milliseconds;
+/// long enough for several datagrams, of which some may be lost.
+const INTRODUCTION_MS: u64 = 700;
+
 /// Largest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
@@ -57,10 +66,15 @@
     /// What `origin` has last read from the store.
     #[serde(rename = "sightings")]
     feed_reports: FeedReports,
+    /// Routers that have just started. Most routers do not read the log that announces them.
+    introduced: Vec<SocketAddr>,
     #[serde(rename = "news")]
     update: RouterUpdate,
 }
 
+/// Routers that this one introduces to the others, each until the time given.
+type Introductions = Vec<(SocketAddr, Timestamp)>;
+
 /// The task that exchanges datagrams with other routers.
 pub(crate) struct Gossip {
     pub(crate) zone: ZoneTag,
@@ -87,6 +101,8 @@
         let mut has_changes = true;
         let discovery_ends_at = send_at + Duration::from_millis(DISCOVERY_PERIOD_MS);
         let mut is_discovery_over = false;
+        let role_from = send_at + Duration::from_millis(ROLE_DELAY_MS);
+        let mut introductions = Introductions::new();
         loop {
             let heartbeat_at = send_at + Duration::from_millis(HEARTBEAT_DELAY_MS);
             let due = if has_changes { send_at } else { heartbeat_at };
@@ -96,9 +112,9 @@
                     Err(e) => log::debug!("could not receive a gossip datagram: {e}"),
                 },
                 Some(address) = self.discovered.recv() => {
-                    if address != self.address && peers.add(clock::now(), address) {
-                        self.publish_router_count(&peers).await;
-                    }
+                    let now = clock::now();
+                    introductions.push((address, now + Duration::from_millis(INTRODUCTION_MS)));
+                    self.add_peer(&mut peers, now, address).await;
                 }
                 () = clock::sleep_until(discovery_ends_at), if !is_discovery_over => {
                     is_discovery_over = true;
@@ -106,7 +122,12 @@
                 }
                 () = self.loads_changed.notified(), if !has_changes => has_changes = true,
                 () = clock::sleep_until(due) => {
-                    self.send_update(&socket, &mut peers).await;
+                    let now = clock::now();
+                    introductions.retain(|(_, until)| *until > now);
+                    if now >= role_from {
+                        self.update_role(&peers, now);
+                    }
+                    self.send_update(&socket, &mut peers, &introductions).await;
                     let others = u64::from(peers.router_count() - 1);
                     let pause_ms = MIN_INTERVAL_MS + INTERVAL_PER_PEER_MS * others;
                     send_at = clock::now() + Duration::from_millis(pause_ms);
@@ -132,7 +153,11 @@
         if peers.record_datagram(now, datagram.origin, datagram.zone) {
             self.publish_router_count(peers).await;
         }
-        self.feeds.apply_peer(now, &datagram.feed_reports, peers.is_watcher(now, self.address));
+        peers.record_store_access(datagram.origin, datagram.feed_reports.reaches_store);
+        self.feeds.apply_peer(now, &datagram.feed_reports);
+        for address in datagram.introduced {
+            self.add_peer(peers, now, address).await;
+        }
         if delivery == RELAY_IN_ZONE {
             bytes[0] = DIRECT;
             for address in peers.relay_targets(now, datagram.origin) {
@@ -145,7 +170,23 @@
         }
     }
 
-    async fn send_update(&self, socket: &UdpSocket, peers: &mut Peers) {
+    async fn add_peer(&self, peers: &mut Peers, now: Timestamp, address: SocketAddr) {
+        if address != self.address && peers.add(now, address) {
+            self.publish_router_count(peers).await;
+        }
+    }
+
+    fn update_role(&self, peers: &Peers, now: Timestamp) {
+        let is_watcher = peers.is_watcher(now, self.address, self.feeds.reaches_store());
+        self.feeds.set_watcher(is_watcher);
+    }
+
+    async fn send_update(
+        &self,
+        socket: &UdpSocket,
+        peers: &mut Peers,
+        introductions: &[(SocketAddr, Timestamp)],
+    ) {
         let now = clock::now();
         if peers.remove_expired(now) {
             self.publish_router_count(peers).await;
@@ -156,7 +197,9 @@
         }
         let Ok(update) = self.fleet.ask(CollectRouterUpdate).await else { return };
         let feed_reports = self.feeds.feed_reports(now);
-        let datagram = Datagram { origin: self.address, zone: self.zone, feed_reports, update };
+        let introduced = introductions.iter().map(|(address, _)| *address).collect();
+        let (origin, zone) = (self.address, self.zone);
+        let datagram = Datagram { origin, zone, feed_reports, introduced, update };
         let mut bytes = vec![DIRECT];
         if let Err(e) = codec().serialize_into(&mut bytes, &datagram) {
             log::error!("could not serialize a gossip datagram: {e}");
--- a/crates/dogwoodway_gateway/src/leader.rs
+++ b/crates/dogwoodway_gateway/src/leader.rs
@@ -22,7 +22,7 @@
 use self::log_reader::LogReader;
 use crate::{
     clock,
-    feeds::Feeds,
+    feeds::SharedFeeds,
     fleet_actor::{
         ApplyFingerprintEvent, EngineTarget, FingerprintEvent, FleetActor, GetRolloutState,
         UpdateWeightsState, WeightsState,
@@ -90,8 +90,9 @@
     pub(crate) log: Arc<dyn RouterLog>,
     pub(crate) control: Arc<dyn EngineControl>,
     pub(crate) fleet: ActorRef<FleetActor>,
-    /// Says whether this router is a watcher, which then also follows the log without pauses.
-    pub(crate) feeds: watch::Receiver<Feeds>,
+    /// Says whether this router is a watcher. Only watchers claim the leadership, and they follow
+    /// the log without pauses.
+    pub(crate) feeds: SharedFeeds,
     /// Events to append to the log.
     pub(crate) fingerprint_events: mpsc::Receiver<FingerprintEvent>,
     /// Receives the addresses of routers that have started.
@@ -159,7 +160,12 @@
 pub(crate) async fn run(config: LeaderConfig) {
     let (events, mut inbox) = mpsc::channel(64);
     let (eager, is_eager) = watch::channel(true);
-    let reader = LogReader { log: config.log.clone(), feeds: config.feeds.clone(), is_eager };
+    let reader = LogReader {
+        log: config.log.clone(),
+        shared_feeds: config.feeds.clone(),
+        feeds: config.feeds.subscribe(),
+        is_eager,
+    };
     tokio::spawn(reader.run(events.clone()));
     tokio::spawn(announce(config.log.clone(), config.router.clone(), config.address));
     let leadership = Leadership::new(config.router.clone(), config.lease_ms);
@@ -213,7 +219,7 @@
         let now = clock::now();
         for (i, bytes) in page.records.iter().enumerate() {
             let offset = LogOffset(page.base_offset.0 + i as u64);
-            match bincode::deserialize(bytes) {
+            match decode(bytes) {
                 Ok(RouterRecord::Leader(record)) => {
                     self.leadership.apply_record(now, offset, &record);
                 }
@@ -243,9 +249,12 @@
     }
 
     async fn tick(&mut self) {
+        let is_watcher = self.config.feeds.is_watcher();
+        self.leadership.set_candidate(is_watcher);
         self.claim_or_renew().await;
         let leads = self.leadership.is_leader(clock::now());
-        let is_eager = leads || !self.leadership.knows_log_end();
+        // A leader learns the log's end from its own appends, unless another router appends too.
+        let is_eager = (leads || is_watcher) && !self.leadership.knows_log_end();
         self.eager.send_if_modified(|was| std::mem::replace(was, is_eager) != is_eager);
         if leads != self.was_leading {
             self.was_leading = leads;
@@ -541,6 +550,10 @@
     }
 }
 
+fn decode(bytes: &[u8]) -> Result<RouterRecord, bincode::Error> {
+    bincode::deserialize(bytes)
+}
+
 fn encode(record: &RouterRecord) -> Vec<u8> {
     match bincode::serialize(record) {
         Ok(bytes) => bytes,
--- a/crates/dogwoodway_gateway/src/router.rs
+++ b/crates/dogwoodway_gateway/src/router.rs
@@ -158,7 +158,7 @@
         lease_ms: u64::from(settings.lease_ms),
         log: dependencies.log,
         control: dependencies.control,
-        feeds: feeds.subscribe(),
+        feeds,
         fleet: fleet.clone(),
         fingerprint_events,
         discovered: discovered_tx,
--- a/crates/dogwoodway_routing/src/direct/leadership.rs
+++ b/crates/dogwoodway_routing/src/direct/leadership.rs
@@ -93,6 +93,8 @@
     router: RouterName,
     lease_ms: u64,
     log_end: Option<LogOffset>,
+    /// Whether the router may claim the leadership.
+    is_candidate: bool,
     /// Router that the last record read is from.
     holder: Option<RouterName>,
     /// Time from which no other router can be the leader or have sent an order within the lease.
@@ -109,6 +111,7 @@
             router,
             lease_ms,
             log_end: None,
+            is_candidate: true,
             holder: None,
             claimable_at: Timestamp::MAX,
             term: None,
@@ -145,6 +148,23 @@
         }
     }
 
+    /// Sets whether the router may claim the leadership. If only a few routers may, hundreds do not
+    /// append claims at the same moment.
+    ///
+    /// ```
+    /// use dogwoodway_routing::direct::leadership::{Leadership, LeadershipAction};
+    /// use dogwoodway_types::{LogOffset, RouterName, Timestamp};
+    ///
+    /// let mut leadership = Leadership::new(RouterName::try_from("router-1").unwrap(), 3_000);
+    /// let now = Timestamp::from_millis(1);
+    /// leadership.record_log_end(now, LogOffset(0), true);
+    /// leadership.set_candidate(false);
+    /// assert_eq!(leadership.next_action(now), LeadershipAction::Wait);
+    /// ```
+    pub fn set_candidate(&mut self, is_candidate: bool) {
+        self.is_candidate = is_candidate;
+    }
+
     /// Records that another record was appended at the known end of the log. Nothing is appended
     /// until the new end is known.
     pub fn invalidate_log_end(&mut self) {
@@ -165,7 +185,7 @@
                 LeadershipAction::Append { record: LeaderRecord::Renew { router }, at }
             }
             Some(_) => LeadershipAction::Wait,
-            None if now >= self.claimable_at => {
+            None if self.is_candidate && now >= self.claimable_at => {
                 LeadershipAction::Append { record: LeaderRecord::Claim { router }, at }
             }
             None => LeadershipAction::Wait,
--- a/crates/dogwoodway_routing/src/direct/peers.rs
+++ b/crates/dogwoodway_routing/src/direct/peers.rs
@@ -47,6 +47,8 @@
     zone: Option<ZoneTag>,
     last_heard_at: Timestamp,
     last_sent_at: Timestamp,
+    /// Whether the router reaches the store, as it last reported.
+    reaches_store: bool,
     /// Order in which routers become watchers, the lowest first.
     rank: u64,
 }
@@ -97,8 +99,13 @@
     /// Adds a router that was announced; returns whether it was unknown.
     pub fn add(&mut self, now: Timestamp, address: SocketAddr) -> bool {
         let Entry::Vacant(entry) = self.peers.entry(address) else { return false };
-        let last_sent_at = Timestamp::default();
-        entry.insert(Peer { zone: None, last_heard_at: now, last_sent_at, rank: rank(address) });
+        entry.insert(Peer {
+            zone: None,
+            last_heard_at: now,
+            last_sent_at: Timestamp::default(),
+            reaches_store: true,
+            rank: rank(address),
+        });
         true
     }
 
@@ -111,6 +118,13 @@
         is_new
     }
 
+    /// Records whether a router reaches the store, as it reports itself.
+    pub fn record_store_access(&mut self, address: SocketAddr, reaches_store: bool) {
+        if let Some(peer) = self.peers.get_mut(&address) {
+            peer.reaches_store = reaches_store;
+        }
+    }
+
     /// Removes routers that have been silent for too long; returns whether there were any.
     pub fn remove_expired(&mut self, now: Timestamp) -> bool {
         let count = self.peers.len();
@@ -125,11 +139,24 @@
     }
 
     /// Returns whether the router at `own` is a watcher, that is, one of those that read the store
-    /// on behalf of all. Silent routers are passed over.
-    pub fn is_watcher(&self, now: Timestamp, own: SocketAddr) -> bool {
+    /// on behalf of all. Silent routers are passed over, and so are those that do not reach the
+    /// store while any router does.
+    ///
+    /// ```
+    /// use dogwoodway_routing::direct::peers::{Peers, ZoneTag};
+    /// use dogwoodway_types::Timestamp;
+    ///
+    /// let own = "10.0.1.1:7340".parse().unwrap();
+    /// let peers = Peers::new(ZoneTag(1));
+    /// assert!(peers.is_watcher(Timestamp::from_millis(1), own, true), "it is the only router");
+    /// ```
+    pub fn is_watcher(&self, now: Timestamp, own: SocketAddr, reaches_store: bool) -> bool {
         let own_rank = rank(own);
-        let comes_first = |peer: &&Peer| !peer.is_silent(now) && peer.rank < own_rank;
-        self.peers.values().filter(comes_first).count() < WATCHER_COUNT
+        let heard = || self.peers.values().filter(|peer| !peer.is_silent(now));
+        let is_lost_for_all = !reaches_store && !heard().any(|peer| peer.reaches_store);
+        let comes_first =
+            |peer: &&Peer| (peer.reaches_store || is_lost_for_all) && peer.rank < own_rank;
+        (reaches_store || is_lost_for_all) && heard().filter(comes_first).count() < WATCHER_COUNT
     }
 
     /// Returns the routers to send the next datagram to. `draw` is a random number that distributes
--- a/crates/dogwoodway_routing/tests/direct_peers.rs
+++ b/crates/dogwoodway_routing/tests/direct_peers.rs
@@ -107,14 +107,36 @@
                 ZoneTag(1),
             );
         }
-        peers.is_watcher(at(5_001), own)
+        peers.is_watcher(at(5_001), own, true)
     };
     let watchers: Vec<_> = routers.iter().copied().filter(|own| is_watcher(*own, &[])).collect();
     assert_eq!(watchers.len(), 2);
     let next: Vec<_> = routers.iter().copied().filter(|own| is_watcher(*own, &watchers)).collect();
     assert_eq!(next.len(), 4, "the two silent ones still count themselves as watchers");
     assert!(
-        Peers::new(ZoneTag(1)).is_watcher(at(0), routers[0]),
+        Peers::new(ZoneTag(1)).is_watcher(at(0), routers[0], true),
         "a router without peers is a watcher"
     );
 }
+
+#[test]
+fn routers_that_do_not_reach_the_store_are_no_watchers_while_others_do() {
+    let routers: Vec<_> = (1..=9).map(|n| address(1, n)).collect();
+    let watchers = |without_store: &[SocketAddr]| -> Vec<SocketAddr> {
+        let is_watcher = |own: &SocketAddr| {
+            let mut peers = Peers::new(ZoneTag(1));
+            for router in routers.iter().filter(|router| *router != own) {
+                peers.record_datagram(at(0), *router, ZoneTag(1));
+                peers.record_store_access(*router, !without_store.contains(router));
+            }
+            peers.is_watcher(at(1), *own, !without_store.contains(own))
+        };
+        routers.iter().copied().filter(is_watcher).collect()
+    };
+    let first = watchers(&[]);
+    assert_eq!(first.len(), 2);
+    let next = watchers(&first);
+    assert_eq!(next.len(), 2);
+    assert!(next.iter().all(|router| !first.contains(router)));
+    assert_eq!(watchers(&routers), first, "the store is lost for all, so the same two try it");
+}
