--- a/crates/dogwoodway_gateway/src/gossip.rs
+++ b/crates/dogwoodway_gateway/src/gossip.rs
@@ -43,7 +43,7 @@
 
 /// Time after the start in which a router takes no role at the store, in milliseconds. Routers that
 /// start together hear from each other within that time; otherwise each of them would take it.
-const ROLE_DELAY_MS: u64 = 500;
+const ROLE_DELAY_MS: u64 = 1_000;
 
 /// Time for which a router that the log has announced is introduced to the others, in milliseconds;
 /// long enough for several datagrams, of which some may be lost.
