Share state by one digest a zone instead of datagrams from each router to each

Cause: at 103 routers each received some 800 datagrams a second with the state of one router each, and sent as many as a relay. Change: a router reports to the aggregator of its zone, one with the largest share of a processor. Aggregators exchange digests of their zones and send their routers one digest of the fleet, from which each takes out its own part.

--- a/crates/dogwoodway_gateway/src/feeds.rs
+++ b/crates/dogwoodway_gateway/src/feeds.rs
@@ -6,12 +6,12 @@
 //! seen a newer state, when the reports of others are too old, or when its own last read is too
 //! old.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use dogwoodway_routing::direct::feed::{Feed, FeedLimits, FeedReport, RevisionOrder};
 use dogwoodway_types::Timestamp;
 use serde::{Deserialize, Serialize};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::{clock, platform_api::DirectoryPart};
 
@@ -39,8 +39,34 @@
     servers: Option<FeedReport>,
     /// Events in the routers' log; records of the leadership do not count.
     events: Option<FeedReport>,
-    /// Whether the last calls of the router to the store succeeded.
-    pub(crate) reaches_store: bool,
+}
+
+impl FeedReports {
+    /// Returns whether any feed was read recently.
+    pub(crate) fn is_useful(&self) -> bool {
+        [self.operator, self.servers, self.events].iter().any(Option::is_some)
+    }
+
+    /// Returns the age of the oldest report, in milliseconds; the largest number if one is missing.
+    pub(crate) fn age_ms(&self) -> u32 {
+        let reports = [self.operator, self.servers, self.events];
+        let ages = reports.map(|report| report.map_or(u32::MAX, |report| report.age_ms));
+        ages.into_iter().max().unwrap_or(u32::MAX)
+    }
+
+    /// Returns the reports as they are after some time.
+    pub(crate) fn aged(&self, by: Duration) -> FeedReports {
+        let by_ms = by.as_millis() as u32;
+        let aged = |report: Option<FeedReport>| {
+            report
+                .map(|report| FeedReport { age_ms: report.age_ms.saturating_add(by_ms), ..report })
+        };
+        FeedReports {
+            operator: aged(self.operator),
+            servers: aged(self.servers),
+            events: aged(self.events),
+        }
+    }
 }
 
 /// State of both feeds.
@@ -84,38 +110,44 @@
 
 /// The state of the feeds, shared between tasks.
 #[derive(Clone, Debug)]
-pub(crate) struct SharedFeeds(Arc<watch::Sender<Feeds>>);
+pub(crate) struct SharedFeeds {
+    feeds: Arc<watch::Sender<Feeds>>,
+    /// Notified when there is a new read to report to other routers.
+    changed: Arc<Notify>,
+}
 
 impl SharedFeeds {
     /// Builds the state of a router that has read nothing. It is no watcher until it has had the
     /// time to hear from other routers.
-    pub(crate) fn new() -> SharedFeeds {
-        SharedFeeds(Arc::new(watch::Sender::new(Feeds {
+    pub(crate) fn new(changed: Arc<Notify>) -> SharedFeeds {
+        let feeds = Arc::new(watch::Sender::new(Feeds {
             is_watcher: false,
             operator: Feed::new(RevisionOrder::Ascending, OPERATOR_LIMITS),
             servers: Feed::new(RevisionOrder::Unordered, SERVERS_LIMITS),
             events: Feed::new(RevisionOrder::Ascending, EVENTS_LIMITS),
             failed: [false; 2],
-        })))
+        }));
+        SharedFeeds { feeds, changed }
     }
 
     /// Returns a receiver that is notified when a feed should be read earlier than scheduled.
     pub(crate) fn subscribe(&self) -> watch::Receiver<Feeds> {
-        self.0.subscribe()
+        self.feeds.subscribe()
     }
 
     /// Records that this router has read a feed up to `revision`.
     pub(crate) fn mark_read(&self, part: DirectoryPart, revision: u64) {
-        self.0.send_if_modified(|feeds| {
+        self.feeds.send_if_modified(|feeds| {
             feeds.failed[part as usize] = false;
             feeds.of_mut(part).record_read(clock::now(), revision);
             false
         });
+        self.changed.notify_one();
     }
 
     /// Records that this router could not read a part of the directory.
     pub(crate) fn mark_failed(&self, part: DirectoryPart) {
-        self.0.send_if_modified(|feeds| {
+        self.feeds.send_if_modified(|feeds| {
             feeds.failed[part as usize] = true;
             false
         });
@@ -124,7 +156,7 @@
     /// Records that this router has read the routers' log to its end; `revision` is the offset
     /// after the last event.
     pub(crate) fn mark_events_read(&self, revision: u64) {
-        self.0.send_if_modified(|feeds| {
+        self.feeds.send_if_modified(|feeds| {
             feeds.events.record_read(clock::now(), revision);
             false
         });
@@ -132,7 +164,7 @@
 
     /// Sets whether this router is a watcher.
     pub(crate) fn set_watcher(&self, is_watcher: bool) {
-        self.0.send_if_modified(|feeds| {
+        self.feeds.send_if_modified(|feeds| {
             let is_changed = std::mem::replace(&mut feeds.is_watcher, is_watcher) != is_watcher;
             if is_changed {
                 log::info!(is_watcher = is_watcher, reaches_store = feeds.reaches_store();
@@ -144,17 +176,17 @@
 
     /// Returns whether this router is a watcher.
     pub(crate) fn is_watcher(&self) -> bool {
-        self.0.borrow().is_watcher
+        self.feeds.borrow().is_watcher
     }
 
     /// Returns whether the last reads of the directory by this router succeeded.
     pub(crate) fn reaches_store(&self) -> bool {
-        self.0.borrow().reaches_store()
+        self.feeds.borrow().reaches_store()
     }
 
     /// Applies what another router has read.
     pub(crate) fn apply_peer(&self, now: Timestamp, peer: &FeedReports) {
-        self.0.send_if_modified(|feeds| {
+        self.feeds.send_if_modified(|feeds| {
             let operator =
                 peer.operator.is_some_and(|report| feeds.operator.apply_report(now, &report));
             let servers =
@@ -166,18 +198,17 @@
 
     /// Returns what this router has read, to report it to others.
     pub(crate) fn feed_reports(&self, now: Timestamp) -> FeedReports {
-        let feeds = self.0.borrow();
+        let feeds = self.feeds.borrow();
         FeedReports {
             operator: feeds.operator.report(now),
             servers: feeds.servers.report(now),
             events: feeds.events.report(now),
-            reaches_store: feeds.reaches_store(),
         }
     }
 
     /// Returns when the configuration was last known to be current.
     pub(crate) fn configuration_verified_at(&self) -> Timestamp {
-        self.0.borrow().operator.verified_at()
+        self.feeds.borrow().operator.verified_at()
     }
 }
 
--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -47,7 +47,8 @@
 pub(crate) use self::{
     crash_tracker::FingerprintEvent,
     routers::{
-        ApplyFingerprintEvent, ApplyPeerUpdate, CollectRouterUpdate, RouterUpdate, SetRouterCount,
+        ApplyFingerprintEvent, ApplyPeerUpdate, ApplyWeightsNotices, ClearPeerLoads,
+        CollectRouterUpdate, SetRouterCount,
     },
     weights::{EngineTarget, GetRolloutState, UpdateWeightsState, WeightsState},
 };
--- a/crates/dogwoodway_gateway/src/fleet_actor/routers.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/routers.rs
@@ -2,12 +2,11 @@
 
 use std::time::Duration;
 
-use dogwoodway_routing::direct::fleet::{PromptUpdate, ServerLoad, VersionAge};
+use dogwoodway_routing::direct::fleet::{OriginPrompt, PromptUpdate, ServerLoad, VersionAge};
 use kameo::{
     Reply,
     message::{Context, Message},
 };
-use serde::{Deserialize, Serialize};
 
 use crate::{
     clock,
@@ -18,8 +17,8 @@
 /// router needs them only shortly after its start.
 const VERSION_AGES_INTERVAL_MS: u64 = 300;
 
-/// State that a router sends to the others.
-#[derive(Clone, Debug, Default, Reply, Serialize, Deserialize)]
+/// State of this router to send to the others.
+#[derive(Clone, Debug, Default, Reply)]
 pub(crate) struct RouterUpdate {
     /// Load of the sender's requests at each server; other servers are idle for this sender.
     pub(crate) loads: Vec<ServerLoad>,
@@ -57,11 +56,12 @@
     }
 }
 
-/// Applies an update received from another router.
+/// Applies what another router reports of itself, or the digest of several routers.
 pub(crate) struct ApplyPeerUpdate {
-    /// Id of the router that the update describes.
+    /// Id of the router that sent it; its previous loads are replaced.
     pub(crate) peer: u64,
-    pub(crate) update: RouterUpdate,
+    pub(crate) loads: Vec<ServerLoad>,
+    pub(crate) prompts: Vec<OriginPrompt>,
 }
 
 impl Message<ApplyPeerUpdate> for FleetActor {
@@ -69,12 +69,37 @@
 
     async fn handle(&mut self, msg: ApplyPeerUpdate, _: &mut Context<Self, Self::Reply>) {
         let now = clock::now();
-        self.fleet.apply_peer_loads(now, msg.peer, &msg.update.loads);
-        self.fleet.apply_prompt_updates(now, msg.peer, &msg.update.prompts);
-        for age in &msg.update.versions {
+        self.fleet.apply_peer_loads(now, msg.peer, &msg.loads);
+        self.fleet.apply_origin_prompts(now, &msg.prompts);
+    }
+}
+
+/// Drops the loads that other routers have reported, before they are reported in another way.
+pub(crate) struct ClearPeerLoads;
+
+impl Message<ClearPeerLoads> for FleetActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: ClearPeerLoads, _: &mut Context<Self, Self::Reply>) {
+        self.fleet.clear_peer_loads();
+    }
+}
+
+/// Applies what another router reports of the weights of engines.
+pub(crate) struct ApplyWeightsNotices {
+    pub(crate) weights: Vec<WeightsUpdate>,
+    pub(crate) versions: Vec<VersionAge>,
+}
+
+impl Message<ApplyWeightsNotices> for FleetActor {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: ApplyWeightsNotices, _: &mut Context<Self, Self::Reply>) {
+        let now = clock::now();
+        for age in &msg.versions {
             self.fleet.apply_version_age(now, age);
         }
-        for change in msg.update.weights {
+        for change in msg.weights {
             let Some(key) = self.fleet.find_by_tag(change.server) else { continue };
             let is_behind = self.fleet.listing(key).is_some_and(|listing| {
                 listing.weights.iter().any(|(_, version)| *version < change.version)
--- /dev/null
+++ b/crates/dogwoodway_gateway/src/gossip/datagram.rs
@@ -0,0 +1,74 @@
+//! Datagrams between routers, and their encoding.
+
+use std::net::SocketAddr;
+
+use bincode::Options;
+use dogwoodway_routing::direct::{
+    aggregation::Digest,
+    fleet::{OriginPrompt, ServerLoad, VersionAge},
+    peers::RouterInfo,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::{feeds::FeedReports, fleet_actor::WeightsUpdate};
+
+/// First byte of each datagram. Routers ignore datagrams of other versions of the format.
+const FORMAT_VERSION: u8 = 2;
+
+/// A datagram and the router that sent it.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Datagram {
+    pub(super) sender: RouterInfo,
+    pub(super) content: Content,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) enum Content {
+    /// Makes the sender known, and asks for the same if `wants_reply` is set.
+    Greeting { wants_reply: bool, introduced: Vec<SocketAddr> },
+    /// State of the sender, for the aggregator of its zone.
+    Report { seq: u64, loads: Vec<ServerLoad>, prompts: Vec<OriginPrompt>, notices: Notices },
+    /// State of the sender's zone, for the aggregators of other zones.
+    ZoneDigest { digest: Digest, notices: Notices, alive: Vec<RouterInfo> },
+    /// State of the fleet, for the routers of the sender's zone.
+    FleetDigest { digest: Digest, notices: Notices, alive: Vec<RouterInfo> },
+}
+
+/// State that each router needs as it is, so that aggregators pass it on unchanged.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(super) struct Notices {
+    /// Engines that were recently ordered to load new weights or have loaded them.
+    pub(super) weights: Vec<WeightsUpdate>,
+    /// Ages of recently published versions.
+    pub(super) versions: Vec<VersionAge>,
+    /// What routers have last read from the store.
+    pub(super) feed_reports: Vec<FeedReports>,
+    /// Routers that have just started. Most routers do not read the log that announces them.
+    pub(super) introduced: Vec<SocketAddr>,
+}
+
+impl Notices {
+    /// Returns whether there is any report of what a router has read from the store.
+    pub(super) fn has_feed_reports(&self) -> bool {
+        self.feed_reports.iter().any(FeedReports::is_useful)
+    }
+}
+
+impl Datagram {
+    pub(super) fn encode(&self) -> Result<Vec<u8>, bincode::Error> {
+        let mut bytes = vec![FORMAT_VERSION];
+        codec().serialize_into(&mut bytes, self)?;
+        Ok(bytes)
+    }
+
+    /// Decodes a datagram; `None` if it is of another version of the format.
+    pub(super) fn decode(bytes: &[u8]) -> Option<Result<Datagram, bincode::Error>> {
+        let body = bytes.strip_prefix(&[FORMAT_VERSION])?;
+        Some(codec().deserialize(body))
+    }
+}
+
+/// Returns the encoding of datagrams, which writes small integers in few bytes.
+fn codec() -> impl Options {
+    bincode::DefaultOptions::new()
+}
--- /dev/null
+++ b/crates/dogwoodway_gateway/src/gossip/notice_board.rs
@@ -0,0 +1,70 @@
+//! Notices that an aggregator passes on for a short time after they have arrived.
+
+use std::{net::SocketAddr, time::Duration};
+
+use dogwoodway_routing::direct::fleet::VersionAge;
+use dogwoodway_types::Timestamp;
+
+use crate::{feeds::FeedReports, fleet_actor::WeightsUpdate, gossip::datagram::Notices};
+
+/// Time for which a notice is passed on, in milliseconds: several digests, of which some may be
+/// lost.
+const NOTICE_TTL_MS: u64 = 150;
+
+/// Most feed reports that are passed on. The youngest are from the watchers.
+const MAX_FEED_REPORTS: usize = 4;
+
+/// The latest notices, each with the time at which it arrived.
+#[derive(Debug, Default)]
+pub(super) struct NoticeBoard {
+    weights: Vec<(WeightsUpdate, Timestamp)>,
+    versions: Vec<(VersionAge, Timestamp)>,
+    feed_reports: Vec<(FeedReports, Timestamp)>,
+    introduced: Vec<(SocketAddr, Timestamp)>,
+}
+
+impl NoticeBoard {
+    /// Adds notices; later ones replace earlier ones about the same subject.
+    pub(super) fn add(&mut self, now: Timestamp, notices: &Notices) {
+        for update in &notices.weights {
+            self.weights.retain(|(other, _)| other.server != update.server);
+            self.weights.push((*update, now));
+        }
+        for age in &notices.versions {
+            self.versions
+                .retain(|(other, _)| (&other.model, other.version) != (&age.model, age.version));
+            self.versions.push((age.clone(), now));
+        }
+        for address in &notices.introduced {
+            self.introduced.retain(|(other, _)| other != address);
+            self.introduced.push((*address, now));
+        }
+        let useful = notices.feed_reports.iter().filter(|reports| reports.is_useful());
+        self.feed_reports.extend(useful.map(|reports| (*reports, now)));
+        self.feed_reports.sort_by_key(|(reports, at)| reports.aged(now - *at).age_ms());
+        self.feed_reports.truncate(MAX_FEED_REPORTS);
+    }
+
+    /// Returns the notices to send now, with ages as of now.
+    pub(super) fn current(&mut self, now: Timestamp) -> Notices {
+        let is_fresh = |at: Timestamp| now - at < Duration::from_millis(NOTICE_TTL_MS);
+        self.weights.retain(|(_, at)| is_fresh(*at));
+        self.versions.retain(|(_, at)| is_fresh(*at));
+        self.feed_reports.retain(|(_, at)| is_fresh(*at));
+        self.introduced.retain(|(_, at)| is_fresh(*at));
+        let aged = |age: &VersionAge, at: Timestamp| VersionAge {
+            age_ms: age.age_ms + (now - at).as_millis() as u64,
+            ..age.clone()
+        };
+        Notices {
+            weights: self.weights.iter().map(|(update, _)| *update).collect(),
+            versions: self.versions.iter().map(|(age, at)| aged(age, *at)).collect(),
+            feed_reports: self
+                .feed_reports
+                .iter()
+                .map(|(reports, at)| reports.aged(now - *at))
+                .collect(),
+            introduced: self.introduced.iter().map(|(address, _)| *address).collect(),
+        }
+    }
+}
--- a/crates/dogwoodway_gateway/src/router.rs
+++ b/crates/dogwoodway_gateway/src/router.rs
@@ -27,7 +27,7 @@
     clock, directory,
     feeds::SharedFeeds,
     fleet_actor::{FleetActor, FleetConfig, RetryBounds, Tick},
-    gossip::Gossip,
+    gossip::{self, GossipConfig},
     ingress, kv_follower, leader,
     leader::LeaderConfig,
     platform_api::{Directory, EngineControl, KvEventSource, RequestProtocol, RouterLog},
@@ -62,6 +62,9 @@
     pub ready_listen: SocketAddr,
     /// UDP address on which this router receives datagrams of other routers.
     pub gossip_listen: SocketAddr,
+    /// Share of a processor core that this router has, in percent. Routers with more of it do more
+    /// for the others.
+    pub cpu_percent: u8,
     /// Least time between orders of different routers to the same engine, in milliseconds.
     pub lease_ms: u32,
     /// Retries that all routers together may send per client request.
@@ -140,18 +143,18 @@
     // Ends of attempts are sent from destructors, which cannot wait for space in a mailbox.
     let fleet = FleetActor::spawn_with_mailbox(fleet, mailbox::unbounded());
     tokio::spawn(tick(fleet.clone()));
-    let feeds = SharedFeeds::new();
+    let feeds = SharedFeeds::new(loads_changed.clone());
     let tables = directory::follow(dependencies.directory, feeds.clone(), &fleet);
     tokio::spawn(kv_follower::run(dependencies.kv_events, tables.subscribe(), fleet.clone()));
-    let gossip = Gossip {
+    tokio::spawn(run_gossip(GossipConfig {
         zone: ZoneTag::from(&settings.zone),
         address: settings.gossip_listen,
+        cpu_percent: settings.cpu_percent,
         fleet: fleet.clone(),
         feeds: feeds.clone(),
         loads_changed,
         discovered,
-    };
-    tokio::spawn(run_gossip(gossip));
+    }));
     let leader = tokio::spawn(leader::run(LeaderConfig {
         router: settings.name.clone(),
         address: settings.gossip_listen,
@@ -215,8 +218,8 @@
     }
 }
 
-async fn run_gossip(gossip: Gossip) {
-    if let Err(e) = gossip.run().await {
+async fn run_gossip(config: GossipConfig) {
+    if let Err(e) = gossip::run(config).await {
         log::error!("gossip stopped, its socket could not be bound: {e}");
     }
 }
--- a/crates/dogwoodway_routing/src/direct.rs
+++ b/crates/dogwoodway_routing/src/direct.rs
@@ -7,6 +7,7 @@
 //! current time is an argument.
 
 pub mod admission;
+pub mod aggregation;
 pub mod cost;
 pub mod distance;
 pub mod feed;
--- a/crates/dogwoodway_routing/src/direct/fleet.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet.rs
@@ -30,8 +30,9 @@
     rendezvous::ServerKey,
 };
 
+pub(crate) use self::gossip::{subtract_loads, sum_loads};
 pub use self::{
-    gossip::{PromptUpdate, ServerLoad, ServerTag},
+    gossip::{OriginPrompt, PromptFilter, PromptUpdate, ServerLoad, ServerTag},
     membership::{Availability, ServerListing},
     placement::{Placement, PlacementRequest, Refusal},
     versions::VersionAge,
@@ -57,8 +58,6 @@
     listing: ServerListing,
     hash: ServerKey,
     own_load: Load,
-    /// Load last reported by each other router, by its identifier, and when the report arrived.
-    peer_loads: HashMap<u64, (Load, Timestamp)>,
     peer_load_sum: Load,
     health: Health,
     link_slowdown: LinkSlowdown,
@@ -153,8 +152,16 @@
     /// Prompt updates to send to other routers, and how often each was sent.
     prompt_updates: VecDeque<(PromptUpdate, u8)>,
     last_update_seq: u64,
-    /// Sequence number of the last prompt update applied from each other router.
-    peer_update_seqs: HashMap<u64, u64>,
+    prompt_filter: PromptFilter,
+    /// Load last reported by each other router or digest, by its identifier.
+    peer_loads: HashMap<u64, PeerLoads>,
+}
+
+/// Loads that another router or a digest reports.
+#[derive(Clone, Debug)]
+struct PeerLoads {
+    received_at: Timestamp,
+    by_server: Vec<(BackendKey, Load)>,
 }
 
 impl Fleet {
@@ -178,7 +185,8 @@
             prefill_ms_per_token: DEFAULT_PREFILL_MS_PER_TOKEN,
             prompt_updates: VecDeque::new(),
             last_update_seq: 0,
-            peer_update_seqs: HashMap::new(),
+            prompt_filter: PromptFilter::default(),
+            peer_loads: HashMap::new(),
         }
     }
 
--- a/crates/dogwoodway_routing/src/direct/fleet/gossip.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/gossip.rs
@@ -1,6 +1,9 @@
 //! Load and prompt updates that routers exchange by gossip.
 
-use std::time::Duration;
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
 
 use dogwoodway_types::Timestamp;
 use serde::{Deserialize, Serialize};
@@ -8,7 +11,7 @@
 use crate::{
     direct::{
         distance::Distance,
-        fleet::{Fleet, STORE_SAVE_DELAY_MS},
+        fleet::{Fleet, PeerLoads, STORE_SAVE_DELAY_MS},
         load::Load,
         prompt::{PrefixKey, PrefixSegment},
     },
@@ -63,7 +66,88 @@
     pub is_saved: bool,
 }
 
-/// Load of one router at one server, rounded so that it is encoded in few bytes.
+/// A prompt update, and the router that it is from.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginPrompt {
+    /// Identifies the router that placed the prompt.
+    pub origin: u64,
+    /// What the router reports.
+    pub update: PromptUpdate,
+}
+
+/// Recognizes prompt updates that arrive more than once, by their sequence numbers.
+#[derive(Clone, Debug, Default)]
+pub struct PromptFilter {
+    last_seqs: HashMap<u64, u64>,
+}
+
+impl PromptFilter {
+    /// Returns whether an update is new. Sequence numbers far below the last one mean that the
+    /// router has restarted and counts anew.
+    ///
+    /// ```
+    /// use dogwoodway_routing::direct::fleet::PromptFilter;
+    ///
+    /// let mut filter = PromptFilter::default();
+    /// assert!(filter.is_new(7, 1_000) && filter.is_new(7, 1_001) && filter.is_new(8, 1_001));
+    /// assert!(!filter.is_new(7, 1_001));
+    /// assert!(filter.is_new(7, 1), "the router has restarted");
+    /// ```
+    pub fn is_new(&mut self, origin: u64, seq: u64) -> bool {
+        let last = self.last_seqs.entry(origin).or_default();
+        let has_restarted = seq + MAX_PENDING_PROMPT_UPDATES as u64 <= *last;
+        let is_new = seq > *last || has_restarted;
+        if is_new {
+            *last = seq;
+        }
+        is_new
+    }
+
+    /// Returns those of the prompts that are new.
+    pub fn retain_new(&mut self, prompts: Vec<OriginPrompt>) -> Vec<OriginPrompt> {
+        prompts.into_iter().filter(|p| self.is_new(p.origin, p.update.seq)).collect()
+    }
+}
+
+/// Sums loads by server, in ascending order of the servers' tags.
+pub(crate) fn sum_loads<'a, L>(loads: L) -> Vec<ServerLoad>
+where
+    L: IntoIterator<Item = &'a ServerLoad>,
+{
+    let mut sums = BTreeMap::new();
+    for load in loads {
+        let sum = sums.entry(load.server.0).or_insert(ServerLoad {
+            running: 0,
+            pending_prefill_units: 0,
+            kv_units: 0,
+            ..*load
+        });
+        sum.running = sum.running.saturating_add(load.running);
+        sum.pending_prefill_units =
+            sum.pending_prefill_units.saturating_add(load.pending_prefill_units);
+        sum.kv_units = sum.kv_units.saturating_add(load.kv_units);
+    }
+    sums.into_values().collect()
+}
+
+/// Subtracts loads from sums that contain them.
+pub(crate) fn subtract_loads(sums: &[ServerLoad], part: &[ServerLoad]) -> Vec<ServerLoad> {
+    let part: HashMap<_, _> = part.iter().map(|load| (load.server, load)).collect();
+    let rest = sums.iter().map(|sum| match part.get(&sum.server) {
+        Some(load) => ServerLoad {
+            server: sum.server,
+            running: sum.running.saturating_sub(load.running),
+            pending_prefill_units: sum
+                .pending_prefill_units
+                .saturating_sub(load.pending_prefill_units),
+            kv_units: sum.kv_units.saturating_sub(load.kv_units),
+        },
+        None => *sum,
+    });
+    rest.collect()
+}
+
+/// Load of one router at one server, or the sum over several routers, rounded so that it is encoded in few bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerLoad {
     /// Server that the load is at.
@@ -115,29 +199,44 @@
         loaded_servers.map(|server| ServerLoad::new(server.hash.into(), server.own_load)).collect()
     }
 
-    /// Replaces the load reported by another router. Servers that are not named have none.
+    /// Replaces the load reported by another router or by a digest. Servers that are not named have
+    /// none.
     pub fn apply_peer_loads(&mut self, now: Timestamp, peer: u64, loads: &[ServerLoad]) {
-        for server in self.servers.values_mut() {
-            if let Some((load, _)) = server.peer_loads.remove(&peer) {
-                server.peer_load_sum = server.peer_load_sum - load;
-            }
-        }
-        for server_load in loads {
-            let key = self.find_by_tag(server_load.server);
-            let Some(server) = key.and_then(|key| self.servers.get_mut(key)) else { continue };
-            server.peer_loads.insert(peer, (server_load.load(), now));
-            server.peer_load_sum = server.peer_load_sum + server_load.load();
+        let known = loads.iter().filter_map(|load| Some((self.find_by_tag(load.server)?, load)));
+        let by_server: Vec<_> = known.map(|(key, load)| (key, load.load())).collect();
+        for (key, load) in &by_server {
+            let server = &mut self.servers[*key];
+            server.peer_load_sum = server.peer_load_sum + *load;
         }
+        let previous = self.peer_loads.insert(peer, PeerLoads { received_at: now, by_server });
+        self.subtract_peer_loads(previous);
     }
 
     /// Drops loads whose report is too old.
     pub fn expire_peer_loads(&mut self, now: Timestamp) {
         let per_router = PEER_LOAD_TTL_PER_ROUTER_MS * u64::from(self.router_count);
         let ttl = Duration::from_millis(PEER_LOAD_TTL_MS + per_router);
+        let expired = self.peer_loads.extract_if(|_, report| now - report.received_at >= ttl);
+        let expired: Vec<_> = expired.map(|(_, report)| report).collect();
+        self.subtract_peer_loads(expired);
+    }
+
+    /// Drops all loads that others have reported, before they are reported in another way.
+    pub fn clear_peer_loads(&mut self) {
+        self.peer_loads.clear();
         for server in self.servers.values_mut() {
-            server.peer_loads.retain(|_, (_, received_at)| now - *received_at < ttl);
-            let fresh = server.peer_loads.values().map(|(load, _)| *load);
-            server.peer_load_sum = fresh.fold(Load::default(), |sum, load| sum + load);
+            server.peer_load_sum = Load::default();
+        }
+    }
+
+    fn subtract_peer_loads<R>(&mut self, reports: R)
+    where
+        R: IntoIterator<Item = PeerLoads>,
+    {
+        for (key, load) in reports.into_iter().flat_map(|report| report.by_server) {
+            if let Some(server) = self.servers.get_mut(key) {
+                server.peer_load_sum = server.peer_load_sum - load;
+            }
         }
     }
 
@@ -177,18 +276,19 @@
 
     /// Applies the prompt updates of another router that were not applied before.
     pub fn apply_prompt_updates(&mut self, now: Timestamp, peer: u64, updates: &[PromptUpdate]) {
-        let last_applied = self.peer_update_seqs.get(&peer).copied().unwrap_or_default();
-        // Sequence numbers far below the last one mean that the router has restarted and counts
-        // anew.
-        let has_restarted = updates
-            .last()
-            .is_some_and(|last| last.seq + MAX_PENDING_PROMPT_UPDATES as u64 <= last_applied);
-        let last_applied = if has_restarted { 0 } else { last_applied };
-        for update in updates.iter().filter(|update| update.seq > last_applied) {
-            self.apply_prompt_update(now, peer, update);
+        for update in updates {
+            if self.prompt_filter.is_new(peer, update.seq) {
+                self.apply_prompt_update(now, peer, update);
+            }
         }
-        if let Some(last) = updates.last() {
-            self.peer_update_seqs.insert(peer, last.seq.max(last_applied));
+    }
+
+    /// Applies prompt updates of several routers, as a digest contains them.
+    pub fn apply_origin_prompts(&mut self, now: Timestamp, prompts: &[OriginPrompt]) {
+        for prompt in prompts {
+            if self.prompt_filter.is_new(prompt.origin, prompt.update.seq) {
+                self.apply_prompt_update(now, prompt.origin, &prompt.update);
+            }
         }
     }
 
--- a/crates/dogwoodway_routing/src/direct/fleet/membership.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/membership.rs
@@ -1,6 +1,6 @@
 //! Membership of the fleet: the servers that the platform lists.
 
-use std::{collections::HashMap, net::SocketAddr};
+use std::net::SocketAddr;
 
 use dogwoodway_types::{
     AvailabilityZone, BackendServerName, ModelName, ServiceName, Timestamp, WeightsVersion,
@@ -100,7 +100,6 @@
             listing,
             hash,
             own_load: Load::default(),
-            peer_loads: HashMap::new(),
             peer_load_sum: Load::default(),
             health: Health::new(now),
             link_slowdown: LinkSlowdown::default(),
--- a/crates/dogwoodway_routing/src/direct/peers.rs
+++ b/crates/dogwoodway_routing/src/direct/peers.rs
@@ -1,11 +1,12 @@
-//! The routers that this one knows, and which of them it sends its load to.
+//! The routers that this one knows, and the roles that some of them have.
 //!
-//! Each router tells all others about its requests many times a second, and traffic between zones
-//! is expensive. A datagram goes directly to the routers of the own zone. In each other zone it
-//! goes to one router, chosen at random each time, which relays it within its zone. So the traffic
-//! between zones grows with the number of zones instead of the number of routers.
+//! Each router reports to the aggregator of its zone, see [`aggregation`](crate::direct::aggregation).
+//! Two routers, the watchers, read the store on behalf of all. Routers choose both from what they
+//! know of the others, without agreement: two aggregators in one zone, or three watchers, cost some
+//! traffic and do no harm.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, btree_map::Entry},
     net::SocketAddr,
     time::Duration,
@@ -17,13 +18,26 @@
 
 use crate::{direct::load::router_id, rendezvous};
 
-/// Time without a datagram from a router after which it is sent to less often and is not used as a
-/// relay, in milliseconds; several times the longest pause between two datagrams.
+/// Time after which a router that nobody has heard from has no role, in milliseconds; several times
+/// the interval at which digests name the routers that are alive.
 const SILENT_AFTER_MS: u64 = 2_000;
 
-/// Interval between datagrams to a silent router, in milliseconds. It may come back, for example
+/// Interval between greetings to a silent router, in milliseconds. It may come back, for example
 /// after a network partition.
-const SILENT_SEND_INTERVAL_MS: u64 = 1_000;
+const SILENT_GREETING_INTERVAL_MS: u64 = 1_000;
+
+/// Interval between greetings to a router that has not answered yet, in milliseconds.
+const NEW_GREETING_INTERVAL_MS: u64 = 200;
+
+/// Time after the last digest from a router in which it counts as an aggregator, in milliseconds.
+const AGGREGATING_MS: u64 = 1_000;
+
+/// Time for which a router that sent no digests is not chosen as the aggregator, in milliseconds.
+const AVOID_MS: u64 = 3_000;
+
+/// Routers that receive digests in a zone of which no aggregator has been heard: the one that should
+/// aggregate, and the one that would replace it.
+const AGGREGATORS_PER_ZONE: usize = 2;
 
 /// Time without a datagram from a router after which it is removed, in milliseconds.
 const EXPIRE_AFTER_MS: u64 = 60_000;
@@ -41,14 +55,29 @@
     }
 }
 
+/// What a router tells others about itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouterInfo {
+    /// Address at which the router receives datagrams; identifies it among the routers.
+    pub address: SocketAddr,
+    /// Zone that it runs in.
+    pub zone: ZoneTag,
+    /// Its share of a processor core in percent. Aggregators are chosen among the largest.
+    pub cpu_percent: u8,
+    /// Whether its last reads of the store succeeded.
+    pub reaches_store: bool,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Peer {
-    /// Zone of the router; absent until a datagram from it has arrived.
-    zone: Option<ZoneTag>,
+    /// Absent until the router has told it.
+    info: Option<RouterInfo>,
     last_heard_at: Timestamp,
-    last_sent_at: Timestamp,
-    /// Whether the router reaches the store, as it last reported.
-    reaches_store: bool,
+    last_greeted_at: Timestamp,
+    /// When the last digest from it arrived.
+    last_digest_at: Timestamp,
+    /// Until when it is not chosen as the aggregator, because it did not act as one.
+    avoided_until: Timestamp,
     /// Order in which routers become watchers, the lowest first.
     rank: u64,
 }
@@ -57,71 +86,75 @@
     fn is_silent(&self, now: Timestamp) -> bool {
         now - self.last_heard_at > Duration::from_millis(SILENT_AFTER_MS)
     }
-}
 
-/// A router to send a datagram to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Recipient {
-    /// Address at which the router receives datagrams.
-    pub address: SocketAddr,
-    /// Whether the router should relay the datagram to the others of its zone.
-    pub should_relay: bool,
+    fn reaches_store(&self) -> bool {
+        self.info.is_none_or(|info| info.reaches_store)
+    }
+
+    fn is_aggregating(&self, now: Timestamp) -> bool {
+        now - self.last_digest_at < Duration::from_millis(AGGREGATING_MS)
+    }
 }
 
 /// The other routers, as known to one router.
 ///
 /// ```
-/// use dogwoodway_routing::direct::peers::{Peers, ZoneTag};
+/// use dogwoodway_routing::direct::peers::{Peers, RouterInfo, ZoneTag};
 /// use dogwoodway_types::Timestamp;
 ///
-/// let mut peers = Peers::new(ZoneTag(1));
+/// let info = |n: u8, cpu_percent| RouterInfo {
+///     address: format!("10.0.1.{n}:7340").parse().unwrap(),
+///     zone: ZoneTag(1),
+///     cpu_percent,
+///     reaches_store: true,
+/// };
+/// let mut peers = Peers::default();
 /// let now = Timestamp::from_millis(1);
-/// for n in 1..=3 {
-///     peers.record_datagram(now, format!("10.0.2.{n}:7340").parse().unwrap(), ZoneTag(2));
-/// }
-/// let recipients = peers.recipients(now, 7);
-/// assert_eq!(recipients.len(), 1);
-/// assert!(recipients[0].should_relay);
-/// assert_eq!(peers.router_count(), 4);
+/// peers.record_info(now, info(2, 50));
+/// assert_eq!(peers.aggregator(now, &info(1, 9)), info(2, 50).address);
+/// assert_eq!(peers.router_count(), 2);
 /// ```
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Peers {
-    zone: ZoneTag,
     peers: BTreeMap<SocketAddr, Peer>,
 }
 
 impl Peers {
-    /// Creates the state of a router in `zone` that knows no other router.
-    pub fn new(zone: ZoneTag) -> Peers {
-        Peers { zone, peers: BTreeMap::new() }
-    }
-
     /// Adds a router that was announced; returns whether it was unknown.
     pub fn add(&mut self, now: Timestamp, address: SocketAddr) -> bool {
         let Entry::Vacant(entry) = self.peers.entry(address) else { return false };
         entry.insert(Peer {
-            zone: None,
+            info: None,
             last_heard_at: now,
-            last_sent_at: Timestamp::default(),
-            reaches_store: true,
+            last_greeted_at: Timestamp::default(),
+            last_digest_at: Timestamp::default(),
+            avoided_until: Timestamp::default(),
             rank: rank(address),
         });
         true
     }
 
-    /// Records a datagram from a router; returns whether the router was unknown.
-    pub fn record_datagram(&mut self, now: Timestamp, address: SocketAddr, zone: ZoneTag) -> bool {
-        let is_new = self.add(now, address);
-        if let Some(peer) = self.peers.get_mut(&address) {
-            (peer.last_heard_at, peer.zone) = (now, Some(zone));
+    /// Records that a router is alive and what it tells about itself; returns whether it was
+    /// unknown.
+    pub fn record_info(&mut self, now: Timestamp, info: RouterInfo) -> bool {
+        let is_new = self.add(now, info.address);
+        if let Some(peer) = self.peers.get_mut(&info.address) {
+            (peer.last_heard_at, peer.info) = (now, Some(info));
         }
         is_new
     }
 
-    /// Records whether a router reaches the store, as it reports itself.
-    pub fn record_store_access(&mut self, address: SocketAddr, reaches_store: bool) {
+    /// Records a digest from a router, which shows that it acts as an aggregator.
+    pub fn record_digest(&mut self, now: Timestamp, address: SocketAddr) {
         if let Some(peer) = self.peers.get_mut(&address) {
-            peer.reaches_store = reaches_store;
+            peer.last_digest_at = now;
+        }
+    }
+
+    /// Does not choose a router as the aggregator for some time, since it does not act as one.
+    pub fn avoid(&mut self, now: Timestamp, address: SocketAddr) {
+        if let Some(peer) = self.peers.get_mut(&address) {
+            peer.avoided_until = now + Duration::from_millis(AVOID_MS);
         }
     }
 
@@ -143,59 +176,81 @@
     /// store while any router does.
     ///
     /// ```
-    /// use dogwoodway_routing::direct::peers::{Peers, ZoneTag};
+    /// use dogwoodway_routing::direct::peers::Peers;
     /// use dogwoodway_types::Timestamp;
     ///
     /// let own = "10.0.1.1:7340".parse().unwrap();
-    /// let peers = Peers::new(ZoneTag(1));
+    /// let peers = Peers::default();
     /// assert!(peers.is_watcher(Timestamp::from_millis(1), own, true), "it is the only router");
     /// ```
     pub fn is_watcher(&self, now: Timestamp, own: SocketAddr, reaches_store: bool) -> bool {
         let own_rank = rank(own);
         let heard = || self.peers.values().filter(|peer| !peer.is_silent(now));
-        let is_lost_for_all = !reaches_store && !heard().any(|peer| peer.reaches_store);
+        let is_lost_for_all = !reaches_store && !heard().any(Peer::reaches_store);
         let comes_first =
-            |peer: &&Peer| (peer.reaches_store || is_lost_for_all) && peer.rank < own_rank;
+            |peer: &&Peer| (peer.reaches_store() || is_lost_for_all) && peer.rank < own_rank;
         (reaches_store || is_lost_for_all) && heard().filter(comes_first).count() < WATCHER_COUNT
     }
 
-    /// Returns the routers to send the next datagram to. `draw` is a random number that distributes
-    /// the work of relaying.
-    pub fn recipients(&mut self, now: Timestamp, draw: u64) -> Vec<Recipient> {
-        let mut recipients = Vec::new();
-        let mut by_zone: BTreeMap<ZoneTag, Vec<SocketAddr>> = BTreeMap::new();
-        for (&address, peer) in &mut self.peers {
-            let is_silent = peer.is_silent(now);
-            if let Some(zone) = peer.zone.filter(|zone| *zone != self.zone && !is_silent) {
-                by_zone.entry(zone).or_default().push(address);
-                continue;
-            }
-            if is_silent && now - peer.last_sent_at < Duration::from_millis(SILENT_SEND_INTERVAL_MS)
-            {
-                continue;
+    /// Returns the router that aggregates the reports of the zone of `own`: one with the largest
+    /// share of a processor, which may be `own` itself.
+    pub fn aggregator(&self, now: Timestamp, own: &RouterInfo) -> SocketAddr {
+        let usable = self.peers.values().filter(|peer| !peer.is_silent(now));
+        let others = usable.filter(|peer| peer.avoided_until <= now).filter_map(|peer| peer.info);
+        let of_zone = others.filter(|info| info.zone == own.zone).chain([*own]);
+        let first = of_zone.min_by_key(aggregation_order);
+        first.map_or(own.address, |info| info.address)
+    }
+
+    /// Returns the routers that an aggregator in `zone` sends the digest of its zone to: all that act
+    /// as aggregators, and the first ones of each other zone in which none does.
+    pub fn digest_targets(&self, now: Timestamp, zone: ZoneTag) -> Vec<SocketAddr> {
+        let mut by_zone: BTreeMap<ZoneTag, Vec<RouterInfo>> = BTreeMap::new();
+        let mut targets = Vec::new();
+        for info in self.infos(now) {
+            by_zone.entry(info.zone).or_default().push(info);
+        }
+        let aggregates = |info: &RouterInfo| self.peers[&info.address].is_aggregating(now);
+        for (other_zone, mut infos) in by_zone {
+            targets.extend(infos.iter().filter(|info| aggregates(info)).map(|info| info.address));
+            if other_zone != zone && !infos.iter().any(aggregates) {
+                infos.sort_by_key(aggregation_order);
+                infos.truncate(AGGREGATORS_PER_ZONE);
+                targets.extend(infos.iter().map(|info| info.address));
             }
-            peer.last_sent_at = now;
-            recipients.push(Recipient { address, should_relay: false });
         }
-        for (zone, addresses) in by_zone {
-            let index = rendezvous::mix(draw ^ u64::from(zone.0)) as usize % addresses.len();
-            recipients
-                .push(Recipient { address: addresses[index], should_relay: addresses.len() > 1 });
+        targets
+    }
+
+    /// Returns the routers to greet now: those that have not told anything about themselves, and
+    /// those that have become silent, since they may come back.
+    pub fn routers_to_greet(&mut self, now: Timestamp) -> Vec<SocketAddr> {
+        let mut addresses = Vec::new();
+        for (address, peer) in &mut self.peers {
+            let interval_ms = match (peer.info, peer.is_silent(now)) {
+                (None, false) => NEW_GREETING_INTERVAL_MS,
+                (_, true) => SILENT_GREETING_INTERVAL_MS,
+                (Some(_), false) => continue,
+            };
+            if now - peer.last_greeted_at >= Duration::from_millis(interval_ms) {
+                peer.last_greeted_at = now;
+                addresses.push(*address);
+            }
         }
-        recipients
+        addresses
     }
 
-    /// Returns the routers of the own zone to relay a datagram of `origin` to.
-    pub fn relay_targets(&self, now: Timestamp, origin: SocketAddr) -> Vec<SocketAddr> {
-        let is_relay_target = |peer: &Peer| peer.zone == Some(self.zone) && !peer.is_silent(now);
-        let targets = self
-            .peers
-            .iter()
-            .filter(|(address, peer)| **address != origin && is_relay_target(peer));
-        targets.map(|(address, _)| *address).collect()
+    /// Returns what the routers that are not silent have told about themselves.
+    pub fn infos(&self, now: Timestamp) -> impl Iterator<Item = RouterInfo> + '_ {
+        self.peers.values().filter(move |peer| !peer.is_silent(now)).filter_map(|peer| peer.info)
     }
 }
 
+/// Order in which routers become aggregators: those with more processor first, then at random.
+fn aggregation_order(info: &RouterInfo) -> (Reverse<u8>, u64) {
+    (Reverse(info.cpu_percent), rank(info.address))
+}
+
 fn rank(address: SocketAddr) -> u64 {
     rendezvous::mix(router_id(address))
 }
