Place no request on old weights that could start too late for them

Old weights were named until 7,200 ms on every site, whatever its bound (8,000 and 10,000 ms), so that only 800 ms were left for queue and prefill. Change: the bound comes from the settings, and requests stop naming old weights 2.4 s before it.

--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -125,6 +125,9 @@
     pub(crate) zone: AvailabilityZone,
     pub(crate) regions: Regions,
     pub(crate) retry_bounds: RetryBounds,
+    /// Time after the publication of new weights within which requests may start on old ones, in
+    /// milliseconds.
+    pub(crate) stale_weights_limit_ms: u32,
     /// Receives the events that are shared with other routers.
     pub(crate) fingerprint_events: mpsc::Sender<FingerprintEvent>,
     pub(crate) control: Arc<dyn EngineControl>,
@@ -138,6 +141,7 @@
     pub(crate) fn new(config: FleetConfig) -> FleetActor {
         let mut fleet = Fleet::new(config.zone);
         fleet.set_regions(config.regions);
+        fleet.set_stale_weights_limit(config.stale_weights_limit_ms);
         FleetActor {
             fleet,
             idle_connections: SecondaryMap::new(),
--- a/crates/dogwoodway_gateway/src/router.rs
+++ b/crates/dogwoodway_gateway/src/router.rs
@@ -67,6 +67,9 @@
     pub cpu_percent: u8,
     /// Least time between orders of different routers to the same engine, in milliseconds.
     pub lease_ms: u32,
+    /// Time after the publication of new weights within which requests may start on old ones, in
+    /// milliseconds.
+    pub stale_weights_limit_ms: u32,
     /// Retries that all routers together may send per client request.
     pub retry_ratio: f64,
     /// Additional retries of all routers together in one window of time.
@@ -135,6 +138,7 @@
         zone: settings.zone.clone(),
         regions: settings.regions.clone(),
         retry_bounds: RetryBounds { ratio: settings.retry_ratio, slack: settings.retry_slack },
+        stale_weights_limit_ms: settings.stale_weights_limit_ms,
         fingerprint_events: fingerprint_tx,
         control: dependencies.control.clone(),
         quarantine_in_use: quarantine_in_use.clone(),
@@ -170,13 +174,12 @@
     let relay = Arc::new(Relay {
         protocol: dependencies.protocol,
         fleet,
-        tables: tables.clone(),
+        tables,
         key_pepper: dependencies.key_pepper,
         is_draining: Arc::new(AtomicBool::new(false)),
         quarantine_in_use,
     });
-    let readiness = ingress::readiness_handler(relay.clone(), tables);
-    tokio::spawn(serve(health_checks, ServerLimits::default(), readiness, std::future::pending()));
+    tokio::spawn(serve_health_checks(health_checks, relay.clone()));
     serve_clients(clients, relay, shutdown).await;
     leader_shutdown_tx.send_replace(true);
     if let Err(e) = leader.await {
@@ -185,6 +188,12 @@
     Ok(())
 }
 
+async fn serve_health_checks(listener: TcpListener, relay: Arc<Relay>) {
+    let tables = relay.tables.clone();
+    let handler = ingress::readiness_handler(relay, tables);
+    serve(listener, ServerLimits::default(), handler, std::future::pending()).await;
+}
+
 /// Serves clients until the process is asked to stop, then until their requests have ended.
 async fn serve_clients(listener: TcpListener, relay: Arc<Relay>, shutdown: ShutdownSignals) {
     let handler = ingress::client_handler(relay.clone());
--- a/crates/dogwoodway_routing/src/direct/fleet.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet.rs
@@ -141,6 +141,8 @@
     by_service: HashMap<ServiceName, Vec<BackendKey>>,
     engine_specs: HashMap<ServiceName, EngineSpec>,
     kv_stores: KvStores,
+    /// Time after the publication of new weights within which requests may start on old ones.
+    stale_weights_limit_ms: u64,
     /// Published versions of the weights of each model, in ascending order.
     published_versions: HashMap<ModelName, Vec<PublishedVersion>>,
     /// Start time and revision of servers that were removed, so that an outdated listing does not
@@ -178,6 +180,7 @@
             by_service: HashMap::new(),
             engine_specs: HashMap::new(),
             kv_stores: KvStores::default(),
+            stale_weights_limit_ms: versions::DEFAULT_STALE_WEIGHTS_LIMIT_MS,
             published_versions: HashMap::new(),
             removed: HashMap::new(),
             in_flight: SlotMap::with_key(),
@@ -195,6 +198,12 @@
         self.regions = regions;
     }
 
+    /// Sets the time after the publication of new weights within which requests may start on old
+    /// ones, in milliseconds.
+    pub fn set_stale_weights_limit(&mut self, limit_ms: u32) {
+        self.stale_weights_limit_ms = u64::from(limit_ms);
+    }
+
     fn distance(&self, zone: &AvailabilityZone) -> Distance {
         self.regions.distance(&self.zone, zone)
     }
--- a/crates/dogwoodway_routing/src/direct/fleet/versions.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/versions.rs
@@ -34,9 +34,14 @@
 /// milliseconds, unless it becomes known earlier what it serves.
 const MISMATCH_PAUSE_MS: u64 = 500;
 
-/// Time after the publication of new weights from which no request starts on old ones, in
-/// milliseconds.
-const STALE_WEIGHTS_LIMIT_MS: u64 = 7_200;
+/// Time after the publication of new weights within which requests may start on old ones, in
+/// milliseconds, unless the platform sets another.
+pub(super) const DEFAULT_STALE_WEIGHTS_LIMIT_MS: u64 = 8_000;
+
+/// Time before that limit from which requests are no longer placed on old weights, in milliseconds.
+/// A request starts with its first token, after its turn in the engine's queue and the prefill of
+/// its prompt; on a slow engine both take longer than predicted.
+const START_MARGIN_MS: u64 = 2_400;
 
 /// Time after publication during which routers tell each other the age of a version, in
 /// milliseconds.
@@ -205,10 +210,11 @@
         let versions = self.published_versions.get(model).map_or(&[][..], Vec::as_slice);
         let newer = versions.iter().find(|published| published.version > serving);
         let (Some(newer), Some(newest)) = (newer, versions.last()) else { return (serving, 0.0) };
+        let limit_ms = self.stale_weights_limit_ms.saturating_sub(START_MARGIN_MS);
         match u64::try_from((now - newer.published_at).as_millis()).unwrap_or(u64::MAX) {
-            ..STALE_WEIGHTS_AFTER_MS => (serving, 0.0),
-            STALE_WEIGHTS_AFTER_MS..STALE_WEIGHTS_LIMIT_MS => (serving, STALE_WEIGHTS_COST_MS),
-            STALE_WEIGHTS_LIMIT_MS.. => (newest.version, UNCONFIRMED_WEIGHTS_COST_MS),
+            age_ms if age_ms >= limit_ms => (newest.version, UNCONFIRMED_WEIGHTS_COST_MS),
+            STALE_WEIGHTS_AFTER_MS.. => (serving, STALE_WEIGHTS_COST_MS),
+            _ => (serving, 0.0),
         }
     }
 }
--- a/crates/dogwoodway_routing/tests/direct_fleet.rs
+++ b/crates/dogwoodway_routing/tests/direct_fleet.rs
@@ -522,3 +522,23 @@
     let placed = place(&mut fleet, at(5_000), 1, 99);
     assert!(!in_region(&fleet, &placed));
 }
+
+#[test]
+fn no_request_is_placed_on_old_weights_that_could_start_too_late_for_them() {
+    // A request that waits for 1.6 s at its engine must still start on the weights that it names
+    // within the limit of the platform.
+    const WAIT_MS: u64 = 1_600;
+    let model = ModelName::try_from(MODEL).unwrap();
+    for limit_ms in [8_000, 10_000] {
+        let (mut fleet, _) = fleet(3);
+        fleet.set_stale_weights_limit(limit_ms);
+        fleet.record_published_version(at(0), model.clone(), WeightsVersion(2), Duration::ZERO);
+        for ms in (0..u64::from(limit_ms) + 1_000).step_by(100) {
+            let placement = place(&mut fleet, at(ms), 7, ms);
+            finish(&mut fleet, at(ms), placement.request);
+            let names_old = placement.version == Some(WeightsVersion(1));
+            assert!(!names_old || ms + WAIT_MS < u64::from(limit_ms), "{ms} ms after the new ones");
+            assert!(names_old || ms > u64::from(limit_ms) / 2, "old weights serve for some time");
+        }
+    }
+}
