Consider a sample of the engines while many prompts of other routers are on their way

Cause: routers that know each other's loads as of 50 ms ago and more all take the engine that looks cheapest. Change: a prompt is placed on an engine that has its shared prefix, the one that all prefer, or one of a random sample, which is smaller the more prompts of others are unknown. Placing costs less too: engines outside are not weighed.

--- a/crates/dogwoodway_routing/src/direct.rs
+++ b/crates/dogwoodway_routing/src/direct.rs
@@ -21,5 +21,6 @@
 pub mod prompt;
 pub mod retry;
 pub mod rollout;
+pub mod sampling;
 pub mod table;
 pub mod token_lru;
--- a/crates/dogwoodway_routing/src/direct/fleet.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet.rs
@@ -24,6 +24,7 @@
         kv_stores::{KvChange, KvStores},
         link_slowdown::LinkSlowdown,
         load::Load,
+        sampling::PromptRate,
         table::{EngineSpec, RoutingTable, ServiceKind},
         token_lru::TokenLru,
     },
@@ -150,6 +151,7 @@
     removed: HashMap<BackendServerName, (u64, u64)>,
     in_flight: SlotMap<RequestKey, InFlightRequest>,
     queue_pressure: HashMap<ServiceName, QueuePressure>,
+    prompt_rates: HashMap<ServiceName, PromptRate>,
     prefill_ms_per_token: f64,
     /// Prompt updates to send to other routers, and how often each was sent.
     prompt_updates: VecDeque<(PromptUpdate, u8)>,
@@ -185,6 +187,7 @@
             removed: HashMap::new(),
             in_flight: SlotMap::with_key(),
             queue_pressure: HashMap::new(),
+            prompt_rates: HashMap::new(),
             prefill_ms_per_token: DEFAULT_PREFILL_MS_PER_TOKEN,
             prompt_updates: VecDeque::new(),
             last_update_seq: 0,
--- a/crates/dogwoodway_routing/src/direct/fleet/placement.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/placement.rs
@@ -24,6 +24,7 @@
         health::Health,
         load::Load,
         prompt::{CacheScope, PrefixSegment, Prompt, prefix_segments},
+        sampling::{self, is_sampled},
         table::EngineSpec,
     },
     rendezvous,
@@ -132,6 +133,7 @@
         now: Timestamp,
         request: &PlacementRequest,
     ) -> Result<Placement, Refusal> {
+        let sample_share = self.update_sample_share(now, request);
         let keys = self.by_service.get(&request.service).map_or(&[][..], Vec::as_slice);
         let spec = self.engine_specs.get(&request.service);
         // Some requests fail on every server, so only failures beyond the usual share count. The
@@ -161,13 +163,12 @@
                             self.find_sources(now, keys, segments),
                         )
                     });
-                    let (mut prefill, fetch) = self.prefill_work(
-                        now,
-                        key,
-                        spec,
-                        prompt,
-                        &scoped_prompts.by_version[scope],
-                    );
+                    let scoped = &scoped_prompts.by_version[scope];
+                    let hash = rendezvous::mix(server.hash.0.rotate_left(32) ^ request.draw);
+                    if !is_sampled(hash, sample_share) && !scoped.is_attached_to(key, server) {
+                        continue;
+                    }
+                    let (mut prefill, fetch) = self.prefill_work(now, key, spec, prompt, scoped);
                     prefill.penalty_ms += penalty_ms;
                     (Some(prefill), Some(scope), fetch)
                 }
@@ -197,6 +198,18 @@
         Ok(self.record_placement(now, key, &candidate, scope, fetch, predicted_ms))
     }
 
+    /// Records a prompt and returns the share of the engines to sample for it; 1 for a call to plain
+    /// servers.
+    fn update_sample_share(&mut self, now: Timestamp, request: &PlacementRequest) -> f64 {
+        if request.prompt.is_none() {
+            return 1.0;
+        }
+        let engines = self.by_service.get(&request.service).map_or(0, Vec::len);
+        let rate = self.prompt_rates.entry(request.service.clone()).or_default();
+        rate.record(now);
+        sampling::sample_share(rate, self.router_count, engines)
+    }
+
     /// Returns the predicted time to the first output in milliseconds.
     ///
     /// # Errors
@@ -519,6 +532,15 @@
     sources: Sources,
 }
 
+impl ScopedPrompt {
+    /// Returns whether a prompt has a reason to run on an engine: the engine has its shared prefix
+    /// cached, or all routers prefer it.
+    fn is_attached_to(&self, key: BackendKey, server: &Server) -> bool {
+        let shared = &self.segments[..self.segments.len().saturating_sub(1)];
+        self.preferred_server == Some(key) || server.prefix_cache.matched(shared) == shared.len()
+    }
+}
+
 /// The scoped segments of one prompt, computed once per version of the weights in use.
 struct ScopedPrompts<'a> {
     request: &'a PlacementRequest,
--- a/crates/dogwoodway_standin/tests/replay.rs
+++ b/crates/dogwoodway_standin/tests/replay.rs
@@ -141,3 +141,21 @@
     let without = relative_utility(&without_gossip, PolicyKind::Router);
     assert!(with > without, "relative utility {with:.3} with gossip, {without:.3} without");
 }
+
+#[test]
+fn many_routers_with_late_reports_place_nearly_as_well_as_few() {
+    let utility = |routers, gossip_ms, pattern| {
+        let config = SimulationConfig {
+            engines: 60,
+            routers,
+            gossip_ms: Some(gossip_ms),
+            seconds: 8.0,
+            ..config(pattern, 0.8)
+        };
+        simulate(&config, PolicyKind::Router).relative_utility
+    };
+    for pattern in [LoadPattern::Steady, LoadPattern::Burst, LoadPattern::LargePrompts] {
+        let (few, many) = (utility(20, 60, pattern), utility(60, 60, pattern));
+        assert!(many >= few - 0.03, "{pattern:?}: {many:.3} with 60 routers, {few:.3} with 20");
+    }
+}
