Weigh all engines if none of the sample accepts a prompt; split placement from the sources of prefixes

Change: the sample is sized by the engines that accept requests, and all are weighed if none of it does. The search for cached prefixes and their sources moves to a module of its own, unchanged. Test: fails before.

--- a/crates/dogwoodway_routing/src/direct/fleet.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet.rs
@@ -3,6 +3,7 @@
 mod gossip;
 mod membership;
 mod placement;
+mod prefix_sources;
 mod requests;
 mod versions;
 
--- a/crates/dogwoodway_routing/tests/direct_fleet.rs
+++ b/crates/dogwoodway_routing/tests/direct_fleet.rs
@@ -542,3 +542,22 @@
         }
     }
 }
+
+#[test]
+fn a_prompt_is_placed_though_most_engines_load_and_many_prompts_are_on_their_way() {
+    let (mut fleet, keys) = fleet(60);
+    fleet.set_router_count(103);
+    for n in 0..400 {
+        let placement = place(&mut fleet, at(20 * n), n as u32, n);
+        finish(&mut fleet, at(20 * n), placement.request);
+    }
+    // Only three engines serve. A sample of five out of sixty would often hold none of them.
+    for key in &keys[3..] {
+        fleet.mark_loading(at(8_000), *key);
+    }
+    for n in 0..400 {
+        let placement = place(&mut fleet, at(8_001 + 5 * n), 1_000 + n as u32, n);
+        assert!(keys[..3].contains(&placement.server));
+        finish(&mut fleet, at(8_001 + 5 * n), placement.request);
+    }
+}
