--- a/crates/dogwoodway_routing/src/direct/aggregation.rs
+++ b/crates/dogwoodway_routing/src/direct/aggregation.rs
@@ -121,7 +121,7 @@
         }
     }
 
-    /// Applies the digest of another zone. Returns the prompts that are new.
+    /// Applies the digest of another zone.
     pub fn apply_zone(
         &mut self,
         now: Timestamp,
--- a/crates/dogwoodway_routing/src/direct/sampling.rs
+++ b/crates/dogwoodway_routing/src/direct/sampling.rs
@@ -61,7 +61,7 @@
 }
 
 /// Returns the share of the engines to sample for a prompt, from 0 to 1. `rate` is that of this
-/// router; the other `routers` are assumed to have the same.
+/// router, and each of the `routers`, this one included, is assumed to have the same.
 ///
 /// ```
 /// use dogwoodway_routing::direct::sampling::{PromptRate, sample_share};
@@ -84,6 +84,6 @@
 /// Returns whether an engine is in the sample. `hash` mixes the engine with a number that is drawn
 /// for each prompt.
 pub fn is_sampled(hash: u64, share: f64) -> bool {
-    // The 53 upper bits give all values that a number from 0 to 1 can represent evenly.
+    // A double holds 53 bits exactly.
     ((hash >> 11) as f64) < share * (1_u64 << 53) as f64
 }
