End the retries that a caller of the replay drops

The pattern placed two further retries of each refused caller and never ended them, so that routers kept their load for good; as long as a refused prompt was refused again on all engines few were placed, with samples some are. Change: the caller drops these retries after 100 ms, and the router releases their place. The bound is unchanged.

--- a/crates/dogwoodway_standin/src/simulation/policy.rs
+++ b/crates/dogwoodway_standin/src/simulation/policy.rs
@@ -111,7 +111,7 @@
         _now: Timestamp,
         _router: usize,
         _request_key: Option<RequestKey>,
-        _signal: HealthSignal,
+        _signal: Option<HealthSignal>,
     ) {
     }
 
@@ -395,10 +395,10 @@
         now: Timestamp,
         router: usize,
         request_key: Option<RequestKey>,
-        signal: HealthSignal,
+        signal: Option<HealthSignal>,
     ) {
         if let Some(request_key) = request_key {
-            self.fleets[router].end_request(now, request_key, Some(signal));
+            self.fleets[router].end_request(now, request_key, signal);
         }
     }
 
--- a/crates/dogwoodway_standin/src/simulation/simulator.rs
+++ b/crates/dogwoodway_standin/src/simulation/simulator.rs
@@ -59,6 +59,9 @@
 /// milliseconds.
 const IMMEDIATE_RETRY_DELAY_MS: u64 = 20;
 
+/// Time after which such a caller drops the retries beyond the first one, in milliseconds.
+const EXTRA_RETRY_LIFETIME_MS: u64 = 100;
+
 /// Time from the crash of an engine until routers detect it, in milliseconds. Requests sent to the
 /// engine meanwhile fail after the same time.
 const LOSS_DETECTION_MS: u64 = 250;
@@ -112,6 +115,11 @@
     RequestFailed {
         request: usize,
     },
+    /// A caller closes the connection of a retry whose answer it does not need.
+    ExtraRetryDropped {
+        router: usize,
+        request_key: Option<RequestKey>,
+    },
     /// The router with this index sends gossip.
     GossipDue(usize),
     GossipReceived {
@@ -310,6 +318,9 @@
                 }
             }
             Event::PromptSaved(engine_request) => self.store.save(now, &engine_request),
+            Event::ExtraRetryDropped { router, request_key } => {
+                self.policy.record_end(now, router, request_key, None);
+            }
             Event::RequestFailed { request } => {
                 self.fail_request(now, request, HealthSignal::Failed);
             }
@@ -470,14 +481,19 @@
         // been received yet.
         let router = self.requests[request_index].router;
         if let Some(in_flight) = self.in_flight.get(&request_index) {
-            self.policy.record_end(now, router, in_flight.request_key, HealthSignal::Answered);
+            self.policy.record_end(
+                now,
+                router,
+                in_flight.request_key,
+                Some(HealthSignal::Answered),
+            );
         }
     }
 
     fn fail_request(&mut self, now: Timestamp, request_index: usize, signal: HealthSignal) {
         let router = self.requests[request_index].router;
         let Some(in_flight) = self.in_flight.remove(&request_index) else { return };
-        self.policy.record_end(now, router, in_flight.request_key, signal);
+        self.policy.record_end(now, router, in_flight.request_key, Some(signal));
         if !in_flight.has_output {
             self.outcomes.push(RequestOutcome::failed(&self.requests[request_index]));
         }
@@ -498,7 +514,12 @@
             for n in 1..3_u32 {
                 let extra = Arrival { draw: retry.draw ^ u64::from(n), ..retry.clone() };
                 let at = arrives_at + interval * n;
-                self.policy.place(at, &extra, &self.engines, &self.store);
+                let decision = self.policy.place(at, &extra, &self.engines, &self.store);
+                if let PlacementDecision::Run { request_key, .. } = decision {
+                    let router = extra.router;
+                    let dropped_at = at + Duration::from_millis(EXTRA_RETRY_LIFETIME_MS);
+                    self.schedule(dropped_at, Event::ExtraRetryDropped { router, request_key });
+                }
             }
         }
         self.requests[request_index] = retry;
