--- a/crates/dogwoodway_gateway/src/gossip.rs
+++ b/crates/dogwoodway_gateway/src/gossip.rs
@@ -2,8 +2,9 @@
 //! weights.
 //!
 //! Each router reports to the aggregator of its zone, which sends back a digest of the fleet; see
-//! [`aggregation`](dogwoodway_routing::direct::aggregation). A report or digest replaces the one
-//! before, so a lost datagram does no harm. [`Peers`] decides who aggregates.
+//! [`aggregation`](dogwoodway_routing::direct::aggregation). The loads of a
+//! report or digest replace those of the one before, and prompts are sent twice, so a lost datagram
+//! does little harm. [`Peers`] decides who aggregates.
 
 mod datagram;
 mod notice_board;
--- a/crates/dogwoodway_routing/src/direct/fleet/gossip.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/gossip.rs
@@ -147,7 +147,8 @@
     rest.collect()
 }
 
-/// Load of one router at one server, or the sum over several routers, rounded so that it is encoded in few bytes.
+/// Load of one router at one server, or the sum over several routers, rounded so that it is encoded
+/// in few bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerLoad {
     /// Server that the load is at.
