Log and count how response bodies are framed and what they end with

The logs of a truncated stream could not tell an end of the connection that was taken for the end of the answer from an error that the HTTP library swallowed. "request ended" now has the framing and the bytes after the last event; a counter has framing and outcome. Event boundaries come from one scanner, which reads pieces of any size and all line ends of the specification.

--- a/crates/dogwoodway_gateway/src/exchange.rs
+++ b/crates/dogwoodway_gateway/src/exchange.rs
@@ -3,6 +3,7 @@
 use std::{fmt, net::SocketAddr};
 
 use bytes::Bytes;
+use dogwoodway_http::BodyFraming;
 use http_body_util::Full;
 use hyper::{Request, body::Incoming, http};
 
@@ -16,6 +17,13 @@
     pub(crate) connection: Connection,
 }
 
+impl BackendResponse {
+    /// Returns how the end of the body is marked.
+    pub(crate) fn framing(&self) -> BodyFraming {
+        BodyFraming::of_response(&self.head.headers, &self.body)
+    }
+}
+
 /// Why there is no response. The difference decides whether the request may be retried.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum ExchangeError {
--- a/crates/dogwoodway_gateway/src/metric.rs
+++ b/crates/dogwoodway_gateway/src/metric.rs
@@ -6,6 +6,10 @@
 /// Attempts at backend servers, by how they ended (label `end`).
 pub(crate) const ATTEMPTS: &str = "dogwoodway_router_attempts_total";
 
+/// Bodies of backend servers' responses, by how their end is marked (label `framing`) and by the
+/// outcome of the request.
+pub(crate) const RESPONSE_BODIES: &str = "dogwoodway_router_response_bodies_total";
+
 /// Seconds from a request's arrival to the head of its response.
 pub(crate) const FIRST_BYTE_SECONDS: &str = "dogwoodway_router_first_byte_seconds";
 
--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -14,7 +14,7 @@
 };
 
 use bytes::Bytes;
-use dogwoodway_http::{Body, full_body};
+use dogwoodway_http::{Body, BodyFraming, full_body};
 use dogwoodway_routing::direct::{
     admission,
     fleet::{PlacementRequest, Refusal},
@@ -402,6 +402,7 @@
             let body = stream::body(self, request, upstream, guard, keep_alive_ms);
             return Delivery::Respond(resp.map(|()| body));
         }
+        let framing = upstream.framing();
         let error = match self.read_full(upstream, guard, &request, keep_alive_ms, is_error).await {
             Ok(bytes) => {
                 let outcome = AttemptOutcome::Answered { is_error };
@@ -410,7 +411,8 @@
                     return Delivery::Retry(Box::new(request));
                 }
                 let why = if is_error { "the server's own failure" } else { "" };
-                log_outcome(&request, resp.status(), "answered", why);
+                let body_end = Some(BodyEnd { framing, incomplete_bytes: 0 });
+                log_outcome(&request, resp.status(), "answered", why, body_end);
                 return Delivery::Respond(resp.map(|()| full_body(bytes)));
             }
             Err(ReadError::TimedOut) => return Delivery::Respond(self.timeout_response(&request)),
@@ -475,7 +477,8 @@
             table_age_ms = self.tables.age_ms(now);
             "request refused"
         );
-        log_outcome(request, StatusCode::SERVICE_UNAVAILABLE, "not-run", refusal.reason.as_str());
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        log_outcome(request, status, "not-run", refusal.reason.as_str(), None);
         self.not_run_response(refusal.reason, retry_after)
     }
 
@@ -496,7 +499,7 @@
         status: StatusCode,
         why: &str,
     ) -> Response<Body> {
-        log_outcome(request, status, "failed", why);
+        log_outcome(request, status, "failed", why, None);
         text_response(status, why)
     }
 }
@@ -555,19 +558,35 @@
     );
 }
 
-/// Logs and counts the final outcome of a request.
+/// How the body of a backend server's response ended.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BodyEnd {
+    pub(crate) framing: BodyFraming,
+    /// Bytes of an event stream after the end of its last event.
+    pub(crate) incomplete_bytes: usize,
+}
+
+/// Logs and counts the final outcome of a request. `body_end` is present if a response of a backend
+/// server was read.
 pub(crate) fn log_outcome(
     request: &ClientRequest,
     status: StatusCode,
     outcome: &'static str,
     why: &str,
+    body_end: Option<BodyEnd>,
 ) {
+    let framing = body_end.map_or("", |end| end.framing.as_str());
+    if body_end.is_some() {
+        let labels = [("framing", framing), ("outcome", outcome)];
+        metrics::counter!(metric::RESPONSE_BODIES, &labels).increment(1);
+    }
     let took = clock::now() - request.arrived_at;
     metrics::counter!(metric::REQUESTS, "outcome" => outcome).increment(1);
     metrics::histogram!(metric::REQUEST_SECONDS).record(took.as_secs_f64());
     log::info!(
         request = request.head.id, route:% = request.route, status = status.as_u16(),
-        outcome = outcome, why = why, attempts = request.attempts.total,
+        outcome = outcome, why = why, attempts = request.attempts.total, framing = framing,
+        incomplete_bytes = body_end.map_or(0, |end| end.incomplete_bytes),
         ms = took.as_millis() as u64;
         "request ended"
     );
--- a/crates/dogwoodway_gateway/src/stream.rs
+++ b/crates/dogwoodway_gateway/src/stream.rs
@@ -6,8 +6,8 @@
 
 use std::{mem, sync::Arc};
 
-use bytes::{Bytes, BytesMut};
-use dogwoodway_http::{Body, BodyAborted};
+use bytes::Bytes;
+use dogwoodway_http::{Body, BodyAborted, BodyFraming, EventScanner, EventSplitter};
 use dogwoodway_routing::direct::{
     fleet::{BackendKey, Placement, RequestKey},
     health::HealthSignal,
@@ -24,15 +24,12 @@
     connection::Connection,
     exchange::BackendResponse,
     fleet_actor::{BytesReceived, EndAttempt, FirstOutputReceived, FleetActor, PlacementReply},
-    relay::{Attempt, ClientRequest, Relay, log_outcome},
+    relay::{Attempt, BodyEnd, ClientRequest, Relay, log_outcome},
 };
 
 /// Least time between two reports of received bytes for one response, in milliseconds.
 const ACTIVITY_INTERVAL_MS: u64 = 150;
 
-/// Largest incomplete event that is held back, in bytes; a longer one is passed on in parts.
-const MAX_EVENT_BYTES: usize = 64 << 10;
-
 /// Guard of one attempt at a backend server.
 ///
 /// Dropping it reports the end of the attempt to the fleet actor, so that the server's slot is also
@@ -137,74 +134,52 @@
     }
 }
 
-/// Splits a byte stream into complete server-sent events and remembers the id of the last one.
-#[derive(Debug, Default)]
-pub(crate) struct EventSplitter {
-    partial: BytesMut,
-    last_id: Option<String>,
-}
-
-impl EventSplitter {
-    /// Adds received bytes and returns all events that are now complete.
-    pub(crate) fn push(&mut self, bytes: &[u8]) -> Bytes {
-        self.partial.extend_from_slice(bytes);
-        let Some(end) = end_of_events(&self.partial) else {
-            return match self.partial.len() > MAX_EVENT_BYTES {
-                true => self.partial.split().freeze(),
-                false => Bytes::new(),
-            };
-        };
-        let events = self.partial.split_to(end).freeze();
-        if let Some(id) = last_id(&events) {
-            self.last_id = Some(id);
-        }
-        events
-    }
-
-    /// Returns the incomplete event that is left at the end of the stream.
-    pub(crate) fn take_remainder(&mut self) -> Bytes {
-        self.partial.split().freeze()
-    }
-
-    /// Drops the incomplete event, which the next server sends again in full, and returns the id of
-    /// the last complete one.
-    pub(crate) fn discard_partial(&mut self) -> Option<String> {
-        self.partial.clear();
-        self.last_id.clone()
-    }
-}
-
-/// Returns the offset after the last blank line, which ends an event.
-fn end_of_events(bytes: &[u8]) -> Option<usize> {
-    let after_last = |pattern: &[u8]| {
-        bytes
-            .windows(pattern.len())
-            .rposition(|window| window == pattern)
-            .map(|i| i + pattern.len())
-    };
-    after_last(b"\n\n").max(after_last(b"\r\n\r\n"))
-}
-
-/// Returns the value of the last `id:` field.
-fn last_id(events: &[u8]) -> Option<String> {
-    let lines = events.split(|byte| *byte == b'\n').rev();
-    let id = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
-    Some(String::from_utf8_lossy(id).trim().to_owned())
-}
-
 /// State of a response body that is passed on as it arrives.
 struct ResponseStream {
     relay: Arc<Relay>,
     request: ClientRequest,
     incoming: Incoming,
+    framing: BodyFraming,
     connection: Option<Connection>,
     guard: Option<AttemptGuard>,
     keep_alive_ms: Option<u64>,
-    /// Present if the stream can be resumed.
-    splitter: Option<EventSplitter>,
+    content: BodyContent,
     is_ended: bool,
 }
 
+/// What the router knows of the content of a body.
+enum BodyContent {
+    /// Events of a stream that another server can continue.
+    ResumableEvents(EventSplitter),
+    /// Events of a stream that cannot be continued.
+    Events(EventScanner),
+    /// Anything else.
+    Opaque,
+}
+
+impl BodyContent {
+    /// Adds received bytes and returns those that can be passed on.
+    fn push(&mut self, bytes: Bytes) -> Bytes {
+        match self {
+            BodyContent::ResumableEvents(splitter) => splitter.push(bytes),
+            BodyContent::Events(scanner) => {
+                scanner.scan(&bytes);
+                bytes
+            }
+            BodyContent::Opaque => bytes,
+        }
+    }
+
+    /// Returns the number of bytes received since the end of the last event.
+    fn incomplete_bytes(&self) -> usize {
+        match self {
+            BodyContent::ResumableEvents(splitter) => splitter.scanner().incomplete_bytes(),
+            BodyContent::Events(scanner) => scanner.incomplete_bytes(),
+            BodyContent::Opaque => 0,
+        }
+    }
+}
+
 /// Builds a body that passes a backend response on to the client.
 pub(crate) fn body(
     relay: Arc<Relay>,
@@ -213,15 +188,20 @@
     guard: AttemptGuard,
     keep_alive_ms: Option<u64>,
 ) -> Body {
-    let is_resumable = request.kind == RouteKind::ResumableStream;
+    let content = match request.kind {
+        RouteKind::ResumableStream => BodyContent::ResumableEvents(EventSplitter::default()),
+        RouteKind::Stream => BodyContent::Events(EventScanner::default()),
+        RouteKind::Idempotent | RouteKind::AtMostOnce => BodyContent::Opaque,
+    };
     let stream = ResponseStream {
         relay,
         request,
+        framing: upstream.framing(),
         incoming: upstream.body,
         connection: Some(upstream.connection),
         guard: Some(guard),
         keep_alive_ms,
-        splitter: is_resumable.then(EventSplitter::default),
+        content,
         is_ended: false,
     };
     let frames = futures::stream::unfold(stream, |mut stream| async move {
@@ -245,10 +225,7 @@
                     if let Some(guard) = &mut self.guard {
                         guard.record_bytes();
                     }
-                    let out = match &mut self.splitter {
-                        Some(splitter) => splitter.push(&bytes),
-                        None => bytes,
-                    };
+                    let out = self.content.push(bytes);
                     if !out.is_empty() {
                         return Some(Ok(out));
                     }
@@ -271,9 +248,12 @@
             let fingerprint = self.relay.fingerprint_if_tracked(&self.request);
             guard.complete(connection, self.keep_alive_ms, HealthSignal::Answered, fingerprint);
         }
-        log_outcome(&self.request, hyper::StatusCode::OK, "answered", "");
-        let remainder =
-            self.splitter.as_mut().map(EventSplitter::take_remainder).unwrap_or_default();
+        let body_end = Some(self.body_end());
+        log_outcome(&self.request, hyper::StatusCode::OK, "answered", "", body_end);
+        let remainder = match &mut self.content {
+            BodyContent::ResumableEvents(splitter) => splitter.take_remainder(),
+            BodyContent::Events(_) | BodyContent::Opaque => Bytes::new(),
+        };
         (!remainder.is_empty()).then_some(Ok(remainder))
     }
 
@@ -284,10 +264,15 @@
     ) -> Option<Result<Bytes, BodyAborted>> {
         self.is_ended = true;
         self.end_attempt(signal);
-        log_outcome(&self.request, hyper::StatusCode::OK, "broken-off", why);
+        let body_end = Some(self.body_end());
+        log_outcome(&self.request, hyper::StatusCode::OK, "broken-off", why, body_end);
         Some(Err(BodyAborted(why.to_owned())))
     }
 
+    fn body_end(&self) -> BodyEnd {
+        BodyEnd { framing: self.framing, incomplete_bytes: self.content.incomplete_bytes() }
+    }
+
     fn end_attempt(&mut self, signal: Option<HealthSignal>) {
         self.connection = None;
         if let Some(guard) = self.guard.take() {
@@ -302,8 +287,8 @@
 
     /// Resumes a broken stream on another server; returns whether that succeeded.
     async fn resume(&mut self, why: &str) -> bool {
-        let Some(splitter) = &mut self.splitter else { return false };
-        let resume_after = splitter.discard_partial();
+        let BodyContent::ResumableEvents(splitter) = &mut self.content else { return false };
+        let resume_after = splitter.restart();
         let version = self.guard.as_ref().and_then(|guard| guard.version);
         self.end_attempt(Some(HealthSignal::ConnectionLost));
         log::info!(request = self.request.head.id, why = why, after:? = resume_after;
@@ -330,6 +315,7 @@
                 {
                     let headers = &response.upstream.head.headers;
                     self.keep_alive_ms = self.relay.protocol.keep_alive_ms(headers);
+                    self.framing = response.upstream.framing();
                     self.incoming = response.upstream.body;
                     self.connection = Some(response.upstream.connection);
                     self.guard = Some(response.guard);
--- a/crates/dogwoodway_http/src/lib.rs
+++ b/crates/dogwoodway_http/src/lib.rs
@@ -5,12 +5,14 @@
 
 mod body;
 mod client;
+mod framing;
 mod server;
 mod sse;
 
 pub use crate::{
     body::{Body, BodyAborted, BodySender, channel_body, full_body, json_response, text_response},
     client::{ClientLimits, HttpClient, HttpError, HttpResponse},
+    framing::BodyFraming,
     server::{Handler, ServerLimits, serve, serve_with_dynamic_limits, set_silence_timeout},
-    sse::{SseReader, sse_event},
+    sse::{EventScanner, EventSplitter, SseReader, sse_event},
 };
--- a/crates/dogwoodway_http/src/sse.rs
+++ b/crates/dogwoodway_http/src/sse.rs
@@ -1,13 +1,12 @@
 //! Encoding and decoding of server-sent events.
 
-use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
+mod reader;
+mod scanner;
+mod splitter;
 
-use crate::HttpError;
+use bytes::Bytes;
 
-/// Maximum size of one event, in bytes.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+pub use self::{reader::SseReader, scanner::EventScanner, splitter::EventSplitter};
 
 /// Encodes one event.
 ///
@@ -17,57 +16,3 @@
 pub fn sse_event(data: &str) -> Bytes {
     Bytes::from(format!("data: {data}\n\n"))
 }
-
-/// Reads server-sent events from the body of a response.
-#[derive(Debug)]
-pub struct SseReader {
-    body: Incoming,
-    buf: Vec<u8>,
-}
-
-impl SseReader {
-    /// Creates a reader of `body`.
-    pub fn new(body: Incoming) -> SseReader {
-        SseReader { body, buf: Vec::new() }
-    }
-
-    /// Returns the data of the next event, or `None` at the end of the body.
-    ///
-    /// # Errors
-    ///
-    /// Fails with [`HttpError::ResponseLost`] if the connection is lost or the body ends within an
-    /// event, and with [`HttpError::InvalidResponse`] if an event is not UTF-8 or exceeds 1 MiB.
-    pub async fn next(&mut self) -> Result<Option<String>, HttpError> {
-        loop {
-            if let Some(data) = self.take_event()? {
-                return Ok(Some(data));
-            }
-            let Some(frame) = self.body.frame().await else {
-                return match self.buf.is_empty() {
-                    true => Ok(None),
-                    false => {
-                        Err(HttpError::ResponseLost("the stream ended inside an event".to_owned()))
-                    }
-                };
-            };
-            let frame = frame.map_err(|e| HttpError::ResponseLost(e.to_string()))?;
-            if let Ok(data) = frame.into_data() {
-                self.buf.extend_from_slice(&data);
-            }
-            if self.buf.len() > MAX_EVENT_BYTES {
-                return Err(HttpError::InvalidResponse("an event is too large".to_owned()));
-            }
-        }
-    }
-
-    fn take_event(&mut self) -> Result<Option<String>, HttpError> {
-        let Some(end) = self.buf.windows(2).position(|w| w == b"\n\n") else {
-            return Ok(None);
-        };
-        let event: Vec<u8> = self.buf.drain(..end + 2).collect();
-        let event =
-            String::from_utf8(event).map_err(|e| HttpError::InvalidResponse(e.to_string()))?;
-        let data = event.lines().filter_map(|line| line.strip_prefix("data:"));
-        Ok(Some(data.map(str::trim_start).collect::<Vec<_>>().join("\n")))
-    }
-}
