Take the end of a connection for the end of a stream only between events

Callers saw status 200, the server's seal and a body that ended properly, though its engine had broken it off.

Cause: an engine may answer with neither a length nor chunks, so that its body ends with its connection. A crash closes the connection without an error too. The router took any end without an error for the end of the answer, passed on the half of an event and ended its own chunked body.

Evidence: the incident's ten short answers are logged as answered with one attempt, among them those of a route whose streams may be resumed.

A body that ends without an error is now checked: a stream is complete only between two events, and one that only the connection ends only after an event. Anything else is handled like a lost connection: resumed where the route allows it, else broken off towards the caller, and counted against the server and, if it has crashed, the request. It works for all framings, since an event that does not end is incomplete whatever the framing says. An event that grows beyond 64 KiB is an error too; before, its parts were passed on and a resumption would have joined two runs.

--- a/crates/dogwoodway_gateway/src/stream.rs
+++ b/crates/dogwoodway_gateway/src/stream.rs
@@ -7,7 +7,9 @@
 use std::{mem, sync::Arc};
 
 use bytes::Bytes;
-use dogwoodway_http::{Body, BodyAborted, BodyFraming, EventScanner, EventSplitter};
+use dogwoodway_http::{
+    Body, BodyAborted, BodyFraming, EventScanner, EventSplitter, EventStreamError,
+};
 use dogwoodway_routing::direct::{
     fleet::{BackendKey, Placement, RequestKey},
     health::HealthSignal,
@@ -159,14 +161,20 @@
 
 impl BodyContent {
     /// Adds received bytes and returns those that can be passed on.
-    fn push(&mut self, bytes: Bytes) -> Bytes {
+    fn push(&mut self, bytes: Bytes) -> Result<Bytes, EventStreamError> {
         match self {
             BodyContent::ResumableEvents(splitter) => splitter.push(bytes),
-            BodyContent::Events(scanner) => {
-                scanner.scan(&bytes);
-                bytes
-            }
-            BodyContent::Opaque => bytes,
+            BodyContent::Events(scanner) => scanner.scan(&bytes).map(|_| bytes),
+            BodyContent::Opaque => Ok(bytes),
+        }
+    }
+
+    /// Checks that a body that has ended without an error is complete.
+    fn check_end(&self, framing: BodyFraming) -> Result<(), EventStreamError> {
+        match self {
+            BodyContent::ResumableEvents(splitter) => splitter.scanner().check_end(framing),
+            BodyContent::Events(scanner) => scanner.check_end(framing),
+            BodyContent::Opaque => Ok(()),
         }
     }
 
@@ -189,6 +197,7 @@
     keep_alive_ms: Option<u64>,
 ) -> Body {
     let content = match request.kind {
+        _ if !upstream.head.status.is_success() => BodyContent::Opaque,
         RouteKind::ResumableStream => BodyContent::ResumableEvents(EventSplitter::default()),
         RouteKind::Stream => BodyContent::Events(EventScanner::default()),
         RouteKind::Idempotent | RouteKind::AtMostOnce => BodyContent::Opaque,
@@ -219,24 +228,27 @@
             let Ok(frame) = tokio::time::timeout_at(limit, self.incoming.frame()).await else {
                 return self.fail("the time for the answer is up", None);
             };
-            match frame {
+            let why = match frame {
                 Some(Ok(frame)) => {
                     let Ok(bytes) = frame.into_data() else { continue };
                     if let Some(guard) = &mut self.guard {
                         guard.record_bytes();
                     }
-                    let out = self.content.push(bytes);
-                    if !out.is_empty() {
-                        return Some(Ok(out));
-                    }
-                }
-                None => return self.finish(),
-                Some(Err(e)) => {
-                    let why = format!("the server's answer broke off: {e}");
-                    if !self.resume(&why).await {
-                        return self.fail(&why, Some(HealthSignal::ConnectionLost));
+                    match self.content.push(bytes) {
+                        Ok(out) if out.is_empty() => continue,
+                        Ok(out) => return Some(Ok(out)),
+                        Err(e) => e.to_string(),
                     }
                 }
+                None => match self.content.check_end(self.framing) {
+                    Ok(()) => return self.finish(),
+                    Err(e) => e.to_string(),
+                },
+                Some(Err(e)) => e.to_string(),
+            };
+            let why = format!("the server's answer broke off: {why}");
+            if !self.resume(&why).await {
+                return self.fail(&why, Some(HealthSignal::ConnectionLost));
             }
         }
         None
@@ -250,11 +262,7 @@
         }
         let body_end = Some(self.body_end());
         log_outcome(&self.request, hyper::StatusCode::OK, "answered", "", body_end);
-        let remainder = match &mut self.content {
-            BodyContent::ResumableEvents(splitter) => splitter.take_remainder(),
-            BodyContent::Events(_) | BodyContent::Opaque => Bytes::new(),
-        };
-        (!remainder.is_empty()).then_some(Ok(remainder))
+        None
     }
 
     fn fail(
@@ -291,8 +299,11 @@
         let resume_after = splitter.restart();
         let version = self.guard.as_ref().and_then(|guard| guard.version);
         self.end_attempt(Some(HealthSignal::ConnectionLost));
-        log::info!(request = self.request.head.id, why = why, after:? = resume_after;
-            "stream to be continued elsewhere");
+        log::info!(
+            request = self.request.head.id, why = why, framing = self.framing.as_str(),
+            after:? = resume_after;
+            "stream to be continued elsewhere"
+        );
         let mut outcome = AttemptOutcome::Lost;
         loop {
             let request = &mut self.request;
--- a/crates/dogwoodway_http/src/sse.rs
+++ b/crates/dogwoodway_http/src/sse.rs
@@ -6,7 +6,11 @@
 
 use bytes::Bytes;
 
-pub use self::{reader::SseReader, scanner::EventScanner, splitter::EventSplitter};
+pub use self::{
+    reader::SseReader,
+    scanner::{EventScanner, EventStreamError},
+    splitter::EventSplitter,
+};
 
 /// Encodes one event.
 ///
--- a/crates/dogwoodway_http/src/sse/splitter.rs
+++ b/crates/dogwoodway_http/src/sse/splitter.rs
@@ -2,10 +2,7 @@
 
 use bytes::{Bytes, BytesMut};
 
-use crate::EventScanner;
-
-/// Largest incomplete event that is held back, in bytes; a longer one is passed on in parts.
-const MAX_EVENT_BYTES: usize = 64 << 10;
+use crate::{EventScanner, EventStreamError};
 
 /// Splits a byte stream into complete server-sent events and remembers the id of the last one, so
 /// that another server can continue the stream after it.
@@ -14,7 +11,8 @@
 /// use dogwoodway_http::EventSplitter;
 ///
 /// let mut splitter = EventSplitter::default();
-/// assert_eq!(splitter.push("id: 1\ndata: a\n\nid: 2\nda".into()), "id: 1\ndata: a\n\n");
+/// let events = splitter.push("id: 1\ndata: a\n\nid: 2\nda".into());
+/// assert_eq!(events, Ok("id: 1\ndata: a\n\n".into()));
 /// assert_eq!(splitter.restart().as_deref(), Some("1"));
 /// ```
 #[derive(Debug, Default)]
@@ -26,13 +24,14 @@
 
 impl EventSplitter {
     /// Adds received bytes and returns all events that are now complete.
-    pub fn push(&mut self, bytes: Bytes) -> Bytes {
-        let Some(end) = self.scanner.scan(&bytes) else {
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`EventStreamError::EventTooLarge`] if an event is larger than 64 KiB.
+    pub fn push(&mut self, bytes: Bytes) -> Result<Bytes, EventStreamError> {
+        let Some(end) = self.scanner.scan(&bytes)? else {
             self.partial.extend_from_slice(&bytes);
-            return match self.partial.len() > MAX_EVENT_BYTES {
-                true => self.partial.split().freeze(),
-                false => Bytes::new(),
-            };
+            return Ok(Bytes::new());
         };
         let events = match self.partial.is_empty() {
             true => bytes.slice(..end),
@@ -45,7 +44,7 @@
         if let Some(id) = last_id(&events) {
             self.last_id = Some(id);
         }
-        events
+        Ok(events)
     }
 
     /// Returns the scanner of the stream that is being read.
@@ -53,11 +52,6 @@
         &self.scanner
     }
 
-    /// Returns the incomplete event that is left at the end of the stream.
-    pub fn take_remainder(&mut self) -> Bytes {
-        self.partial.split().freeze()
-    }
-
     /// Prepares for another stream that continues this one: drops the incomplete event, which the
     /// other stream contains in full, and returns the id of the last complete one.
     pub fn restart(&mut self) -> Option<String> {
--- a/crates/dogwoodway_http/tests/event_scanner.rs
+++ b/crates/dogwoodway_http/tests/event_scanner.rs
@@ -1,6 +1,6 @@
 //! Boundaries of events, in streams that arrive in pieces of any size.
 
-use dogwoodway_http::{EventScanner, EventSplitter};
+use dogwoodway_http::{BodyFraming, EventScanner, EventSplitter, EventStreamError};
 use proptest::prelude::*;
 
 /// Reads a stream in pieces of the given size and returns the offsets after each event.
@@ -8,7 +8,8 @@
     let mut scanner = EventScanner::default();
     let mut ends = Vec::new();
     for (i, piece) in stream.as_bytes().chunks(piece_bytes).enumerate() {
-        ends.extend(scanner.scan(piece).map(|end| i * piece_bytes + end));
+        let end = scanner.scan(piece).expect("the events are small");
+        ends.extend(end.map(|end| i * piece_bytes + end));
     }
     (ends, scanner)
 }
@@ -25,7 +26,7 @@
         };
         assert_eq!(ends, expected, "{line_end:?}");
         assert_eq!(scanner.incomplete_bytes(), 0);
-        assert!(scanner.has_events());
+        assert_eq!(scanner.check_end(BodyFraming::CloseDelimited), Ok(()));
     }
 }
 
@@ -36,7 +37,11 @@
             let (ends, scanner) = event_ends(&event[..length], 3);
             assert_eq!(ends, [0usize; 0], "{:?}", &event[..length]);
             assert_eq!(scanner.incomplete_bytes(), length);
-            assert!(!scanner.has_events());
+            for framing in [BodyFraming::CloseDelimited, BodyFraming::Chunked, BodyFraming::Length]
+            {
+                let error = EventStreamError::EndedInsideEvent(length);
+                assert_eq!(scanner.check_end(framing), Err(error));
+            }
         }
     }
 }
@@ -44,8 +49,26 @@
 #[test]
 fn blank_lines_alone_are_no_event() {
     let (_, scanner) = event_ends("\n\r\n\n", 1);
-    assert!(!scanner.has_events());
     assert_eq!(scanner.incomplete_bytes(), 0);
+    let error = EventStreamError::EndedBeforeFirstEvent;
+    assert_eq!(scanner.check_end(BodyFraming::CloseDelimited), Err(error));
+    // A stream that continues another one may have nothing left to send.
+    assert_eq!(scanner.check_end(BodyFraming::Chunked), Ok(()));
+}
+
+#[test]
+fn bytes_without_end_are_no_event() {
+    let mut splitter = EventSplitter::default();
+    let mut received = 0;
+    let error = loop {
+        match splitter.push(vec![b'x'; 1_000].into()) {
+            Ok(out) => assert!(out.is_empty()),
+            Err(e) => break e,
+        }
+        received += 1_000;
+    };
+    assert_eq!(error, EventStreamError::EventTooLarge);
+    assert!(received <= 64 << 10);
 }
 
 proptest! {
@@ -62,7 +85,8 @@
                 break;
             }
             let (piece, tail) = rest.split_at((*cut).min(rest.len()));
-            out.extend_from_slice(&splitter.push(piece.to_vec().into()));
+            let events = splitter.push(piece.to_vec().into());
+            out.extend_from_slice(&events.expect("the events are small"));
             rest = tail;
         }
         let incomplete = splitter.scanner().incomplete_bytes();
