Abort streamed bodies whose sender was dropped

Callers of the chat interface would see a stream that ends properly if the task that writes it ended early, for example by a panic; nothing but the missing [DONE] told them.

A body ended as complete when its sender was dropped, so that the end of a task counted as the end of the answer.

A body is now complete only after BodySender::finish, and is aborted otherwise. The stand-in of an engine finishes the bodies of its cut faults, which stay what they were: ends without any error.

--- a/crates/dogwoodway_caller/src/chat.rs
+++ b/crates/dogwoodway_caller/src/chat.rs
@@ -3,7 +3,9 @@
 use std::fmt;
 
 use bytes::Bytes;
-use dogwoodway_http::{Body, BodySender, channel_body, json_response, sse_event};
+use dogwoodway_http::{
+    Body, BodySender, ClientDisconnected, channel_body, json_response, sse_event,
+};
 use dogwoodway_types::{
     ChatMessage, FinishReason, IdError, ModelName, Outcome, RequestId, Timestamp, Usage,
 };
@@ -158,11 +160,11 @@
                         send_event(&tx, &chunk(id, &model, json!({}), Some(finish), Some(usage)))
                             .await;
                     let _ = tx.send(sse_event("[DONE]")).await;
-                    return;
+                    return tx.finish().await;
                 }
                 AnswerEvent::Error(outcome) => {
                     let _ = send_event(&tx, &error_body(&outcome, id)).await;
-                    return;
+                    return tx.finish().await;
                 }
                 AnswerEvent::Started { .. } | AnswerEvent::Response { .. } => Ok(()),
             };
@@ -172,6 +174,7 @@
         }
         let outcome = Outcome::Unknown { message: "the answer ended too early".to_owned() };
         let _ = send_event(&tx, &error_body(&outcome, id)).await;
+        tx.finish().await;
     });
     let mut resp = Response::new(body);
     let headers = resp.headers_mut();
@@ -189,9 +192,6 @@
     }
 }
 
-/// The client has closed the connection.
-struct ClientDisconnected;
-
 async fn send_chunk(
     tx: &BodySender,
     id: RequestId,
@@ -203,7 +203,7 @@
 
 async fn send_event(tx: &BodySender, value: &Value) -> Result<(), ClientDisconnected> {
     let event: Bytes = sse_event(&value.to_string());
-    tx.send(event).await.map_err(|_| ClientDisconnected)
+    tx.send(event).await
 }
 
 fn chunk(
--- a/crates/dogwoodway_http/src/body.rs
+++ b/crates/dogwoodway_http/src/body.rs
@@ -3,7 +3,6 @@
 use std::{convert::Infallible, fmt};
 
 use bytes::Bytes;
-use futures::StreamExt;
 use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
 use hyper::{Response, StatusCode, body::Frame, header};
 use serde::Serialize;
@@ -25,9 +24,58 @@
 /// Response body; an error of its stream aborts the response.
 pub type Body = UnsyncBoxBody<Bytes, BodyAborted>;
 
-/// Sends the chunks of a streamed body. The body ends when the sender is dropped, and the sender is
-/// closed when the client disconnects.
-pub type BodySender = mpsc::Sender<Bytes>;
+/// Sends the chunks of a streamed body.
+///
+/// The body is complete only after [`BodySender::finish`]. If the sender is dropped before, for
+/// example because its task panics, the body is aborted.
+#[derive(Debug)]
+pub struct BodySender {
+    tx: mpsc::Sender<BodyPart>,
+}
+
+/// The client has closed the connection, so the body is no longer read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClientDisconnected;
+
+#[derive(Debug)]
+enum BodyPart {
+    Chunk(Bytes),
+    End,
+}
+
+impl BodySender {
+    /// Sends a chunk, once there is room for it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the client has disconnected.
+    pub async fn send(&self, chunk: Bytes) -> Result<(), ClientDisconnected> {
+        self.tx.send(BodyPart::Chunk(chunk)).await.map_err(|_| ClientDisconnected)
+    }
+
+    /// Marks the body as complete. If the client has disconnected, this has no effect.
+    ///
+    /// ```
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() {
+    /// use http_body_util::BodyExt;
+    ///
+    /// let (tx, body) = dogwoodway_http::channel_body();
+    /// tx.send("whole".into()).await.unwrap();
+    /// tx.finish().await;
+    /// assert_eq!(body.collect().await.unwrap().to_bytes(), "whole");
+    /// # }
+    /// ```
+    pub async fn finish(self) {
+        // Fails only if nobody reads the body any more.
+        let _ = self.tx.send(BodyPart::End).await;
+    }
+
+    /// Waits until the client has disconnected.
+    pub async fn closed(&self) {
+        self.tx.closed().await;
+    }
+}
 
 /// Number of chunks buffered in a streamed body before its sender has to wait.
 const BUFFERED_CHUNKS: usize = 16;
@@ -40,11 +88,15 @@
 /// Builds a streamed body and the sender of its chunks.
 pub fn channel_body() -> (BodySender, Body) {
     let (tx, rx) = mpsc::channel(BUFFERED_CHUNKS);
-    let chunks = futures::stream::unfold(rx, |mut rx: mpsc::Receiver<Bytes>| async move {
-        rx.recv().await.map(|chunk| (chunk, rx))
+    let frames = futures::stream::unfold(Some(rx), |rx: Option<mpsc::Receiver<BodyPart>>| async {
+        let mut rx = rx?;
+        match rx.recv().await {
+            Some(BodyPart::Chunk(chunk)) => Some((Ok(Frame::data(chunk)), Some(rx))),
+            Some(BodyPart::End) => None,
+            None => Some((Err(BodyAborted("its sender was dropped".to_owned())), None)),
+        }
     });
-    let frames = chunks.map(|chunk| Ok::<_, BodyAborted>(Frame::data(chunk)));
-    (tx, StreamBody::new(frames).boxed_unsync())
+    (BodySender { tx }, StreamBody::new(frames).boxed_unsync())
 }
 
 /// Builds a response with a JSON body. A value that cannot be serialized gets status 500.
--- a/crates/dogwoodway_http/src/lib.rs
+++ b/crates/dogwoodway_http/src/lib.rs
@@ -10,7 +10,10 @@
 mod sse;
 
 pub use crate::{
-    body::{Body, BodyAborted, BodySender, channel_body, full_body, json_response, text_response},
+    body::{
+        Body, BodyAborted, BodySender, ClientDisconnected, channel_body, full_body, json_response,
+        text_response,
+    },
     client::{ClientLimits, HttpClient, HttpError, HttpResponse},
     framing::BodyFraming,
     server::{Handler, ServerLimits, serve, serve_with_dynamic_limits, set_silence_timeout},
--- a/crates/dogwoodway_standin/src/engine/server.rs
+++ b/crates/dogwoodway_standin/src/engine/server.rs
@@ -312,9 +312,9 @@
             event = events.recv() => event,
             () = tx.closed() => return,
         };
-        let Some(event) = event else { return };
+        let Some(event) = event else { return tx.finish().await };
         if tx.send(&event).await.is_err() {
-            return;
+            return tx.finish().await;
         }
     }
 }
--- a/crates/dogwoodway_standin/src/engine/stream_fault.rs
+++ b/crates/dogwoodway_standin/src/engine/stream_fault.rs
@@ -11,9 +11,9 @@
     /// The answer is streamed completely.
     #[default]
     None,
-    /// The body ends after this many events, at an event boundary.
+    /// The body is marked as complete after this many events, at an event boundary.
     CutAfter(u32),
-    /// The body ends in the middle of the event that follows this many complete ones.
+    /// The body is marked as complete in the middle of the event that follows this many whole ones.
     TearAfter(u32),
     /// Nothing is sent after this many events, but the connection stays open.
     StallAfter(u32),
@@ -36,6 +36,11 @@
         EventSender { tx, fault, sent_events: 0 }
     }
 
+    /// Marks the answer as complete.
+    pub(crate) async fn finish(self) {
+        self.tx.finish().await;
+    }
+
     /// Waits until the client has disconnected.
     pub(crate) async fn closed(&self) {
         self.tx.closed().await;
