Buffer at most 256 KiB of a response body of unknown length

A server in trouble may send bytes without end. All callers of a router would see it killed for its memory.

Cause: a response that is not an event stream and states no length was read to its end before its first byte was passed on, whatever its size.

A body that turns out to be longer than what is buffered is now passed on as it arrives, like one whose head states such a length, until the deadline breaks it off. Heads end at 64 KiB instead of 400. Bodies are read in one place, which yields an end only for a complete body.

--- a/crates/dogwoodway_gateway/src/connection.rs
+++ b/crates/dogwoodway_gateway/src/connection.rs
@@ -20,6 +20,9 @@
 /// Longer than network disturbances after which responses still arrive.
 const SILENCE_TIMEOUT_MS: u64 = 6_000;
 
+/// Largest response head that is accepted, in bytes; also the size of the read buffer.
+const MAX_RESPONSE_HEAD_BYTES: usize = 64 << 10;
+
 /// Time for which an idle connection may be reused if the server states no keep-alive time, in
 /// milliseconds.
 const DEFAULT_IDLE_MS: u64 = 2_000;
@@ -43,8 +46,11 @@
         let stream = tokio::time::timeout(limit, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
         set_silence_timeout(&stream, Duration::from_millis(SILENCE_TIMEOUT_MS))?;
-        let (sender, conn) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        let (sender, conn) = http1::Builder::new()
+            .max_buf_size(MAX_RESPONSE_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
         let driver = tokio::spawn(async move {
             if let Err(e) = conn.await {
                 log::debug!("connection to a backend server ended: {e}");
--- a/crates/dogwoodway_gateway/src/lib.rs
+++ b/crates/dogwoodway_gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod leader;
 mod metric;
 mod relay;
+mod response_body;
 mod router;
 mod feeds;
 mod stream;
--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -4,6 +4,7 @@
 //! [fleet actor](crate::fleet_actor), and retried on another server where the route allows it.
 
 mod admit;
+mod deliver;
 
 use std::{
     sync::{
@@ -14,7 +15,7 @@
 };
 
 use bytes::Bytes;
-use dogwoodway_http::{Body, BodyFraming, full_body};
+use dogwoodway_http::Body;
 use dogwoodway_routing::direct::{
     admission,
     fleet::{PlacementRequest, Refusal},
@@ -26,7 +27,6 @@
     BackendServerName, NotRunReason, RequestFingerprint, RouteName, ServiceName, TeamName,
     Timestamp,
 };
-use http_body_util::BodyExt;
 use hyper::{Request, Response, StatusCode, body::Incoming, header, http};
 use kameo::actor::ActorRef;
 
@@ -42,13 +42,11 @@
     platform_api::{
         DirectoryChange, ForwardParams, NotExecuted, RequestHead, RequestProtocol, ResponseClass,
     },
-    stream::{self, AttemptGuard},
+    relay::deliver::Delivery,
+    response_body::BodyEnd,
+    stream::AttemptGuard,
 };
 
-/// Largest response, in bytes, that is buffered completely before its first byte is sent to the
-/// client. If the server fails while sending such a response, the request can still be retried.
-const MAX_BUFFERED_RESPONSE_BYTES: usize = 256 << 10;
-
 /// Serves client requests. Shared by all connections.
 pub(crate) struct Relay {
     pub(crate) protocol: Arc<dyn RequestProtocol>,
@@ -160,14 +158,6 @@
     TimedOut,
 }
 
-/// What to do after a response head has arrived.
-enum Delivery {
-    /// Send this response to the client.
-    Respond(Response<Body>),
-    /// Try another server.
-    Retry(Box<ClientRequest>),
-}
-
 impl Relay {
     /// Handles one client request from its head to the response.
     pub(crate) async fn serve(self: Arc<Relay>, req: Request<Incoming>) -> Response<Body> {
@@ -379,85 +369,6 @@
         }
     }
 
-    /// Turns a backend response into the client's. Successful streams and responses longer than
-    /// [`MAX_BUFFERED_RESPONSE_BYTES`] are passed on as they arrive; all others are read completely
-    /// first, so that a failure can still be retried.
-    async fn deliver(
-        self: Arc<Relay>,
-        request: ClientRequest,
-        response: Box<AttemptResponse>,
-        is_error: bool,
-    ) -> Delivery {
-        let AttemptResponse { upstream, guard } = *response;
-        let keep_alive_ms = self.protocol.keep_alive_ms(&upstream.head.headers);
-        let length = upstream.head.headers.get(header::CONTENT_LENGTH);
-        let length = length.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
-        let is_long = length.is_some_and(|length| length > MAX_BUFFERED_RESPONSE_BYTES);
-        let mut resp = Response::new(());
-        *resp.status_mut() = upstream.head.status;
-        *resp.headers_mut() = self.protocol.client_headers(&upstream.head.headers);
-        metrics::histogram!(metric::FIRST_BYTE_SECONDS)
-            .record((clock::now() - request.arrived_at).as_secs_f64());
-        if (request.kind.is_stream() && upstream.head.status.is_success()) || is_long {
-            let body = stream::body(self, request, upstream, guard, keep_alive_ms);
-            return Delivery::Respond(resp.map(|()| body));
-        }
-        let framing = upstream.framing();
-        let error = match self.read_full(upstream, guard, &request, keep_alive_ms, is_error).await {
-            Ok(bytes) => {
-                let outcome = AttemptOutcome::Answered { is_error };
-                let step = next_step(request.kind, request.max_attempts, request.attempts, outcome);
-                if step == NextStep::Retry && has_time_for_retry(&request) {
-                    return Delivery::Retry(Box::new(request));
-                }
-                let why = if is_error { "the server's own failure" } else { "" };
-                let body_end = Some(BodyEnd { framing, incomplete_bytes: 0 });
-                log_outcome(&request, resp.status(), "answered", why, body_end);
-                return Delivery::Respond(resp.map(|()| full_body(bytes)));
-            }
-            Err(ReadError::TimedOut) => return Delivery::Respond(self.timeout_response(&request)),
-            Err(ReadError::ConnectionLost(why)) => why,
-        };
-        match next_step(request.kind, request.max_attempts, request.attempts, AttemptOutcome::Lost)
-        {
-            NextStep::Retry => Delivery::Retry(Box::new(request)),
-            _ => Delivery::Respond(self.error_response(&request, StatusCode::BAD_GATEWAY, &error)),
-        }
-    }
-
-    /// Reads a response body to its end, within the request's deadline.
-    async fn read_full(
-        &self,
-        upstream: BackendResponse,
-        guard: AttemptGuard,
-        request: &ClientRequest,
-        keep_alive_ms: Option<u64>,
-        is_error: bool,
-    ) -> Result<Bytes, ReadError> {
-        let BackendResponse { body, connection, .. } = upstream;
-        let limit = clock::timer_instant(request.deadline);
-        match tokio::time::timeout_at(limit, body.collect()).await {
-            Ok(Ok(body)) => {
-                let signal = if is_error { HealthSignal::Failed } else { HealthSignal::Answered };
-                guard.complete(
-                    connection,
-                    keep_alive_ms,
-                    signal,
-                    self.fingerprint_if_tracked(request),
-                );
-                Ok(body.to_bytes())
-            }
-            Ok(Err(e)) => {
-                guard.connection_lost(request.fingerprint());
-                Err(ReadError::ConnectionLost(format!("the answer broke off: {e}")))
-            }
-            Err(_) => {
-                guard.end(None);
-                Err(ReadError::TimedOut)
-            }
-        }
-    }
-
     /// Builds the response for a request that gets no further attempt: 503 with `Retry-After` if it
     /// cannot have run, otherwise 502, so that the client does not assume that it has not run.
     pub(crate) fn refusal_response(
@@ -504,13 +415,6 @@
     }
 }
 
-/// Returns whether at least as much time is left until the deadline as was already spent, so that
-/// a retry after a server error is likely to finish in time.
-fn has_time_for_retry(request: &ClientRequest) -> bool {
-    let now = clock::now();
-    request.deadline - now > now - request.arrived_at
-}
-
 /// Resolves when the fleet marks the server of an attempt as lost.
 async fn server_marked_lost(lost: &mut tokio::sync::watch::Receiver<bool>) {
     if lost.wait_for(|is_lost| *is_lost).await.is_err() {
@@ -520,12 +424,6 @@
     }
 }
 
-/// Why a response body could not be read to its end.
-enum ReadError {
-    TimedOut,
-    ConnectionLost(String),
-}
-
 fn text_response(status: StatusCode, text: &str) -> Response<Body> {
     dogwoodway_http::text_response(status, text)
 }
@@ -558,14 +456,6 @@
     );
 }
 
-/// How the body of a backend server's response ended.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct BodyEnd {
-    pub(crate) framing: BodyFraming,
-    /// Bytes of an event stream after the end of its last event.
-    pub(crate) incomplete_bytes: usize,
-}
-
 /// Logs and counts the final outcome of a request. `body_end` is present if a response of a backend
 /// server was read.
 pub(crate) fn log_outcome(
--- /dev/null
+++ b/crates/dogwoodway_gateway/src/relay/deliver.rs
@@ -0,0 +1,129 @@
+//! Delivery of a backend server's response to the client.
+
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use dogwoodway_http::{Body, full_body};
+use dogwoodway_routing::direct::{
+    health::HealthSignal,
+    retry::{AttemptOutcome, NextStep, next_step},
+};
+use hyper::{Response, StatusCode};
+
+use crate::{
+    clock, metric,
+    relay::{AttemptResponse, ClientRequest, Relay, log_outcome},
+    response_body::{BodyContent, ResponseBody},
+    stream::{self, StreamedResponse},
+};
+
+/// Largest response, in bytes, that is buffered completely before its first byte is sent to the
+/// client. If the server fails while sending such a response, the request can still be retried.
+const MAX_BUFFERED_RESPONSE_BYTES: usize = 256 << 10;
+
+/// What to do after a response head has arrived.
+pub(super) enum Delivery {
+    /// Send this response to the client.
+    Respond(Response<Body>),
+    /// Try another server.
+    Retry(Box<ClientRequest>),
+}
+
+/// What was read of a body that is buffered.
+enum Buffered {
+    /// The body, which is complete.
+    Complete(Bytes),
+    /// The first bytes of a body that is too long.
+    TooLong(Bytes),
+    BrokenOff(String),
+    TimedOut,
+}
+
+impl Relay {
+    /// Turns a backend response into the client's. Successful streams and responses longer than
+    /// [`MAX_BUFFERED_RESPONSE_BYTES`] are passed on as they arrive; all others are read completely
+    /// first, so that a failure can still be retried.
+    pub(super) async fn deliver(
+        self: Arc<Relay>,
+        request: ClientRequest,
+        response: Box<AttemptResponse>,
+        is_error: bool,
+    ) -> Delivery {
+        let AttemptResponse { upstream, guard } = *response;
+        let keep_alive_ms = self.protocol.keep_alive_ms(&upstream.head.headers);
+        let status = upstream.head.status;
+        let framing = upstream.framing();
+        let mut resp = Response::new(());
+        *resp.status_mut() = status;
+        *resp.headers_mut() = self.protocol.client_headers(&upstream.head.headers);
+        metrics::histogram!(metric::FIRST_BYTE_SECONDS)
+            .record((clock::now() - request.arrived_at).as_secs_f64());
+        let content = BodyContent::of_response(request.kind, status);
+        let mut body = ResponseBody::new(upstream.body, framing, content);
+        let is_long = body.length().is_some_and(|bytes| bytes > MAX_BUFFERED_RESPONSE_BYTES as u64);
+        let buffered = match body.is_events() || is_long {
+            true => Buffered::TooLong(Bytes::new()),
+            false => buffer_body(&mut body, &request).await,
+        };
+        let error = match buffered {
+            Buffered::TooLong(prefix) => {
+                let connection = upstream.connection;
+                let response =
+                    StreamedResponse { status, prefix, body, connection, guard, keep_alive_ms };
+                let body = stream::body(self, request, response);
+                return Delivery::Respond(resp.map(|()| body));
+            }
+            Buffered::Complete(bytes) => {
+                let signal = if is_error { HealthSignal::Failed } else { HealthSignal::Answered };
+                let fingerprint = self.fingerprint_if_tracked(&request);
+                guard.complete(upstream.connection, keep_alive_ms, signal, fingerprint);
+                let outcome = AttemptOutcome::Answered { is_error };
+                let step = next_step(request.kind, request.max_attempts, request.attempts, outcome);
+                if step == NextStep::Retry && has_time_for_retry(&request) {
+                    return Delivery::Retry(Box::new(request));
+                }
+                let why = if is_error { "the server's own failure" } else { "" };
+                log_outcome(&request, status, "answered", why, Some(body.end()));
+                return Delivery::Respond(resp.map(|()| full_body(bytes)));
+            }
+            Buffered::TimedOut => {
+                guard.end(None);
+                return Delivery::Respond(self.timeout_response(&request));
+            }
+            Buffered::BrokenOff(why) => {
+                guard.connection_lost(request.fingerprint());
+                why
+            }
+        };
+        match next_step(request.kind, request.max_attempts, request.attempts, AttemptOutcome::Lost)
+        {
+            NextStep::Retry => Delivery::Retry(Box::new(request)),
+            _ => Delivery::Respond(self.error_response(&request, StatusCode::BAD_GATEWAY, &error)),
+        }
+    }
+}
+
+/// Reads a body to its end, within the request's deadline, unless it turns out to be longer than
+/// [`MAX_BUFFERED_RESPONSE_BYTES`].
+async fn buffer_body(body: &mut ResponseBody, request: &ClientRequest) -> Buffered {
+    let limit = clock::timer_instant(request.deadline);
+    let mut buf = BytesMut::new();
+    loop {
+        match tokio::time::timeout_at(limit, body.next()).await {
+            Ok(Some(Ok(bytes))) => buf.extend_from_slice(&bytes),
+            Ok(Some(Err(e))) => return Buffered::BrokenOff(e.to_string()),
+            Ok(None) => return Buffered::Complete(buf.freeze()),
+            Err(_) => return Buffered::TimedOut,
+        }
+        if buf.len() > MAX_BUFFERED_RESPONSE_BYTES {
+            return Buffered::TooLong(buf.freeze());
+        }
+    }
+}
+
+/// Returns whether at least as much time is left until the deadline as was already spent, so that
+/// a retry after a server error is likely to finish in time.
+fn has_time_for_retry(request: &ClientRequest) -> bool {
+    let now = clock::now();
+    request.deadline - now > now - request.arrived_at
+}
--- /dev/null
+++ b/crates/dogwoodway_gateway/src/response_body.rs
@@ -0,0 +1,148 @@
+//! Bodies of backend servers' responses, checked for completeness.
+
+use std::fmt;
+
+use bytes::Bytes;
+use dogwoodway_http::{BodyFraming, EventScanner, EventSplitter, EventStreamError};
+use dogwoodway_routing::direct::table::RouteKind;
+use http_body_util::BodyExt;
+use hyper::{
+    StatusCode,
+    body::{Body as _, Incoming},
+};
+
+/// What the router knows of the content of a body.
+#[derive(Debug)]
+pub(crate) enum BodyContent {
+    /// Events of a stream that another server can continue.
+    ResumableEvents(EventSplitter),
+    /// Events of a stream that cannot be continued.
+    Events(EventScanner),
+    /// Anything else.
+    Opaque,
+}
+
+impl BodyContent {
+    /// Returns the content of a response with `status` to a request of a route of this kind.
+    pub(crate) fn of_response(kind: RouteKind, status: StatusCode) -> BodyContent {
+        match kind {
+            _ if !status.is_success() => BodyContent::Opaque,
+            RouteKind::ResumableStream => BodyContent::ResumableEvents(EventSplitter::default()),
+            RouteKind::Stream => BodyContent::Events(EventScanner::default()),
+            RouteKind::Idempotent | RouteKind::AtMostOnce => BodyContent::Opaque,
+        }
+    }
+
+    pub(crate) fn is_events(&self) -> bool {
+        !matches!(self, BodyContent::Opaque)
+    }
+
+    /// Adds received bytes and returns those that can be passed on.
+    fn push(&mut self, bytes: Bytes) -> Result<Bytes, EventStreamError> {
+        match self {
+            BodyContent::ResumableEvents(splitter) => splitter.push(bytes),
+            BodyContent::Events(scanner) => scanner.scan(&bytes).map(|_| bytes),
+            BodyContent::Opaque => Ok(bytes),
+        }
+    }
+
+    fn scanner(&self) -> Option<&EventScanner> {
+        match self {
+            BodyContent::ResumableEvents(splitter) => Some(splitter.scanner()),
+            BodyContent::Events(scanner) => Some(scanner),
+            BodyContent::Opaque => None,
+        }
+    }
+}
+
+/// Why a body broke off.
+#[derive(Debug)]
+pub(crate) enum BodyError {
+    ConnectionLost(hyper::Error),
+    Incomplete(EventStreamError),
+}
+
+impl fmt::Display for BodyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the server's answer broke off: ")?;
+        match self {
+            BodyError::ConnectionLost(e) => write!(f, "{e}"),
+            BodyError::Incomplete(e) => write!(f, "{e}"),
+        }
+    }
+}
+
+/// How the body of a backend server's response ended.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BodyEnd {
+    pub(crate) framing: BodyFraming,
+    /// Bytes of an event stream after the end of its last event.
+    pub(crate) incomplete_bytes: usize,
+}
+
+/// A response body that ends without an error only if it is complete.
+#[derive(Debug)]
+pub(crate) struct ResponseBody {
+    incoming: Incoming,
+    framing: BodyFraming,
+    content: BodyContent,
+}
+
+impl ResponseBody {
+    pub(crate) fn new(
+        incoming: Incoming,
+        framing: BodyFraming,
+        content: BodyContent,
+    ) -> ResponseBody {
+        ResponseBody { incoming, framing, content }
+    }
+
+    pub(crate) fn framing(&self) -> BodyFraming {
+        self.framing
+    }
+
+    pub(crate) fn is_events(&self) -> bool {
+        self.content.is_events()
+    }
+
+    /// Returns the length in bytes, if the head states it.
+    pub(crate) fn length(&self) -> Option<u64> {
+        self.incoming.size_hint().exact()
+    }
+
+    /// Waits for the next bytes and returns those that can be passed on, which may be none. `None`
+    /// is the end of a complete body.
+    pub(crate) async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
+        let frame = match self.incoming.frame().await {
+            Some(Ok(frame)) => frame,
+            Some(Err(e)) => return Some(Err(BodyError::ConnectionLost(e))),
+            None => {
+                let end = self.content.scanner().map(|scanner| scanner.check_end(self.framing));
+                return end?.err().map(|e| Err(BodyError::Incomplete(e)));
+            }
+        };
+        // Trailers are not passed on.
+        let bytes = frame.into_data().unwrap_or_default();
+        Some(self.content.push(bytes).map_err(BodyError::Incomplete))
+    }
+
+    /// Prepares for the body of another server that continues the stream, and returns the id of the
+    /// last event that was passed on. `None` if the stream cannot be continued.
+    pub(crate) fn prepare_resumption(&mut self) -> Option<Option<String>> {
+        match &mut self.content {
+            BodyContent::ResumableEvents(splitter) => Some(splitter.restart()),
+            BodyContent::Events(_) | BodyContent::Opaque => None,
+        }
+    }
+
+    /// Continues with the body of another server.
+    pub(crate) fn resume_with(&mut self, incoming: Incoming, framing: BodyFraming) {
+        (self.incoming, self.framing) = (incoming, framing);
+    }
+
+    /// Returns how the body has ended.
+    pub(crate) fn end(&self) -> BodyEnd {
+        let incomplete_bytes = self.content.scanner().map_or(0, EventScanner::incomplete_bytes);
+        BodyEnd { framing: self.framing, incomplete_bytes }
+    }
+}
--- a/crates/dogwoodway_gateway/src/stream.rs
+++ b/crates/dogwoodway_gateway/src/stream.rs
@@ -7,26 +7,23 @@
 use std::{mem, sync::Arc};
 
 use bytes::Bytes;
-use dogwoodway_http::{
-    Body, BodyAborted, BodyFraming, EventScanner, EventSplitter, EventStreamError,
-};
+use dogwoodway_http::{Body, BodyAborted};
 use dogwoodway_routing::direct::{
     fleet::{BackendKey, Placement, RequestKey},
     health::HealthSignal,
     retry::{AttemptOutcome, NextStep, next_step},
-    table::RouteKind,
 };
 use dogwoodway_types::{RequestFingerprint, Timestamp, WeightsVersion};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::{StatusCode, body::Frame};
 use kameo::actor::ActorRef;
 
 use crate::{
     clock,
     connection::Connection,
-    exchange::BackendResponse,
     fleet_actor::{BytesReceived, EndAttempt, FirstOutputReceived, FleetActor, PlacementReply},
-    relay::{Attempt, BodyEnd, ClientRequest, Relay, log_outcome},
+    relay::{Attempt, ClientRequest, Relay, log_outcome},
+    response_body::ResponseBody,
 };
 
 /// Least time between two reports of received bytes for one response, in milliseconds.
@@ -140,77 +137,38 @@
 struct ResponseStream {
     relay: Arc<Relay>,
     request: ClientRequest,
-    incoming: Incoming,
-    framing: BodyFraming,
+    status: StatusCode,
+    /// Bytes that were read before the body is passed on.
+    prefix: Option<Bytes>,
+    body: ResponseBody,
     connection: Option<Connection>,
     guard: Option<AttemptGuard>,
     keep_alive_ms: Option<u64>,
-    content: BodyContent,
     is_ended: bool,
 }
 
-/// What the router knows of the content of a body.
-enum BodyContent {
-    /// Events of a stream that another server can continue.
-    ResumableEvents(EventSplitter),
-    /// Events of a stream that cannot be continued.
-    Events(EventScanner),
-    /// Anything else.
-    Opaque,
-}
-
-impl BodyContent {
-    /// Adds received bytes and returns those that can be passed on.
-    fn push(&mut self, bytes: Bytes) -> Result<Bytes, EventStreamError> {
-        match self {
-            BodyContent::ResumableEvents(splitter) => splitter.push(bytes),
-            BodyContent::Events(scanner) => scanner.scan(&bytes).map(|_| bytes),
-            BodyContent::Opaque => Ok(bytes),
-        }
-    }
-
-    /// Checks that a body that has ended without an error is complete.
-    fn check_end(&self, framing: BodyFraming) -> Result<(), EventStreamError> {
-        match self {
-            BodyContent::ResumableEvents(splitter) => splitter.scanner().check_end(framing),
-            BodyContent::Events(scanner) => scanner.check_end(framing),
-            BodyContent::Opaque => Ok(()),
-        }
-    }
-
-    /// Returns the number of bytes received since the end of the last event.
-    fn incomplete_bytes(&self) -> usize {
-        match self {
-            BodyContent::ResumableEvents(splitter) => splitter.scanner().incomplete_bytes(),
-            BodyContent::Events(scanner) => scanner.incomplete_bytes(),
-            BodyContent::Opaque => 0,
-        }
-    }
+/// A response whose body is passed on to the client as it arrives.
+pub(crate) struct StreamedResponse {
+    pub(crate) status: StatusCode,
+    /// Bytes of the body that were already read; may be empty.
+    pub(crate) prefix: Bytes,
+    pub(crate) body: ResponseBody,
+    pub(crate) connection: Connection,
+    pub(crate) guard: AttemptGuard,
+    pub(crate) keep_alive_ms: Option<u64>,
 }
 
 /// Builds a body that passes a backend response on to the client.
-pub(crate) fn body(
-    relay: Arc<Relay>,
-    request: ClientRequest,
-    upstream: BackendResponse,
-    guard: AttemptGuard,
-    keep_alive_ms: Option<u64>,
-) -> Body {
-    let content = match request.kind {
-        _ if !upstream.head.status.is_success() => BodyContent::Opaque,
-        RouteKind::ResumableStream => BodyContent::ResumableEvents(EventSplitter::default()),
-        RouteKind::Stream => BodyContent::Events(EventScanner::default()),
-        RouteKind::Idempotent | RouteKind::AtMostOnce => BodyContent::Opaque,
-    };
+pub(crate) fn body(relay: Arc<Relay>, request: ClientRequest, response: StreamedResponse) -> Body {
     let stream = ResponseStream {
         relay,
         request,
-        framing: upstream.framing(),
-        incoming: upstream.body,
-        connection: Some(upstream.connection),
-        guard: Some(guard),
-        keep_alive_ms,
-        content,
+        status: response.status,
+        prefix: Some(response.prefix).filter(|prefix| !prefix.is_empty()),
+        body: response.body,
+        connection: Some(response.connection),
+        guard: Some(response.guard),
+        keep_alive_ms: response.keep_alive_ms,
         is_ended: false,
     };
     let frames = futures::stream::unfold(stream, |mut stream| async move {
@@ -223,32 +181,27 @@
 impl ResponseStream {
     /// Returns the next bytes for the client, or `None` at the end of the stream.
     async fn next(&mut self) -> Option<Result<Bytes, BodyAborted>> {
+        if let Some(prefix) = self.prefix.take() {
+            return Some(Ok(prefix));
+        }
         while !self.is_ended {
             let limit = clock::timer_instant(self.request.deadline);
-            let Ok(frame) = tokio::time::timeout_at(limit, self.incoming.frame()).await else {
+            let Ok(bytes) = tokio::time::timeout_at(limit, self.body.next()).await else {
                 return self.fail("the time for the answer is up", None);
             };
-            let why = match frame {
-                Some(Ok(frame)) => {
-                    let Ok(bytes) = frame.into_data() else { continue };
-                    if let Some(guard) = &mut self.guard {
-                        guard.record_bytes();
-                    }
-                    match self.content.push(bytes) {
-                        Ok(out) if out.is_empty() => continue,
-                        Ok(out) => return Some(Ok(out)),
-                        Err(e) => e.to_string(),
+            let Some(bytes) = bytes else { return self.finish() };
+            if let Some(guard) = &mut self.guard {
+                guard.record_bytes();
+            }
+            match bytes {
+                Ok(bytes) if bytes.is_empty() => {}
+                Ok(bytes) => return Some(Ok(bytes)),
+                Err(e) => {
+                    let why = e.to_string();
+                    if !self.resume(&why).await {
+                        return self.fail(&why, Some(HealthSignal::ConnectionLost));
                     }
                 }
-                None => match self.content.check_end(self.framing) {
-                    Ok(()) => return self.finish(),
-                    Err(e) => e.to_string(),
-                },
-                Some(Err(e)) => e.to_string(),
-            };
-            let why = format!("the server's answer broke off: {why}");
-            if !self.resume(&why).await {
-                return self.fail(&why, Some(HealthSignal::ConnectionLost));
             }
         }
         None
@@ -260,8 +213,7 @@
             let fingerprint = self.relay.fingerprint_if_tracked(&self.request);
             guard.complete(connection, self.keep_alive_ms, HealthSignal::Answered, fingerprint);
         }
-        let body_end = Some(self.body_end());
-        log_outcome(&self.request, hyper::StatusCode::OK, "answered", "", body_end);
+        log_outcome(&self.request, self.status, "answered", "", Some(self.body.end()));
         None
     }
 
@@ -272,15 +224,10 @@
     ) -> Option<Result<Bytes, BodyAborted>> {
         self.is_ended = true;
         self.end_attempt(signal);
-        let body_end = Some(self.body_end());
-        log_outcome(&self.request, hyper::StatusCode::OK, "broken-off", why, body_end);
+        log_outcome(&self.request, self.status, "broken-off", why, Some(self.body.end()));
         Some(Err(BodyAborted(why.to_owned())))
     }
 
-    fn body_end(&self) -> BodyEnd {
-        BodyEnd { framing: self.framing, incomplete_bytes: self.content.incomplete_bytes() }
-    }
-
     fn end_attempt(&mut self, signal: Option<HealthSignal>) {
         self.connection = None;
         if let Some(guard) = self.guard.take() {
@@ -295,12 +242,11 @@
 
     /// Resumes a broken stream on another server; returns whether that succeeded.
     async fn resume(&mut self, why: &str) -> bool {
-        let BodyContent::ResumableEvents(splitter) = &mut self.content else { return false };
-        let resume_after = splitter.restart();
+        let Some(resume_after) = self.body.prepare_resumption() else { return false };
         let version = self.guard.as_ref().and_then(|guard| guard.version);
         self.end_attempt(Some(HealthSignal::ConnectionLost));
         log::info!(
-            request = self.request.head.id, why = why, framing = self.framing.as_str(),
+            request = self.request.head.id, why = why, framing = self.body.framing().as_str(),
             after:? = resume_after;
             "stream to be continued elsewhere"
         );
@@ -326,8 +272,8 @@
                 {
                     let headers = &response.upstream.head.headers;
                     self.keep_alive_ms = self.relay.protocol.keep_alive_ms(headers);
-                    self.framing = response.upstream.framing();
-                    self.incoming = response.upstream.body;
+                    let framing = response.upstream.framing();
+                    self.body.resume_with(response.upstream.body, framing);
                     self.connection = Some(response.upstream.connection);
                     self.guard = Some(response.guard);
                     return true;
