Read streams completely before they are passed on to HTTP/1.0 clients

A client that speaks HTTP/1.0 would see status 200 and a body that ends properly, though the stream had been broken off.

Cause: such a client gets no chunks.

Evidence: truncated_stream_does_not_look_complete_to_an_http_1_0_client failed: the answer had no length, and the truncated one had status 200.

Responses without a length are now buffered for these clients and sent with one.

--- a/crates/dogwoodway_gateway/src/relay/deliver.rs
+++ b/crates/dogwoodway_gateway/src/relay/deliver.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
-use dogwoodway_http::{Body, full_body};
+use dogwoodway_http::{Body, BodyFraming, full_body};
 use dogwoodway_routing::direct::{
     health::HealthSignal,
     retry::{AttemptOutcome, NextStep, next_step},
 };
-use hyper::{Response, StatusCode};
+use hyper::{Response, StatusCode, Version};
 
 use crate::{
     clock, metric,
@@ -61,18 +61,25 @@
         let content = BodyContent::of_response(request.kind, status);
         let mut body = ResponseBody::new(upstream.body, framing, content);
         let is_long = body.length().is_some_and(|bytes| bytes > MAX_BUFFERED_RESPONSE_BYTES as u64);
-        let buffered = match body.is_events() || is_long {
+        let can_break_off = can_break_off(&request, framing);
+        let buffered = match can_break_off && (body.is_events() || is_long) {
             true => Buffered::TooLong(Bytes::new()),
             false => buffer_body(&mut body, &request).await,
         };
         let error = match buffered {
-            Buffered::TooLong(prefix) => {
+            Buffered::TooLong(prefix) if can_break_off => {
                 let connection = upstream.connection;
                 let response =
                     StreamedResponse { status, prefix, body, connection, guard, keep_alive_ms };
                 let body = stream::body(self, request, response);
                 return Delivery::Respond(resp.map(|()| body));
             }
+            Buffered::TooLong(_) => {
+                guard.end(None);
+                let why = "the answer is too long for a client that cannot be told of its failure";
+                let resp = self.error_response(&request, StatusCode::BAD_GATEWAY, why);
+                return Delivery::Respond(resp);
+            }
             Buffered::Complete(bytes) => {
                 let signal = if is_error { HealthSignal::Failed } else { HealthSignal::Answered };
                 let fingerprint = self.fingerprint_if_tracked(&request);
@@ -121,6 +128,12 @@
     }
 }
 
+/// Returns whether the client of a response notices that its body broke off. Clients of HTTP/1.0
+/// take the end of the connection for the end of a body without a length.
+fn can_break_off(request: &ClientRequest, framing: BodyFraming) -> bool {
+    framing == BodyFraming::Length || request.http_head.version >= Version::HTTP_11
+}
+
 /// Returns whether at least as much time is left until the deadline as was already spent, so that
 /// a retry after a server error is likely to finish in time.
 fn has_time_for_retry(request: &ClientRequest) -> bool {
