Bound the responses that a router reads from the store and from engines

A store or an engine in trouble may send bytes without end. The router would be killed for its memory, and all its callers with it.

Cause: responses were read up to 64 MiB, and several at once.

Heads end at 64 KiB.

--- a/crates/dogwoodway_http/src/client.rs
+++ b/crates/dogwoodway_http/src/client.rs
@@ -11,15 +11,19 @@
 };
 use serde::{Serialize, de::DeserializeOwned};
 
-/// Size of the largest response body that is read into memory, in bytes.
-const MAX_RESPONSE_BYTES: usize = 64 << 20;
+/// Size of the largest response body that is read into memory if the client sets no limit, in
+/// bytes.
+const DEFAULT_MAX_RESPONSE_BYTES: usize = 64 << 20;
+
+/// Largest response head that is accepted, in bytes; also the size of a connection's read buffer.
+const MAX_RESPONSE_HEAD_BYTES: usize = 64 << 10;
 
 const DEFAULT_CONNECT_TIMEOUT_MS: u64 = 1_000;
 
 /// Maximum number of idle connections to one server if the client sets no limit.
 const DEFAULT_MAX_IDLE_CONNECTIONS: usize = usize::MAX;
 
-/// Limits on the connections of a client.
+/// Limits on the connections and responses of a client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClientLimits {
     /// Time limit for establishing a connection, in milliseconds.
@@ -29,6 +33,8 @@
     /// Time without any packet from the server after which a connection is closed, in
     /// milliseconds; `None` for no limit.
     pub silence_timeout_ms: Option<u64>,
+    /// Size of the largest response body that is read into memory, in bytes.
+    pub max_response_bytes: usize,
 }
 
 impl Default for ClientLimits {
@@ -37,6 +43,7 @@
             connect_timeout_ms: DEFAULT_CONNECT_TIMEOUT_MS,
             max_idle_connections: DEFAULT_MAX_IDLE_CONNECTIONS,
             silence_timeout_ms: None,
+            max_response_bytes: DEFAULT_MAX_RESPONSE_BYTES,
         }
     }
 }
@@ -48,8 +55,8 @@
     InvalidRequest(String),
     /// No connection could be established, so the request never reached the server.
     Unreachable(String),
-    /// The connection was lost, the time limit expired or the response is larger than 64 MiB; the
-    /// server may have executed the request.
+    /// The connection was lost, the time limit expired or the response is too large; the server may
+    /// have executed the request.
     ResponseLost(String),
     /// The server responded with this status, which is not 2xx, and this body.
     Status(StatusCode, String),
@@ -88,6 +95,7 @@
 #[derive(Clone, Debug)]
 pub struct HttpClient {
     client: Client<HttpConnector, Full<Bytes>>,
+    max_response_bytes: usize,
 }
 
 impl Default for HttpClient {
@@ -121,7 +129,9 @@
         }
         let mut builder = Client::builder(TokioExecutor::new());
         builder.pool_max_idle_per_host(limits.max_idle_connections);
-        HttpClient { client: builder.build(connector) }
+        builder.http1_max_buf_size(MAX_RESPONSE_HEAD_BYTES);
+        let max_response_bytes = limits.max_response_bytes;
+        HttpClient { client: builder.build(connector), max_response_bytes }
     }
 
     /// Sends a request and returns as soon as the head of the response has arrived. There is no
@@ -158,7 +168,7 @@
     /// # Errors
     ///
     /// Fails with [`HttpError::ResponseLost`] if the response is not complete within `timeout` or
-    /// its body is larger than 64 MiB.
+    /// its body is larger than [`ClientLimits::max_response_bytes`].
     pub async fn call(
         &self,
         method: Method,
@@ -186,7 +196,7 @@
     ) -> Result<HttpResponse, HttpError> {
         let exchange = async {
             let resp = self.send(method, url, content_type, body, headers).await?;
-            read_response(resp).await
+            read_response(resp, self.max_response_bytes).await
         };
         match tokio::time::timeout(timeout, exchange).await {
             Ok(result) => result,
@@ -236,14 +246,17 @@
     }
 }
 
-async fn read_response(resp: Response<Incoming>) -> Result<HttpResponse, HttpError> {
+async fn read_response(
+    resp: Response<Incoming>,
+    max_bytes: usize,
+) -> Result<HttpResponse, HttpError> {
     let status = resp.status();
     let header_text = |name: header::HeaderName| {
         let value = resp.headers().get(name).and_then(|value| value.to_str().ok());
         value.unwrap_or_default().to_owned()
     };
     let (content_type, etag) = (header_text(header::CONTENT_TYPE), header_text(header::ETAG));
-    let body = Limited::new(resp.into_body(), MAX_RESPONSE_BYTES).collect().await;
+    let body = Limited::new(resp.into_body(), max_bytes).collect().await;
     let body = body.map_err(|e| HttpError::ResponseLost(e.to_string()))?.to_bytes();
     Ok(HttpResponse { status, content_type, etag, body })
 }
