Use no position of the store in another era than its own

A store may return from a copy some seconds old; it then names a higher era, and gives offsets out again. Callers would see a configuration that is never taken over, and engines orders of two leaders and fencing tokens that fall.

Cause: offsets were taken for positions that stay. A reader at an offset that the log had reached again went on from there; other routers took a watcher's higher offset for the newer one; the offset of a claim was the fencing token; a conditional append could fit by chance; a router that found the log without a claim claimed at once.

A position now has its era. One place checks the era of each answer: an older one or none is not used, and a position of another era makes its reader begin anew. Fencing tokens and reported revisions rise with the era. A leader that finds a new era leads no longer and claims again; any other router, and one that starts, first waits for a term that it cannot see and the lease after it. Without the header nothing changes.

--- /dev/null
+++ b/crates/dogwoodway_gateway/src/checked_store.rs
@@ -0,0 +1,99 @@
+//! Access to the platform's store that tells when the store has returned from a copy.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use dogwoodway_routing::direct::store_era::EraTracker;
+use dogwoodway_types::{LogPosition, StoreEra};
+
+use crate::{
+    metric,
+    platform_api::{Directory, DirectoryPage, DirectoryPart, RecordPage, RouterLog, StoreError},
+};
+
+/// The platform's store. Answers of outdated eras are errors, and no position is used in another
+/// era than its own. Clones share what they know of the eras.
+#[derive(Clone)]
+pub(crate) struct CheckedStore {
+    directory: Arc<dyn Directory>,
+    log: Arc<dyn RouterLog>,
+    eras: Arc<Mutex<EraTracker>>,
+}
+
+impl CheckedStore {
+    pub(crate) fn new(directory: Arc<dyn Directory>, log: Arc<dyn RouterLog>) -> CheckedStore {
+        CheckedStore { directory, log, eras: Arc::default() }
+    }
+
+    /// Reads the current state of a part of the directory.
+    pub(crate) async fn snapshot(&self, part: DirectoryPart) -> Result<DirectoryPage, StoreError> {
+        let page = self.directory.snapshot(part).await?;
+        self.admit(page.next.era)?;
+        Ok(page)
+    }
+
+    /// Reads the changes of a part of the directory from a position on. Fails with
+    /// [`StoreError::EraChanged`] if the position means nothing any more.
+    pub(crate) async fn changes(
+        &self,
+        part: DirectoryPart,
+        from: LogPosition,
+        wait_ms: u64,
+    ) -> Result<DirectoryPage, StoreError> {
+        let page = self.directory.changes(part, from.offset, wait_ms).await?;
+        self.admit(page.next.era)?;
+        match page.next.era == from.era {
+            true => Ok(page),
+            false => Err(StoreError::EraChanged(page.next.era)),
+        }
+    }
+
+    /// Reads records of the routers' log from a position on. The start of the log may be read
+    /// without an era. Fails with [`StoreError::EraChanged`] if the position means nothing any
+    /// more.
+    pub(crate) async fn read_log(
+        &self,
+        from: LogPosition,
+        wait_ms: u64,
+    ) -> Result<RecordPage, StoreError> {
+        let page = self.log.read(from.offset, wait_ms).await?;
+        self.admit(page.base.era)?;
+        match page.base.era == from.era || from == LogPosition::default() {
+            true => Ok(page),
+            false => Err(StoreError::EraChanged(page.base.era)),
+        }
+    }
+
+    /// Appends a record to the routers' log, on the condition that the log ends at `expected_end` if
+    /// that is given. Fails with [`StoreError::EraChanged`] if the record was appended in another
+    /// era, where the log ends at the same offset by chance.
+    pub(crate) async fn append_to_log(
+        &self,
+        record: Vec<u8>,
+        expected_end: Option<LogPosition>,
+    ) -> Result<LogPosition, StoreError> {
+        let expected_offset = expected_end.map(|end| end.offset);
+        let position = self.log.append(record, expected_offset).await?;
+        self.admit(position.era)?;
+        match expected_end.is_none_or(|end| end.era == position.era) {
+            true => Ok(position),
+            false => Err(StoreError::EraChanged(position.era)),
+        }
+    }
+
+    fn admit(&self, era: Option<StoreEra>) -> Result<(), StoreError> {
+        let admitted = self.eras.lock().unwrap_or_else(PoisonError::into_inner).admit(era);
+        match (admitted, era) {
+            (Ok(true), Some(era)) => {
+                log::info!(era = era.0; "era of the store began; positions of others are dropped");
+                metrics::gauge!(metric::STORE_ERA).set(era.0 as f64);
+                Ok(())
+            }
+            (Ok(_), _) => Ok(()),
+            (Err(e), _) => {
+                log::warn!("answer of the store was not used: {e}");
+                metrics::counter!(metric::STORE_ANSWERS_UNUSED).increment(1);
+                Err(StoreError::Unknown(e.to_string()))
+            }
+        }
+    }
+}
--- a/crates/dogwoodway_gateway/src/directory.rs
+++ b/crates/dogwoodway_gateway/src/directory.rs
@@ -10,17 +10,18 @@
 };
 
 use dogwoodway_routing::direct::{fleet::ServerListing, table::RoutingTable};
-use dogwoodway_types::{BackendServerName, LogOffset, Timestamp};
+use dogwoodway_types::{BackendServerName, LogPosition, Timestamp};
 use kameo::actor::ActorRef;
 use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
+    checked_store::CheckedStore,
     clock,
     feeds::{Feeds, SharedFeeds, wait_until_due},
     fleet_actor::{ApplyDirectoryChanges, FleetActor, GetServerNames, MarkServersMissing},
     metric,
-    platform_api::{Directory, DirectoryChange, DirectoryPage, DirectoryPart, StoreError},
+    platform_api::{DirectoryChange, DirectoryPage, DirectoryPart, StoreError},
 };
 
 /// Duration of one long poll for configuration changes, in milliseconds. It bounds for how long the
@@ -50,7 +51,7 @@
 /// milliseconds.
 const STALE_AFTER_MS: u64 = 2_500;
 
-/// Time after the store has become reachable again in which its list of servers may be incomplete,
+/// Time after the store has become reachable again, or has returned from a copy, in which its list of servers may be incomplete,
 /// in milliseconds. Running servers write their entries again within two seconds.
 const RELIST_GRACE_MS: u64 = 2_300;
 
@@ -91,16 +92,16 @@
 
 /// Starts the followers of both parts of the directory.
 pub(crate) fn follow(
-    directory: Arc<dyn Directory>,
-    feeds: SharedFeeds,
+    store: &CheckedStore,
+    feeds: &SharedFeeds,
     fleet: &ActorRef<FleetActor>,
 ) -> TableWatch {
     let (table_tx, table) = watch::channel(None);
     let (servers_tx, has_servers) = watch::channel(false);
-    let follower = |part| Follower::new(directory.clone(), feeds.clone(), fleet.clone(), part);
+    let follower = |part| Follower::new(store.clone(), feeds.clone(), fleet.clone(), part);
     tokio::spawn(follower(DirectoryPart::Operator).run(Sink::Table(table_tx)));
     tokio::spawn(follower(DirectoryPart::Servers).run(Sink::Servers(servers_tx)));
-    TableWatch { table, feeds, has_servers }
+    TableWatch { table, feeds: feeds.clone(), has_servers }
 }
 
 /// Where a follower publishes what it has read, besides the fleet actor.
@@ -113,15 +114,15 @@
 
 /// Follows one part of the directory.
 struct Follower {
-    directory: Arc<dyn Directory>,
+    store: CheckedStore,
     /// Where reads are recorded.
     shared_feeds: SharedFeeds,
     /// Tells when the next read is due.
     feeds: watch::Receiver<Feeds>,
     fleet: ActorRef<FleetActor>,
     part: DirectoryPart,
-    /// Offset of the next poll; absent if a snapshot must be read first.
-    next: Option<LogOffset>,
+    /// Position of the next poll; absent if a snapshot must be read first.
+    next: Option<LogPosition>,
     /// Consecutive failed reads.
     failures: u32,
     /// Until when the list of servers may lack servers that are running.
@@ -132,14 +133,14 @@
 
 impl Follower {
     fn new(
-        directory: Arc<dyn Directory>,
+        store: CheckedStore,
         shared_feeds: SharedFeeds,
         fleet: ActorRef<FleetActor>,
         part: DirectoryPart,
     ) -> Follower {
         let feeds = shared_feeds.subscribe();
         Follower {
-            directory,
+            store,
             shared_feeds,
             feeds,
             fleet,
@@ -167,10 +168,16 @@
                     wait_until_due(&mut self.feeds, |feeds| feeds.of(part)).await;
                 }
                 Err(StoreError::Expired(first)) => {
-                    log::info!(part:? = self.part, from:? = self.next.map(|n| n.0), first = first.0;
+                    log::info!(part:? = self.part, from:? = self.next, first = first.0;
                         "directory changes are no longer retained; reading a snapshot");
                     self.next = None;
                 }
+                Err(StoreError::EraChanged(era)) => {
+                    log::info!(part:? = self.part, from:? = self.next, era:? = era;
+                        "directory changes may be lost; reading a snapshot");
+                    self.next = None;
+                    self.grace_until = clock::now() + Duration::from_millis(RELIST_GRACE_MS);
+                }
                 Err(e) => {
                     self.record_failure(&e);
                     let longest_ms = match self.feeds.borrow().is_watcher {
@@ -192,16 +199,16 @@
             DirectoryPart::Servers => SERVERS_POLL_MS,
         };
         match self.next {
-            Some(next) => Ok((self.directory.changes(self.part, next, wait_ms).await?, false)),
-            None => Ok((self.directory.snapshot(self.part).await?, true)),
+            Some(next) => Ok((self.store.changes(self.part, next, wait_ms).await?, false)),
+            None => Ok((self.store.snapshot(self.part).await?, true)),
         }
     }
 
     /// Returns a number that identifies the state read so far, by which routers compare what they
-    /// have read: the offset for the configuration, a hash of all entries for the servers.
+    /// have read: the position for the configuration, a hash of all entries for the servers.
     fn current_revision(&mut self, page: &DirectoryPage, is_snapshot: bool) -> u64 {
         if self.part == DirectoryPart::Operator {
-            return page.next.0;
+            return page.next.ordinal();
         }
         if is_snapshot {
             self.entry_hashes.clear();
--- a/crates/dogwoodway_gateway/src/leader.rs
+++ b/crates/dogwoodway_gateway/src/leader.rs
@@ -13,7 +13,9 @@
     leadership::{LeaderRecord, Leadership, LeadershipAction},
     rollout::{EngineWeights, engines_to_load},
 };
-use dogwoodway_types::{LogOffset, ModelName, RouterName, Timestamp, WeightsVersion};
+use dogwoodway_types::{
+    LogOffset, LogPosition, ModelName, RouterName, StoreEra, Timestamp, WeightsVersion,
+};
 use futures::future::BoxFuture;
 use kameo::actor::ActorRef;
 use serde::{Deserialize, Serialize};
@@ -21,6 +23,7 @@
 
 use self::log_reader::LogReader;
 use crate::{
+    checked_store::CheckedStore,
     clock,
     feeds::SharedFeeds,
     fleet_actor::{
@@ -28,9 +31,7 @@
         UpdateWeightsState, WeightsState,
     },
     metric,
-    platform_api::{
-        EngineControl, EngineReport, LoadOrder, OrderOutcome, RecordPage, RouterLog, StoreError,
-    },
+    platform_api::{EngineControl, EngineReport, LoadOrder, OrderOutcome, RecordPage, StoreError},
 };
 
 /// Pause after a failed call to the log, in milliseconds.
@@ -87,7 +88,7 @@
     pub(crate) address: SocketAddr,
     /// Least time between orders of different routers to one engine, in milliseconds.
     pub(crate) lease_ms: u64,
-    pub(crate) log: Arc<dyn RouterLog>,
+    pub(crate) store: CheckedStore,
     pub(crate) control: Arc<dyn EngineControl>,
     pub(crate) fleet: ActorRef<FleetActor>,
     /// Says whether this router is a watcher. Only watchers claim the leadership, and they follow
@@ -104,6 +105,7 @@
 /// Result of a task that the leader has started.
 enum Event {
     Page(RecordPage),
+    EraBegan(Option<StoreEra>),
     Reported { server: BackendKey, report: Result<EngineReport, String> },
     Ordered { server: BackendKey, outcome: OrderOutcome },
 }
@@ -161,13 +163,15 @@
     let (events, mut inbox) = mpsc::channel(64);
     let (eager, is_eager) = watch::channel(true);
     let reader = LogReader {
-        log: config.log.clone(),
+        store: config.store.clone(),
         shared_feeds: config.feeds.clone(),
         feeds: config.feeds.subscribe(),
         is_eager,
     };
     tokio::spawn(reader.run(events.clone()));
-    tokio::spawn(announce(config.log.clone(), config.router.clone(), config.address));
+    let announcement =
+        encode(&RouterRecord::Started { router: config.router.clone(), address: config.address });
+    tokio::spawn(announce(config.store.clone(), announcement));
     let leadership = Leadership::new(config.router.clone(), config.lease_ms);
     let mut shutdown = config.shutdown.clone();
     let mut leader = Leader {
@@ -197,9 +201,8 @@
 }
 
 /// Announces this router's address to the other routers.
-async fn announce(log: Arc<dyn RouterLog>, router: RouterName, address: SocketAddr) {
-    let record = encode(&RouterRecord::Started { router, address });
-    while let Err(e) = log.append(record.clone(), None).await {
+async fn announce(store: CheckedStore, record: Vec<u8>) {
+    while let Err(e) = store.append_to_log(record.clone(), None).await {
         log::debug!("could not announce this router in the routers' log, retrying: {e}");
         // A failed append may have taken effect; a second record of the same router does no harm.
         tokio::time::sleep(Duration::from_millis(FAILED_PAUSE_MS)).await;
@@ -210,6 +213,9 @@
     async fn handle_event(&mut self, event: Event) {
         match event {
             Event::Page(page) => self.apply_page(page).await,
+            Event::EraBegan(era) => {
+                self.leadership.begin_era(clock::now(), era);
+            }
             Event::Reported { server, report } => self.handle_report(server, report).await,
             Event::Ordered { server, outcome } => self.handle_order_outcome(server, outcome).await,
         }
@@ -218,10 +224,10 @@
     async fn apply_page(&mut self, page: RecordPage) {
         let now = clock::now();
         for (i, bytes) in page.records.iter().enumerate() {
-            let offset = LogOffset(page.base_offset.0 + i as u64);
+            let position = page.base.after(i);
             match decode(bytes) {
                 Ok(RouterRecord::Leader(record)) => {
-                    self.leadership.apply_record(now, offset, &record);
+                    self.leadership.apply_record(now, position, &record);
                 }
                 Ok(RouterRecord::Started { address, .. }) => {
                     if self.config.discovered.send(address).await.is_err() {
@@ -236,15 +242,17 @@
                     }
                 }
                 Err(e) => {
-                    log::warn!(offset = offset.0; "skipped an invalid record of the log: {e}");
+                    log::warn!(offset = position.offset.0;
+                        "skipped an invalid record of the log: {e}");
                 }
             }
         }
-        let read_to = LogOffset(page.base_offset.0 + page.records.len() as u64);
-        if read_to >= page.end_offset {
+        let read_to = page.base.after(page.records.len());
+        if read_to.offset >= page.end_offset {
             // If the log still holds its first record, no router has led unless a record says so.
             let is_whole = page.start_offset == LogOffset(0);
-            self.leadership.record_log_end(now, page.end_offset, is_whole);
+            let end = LogPosition { offset: page.end_offset, ..read_to };
+            self.leadership.record_log_end(now, end, is_whole);
         }
     }
 
@@ -276,13 +284,14 @@
         };
         let leads = self.leadership.is_leader(now);
         let bytes = encode(&RouterRecord::Leader(record.clone()));
-        match self.config.log.append(bytes, Some(at)).await {
+        match self.config.store.append_to_log(bytes, Some(at)).await {
             Ok(offset) => {
                 self.leadership.record_append(now, offset, &record);
                 if std::mem::take(&mut self.is_log_lost) {
                     log::info!("routers' log reached again");
                 }
             }
+            Err(StoreError::EraChanged(era)) => self.leadership.begin_era(clock::now(), era),
             // The log reader delivers the records that were appended meanwhile.
             Err(StoreError::Conflict(end)) => {
                 log::debug!("conditional append at offset {at} failed, the log ends at {end}");
@@ -308,7 +317,7 @@
             return;
         };
         let bytes = encode(&RouterRecord::Leader(record));
-        let append = self.config.log.append(bytes, Some(at));
+        let append = self.config.store.append_to_log(bytes, Some(at));
         match tokio::time::timeout(Duration::from_millis(RELEASE_TIMEOUT_MS), append).await {
             Ok(Ok(_)) => log::info!("leadership handed back"),
             Ok(Err(e)) => log::warn!("could not release the leadership, it expires instead: {e}"),
@@ -318,9 +327,9 @@
         }
     }
 
-    async fn publish_fingerprint_event(&self, event: FingerprintEvent) {
+    async fn publish_fingerprint_event(&mut self, event: FingerprintEvent) {
         let bytes = encode(&RouterRecord::Fingerprint(event));
-        if let Err(e) = self.config.log.append(bytes, None).await {
+        if let Err(e) = self.config.store.append_to_log(bytes, None).await {
             log::warn!("could not append a fingerprint event to the routers' log: {e}");
         }
     }
@@ -474,7 +483,7 @@
             model: load.model().clone(),
             version: load.version(),
             holder: self.config.router.to_string(),
-            fencing_token: fence.0,
+            fencing_token: fence.ordinal(),
             expected_orders: load.accepted_orders,
         };
         log::info!(server:% = order.server, version = order.version.0, fence = order.fencing_token,
--- a/crates/dogwoodway_gateway/src/leader/log_reader.rs
+++ b/crates/dogwoodway_gateway/src/leader/log_reader.rs
@@ -1,15 +1,16 @@
 //! Background reader of the routers' log.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
-use dogwoodway_types::LogOffset;
+use dogwoodway_types::LogPosition;
 use tokio::sync::{mpsc, watch};
 
 use crate::{
+    checked_store::CheckedStore,
     clock,
     feeds::{Feeds, SharedFeeds, wait_until_due},
     leader::{Event, FAILED_PAUSE_MS, RouterRecord, decode},
-    platform_api::{RecordPage, RouterLog, StoreError},
+    platform_api::{RecordPage, StoreError},
 };
 
 /// Duration of one long poll, in milliseconds. It bounds the age of the watchers' reports.
@@ -22,7 +23,7 @@
 /// Reads the routers' log: without pauses while the router leads, is a watcher or must know the
 /// log's end, otherwise when watchers report new events or no longer report.
 pub(super) struct LogReader {
-    pub(super) log: Arc<dyn RouterLog>,
+    pub(super) store: CheckedStore,
     pub(super) shared_feeds: SharedFeeds,
     pub(super) feeds: watch::Receiver<Feeds>,
     /// Whether the router leads or must know where the log ends.
@@ -32,23 +33,31 @@
 impl LogReader {
     /// Reads until the receiver of the events is dropped.
     pub(super) async fn run(mut self, events: mpsc::Sender<Event>) {
-        let mut from = LogOffset(0);
-        let mut events_end = LogOffset(0);
+        let mut from = LogPosition::default();
+        let mut events_end = LogPosition::default();
         loop {
             let wait_ms = if self.reads_continuously() { READ_WAIT_MS } else { 0 };
-            match self.log.read(from, wait_ms).await {
+            match self.store.read_log(from, wait_ms).await {
                 Ok(page) => {
-                    from = LogOffset(page.base_offset.0 + page.records.len() as u64);
-                    events_end = end_of_events(&page).unwrap_or(events_end);
-                    if from >= page.end_offset {
-                        self.shared_feeds.mark_events_read(events_end.0);
+                    from = page.base.after(page.records.len());
+                    let no_events_end = LogPosition { era: from.era, ..events_end };
+                    events_end = end_of_events(&page).unwrap_or(no_events_end);
+                    if from.offset >= page.end_offset {
+                        self.shared_feeds.mark_events_read(events_end.ordinal());
                     }
                     if events.send(Event::Page(page)).await.is_err() {
                         return;
                     }
                     self.pause().await;
                 }
-                Err(StoreError::Expired(first)) => from = first,
+                Err(StoreError::Expired(first)) => from.offset = first,
+                Err(StoreError::EraChanged(era)) => {
+                    from = LogPosition { era, ..LogPosition::default() };
+                    events_end = from;
+                    if events.send(Event::EraBegan(era)).await.is_err() {
+                        return;
+                    }
+                }
                 Err(e) => {
                     log::debug!("could not read the routers' log, retrying: {e}");
                     tokio::time::sleep(Duration::from_millis(FAILED_PAUSE_MS)).await;
@@ -76,9 +85,9 @@
     }
 }
 
-/// Returns the offset after the last event in a page.
-fn end_of_events(page: &RecordPage) -> Option<LogOffset> {
+/// Returns the position after the last event in a page.
+fn end_of_events(page: &RecordPage) -> Option<LogPosition> {
     let is_event = |bytes: &Vec<u8>| matches!(decode(bytes), Ok(RouterRecord::Fingerprint(_)));
     let last = page.records.iter().rposition(is_event)?;
-    Some(LogOffset(page.base_offset.0 + last as u64 + 1))
+    Some(page.base.after(last + 1))
 }
--- a/crates/dogwoodway_gateway/src/lib.rs
+++ b/crates/dogwoodway_gateway/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod platform_api;
 pub mod clock;
+mod checked_store;
 mod connection;
 mod directory;
 mod exchange;
--- a/crates/dogwoodway_gateway/src/metric.rs
+++ b/crates/dogwoodway_gateway/src/metric.rs
@@ -22,6 +22,12 @@
 /// Failed calls to the platform's store.
 pub(crate) const STORE_FAILURES: &str = "dogwoodway_router_store_failures_total";
 
+/// Era of the platform's store.
+pub(crate) const STORE_ERA: &str = "dogwoodway_router_store_era";
+
+/// Answers of the platform's store that were not used because of the era that they name.
+pub(crate) const STORE_ANSWERS_UNUSED: &str = "dogwoodway_router_store_answers_unused_total";
+
 /// Orders to engines, by outcome (label `answer`).
 pub(crate) const ORDERS: &str = "dogwoodway_router_orders_total";
 
--- a/crates/dogwoodway_gateway/src/platform_api.rs
+++ b/crates/dogwoodway_gateway/src/platform_api.rs
@@ -11,7 +11,8 @@
     fleet::ServerListing, kv_stores::KvChange, prompt::Prompt, table::RoutingTable,
 };
 use dogwoodway_types::{
-    BackendServerName, LogOffset, ModelName, TeamName, Timestamp, WeightsVersion,
+    BackendServerName, LogOffset, LogPosition, ModelName, StoreEra, TeamName, Timestamp,
+    WeightsVersion,
 };
 use futures::future::BoxFuture;
 use hyper::{HeaderMap, StatusCode, http};
@@ -188,6 +189,9 @@
     Expired(LogOffset),
     /// A conditional append found another end of the log; holds that end.
     Conflict(LogOffset),
+    /// The store has returned from a copy since the position of the call was read; holds the era of
+    /// the answer. A conditional append may have taken effect.
+    EraChanged(Option<StoreEra>),
 }
 
 impl fmt::Display for StoreError {
@@ -203,6 +207,10 @@
             StoreError::Conflict(end) => {
                 write!(f, "conditional append failed, the log ends at offset {end}")
             }
+            StoreError::EraChanged(era) => {
+                let era = era.unwrap_or_default();
+                write!(f, "the store has returned from a copy and is in era {era}")
+            }
         }
     }
 }
@@ -214,8 +222,8 @@
 pub struct DirectoryPage {
     /// The changes, oldest first.
     pub changes: Vec<DirectoryChange>,
-    /// Offset from which to read next.
-    pub next: LogOffset,
+    /// Position from which to read next, in the era that the answer names.
+    pub next: LogPosition,
 }
 
 /// The platform's directory: the operator's configuration and the list of backend servers.
@@ -236,8 +244,8 @@
 /// Consecutive records of the routers' log.
 #[derive(Clone, Debug)]
 pub struct RecordPage {
-    /// Offset of the first record in `records`.
-    pub base_offset: LogOffset,
+    /// Position of the first record in `records`, in the era that the answer names.
+    pub base: LogPosition,
     /// The records, without gaps; empty if there were none in time.
     pub records: Vec<Vec<u8>>,
     /// Offset that the next appended record gets.
@@ -252,13 +260,13 @@
     /// first one.
     fn read(&self, from: LogOffset, wait_ms: u64) -> BoxFuture<'_, Result<RecordPage, StoreError>>;
 
-    /// Appends one record and returns its offset. With `expected_end`, the append fails with
+    /// Appends one record and returns its position. With `expected_end`, the append fails with
     /// [`StoreError::Conflict`] unless the log ends there.
     fn append(
         &self,
         record: Vec<u8>,
         expected_end: Option<LogOffset>,
-    ) -> BoxFuture<'_, Result<LogOffset, StoreError>>;
+    ) -> BoxFuture<'_, Result<LogPosition, StoreError>>;
 }
 
 /// State that an engine reports about itself.
--- a/crates/dogwoodway_gateway/src/router.rs
+++ b/crates/dogwoodway_gateway/src/router.rs
@@ -24,6 +24,7 @@
 };
 
 use crate::{
+    checked_store::CheckedStore,
     clock, directory,
     feeds::SharedFeeds,
     fleet_actor::{FleetActor, FleetConfig, RetryBounds, Tick},
@@ -127,8 +128,8 @@
     dependencies: RouterDependencies,
     shutdown: ShutdownSignals,
 ) -> Result<(), RouterError> {
-    let clients = bind(settings.listen).await?;
-    let health_checks = bind(settings.ready_listen).await?;
+    let (clients, health_checks) =
+        (bind(settings.listen).await?, bind(settings.ready_listen).await?);
     let (fingerprint_tx, fingerprint_events) = mpsc::channel(FINGERPRINT_EVENT_QUEUE);
     let (discovered_tx, discovered) = mpsc::channel(DISCOVERED_QUEUE);
     let (leader_shutdown_tx, leader_shutdown) = watch::channel(false);
@@ -148,7 +149,8 @@
     let fleet = FleetActor::spawn_with_mailbox(fleet, mailbox::unbounded());
     tokio::spawn(tick(fleet.clone()));
     let feeds = SharedFeeds::new(loads_changed.clone());
-    let tables = directory::follow(dependencies.directory, feeds.clone(), &fleet);
+    let store = CheckedStore::new(dependencies.directory, dependencies.log);
+    let tables = directory::follow(&store, &feeds, &fleet);
     tokio::spawn(kv_follower::run(dependencies.kv_events, tables.subscribe(), fleet.clone()));
     tokio::spawn(run_gossip(GossipConfig {
         zone: ZoneTag::from(&settings.zone),
@@ -163,7 +165,7 @@
         router: settings.name.clone(),
         address: settings.gossip_listen,
         lease_ms: u64::from(settings.lease_ms),
-        log: dependencies.log,
+        store,
         control: dependencies.control,
         feeds,
         fleet: fleet.clone(),
@@ -182,9 +184,7 @@
     tokio::spawn(serve_health_checks(health_checks, relay.clone()));
     serve_clients(clients, relay, shutdown).await;
     leader_shutdown_tx.send_replace(true);
-    if let Err(e) = leader.await {
-        log::error!("leader task failed: {e}");
-    }
+    leader.await.unwrap_or_else(|e| log::error!("leader task failed: {e}"));
     Ok(())
 }
 
--- a/crates/dogwoodway_http/src/client.rs
+++ b/crates/dogwoodway_http/src/client.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Method, Request, Response, StatusCode, body::Incoming, header};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, body::Incoming, header};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
@@ -87,6 +87,8 @@
     pub content_type: String,
     /// Entity tag of the content, empty if the response has none.
     pub etag: String,
+    /// All headers.
+    pub headers: HeaderMap,
     /// Body of the response.
     pub body: Bytes,
 }
@@ -250,13 +252,13 @@
     resp: Response<Incoming>,
     max_bytes: usize,
 ) -> Result<HttpResponse, HttpError> {
-    let status = resp.status();
+    let (head, body) = resp.into_parts();
     let header_text = |name: header::HeaderName| {
-        let value = resp.headers().get(name).and_then(|value| value.to_str().ok());
+        let value = head.headers.get(name).and_then(|value| value.to_str().ok());
         value.unwrap_or_default().to_owned()
     };
     let (content_type, etag) = (header_text(header::CONTENT_TYPE), header_text(header::ETAG));
-    let body = Limited::new(resp.into_body(), max_bytes).collect().await;
+    let body = Limited::new(body, max_bytes).collect().await;
     let body = body.map_err(|e| HttpError::ResponseLost(e.to_string()))?.to_bytes();
-    Ok(HttpResponse { status, content_type, etag, body })
+    Ok(HttpResponse { status: head.status, content_type, etag, headers: head.headers, body })
 }
--- a/crates/dogwoodway_routing/src/direct.rs
+++ b/crates/dogwoodway_routing/src/direct.rs
@@ -22,5 +22,6 @@
 pub mod retry;
 pub mod rollout;
 pub mod sampling;
+pub mod store_era;
 pub mod table;
 pub mod token_lru;
--- a/crates/dogwoodway_routing/src/direct/leadership.rs
+++ b/crates/dogwoodway_routing/src/direct/leadership.rs
@@ -10,10 +10,15 @@
 //! predecessor has ended and the predecessor's last order is older than the lease, which is the
 //! shortest time between orders of different routers to one engine. It need not wait if the
 //! predecessor is the same router before a restart.
+//!
+//! A store that returns from a copy has lost the newest records, perhaps the claim of a leader that
+//! still orders. Its era tells. A router that finds a new era, or that starts and so cannot know how
+//! long the era has lasted, claims nothing until a term that it cannot see must have ended and the
+//! last order under it is older than the lease. Fencing tokens rise with the era.
 
 use std::time::Duration;
 
-use dogwoodway_types::{LogOffset, RouterName, Timestamp};
+use dogwoodway_types::{LogPosition, RouterName, StoreEra, Timestamp};
 use serde::{Deserialize, Serialize};
 
 /// Duration of a term, counted from before the claim or renewal was sent, in milliseconds.
@@ -34,7 +39,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum LeaderRecord {
-    /// Starts a term. The offset of the record is the fencing token of the term's orders.
+    /// Starts a term. The position of the record is the fencing token of the term's orders.
     Claim {
         /// The router that becomes the leader.
         router: RouterName,
@@ -58,18 +63,18 @@
 pub enum LeadershipAction {
     /// Nothing for now.
     Wait,
-    /// Append a record, on the condition that the log still ends at an offset.
+    /// Append a record, on the condition that the log still ends at a position.
     Append {
         /// Record to append.
         record: LeaderRecord,
-        /// Offset at which the log must end.
-        at: LogOffset,
+        /// Position at which the log must end.
+        at: LogPosition,
     },
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Term {
-    fencing_token: LogOffset,
+    fencing_token: LogPosition,
     ends_at: Timestamp,
     renew_at: Timestamp,
 }
@@ -78,27 +83,31 @@
 ///
 /// ```
 /// use dogwoodway_routing::direct::leadership::{Leadership, LeadershipAction};
-/// use dogwoodway_types::{LogOffset, RouterName, Timestamp};
+/// use dogwoodway_types::{LogPosition, RouterName, Timestamp};
 ///
 /// let router = RouterName::try_from("router-1").unwrap();
 /// let mut leadership = Leadership::new(router, 3_000);
 /// let now = Timestamp::from_millis(1);
-/// leadership.record_log_end(now, LogOffset(0), true);
+/// leadership.record_log_end(now, LogPosition::default(), true);
 /// let LeadershipAction::Append { record, at } = leadership.next_action(now) else { panic!("no claim") };
 /// leadership.record_append(now, at, &record);
-/// assert_eq!(leadership.fencing_token(now), Some(LogOffset(0)));
+/// assert_eq!(leadership.fencing_token(now), Some(LogPosition::default()));
 /// ```
 #[derive(Clone, Debug)]
 pub struct Leadership {
     router: RouterName,
     lease_ms: u64,
-    log_end: Option<LogOffset>,
+    log_end: Option<LogPosition>,
+    /// Era of the store whose log is being read.
+    era: Option<StoreEra>,
     /// Whether the router may claim the leadership.
     is_candidate: bool,
     /// Router that the last record read is from.
     holder: Option<RouterName>,
     /// Time from which no other router can be the leader or have sent an order within the lease.
     claimable_at: Timestamp,
+    /// Time from which no term that the store has forgotten matters.
+    forgotten_until: Timestamp,
     term: Option<Term>,
     last_order_at: Timestamp,
 }
@@ -111,16 +120,56 @@
             router,
             lease_ms,
             log_end: None,
+            era: None,
             is_candidate: true,
             holder: None,
             claimable_at: Timestamp::MAX,
+            forgotten_until: Timestamp::default(),
             term: None,
             last_order_at: Timestamp::default(),
         }
     }
 
-    /// Applies a record read from the log. Must be called for all records, in order.
-    pub fn apply_record(&mut self, now: Timestamp, offset: LogOffset, record: &LeaderRecord) {
+    /// Begins a new era of the store, of which nothing has been read yet. An era that is known or
+    /// older is ignored. The router leads no longer: its claim may be lost.
+    ///
+    /// ```
+    /// use dogwoodway_routing::direct::leadership::{Leadership, LeadershipAction};
+    /// use dogwoodway_types::{LogOffset, LogPosition, RouterName, StoreEra, Timestamp};
+    ///
+    /// let mut leadership = Leadership::new(RouterName::try_from("router-1").unwrap(), 3_000);
+    /// let now = Timestamp::from_millis(1);
+    /// leadership.begin_era(now, Some(StoreEra(2)));
+    /// let end = LogPosition { era: Some(StoreEra(2)), offset: LogOffset(0) };
+    /// leadership.record_log_end(now, end, true);
+    /// assert_eq!(leadership.next_action(now), LeadershipAction::Wait);
+    /// ```
+    pub fn begin_era(&mut self, now: Timestamp, era: Option<StoreEra>) {
+        if era <= self.era {
+            return;
+        }
+        // While the own term lasts, no other router can hold one that the store has forgotten.
+        if !self.is_leader(now) {
+            self.forgotten_until = now + self.unread_term();
+        }
+        self.era = era;
+        self.log_end = None;
+        self.term = None;
+    }
+
+    /// Time from an unread claim until its term has ended and its last order is older than the
+    /// lease.
+    fn unread_term(&self) -> Duration {
+        Duration::from_millis(TERM_MS + self.lease_ms + CLOCK_MARGIN_MS)
+    }
+
+    /// Applies a record read from the log. Must be called for all records, in order; again for all
+    /// records after a new era has begun.
+    pub fn apply_record(&mut self, now: Timestamp, position: LogPosition, record: &LeaderRecord) {
+        self.begin_era(now, position.era);
+        if position.era < self.era {
+            return;
+        }
         let lease = Duration::from_millis(self.lease_ms + CLOCK_MARGIN_MS);
         let (router, claimable_at) = match record {
             LeaderRecord::Claim { router } | LeaderRecord::Renew { router } => {
@@ -131,7 +180,7 @@
             }
         };
         let is_own = *router == self.router;
-        if self.term.is_some_and(|term| !is_own && offset > term.fencing_token) {
+        if self.term.is_some_and(|term| !is_own && position > term.fencing_token) {
             self.term = None;
         }
         self.holder = Some(router.clone());
@@ -140,11 +189,14 @@
 
     /// Records where the log ends. `is_complete` means that the log still holds all records from
     /// the first one, so that nobody has led if no record says so.
-    pub fn record_log_end(&mut self, now: Timestamp, end: LogOffset, is_complete: bool) {
+    pub fn record_log_end(&mut self, now: Timestamp, end: LogPosition, is_complete: bool) {
+        self.begin_era(now, end.era);
+        if end.era < self.era {
+            return;
+        }
         self.log_end = Some(end);
         if self.holder.is_none() && self.claimable_at == Timestamp::MAX {
-            let unread_term = Duration::from_millis(TERM_MS + self.lease_ms + CLOCK_MARGIN_MS);
-            self.claimable_at = if is_complete { now } else { now + unread_term };
+            self.claimable_at = if is_complete { now } else { now + self.unread_term() };
         }
     }
 
@@ -153,11 +205,11 @@
     ///
     /// ```
     /// use dogwoodway_routing::direct::leadership::{Leadership, LeadershipAction};
-    /// use dogwoodway_types::{LogOffset, RouterName, Timestamp};
+    /// use dogwoodway_types::{LogPosition, RouterName, Timestamp};
     ///
     /// let mut leadership = Leadership::new(RouterName::try_from("router-1").unwrap(), 3_000);
     /// let now = Timestamp::from_millis(1);
-    /// leadership.record_log_end(now, LogOffset(0), true);
+    /// leadership.record_log_end(now, LogPosition::default(), true);
     /// leadership.set_candidate(false);
     /// assert_eq!(leadership.next_action(now), LeadershipAction::Wait);
     /// ```
@@ -185,22 +237,27 @@
                 LeadershipAction::Append { record: LeaderRecord::Renew { router }, at }
             }
             Some(_) => LeadershipAction::Wait,
-            None if self.is_candidate && now >= self.claimable_at => {
+            None if self.is_candidate && now >= self.claimable_at.max(self.forgotten_until) => {
                 LeadershipAction::Append { record: LeaderRecord::Claim { router }, at }
             }
             None => LeadershipAction::Wait,
         }
     }
 
-    /// Records that a record of this router was appended at `offset`. `sent_at` is a time before it
-    /// was sent.
-    pub fn record_append(&mut self, sent_at: Timestamp, offset: LogOffset, record: &LeaderRecord) {
-        self.log_end = Some(LogOffset(offset.0 + 1));
+    /// Records that a record of this router was appended at `position`, in the era of the position
+    /// at which the log had to end. `sent_at` is a time before it was sent.
+    pub fn record_append(
+        &mut self,
+        sent_at: Timestamp,
+        position: LogPosition,
+        record: &LeaderRecord,
+    ) {
+        self.log_end = Some(position.next());
         let ends_at = sent_at + Duration::from_millis(TERM_MS);
         let renew_at = sent_at + Duration::from_millis(RENEW_INTERVAL_MS);
         match record {
             LeaderRecord::Claim { .. } => {
-                self.term = Some(Term { fencing_token: offset, ends_at, renew_at });
+                self.term = Some(Term { fencing_token: position, ends_at, renew_at });
             }
             LeaderRecord::Renew { .. } => {
                 if let Some(term) = &mut self.term {
@@ -213,7 +270,7 @@
 
     /// Returns the fencing token for an order, or `None` if the router must not send orders now.
     /// Must be called immediately before each order.
-    pub fn fencing_token(&self, now: Timestamp) -> Option<LogOffset> {
+    pub fn fencing_token(&self, now: Timestamp) -> Option<LogPosition> {
         let term = self.term?;
         let usable_until = term.ends_at.earlier_by(Duration::from_millis(ORDER_MARGIN_MS));
         (now < usable_until).then_some(term.fencing_token)
--- a/crates/dogwoodway_routing/tests/direct_leadership.rs
+++ b/crates/dogwoodway_routing/tests/direct_leadership.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use dogwoodway_routing::direct::leadership::{LeaderRecord, Leadership, LeadershipAction};
-use dogwoodway_types::{LogOffset, RouterName, Timestamp};
+use dogwoodway_types::{LogOffset, LogPosition, RouterName, StoreEra, Timestamp};
 use proptest::prelude::*;
 
 const LEASE_MS: u64 = 3_000;
@@ -26,27 +26,94 @@
     Partitioned,
     /// Appends of the router succeed, but the answers are lost.
     AnswerLost,
+    /// The router appends, but reads nothing.
+    ReadsNothing,
     /// The router restarts and has lost its state.
     Restarted,
 }
 
+/// A return of the store from a copy, at one step of the simulation.
+#[derive(Clone, Copy, Debug)]
+struct Return {
+    at_step: usize,
+    lost_records: usize,
+}
+
 struct Router {
     leadership: Leadership,
-    read_to: usize,
+    /// Position up to which the router has read; `None` if it has to begin at the start.
+    read_to: Option<LogPosition>,
+}
+
+struct Log {
+    /// Present if the store names its era.
+    era: Option<StoreEra>,
+    records: Vec<LeaderRecord>,
+}
+
+impl Log {
+    fn position(&self, offset: usize) -> LogPosition {
+        LogPosition { era: self.era, offset: LogOffset(offset as u64) }
+    }
+
+    fn end(&self) -> LogPosition {
+        self.position(self.records.len())
+    }
 }
 
 fn name(n: usize) -> RouterName {
     RouterName::try_from(format!("router-{n}")).unwrap()
 }
 
+impl Router {
+    fn read(&mut self, now: Timestamp, log: &Log) {
+        let from = self.read_to.filter(|read_to| read_to.era == log.era);
+        let from = from.map_or(0, |read_to| read_to.offset.0 as usize);
+        for (i, record) in log.records.iter().enumerate().skip(from) {
+            self.leadership.apply_record(now, log.position(i), record);
+        }
+        self.read_to = Some(log.end());
+        self.leadership.record_log_end(now, log.end(), true);
+    }
+
+    /// Appends what is due. The store compares offsets only; its answer names the era.
+    fn append(&mut self, now: Timestamp, log: &mut Log, is_answered: bool) {
+        let LeadershipAction::Append { record, at } = self.leadership.next_action(now) else {
+            return;
+        };
+        let position = log.end();
+        if at.offset != position.offset {
+            return;
+        }
+        log.records.push(record.clone());
+        match is_answered {
+            true if position.era == at.era => {
+                self.leadership.record_append(now, position, &record);
+            }
+            true => self.leadership.begin_era(now, position.era),
+            false => {}
+        }
+    }
+}
+
 /// Runs a simulation; returns the orders sent, as time in milliseconds, router and fencing token.
-fn simulate(routers: usize, steps: usize, faults: &[Fault]) -> Vec<(u64, usize, u64)> {
-    let new = |n| Router { leadership: Leadership::new(name(n), LEASE_MS), read_to: 0 };
+fn simulate(
+    routers: usize,
+    steps: usize,
+    faults: &[Fault],
+    returns: &[Return],
+) -> Vec<(u64, usize, u64)> {
+    let new = |n| Router { leadership: Leadership::new(name(n), LEASE_MS), read_to: None };
     let mut states: Vec<_> = (0..routers).map(new).collect();
-    let mut log: Vec<LeaderRecord> = Vec::new();
+    let era = (!returns.is_empty()).then_some(StoreEra(1));
+    let mut log = Log { era, records: Vec::new() };
     let mut orders = Vec::new();
     for step in 0..steps {
         let now = Timestamp::from_millis(10_000 + step as u64 * STEP_MS);
+        for lost in returns.iter().filter(|lost| lost.at_step == step) {
+            log.records.truncate(log.records.len().saturating_sub(lost.lost_records));
+            log.era = log.era.map(|era| StoreEra(era.0 + 1));
+        }
         for (n, router) in states.iter_mut().enumerate() {
             let active_fault = faults.iter().find(|fault| {
                 fault.router == n && (fault.at_step..fault.at_step + fault.steps).contains(&step)
@@ -55,26 +122,15 @@
                 Some(FaultKind::Paused) => continue,
                 Some(FaultKind::Restarted) => *router = new(n),
                 Some(FaultKind::Partitioned) => {}
+                Some(FaultKind::ReadsNothing) => router.append(now, &mut log, true),
                 Some(FaultKind::AnswerLost) | None => {
-                    for (i, record) in log.iter().enumerate().skip(router.read_to) {
-                        router.leadership.apply_record(now, LogOffset(i as u64), record);
-                    }
-                    router.read_to = log.len();
-                    router.leadership.record_log_end(now, LogOffset(log.len() as u64), true);
-                    if let LeadershipAction::Append { record, at } =
-                        router.leadership.next_action(now)
-                        && at == LogOffset(log.len() as u64)
-                    {
-                        log.push(record.clone());
-                        if active_fault.is_none() {
-                            router.leadership.record_append(now, at, &record);
-                        }
-                    }
+                    router.read(now, &log);
+                    router.append(now, &mut log, active_fault.is_none());
                 }
             }
             if let Some(token) = router.leadership.fencing_token(now) {
                 router.leadership.record_order(now);
-                orders.push((now.as_millis(), n, token.0));
+                orders.push((now.as_millis(), n, token.ordinal()));
             }
         }
     }
@@ -86,6 +142,7 @@
         Just(FaultKind::Paused),
         Just(FaultKind::Partitioned),
         Just(FaultKind::AnswerLost),
+        Just(FaultKind::ReadsNothing),
         Just(FaultKind::Restarted)
     ];
     (0..3_usize, 0..600_usize, 1..160_usize, kind).prop_map(|(router, at_step, steps, kind)| {
@@ -94,6 +151,20 @@
     })
 }
 
+fn store_return() -> impl Strategy<Value = Return> {
+    // Twelve records are more than eight seconds of renewals.
+    (0..700_usize, 0..12_usize).prop_map(|(at_step, lost_records)| Return { at_step, lost_records })
+}
+
+/// Returns the first two orders that are too close or whose fencing tokens fall.
+fn violation(orders: &[(u64, usize, u64)]) -> Option<&[(u64, usize, u64)]> {
+    orders.windows(2).find(|pair| {
+        let ((previous_ms, leader, token), (next_ms, successor, next_token)) = (pair[0], pair[1]);
+        let changes = leader != successor;
+        next_token < token || (changes && (next_token == token || next_ms - previous_ms < LEASE_MS))
+    })
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(400))]
 
@@ -101,21 +172,35 @@
     fn orders_of_different_routers_are_at_least_a_lease_apart(
         faults in prop::collection::vec(fault(), 0..8)
     ) {
-        let orders = simulate(3, 800, &faults);
-        for pair in orders.windows(2) {
-            let ((previous_ms, leader, token), (next_ms, successor, next_token)) = (pair[0], pair[1]);
-            prop_assert!(next_token >= token, "{:?}", pair);
-            if leader != successor {
-                prop_assert!(next_ms - previous_ms >= LEASE_MS, "{:?}", pair);
-            }
-        }
+        let orders = simulate(3, 800, &faults, &[]);
+        prop_assert_eq!(violation(&orders), None);
     }
+
+    #[test]
+    fn orders_keep_their_distance_and_their_tokens_rise_though_the_store_forgets_claims(
+        faults in prop::collection::vec(fault(), 0..8),
+        returns in prop::collection::vec(store_return(), 1..4),
+    ) {
+        let orders = simulate(3, 800, &faults, &returns);
+        prop_assert_eq!(violation(&orders), None);
+    }
+}
+
+#[test]
+fn a_leader_goes_on_within_a_second_after_the_store_forgot_its_claim() {
+    let lost = Return { at_step: 200, lost_records: usize::MAX };
+    let orders = simulate(2, 400, &[], &[lost]);
+    assert_eq!(violation(&orders), None);
+    let returned_at = 10_000 + 200 * STEP_MS;
+    let next = orders.iter().find(|order| order.0 >= returned_at).expect("the leader goes on");
+    assert!(next.0 - returned_at < 1_000, "{next:?}");
+    assert!(next.2 > orders[0].2, "the token of the new claim is not above the one before");
 }
 
 #[test]
 fn the_first_router_leads_at_once_and_a_successor_within_five_seconds() {
     let outage = Fault { router: 0, at_step: 100, steps: 900, kind: FaultKind::Paused };
-    let orders = simulate(2, 400, &[outage]);
+    let orders = simulate(2, 400, &[outage], &[]);
     assert_eq!(orders[0].0, 10_000);
     let last = orders.iter().filter(|order| order.1 == 0).map(|order| order.0).max().unwrap();
     let first_of_successor =
@@ -127,7 +212,7 @@
 fn a_released_term_passes_on_once_the_last_order_is_a_lease_old() {
     let start = Timestamp::from_millis(50_000);
     let mut first = Leadership::new(name(0), LEASE_MS);
-    first.record_log_end(start, LogOffset(0), true);
+    first.record_log_end(start, LogPosition::default(), true);
     let LeadershipAction::Append { record, at } = first.next_action(start) else {
         panic!("no claim")
     };
@@ -139,9 +224,9 @@
     };
     assert_eq!(first.fencing_token(released_at), None);
     let mut successor = Leadership::new(name(1), LEASE_MS);
-    successor.apply_record(released_at, LogOffset(0), &record);
-    successor.apply_record(released_at, LogOffset(1), &release);
-    successor.record_log_end(released_at, LogOffset(2), true);
+    successor.apply_record(released_at, LogPosition::default(), &record);
+    successor.apply_record(released_at, LogPosition::default().next(), &release);
+    successor.record_log_end(released_at, LogPosition::default().after(2), true);
     assert_eq!(successor.next_action(released_at), LeadershipAction::Wait);
     assert_eq!(successor.next_action(start + Duration::from_millis(2_900)), LeadershipAction::Wait);
     let claimable_at = start + Duration::from_millis(3_300);
--- a/crates/dogwoodway_standin/src/demo.rs
+++ b/crates/dogwoodway_standin/src/demo.rs
@@ -211,7 +211,13 @@
 async fn read(resp: Response<Incoming>) -> Result<HttpResponse, String> {
     let status = resp.status();
     let body = resp.into_body().collect().await.map_err(|e| e.to_string())?.to_bytes();
-    Ok(HttpResponse { status, content_type: String::new(), etag: String::new(), body })
+    Ok(HttpResponse {
+        status,
+        content_type: String::new(),
+        etag: String::new(),
+        headers: hyper::HeaderMap::new(),
+        body,
+    })
 }
 
 fn print_rows(rows: &[Row]) {
--- a/crates/dogwoodway_types/src/lib.rs
+++ b/crates/dogwoodway_types/src/lib.rs
@@ -9,6 +9,7 @@
 mod id;
 mod idempotency;
 mod outcome;
+mod position;
 mod prefix;
 mod time;
 mod work;
@@ -27,6 +28,7 @@
     },
     idempotency::{CLAIM_PARTITIONS, ClaimKey, ClaimPartition, ClaimRequest, RequestFingerprint},
     outcome::{NotRunReason, Outcome},
+    position::{LogPosition, StoreEra},
     prefix::{PIECE_TOKENS, PieceHash, PrefixChain, estimate_tokens},
     time::Timestamp,
     work::{ChatMessage, ChatWork, FinishReason, Frame, FrameKind, ServiceWork, Usage, Work},
