Write a router's own records again after the store has lost them

After a return of the store from a copy, a router that starts later would send a request that crashes servers to the next one, and would not know of routers that had announced themselves in the lost seconds.

Cause: events of crashes, answers that clear them and announcements were written once, and nobody noticed that they were gone.

Each router remembers its newest records. When it has read the log of a new era to its end, it writes those again that are missing, and only its own.

--- a/crates/dogwoodway_gateway/src/leader.rs
+++ b/crates/dogwoodway_gateway/src/leader.rs
@@ -11,6 +11,7 @@
 use dogwoodway_routing::direct::{
     fleet::BackendKey,
     leadership::{LeaderRecord, Leadership, LeadershipAction},
+    own_records::OwnRecords,
     rollout::{EngineWeights, engines_to_load},
 };
 use dogwoodway_types::{
@@ -66,6 +67,9 @@
 /// Time limit for releasing the leadership when the process stops, in milliseconds.
 const RELEASE_TIMEOUT_MS: u64 = 300;
 
+/// Own records that are written again if the store loses them.
+const MAX_OWN_RECORDS: usize = 64;
+
 /// Consecutive reports of an engine that may fail before its load is given up.
 const MAX_FAILED_REPORTS: u32 = 4;
 
@@ -150,6 +154,7 @@
     config: LeaderConfig,
     leadership: Leadership,
     pending_loads: HashMap<BackendKey, PendingLoad>,
+    own_records: OwnRecords,
     events: mpsc::Sender<Event>,
     /// Set while the log reader has to read without pauses.
     eager: watch::Sender<bool>,
@@ -171,13 +176,16 @@
     tokio::spawn(reader.run(events.clone()));
     let announcement =
         encode(&RouterRecord::Started { router: config.router.clone(), address: config.address });
-    tokio::spawn(announce(config.store.clone(), announcement));
+    tokio::spawn(announce(config.store.clone(), announcement.clone()));
+    let mut own_records = OwnRecords::new(MAX_OWN_RECORDS);
+    own_records.remember(announcement);
     let leadership = Leadership::new(config.router.clone(), config.lease_ms);
     let mut shutdown = config.shutdown.clone();
     let mut leader = Leader {
         config,
         leadership,
         pending_loads: HashMap::new(),
+        own_records,
         events,
         eager,
         was_leading: false,
@@ -215,6 +223,7 @@
             Event::Page(page) => self.apply_page(page).await,
             Event::EraBegan(era) => {
                 self.leadership.begin_era(clock::now(), era);
+                self.own_records.begin_era();
             }
             Event::Reported { server, report } => self.handle_report(server, report).await,
             Event::Ordered { server, outcome } => self.handle_order_outcome(server, outcome).await,
@@ -225,6 +234,7 @@
         let now = clock::now();
         for (i, bytes) in page.records.iter().enumerate() {
             let position = page.base.after(i);
+            self.own_records.observe(bytes);
             match decode(bytes) {
                 Ok(RouterRecord::Leader(record)) => {
                     self.leadership.apply_record(now, position, &record);
@@ -253,6 +263,23 @@
             let is_whole = page.start_offset == LogOffset(0);
             let end = LogPosition { offset: page.end_offset, ..read_to };
             self.leadership.record_log_end(now, end, is_whole);
+            self.restore_own_records().await;
+        }
+    }
+
+    /// Writes own records again that the store has lost.
+    async fn restore_own_records(&mut self) {
+        for bytes in self.own_records.take_missing() {
+            match self.config.store.append_to_log(bytes.clone(), None).await {
+                Ok(position) => {
+                    log::info!(offset = position.offset.0;
+                        "record that the store had lost was written again");
+                }
+                Err(e) => {
+                    log::warn!("could not write a lost record again: {e}");
+                    self.own_records.mark_missing(&bytes);
+                }
+            }
         }
     }
 
@@ -329,6 +356,7 @@
 
     async fn publish_fingerprint_event(&mut self, event: FingerprintEvent) {
         let bytes = encode(&RouterRecord::Fingerprint(event));
+        self.own_records.remember(bytes.clone());
         if let Err(e) = self.config.store.append_to_log(bytes, None).await {
             log::warn!("could not append a fingerprint event to the routers' log: {e}");
         }
--- a/crates/dogwoodway_routing/src/direct.rs
+++ b/crates/dogwoodway_routing/src/direct.rs
@@ -17,6 +17,7 @@
 pub mod leadership;
 pub mod link_slowdown;
 pub mod load;
+pub mod own_records;
 pub mod peers;
 pub mod prompt;
 pub mod retry;
