Heed servers that say in their answers that they stop, or ask for a pause

A server that leaves says so in each answer, often before its entry does; a server that turns a request away may ask for a pause. Callers waited for attempts at such servers, and the servers got requests that they had asked not to get.

Cause: only the store's list took a server out of use, and a refusal only raised its cost.

What an answer says is decoded in the adapter and applied to the process that sent it, from answers to requests, reports and orders alike. A leaving server gets no requests, calls or new weights until it has restarted, whatever the list says, and is named in the routers' reports. A pause is a deadline of this router only: for others it would be a ban of a server that may serve them. If only pauses are in the way, the caller is refused at once with the end of the first one, spread over 0.4 s. Datagrams have a new format version.

--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -4,6 +4,7 @@
 //! mailbox: directory changes, results of attempts and probes, and updates from other routers.
 
 mod crash_tracker;
+mod notices;
 mod routers;
 mod weights;
 
@@ -17,7 +18,10 @@
 use dogwoodway_routing::{
     direct::{
         distance::Regions,
-        fleet::{BackendKey, Fleet, Placement, PlacementRequest, Refusal, RequestKey, ServerTag},
+        fleet::{
+            BackendKey, Fleet, LeavingServer, Placement, PlacementRequest, Refusal, RequestKey,
+            ServerTag,
+        },
         health::HealthSignal,
         kv_stores::KvChange,
     },
@@ -46,6 +50,7 @@
 use self::crash_tracker::CrashTracker;
 pub(crate) use self::{
     crash_tracker::FingerprintEvent,
+    notices::{ApplyLeavingServers, ApplyServerNotice},
     routers::{
         ApplyFingerprintEvent, ApplyPeerUpdate, ApplyWeightsNotices, ClearPeerLoads,
         CollectRouterUpdate, SetRouterCount,
@@ -63,6 +68,9 @@
 /// Time for which a change in the loading of weights is repeated to other routers, in milliseconds.
 const WEIGHTS_UPDATE_TTL_MS: u64 = 3_000;
 
+/// Time for which a server that is about to stop is reported to other routers, in milliseconds.
+const LEAVING_NOTICE_TTL_MS: u64 = 1_000;
+
 /// Part of the allowed retry budget that is used, in thousandths. The margin is needed because
 /// routers count requests at slightly different times.
 const RETRY_BUDGET_USE_PERMILLE: u32 = 750;
@@ -113,6 +121,8 @@
     control: Arc<dyn EngineControl>,
     /// Changes to report to other routers, each until the time given.
     weights_updates: Vec<(WeightsUpdate, Timestamp)>,
+    /// Servers that are about to stop, to report to other routers, each until the time given.
+    leaving_notices: Vec<(LeavingServer, Timestamp)>,
     /// When the ages of published versions are next reported to other routers.
     next_version_ages_at: Timestamp,
     /// Connections that a server of each service accepts from all routers together.
@@ -152,6 +162,7 @@
             crash_tracker: CrashTracker::new(config.fingerprint_events, config.quarantine_in_use),
             control: config.control,
             weights_updates: Vec::new(),
+            leaving_notices: Vec::new(),
             next_version_ages_at: Timestamp::default(),
             max_connections: HashMap::new(),
             loads_changed: config.loads_changed,
@@ -185,7 +196,10 @@
     }
 
     fn store_idle(&mut self, now: Timestamp, key: BackendKey, connection: Connection) {
-        let max_idle = self.max_idle(key);
+        let max_idle = match self.fleet.leaving_server(key) {
+            Some(_) => 0,
+            None => self.max_idle(key),
+        };
         let Some(idle) = self.idle_connections.get_mut(key) else { return };
         if idle.len() < max_idle && connection.is_reusable(now) {
             idle.push(connection);
@@ -324,6 +338,7 @@
             return PlacementReply::Refused(Refusal {
                 reason: NotRunReason::Quarantined,
                 retry_at: until,
+                is_retry_at_known: false,
                 wait_ms: 0,
             });
         }
@@ -336,6 +351,7 @@
             return PlacementReply::Refused(Refusal {
                 reason: NotRunReason::Overloaded,
                 retry_at,
+                is_retry_at_known: false,
                 wait_ms: 0,
             });
         }
--- /dev/null
+++ b/crates/dogwoodway_gateway/src/fleet_actor/notices.rs
@@ -0,0 +1,80 @@
+//! Messages about what servers say of the requests that they want.
+
+use std::time::Duration;
+
+use dogwoodway_routing::direct::{
+    fleet::{BackendKey, LeavingServer},
+    server_notice::{PauseRequest, ServerNotice},
+};
+use kameo::message::{Context, Message};
+
+use crate::{
+    clock,
+    fleet_actor::{FleetActor, LEAVING_NOTICE_TTL_MS},
+    metric,
+};
+
+/// Applies what a server says in an answer about the requests that it wants.
+pub(crate) struct ApplyServerNotice {
+    pub(crate) server: BackendKey,
+    /// Start time of the process that answered.
+    pub(crate) started_at_ms: u64,
+    pub(crate) notice: ServerNotice,
+}
+
+impl Message<ApplyServerNotice> for FleetActor {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: ApplyServerNotice, _: &mut Context<Self, Self::Reply>) {
+        let now = clock::now();
+        let ApplyServerNotice { server, started_at_ms, notice } = msg;
+        let (is_newly_leaving, paused_until) =
+            self.fleet.apply_notice(now, server, started_at_ms, notice);
+        if is_newly_leaving {
+            self.close_leaving(server, "its answer");
+            if let Some(leaving) = self.fleet.leaving_server(server) {
+                let until = now + Duration::from_millis(LEAVING_NOTICE_TTL_MS);
+                self.leaving_notices.push((leaving, until));
+                self.loads_changed.notify_one();
+            }
+        }
+        if let Some(until) = paused_until {
+            let name = self.fleet.listing(server).map(|listing| listing.name.clone());
+            metrics::counter!(metric::SERVER_PAUSES).increment(1);
+            log::info!(
+                server:? = name, pause_ms = (until - now).as_millis() as u64,
+                is_readable = notice.pause != Some(PauseRequest::Unreadable);
+                "backend server asked for a pause"
+            );
+        }
+    }
+}
+
+/// Applies what another router has heard of servers that are about to stop.
+pub(crate) struct ApplyLeavingServers(pub(crate) Vec<LeavingServer>);
+
+impl Message<ApplyLeavingServers> for FleetActor {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: ApplyLeavingServers, _: &mut Context<Self, Self::Reply>) {
+        for leaving in msg.0 {
+            if let Some(key) = self.fleet.find_by_tag(leaving.server)
+                && self.fleet.mark_leaving(key, leaving.started_at_ms)
+            {
+                self.close_leaving(key, "another router");
+            }
+        }
+    }
+}
+
+impl FleetActor {
+    /// Closes the idle connections to a server that gets no more requests.
+    fn close_leaving(&mut self, server: BackendKey, source: &str) {
+        if let Some(idle) = self.idle_connections.get_mut(server) {
+            idle.clear();
+        }
+        let name = self.fleet.listing(server).map(|listing| listing.name.clone());
+        metrics::counter!(metric::SERVERS_LEAVING).increment(1);
+        log::info!(server:? = name, source = source; "backend server is about to stop");
+    }
+}
--- a/crates/dogwoodway_gateway/src/fleet_actor/routers.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/routers.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use dogwoodway_routing::direct::fleet::{OriginPrompt, PromptUpdate, ServerLoad, VersionAge};
+use dogwoodway_routing::direct::fleet::{
+    LeavingServer, OriginPrompt, PromptUpdate, ServerLoad, VersionAge,
+};
 use kameo::{
     Reply,
     message::{Context, Message},
@@ -28,6 +30,8 @@
     pub(crate) prompts: Vec<PromptUpdate>,
     /// Ages of recently published versions; sent only every [`VERSION_AGES_INTERVAL_MS`].
     pub(crate) versions: Vec<VersionAge>,
+    /// Servers that have recently said that they are about to stop.
+    pub(crate) leaving: Vec<LeavingServer>,
 }
 
 /// Builds the update to send to other routers.
@@ -52,7 +56,9 @@
         if !versions.is_empty() {
             self.next_version_ages_at = now + Duration::from_millis(VERSION_AGES_INTERVAL_MS);
         }
-        RouterUpdate { loads: self.fleet.own_loads(), weights, prompts, versions }
+        self.leaving_notices.retain(|(_, until)| *until > now);
+        let leaving = self.leaving_notices.iter().map(|(leaving, _)| *leaving).collect();
+        RouterUpdate { loads: self.fleet.own_loads(), weights, prompts, versions, leaving }
     }
 }
 
--- a/crates/dogwoodway_gateway/src/fleet_actor/weights.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/weights.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     clock,
-    fleet_actor::{FleetActor, LoadStage, WEIGHTS_UPDATE_TTL_MS, WeightsUpdate},
+    fleet_actor::{ApplyServerNotice, FleetActor, LoadStage, WEIGHTS_UPDATE_TTL_MS, WeightsUpdate},
 };
 
 /// Returns the state of the roll-out of new weights, by engine.
@@ -31,10 +31,17 @@
         _: GetRolloutState,
         _: &mut Context<Self, Self::Reply>,
     ) -> Vec<EngineTarget> {
-        let engines = self.fleet.engine_weights(clock::now()).into_iter();
+        let now = clock::now();
+        let engines = self.fleet.engine_weights(now).into_iter();
         let targets = engines.filter_map(|weights| {
             let listing = self.fleet.listing(weights.server)?;
-            Some(EngineTarget { name: listing.name.clone(), address: listing.address, weights })
+            Some(EngineTarget {
+                name: listing.name.clone(),
+                address: listing.address,
+                started_at_ms: listing.started_at_ms,
+                accepts_calls: self.fleet.wants_requests(now, weights.server),
+                weights,
+            })
         });
         targets.collect()
     }
@@ -45,6 +52,10 @@
 pub(crate) struct EngineTarget {
     pub(crate) name: BackendServerName,
     pub(crate) address: SocketAddr,
+    /// Start time of the engine's process.
+    pub(crate) started_at_ms: u64,
+    /// Whether the engine is not leaving and has not asked for a pause.
+    pub(crate) accepts_calls: bool,
     pub(crate) weights: EngineWeights,
 }
 
@@ -115,11 +126,22 @@
 impl FleetActor {
     /// Asks an engine which versions it serves, and records the reply.
     fn query_weights(&self, server: BackendKey, model: Option<ModelName>, actor: &ActorRef<Self>) {
+        if !self.fleet.wants_requests(clock::now(), server) {
+            return;
+        }
         let Some(listing) = self.fleet.listing(server) else { return };
-        let (name, address) = (listing.name.clone(), listing.address);
+        let (name, address, started_at_ms) =
+            (listing.name.clone(), listing.address, listing.started_at_ms);
         let (control, actor) = (self.control.clone(), actor.clone());
         tokio::spawn(async move {
-            let report = match control.report(&name, address).await {
+            let answer = control.report(&name, address).await;
+            let notice = ApplyServerNotice { server, started_at_ms, notice: answer.notice };
+            if !notice.notice.is_empty()
+                && let Err(e) = actor.tell(notice).await
+            {
+                log::error!("could not apply what an engine says about requests: {e}");
+            }
+            let report = match answer.result {
                 Ok(report) => report,
                 Err(why) => return log::debug!("no weights report from {name}: {why}"),
             };
--- a/crates/dogwoodway_gateway/src/gossip.rs
+++ b/crates/dogwoodway_gateway/src/gossip.rs
@@ -32,8 +32,8 @@
     clock,
     feeds::SharedFeeds,
     fleet_actor::{
-        ApplyPeerUpdate, ApplyWeightsNotices, ClearPeerLoads, CollectRouterUpdate, FleetActor,
-        SetRouterCount,
+        ApplyLeavingServers, ApplyPeerUpdate, ApplyWeightsNotices, ClearPeerLoads,
+        CollectRouterUpdate, FleetActor, SetRouterCount,
     },
     metric,
 };
@@ -232,6 +232,7 @@
         let notices = Notices {
             weights: update.weights,
             versions: update.versions,
+            leaving: update.leaving,
             feed_reports: vec![self.config.feeds.feed_reports(now)],
             introduced: introduced.clone(),
         };
@@ -388,7 +389,12 @@
         for address in notices.introduced {
             self.add_peer(now, address);
         }
-        let Notices { weights, versions, .. } = notices;
+        let Notices { weights, versions, leaving, .. } = notices;
+        if !leaving.is_empty()
+            && let Err(e) = self.config.fleet.tell(ApplyLeavingServers(leaving)).await
+        {
+            log::error!("could not apply notices about servers that are about to stop: {e}");
+        }
         if weights.is_empty() && versions.is_empty() {
             return;
         }
--- a/crates/dogwoodway_gateway/src/gossip/datagram.rs
+++ b/crates/dogwoodway_gateway/src/gossip/datagram.rs
@@ -5,7 +5,7 @@
 use bincode::Options;
 use dogwoodway_routing::direct::{
     aggregation::Digest,
-    fleet::{OriginPrompt, ServerLoad, VersionAge},
+    fleet::{LeavingServer, OriginPrompt, ServerLoad, VersionAge},
     peers::RouterInfo,
 };
 use serde::{Deserialize, Serialize};
@@ -13,7 +13,7 @@
 use crate::{feeds::FeedReports, fleet_actor::WeightsUpdate};
 
 /// First byte of each datagram. Routers ignore datagrams of other versions of the format.
-const FORMAT_VERSION: u8 = 2;
+const FORMAT_VERSION: u8 = 3;
 
 /// A datagram and the router that sent it.
 #[derive(Debug, Serialize, Deserialize)]
@@ -45,6 +45,8 @@
     pub(super) feed_reports: Vec<FeedReports>,
     /// Routers that have just started. Most routers do not read the log that announces them.
     pub(super) introduced: Vec<SocketAddr>,
+    /// Servers that have recently said that they are about to stop.
+    pub(super) leaving: Vec<LeavingServer>,
 }
 
 impl Notices {
--- a/crates/dogwoodway_gateway/src/gossip/notice_board.rs
+++ b/crates/dogwoodway_gateway/src/gossip/notice_board.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use dogwoodway_routing::direct::fleet::VersionAge;
+use dogwoodway_routing::direct::fleet::{LeavingServer, VersionAge};
 use dogwoodway_types::Timestamp;
 
 use crate::{feeds::FeedReports, fleet_actor::WeightsUpdate, gossip::datagram::Notices};
@@ -21,6 +21,7 @@
     versions: Vec<(VersionAge, Timestamp)>,
     feed_reports: Vec<(FeedReports, Timestamp)>,
     introduced: Vec<(SocketAddr, Timestamp)>,
+    leaving: Vec<(LeavingServer, Timestamp)>,
 }
 
 impl NoticeBoard {
@@ -39,6 +40,10 @@
             self.introduced.retain(|(other, _)| other != address);
             self.introduced.push((*address, now));
         }
+        for leaving in &notices.leaving {
+            self.leaving.retain(|(other, _)| other != leaving);
+            self.leaving.push((*leaving, now));
+        }
         let useful = notices.feed_reports.iter().filter(|reports| reports.is_useful());
         self.feed_reports.extend(useful.map(|reports| (*reports, now)));
         self.feed_reports.sort_by_key(|(reports, at)| reports.aged(now - *at).age_ms());
@@ -52,6 +57,7 @@
         self.versions.retain(|(_, at)| is_fresh(*at));
         self.feed_reports.retain(|(_, at)| is_fresh(*at));
         self.introduced.retain(|(_, at)| is_fresh(*at));
+        self.leaving.retain(|(_, at)| is_fresh(*at));
         let aged = |age: &VersionAge, at: Timestamp| VersionAge {
             age_ms: age.age_ms + (now - at).as_millis() as u64,
             ..age.clone()
@@ -65,6 +71,7 @@
                 .map(|(reports, at)| reports.aged(now - *at))
                 .collect(),
             introduced: self.introduced.iter().map(|(address, _)| *address).collect(),
+            leaving: self.leaving.iter().map(|(leaving, _)| *leaving).collect(),
         }
     }
 }
--- a/crates/dogwoodway_gateway/src/leader.rs
+++ b/crates/dogwoodway_gateway/src/leader.rs
@@ -13,6 +13,7 @@
     leadership::{LeaderRecord, Leadership, LeadershipAction},
     own_records::OwnRecords,
     rollout::{EngineWeights, engines_to_load},
+    server_notice::ServerNotice,
 };
 use dogwoodway_types::{
     LogOffset, LogPosition, ModelName, RouterName, StoreEra, Timestamp, WeightsVersion,
@@ -28,11 +29,13 @@
     clock,
     feeds::SharedFeeds,
     fleet_actor::{
-        ApplyFingerprintEvent, EngineTarget, FingerprintEvent, FleetActor, GetRolloutState,
-        UpdateWeightsState, WeightsState,
+        ApplyFingerprintEvent, ApplyServerNotice, EngineTarget, FingerprintEvent, FleetActor,
+        GetRolloutState, UpdateWeightsState, WeightsState,
     },
     metric,
-    platform_api::{EngineControl, EngineReport, LoadOrder, OrderOutcome, RecordPage, StoreError},
+    platform_api::{
+        ControlAnswer, EngineControl, EngineReport, LoadOrder, OrderOutcome, RecordPage, StoreError,
+    },
 };
 
 /// Pause after a failed call to the log, in milliseconds.
@@ -110,8 +113,8 @@
 enum Event {
     Page(RecordPage),
     EraBegan(Option<StoreEra>),
-    Reported { server: BackendKey, report: Result<EngineReport, String> },
-    Ordered { server: BackendKey, outcome: OrderOutcome },
+    Reported { target: Box<EngineTarget>, answer: ControlAnswer<Result<EngineReport, String>> },
+    Ordered { target: Box<EngineTarget>, answer: ControlAnswer<OrderOutcome> },
 }
 
 /// How far a [`PendingLoad`] is.
@@ -225,8 +228,26 @@
                 self.leadership.begin_era(clock::now(), era);
                 self.own_records.begin_era();
             }
-            Event::Reported { server, report } => self.handle_report(server, report).await,
-            Event::Ordered { server, outcome } => self.handle_order_outcome(server, outcome).await,
+            Event::Reported { target, answer } => {
+                self.apply_notice(&target, answer.notice).await;
+                self.handle_report(target.weights.server, answer.result).await;
+            }
+            Event::Ordered { target, answer } => {
+                self.apply_notice(&target, answer.notice).await;
+                self.handle_order_outcome(target.weights.server, answer.result).await;
+            }
+        }
+    }
+
+    /// Passes on what an engine says about the requests that it wants.
+    async fn apply_notice(&self, target: &EngineTarget, notice: ServerNotice) {
+        if notice.is_empty() {
+            return;
+        }
+        let (server, started_at_ms) = (target.weights.server, target.started_at_ms);
+        let notice = ApplyServerNotice { server, started_at_ms, notice };
+        if let Err(e) = self.config.fleet.tell(notice).await {
+            log::error!("could not apply what an engine says about requests: {e}");
         }
     }
 
@@ -299,8 +320,9 @@
             }
         }
         if leads {
-            self.poll_loads();
+            // Drops the loads of engines that want no calls before any is made.
             self.start_due_loads().await;
+            self.poll_loads();
         }
     }
 
@@ -369,7 +391,8 @@
         }
     }
 
-    /// Starts the loads that are due, and drops those of engines that have left the fleet.
+    /// Starts the loads that are due, and drops those of engines that have left the fleet or want no
+    /// calls. The latter begin anew once they accept calls again.
     async fn start_due_loads(&mut self) {
         let targets = match self.config.fleet.ask(GetRolloutState).await {
             Ok(targets) => targets,
@@ -385,7 +408,7 @@
             {
                 load.target = target.clone();
             }
-            target.is_some()
+            target.is_some_and(|target| target.accepts_calls)
         });
         let engines: Vec<_> = targets
             .iter()
@@ -430,10 +453,10 @@
 
     fn request_report(&self, load: &PendingLoad) {
         let (control, events) = (self.config.control.clone(), self.events.clone());
-        let EngineTarget { name, address, weights } = load.target.clone();
+        let target = Box::new(load.target.clone());
         tokio::spawn(async move {
-            let report = control.report(&name, address).await;
-            send_event(&events, Event::Reported { server: weights.server, report }).await;
+            let answer = control.report(&target.name, target.address).await;
+            send_event(&events, Event::Reported { target, answer }).await;
         });
     }
 
@@ -519,10 +542,11 @@
             "engine ordered to load new weights");
         let state = WeightsState::Loading(load.version());
         let (control, events) = (self.config.control.clone(), self.events.clone());
+        let target = Box::new(load.target.clone());
         self.update_weights_state(server, None, state).await;
         tokio::spawn(async move {
-            let outcome = control.load_weights(order).await;
-            send_event(&events, Event::Ordered { server, outcome }).await;
+            let answer = control.load_weights(order).await;
+            send_event(&events, Event::Ordered { target, answer }).await;
         });
     }
 
--- a/crates/dogwoodway_gateway/src/metric.rs
+++ b/crates/dogwoodway_gateway/src/metric.rs
@@ -37,6 +37,12 @@
 /// Backend servers in the fleet.
 pub(crate) const SERVERS: &str = "dogwoodway_router_servers";
 
+/// Backend servers that were found to be about to stop, by their answers or other routers.
+pub(crate) const SERVERS_LEAVING: &str = "dogwoodway_router_servers_leaving_total";
+
+/// Pauses that backend servers have asked for.
+pub(crate) const SERVER_PAUSES: &str = "dogwoodway_router_server_pauses_total";
+
 /// Known routers, this one included.
 pub(crate) const ROUTERS: &str = "dogwoodway_router_routers";
 
--- a/crates/dogwoodway_gateway/src/platform_api.rs
+++ b/crates/dogwoodway_gateway/src/platform_api.rs
@@ -8,7 +8,8 @@
 use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
 use dogwoodway_routing::direct::{
-    fleet::ServerListing, kv_stores::KvChange, prompt::Prompt, table::RoutingTable,
+    fleet::ServerListing, kv_stores::KvChange, prompt::Prompt, server_notice::ServerNotice,
+    table::RoutingTable,
 };
 use dogwoodway_types::{
     BackendServerName, LogOffset, LogPosition, ModelName, StoreEra, TeamName, Timestamp,
@@ -133,6 +134,9 @@
         head: &http::response::Parts,
     ) -> ResponseClass;
 
+    /// Returns what the server that sent a response says about the requests that it wants.
+    fn server_notice(&self, head: &http::response::Parts) -> ServerNotice;
+
     /// Returns the version of the weights that produced a response, if the server states it.
     fn weights_version(&self, headers: &HeaderMap) -> Option<WeightsVersion>;
 
@@ -347,19 +351,25 @@
     ) -> BoxFuture<'_, Result<Option<KvEventPage>, String>>;
 }
 
+/// Result of a control call, and what the engine's answer says besides.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ControlAnswer<T> {
+    /// Result of the call.
+    pub result: T,
+    /// What the engine says about the requests that it wants; empty if there is no answer.
+    pub notice: ServerNotice,
+}
+
 /// Control calls to engines, which no client request causes.
 pub trait EngineControl: Send + Sync {
-    /// Asks an engine for its state.
-    ///
-    /// # Errors
-    ///
-    /// Fails with the reason if there is no valid response in time.
+    /// Asks an engine for its state. The result is the reason if there is no valid response in
+    /// time.
     fn report(
         &self,
         server: &BackendServerName,
         address: SocketAddr,
-    ) -> BoxFuture<'_, Result<EngineReport, String>>;
+    ) -> BoxFuture<'_, ControlAnswer<Result<EngineReport, String>>>;
 
     /// Orders an engine to load new weights.
-    fn load_weights(&self, order: LoadOrder) -> BoxFuture<'_, OrderOutcome>;
+    fn load_weights(&self, order: LoadOrder) -> BoxFuture<'_, ControlAnswer<OrderOutcome>>;
 }
--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -18,9 +18,10 @@
 use dogwoodway_http::Body;
 use dogwoodway_routing::direct::{
     admission,
-    fleet::{PlacementRequest, Refusal},
+    fleet::{Placement, PlacementRequest, Refusal},
     health::HealthSignal,
     retry::{AttemptCounts, AttemptOutcome, NextStep, next_step},
+    server_notice::ServerNotice,
     table::{RouteKind, TeamRule},
 };
 use dogwoodway_types::{
@@ -35,8 +36,8 @@
     directory::TableWatch,
     exchange::{BackendResponse, ExchangeError, exchange},
     fleet_actor::{
-        ApplyDirectoryChanges, AssignedServer, FleetActor, PlaceRequest, PlacementReply,
-        UpdateWeightsState, WeightsState,
+        ApplyDirectoryChanges, ApplyServerNotice, AssignedServer, FleetActor, PlaceRequest,
+        PlacementReply, UpdateWeightsState, WeightsState,
     },
     metric,
     platform_api::{
@@ -198,7 +199,7 @@
                             let retry_at = clock::now();
                             return self.refusal_response(
                                 &request,
-                                Refusal { reason, retry_at, wait_ms: 0 },
+                                Refusal { reason, retry_at, is_retry_at_known: false, wait_ms: 0 },
                             );
                         }
                         NextStep::Fail => {
@@ -235,7 +236,12 @@
             Err(e) => {
                 log::error!("fleet actor did not answer a placement request: {e}");
                 let reason = NotRunReason::Overloaded;
-                PlacementReply::Refused(Refusal { reason, retry_at: clock::now(), wait_ms: 0 })
+                PlacementReply::Refused(Refusal {
+                    reason,
+                    retry_at: clock::now(),
+                    is_retry_at_known: false,
+                    wait_ms: 0,
+                })
             }
         }
     }
@@ -323,11 +329,20 @@
         {
             self.report_weights(request, target, WeightsState::Serving(version));
         }
-        match self.protocol.classify_response(
+        let class = self.protocol.classify_response(
             &request.head.id,
             &target.placement.name,
             &upstream.head,
-        ) {
+        );
+        let is_of_target = !matches!(
+            class,
+            ResponseClass::Invalid(_) | ResponseClass::NotExecuted(NotExecuted::OtherServer)
+        );
+        let notice = self.protocol.server_notice(&upstream.head);
+        if !notice.is_empty() && is_of_target {
+            self.report_notice(target, notice);
+        }
+        match class {
             ResponseClass::Valid => Ok(false),
             ResponseClass::ServerError => Ok(true),
             ResponseClass::NotExecuted(why) => {
@@ -356,6 +371,15 @@
         }
     }
 
+    fn report_notice(&self, target: &AssignedServer, notice: ServerNotice) {
+        let Placement { server, started_at_ms, .. } = target.placement;
+        if let Err(e) =
+            self.fleet.tell(ApplyServerNotice { server, started_at_ms, notice }).try_send()
+        {
+            log::warn!("could not report what a server says about requests: {e}");
+        }
+    }
+
     fn report_weights(
         &self,
         request: &ClientRequest,
@@ -380,8 +404,11 @@
             return self.error_response(request, StatusCode::BAD_GATEWAY, refusal.reason.as_str());
         }
         let now = clock::now();
-        let retry_after =
-            admission::retry_after(now, refusal.retry_at, request.deadline, rand::random());
+        let (retry_at, draw) = (refusal.retry_at, rand::random());
+        let retry_after = match refusal.is_retry_at_known {
+            true => admission::known_retry_after(now, retry_at, draw),
+            false => admission::retry_after(now, retry_at, request.deadline, draw),
+        };
         log::info!(
             request = request.head.id, why = refusal.reason.as_str(), wait_ms = refusal.wait_ms,
             come_back_ms = retry_after.as_millis() as u64, attempts = request.attempts.total,
--- a/crates/dogwoodway_routing/src/direct/admission.rs
+++ b/crates/dogwoodway_routing/src/direct/admission.rs
@@ -46,6 +46,10 @@
 /// earlier retry would find the same queue.
 const MIN_RETRY_AFTER_MS: u64 = 60;
 
+/// Time over which the retries are spread of callers that all know when a server accepts requests
+/// again, in milliseconds.
+const KNOWN_RETRY_SPREAD_MS: u64 = 400;
+
 /// Divisor of the time left to the deadline that gives the longest delay for a refused caller.
 /// After a longer delay the answer would not be in time.
 const RETRY_AFTER_DIVISOR: u32 = 4;
@@ -147,3 +151,19 @@
     let jitter = min_delay.mul_f64(draw as f64 / u64::MAX as f64);
     (retry_at - now).min(max_delay).max(min_delay) + jitter
 }
+
+/// Returns the delay after which a refused caller is asked to retry if an earlier retry is refused
+/// for certain. It is true even if it ends after the caller's deadline.
+///
+/// ```
+/// use std::time::Duration;
+/// use dogwoodway_routing::direct::admission::known_retry_after;
+/// use dogwoodway_types::Timestamp;
+///
+/// let delay = known_retry_after(Timestamp::from_millis(0), Timestamp::from_millis(2_000), 7);
+/// assert!(delay >= Duration::from_millis(2_000) && delay <= Duration::from_millis(2_400));
+/// ```
+pub fn known_retry_after(now: Timestamp, retry_at: Timestamp, draw: u64) -> Duration {
+    let spread = Duration::from_millis(KNOWN_RETRY_SPREAD_MS);
+    (retry_at - now) + spread.mul_f64(draw as f64 / u64::MAX as f64)
+}
--- a/crates/dogwoodway_routing/src/direct/fleet.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet.rs
@@ -2,6 +2,7 @@
 
 mod gossip;
 mod membership;
+mod notices;
 mod placement;
 mod prefix_sources;
 mod requests;
@@ -36,6 +37,7 @@
 pub use self::{
     gossip::{OriginPrompt, PromptFilter, PromptUpdate, ServerLoad, ServerTag},
     membership::{Availability, ServerListing},
+    notices::LeavingServer,
     placement::{Placement, PlacementRequest, Refusal},
     versions::VersionAge,
 };
@@ -72,6 +74,10 @@
     /// Set while the server is missing from the platform's list: the time until which it is still
     /// used.
     removal_due_at: Option<Timestamp>,
+    /// Whether the server has said that it is about to stop.
+    is_leaving: bool,
+    /// End of the pause that the server has asked for.
+    paused_until: Timestamp,
 }
 
 impl Server {
@@ -84,6 +90,11 @@
         weights.filter(|(name, _)| name == model).map(|(_, version)| *version).next()
     }
 
+    /// Returns whether the server wants new requests, by what it says itself.
+    fn wants_requests(&self, now: Timestamp) -> bool {
+        !self.is_leaving && now >= self.paused_until
+    }
+
     /// Returns whether the server is listed or has not been missing from the list for too long.
     fn is_retained(&self, now: Timestamp) -> bool {
         self.removal_due_at.is_none_or(|until| now < until)
@@ -150,6 +161,9 @@
     /// Start time and revision of servers that were removed, so that an outdated listing does not
     /// add them again.
     removed: HashMap<BackendServerName, (u64, u64)>,
+    /// Start times of the servers that have said that they are about to stop. They are kept for
+    /// servers that are listed again.
+    leaving: HashMap<BackendServerName, u64>,
     in_flight: SlotMap<RequestKey, InFlightRequest>,
     queue_pressure: HashMap<ServiceName, QueuePressure>,
     prompt_rates: HashMap<ServiceName, PromptRate>,
@@ -186,6 +200,7 @@
             stale_weights_limit_ms: versions::DEFAULT_STALE_WEIGHTS_LIMIT_MS,
             published_versions: HashMap::new(),
             removed: HashMap::new(),
+            leaving: HashMap::new(),
             in_flight: SlotMap::with_key(),
             queue_pressure: HashMap::new(),
             prompt_rates: HashMap::new(),
--- a/crates/dogwoodway_routing/src/direct/fleet/membership.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/membership.rs
@@ -18,9 +18,9 @@
     rendezvous::ServerKey,
 };
 
-/// Most removed servers whose last listing is remembered. When one more is removed, all of them are
-/// forgotten.
-const MAX_REMOVED: usize = 4_096;
+/// Most servers that are remembered after they were removed or have said that they stop. For one
+/// more, all of them are forgotten.
+pub(super) const MAX_REMEMBERED: usize = 4_096;
 
 /// Whether a backend server accepts new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -96,6 +96,7 @@
         }
         let hash = ServerKey::new(&listing.name);
         let (name, service) = (listing.name.clone(), listing.service.clone());
+        let is_leaving = self.leaving.get(&name) == Some(&listing.started_at_ms);
         let key = self.servers.insert(Server {
             listing,
             hash,
@@ -107,6 +108,8 @@
             loading_until: Timestamp::default(),
             awaiting_output: Vec::new(),
             removal_due_at: None,
+            is_leaving,
+            paused_until: Timestamp::default(),
         });
         self.by_name.insert(name, key);
         self.by_tag.insert(ServerTag::from(hash), key);
@@ -128,7 +131,7 @@
         let key = self.by_name.remove(name)?;
         let server = self.servers.remove(key)?;
         self.by_tag.remove(&ServerTag::from(server.hash));
-        if self.removed.len() >= MAX_REMOVED {
+        if self.removed.len() >= MAX_REMEMBERED {
             self.removed.clear();
         }
         let last = (server.listing.started_at_ms, server.listing.revision);
@@ -155,6 +158,8 @@
         server.own_load = Load::default();
         server.awaiting_output.clear();
         server.loading_until = Timestamp::default();
+        server.is_leaving = false;
+        server.paused_until = Timestamp::default();
         server.listing = listing;
         return true;
     }
--- a/crates/dogwoodway_routing/src/direct/fleet/placement.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/placement.rs
@@ -82,6 +82,8 @@
     pub server: BackendKey,
     /// Name of the server.
     pub name: BackendServerName,
+    /// Start time of the server's process.
+    pub started_at_ms: u64,
     /// Address of the server.
     pub address: SocketAddr,
     /// Version of the weights that the engine is asked for; absent for a plain server.
@@ -109,6 +111,8 @@
     pub reason: NotRunReason,
     /// Earliest time at which a retry makes sense.
     pub retry_at: Timestamp,
+    /// Whether an earlier retry is refused for certain.
+    pub is_retry_at_known: bool,
     /// Predicted queueing time at the best server, in milliseconds, if the request was refused
     /// because of it; 0 for other reasons.
     pub wait_ms: u32,
@@ -131,11 +135,25 @@
         let choice = self
             .choose(now, request, sample_share)
             .or_else(|| self.choose(now, request, EVERY_ENGINE))
-            .ok_or_else(|| refusal(now, NotRunReason::NoBackendServer, MIN_RETRY_DELAY_MS))?;
+            .ok_or_else(|| self.refusal_without_server(now, request))?;
         let predicted_ms = self.check_wait_and_deadline(now, request, &choice.candidate)?;
         Ok(self.record_placement(now, choice, predicted_ms))
     }
 
+    /// Builds the refusal of a request that no server accepts. If only pauses are in the way, it is
+    /// known when the first server accepts requests again.
+    fn refusal_without_server(&self, now: Timestamp, request: &PlacementRequest) -> Refusal {
+        match self.first_pause_end(now, request) {
+            Some(retry_at) => Refusal {
+                reason: NotRunReason::Overloaded,
+                retry_at,
+                is_retry_at_known: true,
+                wait_ms: 0,
+            },
+            None => refusal(now, NotRunReason::NoBackendServer, MIN_RETRY_DELAY_MS),
+        }
+    }
+
     /// Returns the cheapest of the servers that accept a request, among those that the prompt is
     /// attached to and a sample of the others; `None` if there is none.
     fn choose(&self, now: Timestamp, request: &PlacementRequest, share: f64) -> Option<Choice> {
@@ -236,7 +254,7 @@
             if let Some(after) = retry_after {
                 let reason = NotRunReason::Overloaded;
                 let wait_ms = wait_ms as u32;
-                return Err(Refusal { reason, retry_at: now + after, wait_ms });
+                return Err(Refusal { wait_ms, ..refusal(now, reason, after.as_millis() as u64) });
             }
         }
         let predicted_ms = cost::first_output_ms(candidate);
@@ -285,6 +303,7 @@
             server.prefix_cache.insert(&in_flight_request.segments, ready_at);
         }
         let (name, address) = (server.listing.name.clone(), server.listing.address);
+        let started_at_ms = server.listing.started_at_ms;
         let (tag, server_in_flight) = (server.hash.into(), server.load().running);
         let segments = &in_flight_request.segments;
         if !segments.is_empty() {
@@ -296,6 +315,7 @@
             request: request_key,
             server: key,
             name,
+            started_at_ms,
             address,
             version: scope.as_ref().map(|scope| scope.version),
             scope: scope.map(|scope| scope.label),
@@ -308,7 +328,7 @@
         }
     }
 
-    fn accepts_requests(
+    pub(super) fn accepts_requests(
         &self,
         now: Timestamp,
         server: &Server,
@@ -320,6 +340,7 @@
         server.health.is_up()
             && server.listing.availability == Availability::Ready
             && server.is_retained(now)
+            && server.wants_requests(now)
             && now >= server.loading_until
             && !is_full
             && !request.tried.contains(&server.listing.name)
@@ -336,5 +357,6 @@
 }
 
 fn refusal(now: Timestamp, reason: NotRunReason, after_ms: u64) -> Refusal {
-    Refusal { reason, retry_at: now + Duration::from_millis(after_ms), wait_ms: 0 }
+    let retry_at = now + Duration::from_millis(after_ms);
+    Refusal { reason, retry_at, is_retry_at_known: false, wait_ms: 0 }
 }
--- a/crates/dogwoodway_routing/src/direct/fleet/versions.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/versions.rs
@@ -187,6 +187,7 @@
                     is_loading: now < server.loading_until,
                     is_available: server.health.is_up()
                         && server.removal_due_at.is_none()
+                        && server.wants_requests(now)
                         && server.listing.availability == Availability::Ready,
                     running: server.load().running,
                 });
--- /dev/null
+++ b/crates/dogwoodway_routing/src/direct/server_notice.rs
@@ -0,0 +1,70 @@
+//! What backend servers say in their answers about the requests that they still want.
+//!
+//! A server that is about to stop says so in each answer, often before the platform's list does. A
+//! server that turns a request away because of its load may ask for a pause. Both hold for one
+//! process: a server that has restarted accepts requests again.
+
+use std::time::Duration;
+
+use dogwoodway_types::Timestamp;
+
+/// Longest pause that is kept, in milliseconds. A server that asks for a longer one is asked again
+/// after this time.
+pub const MAX_PAUSE_MS: u64 = 600_000;
+
+/// Pause that is kept if a server asks for one of unreadable length, in milliseconds.
+pub const DEFAULT_PAUSE_MS: u64 = 1_000;
+
+/// A pause that a server asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PauseRequest {
+    /// The server wants no requests for this long.
+    For(Duration),
+    /// The length is a date, negative or no number.
+    Unreadable,
+}
+
+impl PauseRequest {
+    /// Returns the end of the pause, or `None` if it has no length.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use dogwoodway_routing::direct::server_notice::PauseRequest;
+    /// use dogwoodway_types::Timestamp;
+    ///
+    /// let now = Timestamp::from_millis(1_000);
+    /// let pause = PauseRequest::For(Duration::from_millis(2_500));
+    /// assert_eq!(pause.deadline(now), Some(Timestamp::from_millis(3_500)));
+    /// assert_eq!(PauseRequest::For(Duration::ZERO).deadline(now), None);
+    /// assert_eq!(PauseRequest::Unreadable.deadline(now), Some(Timestamp::from_millis(2_000)));
+    /// ```
+    pub fn deadline(self, now: Timestamp) -> Option<Timestamp> {
+        let pause = match self {
+            PauseRequest::For(pause) => pause.min(Duration::from_millis(MAX_PAUSE_MS)),
+            PauseRequest::Unreadable => Duration::from_millis(DEFAULT_PAUSE_MS),
+        };
+        (!pause.is_zero()).then(|| now + pause)
+    }
+}
+
+/// What one answer says of the server that sent it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServerNotice {
+    /// Whether the server is about to stop and wants no new requests.
+    pub is_leaving: bool,
+    /// Pause that the server asks for; only an answer that turns a request away does.
+    pub pause: Option<PauseRequest>,
+}
+
+impl ServerNotice {
+    /// Returns whether the answer says nothing.
+    ///
+    /// ```
+    /// use dogwoodway_routing::direct::server_notice::ServerNotice;
+    ///
+    /// assert!(ServerNotice::default().is_empty());
+    /// ```
+    pub fn is_empty(self) -> bool {
+        self == ServerNotice::default()
+    }
+}
