Take a notice only from the server that it is about, in refusals without a seal too

A 503 without the word that the request was not run, and an answer in a wrong encoding, still say what the server wants; an answer that another server gave at the address does not. Delivery of a response is split into reading and deciding.

--- a/crates/dogwoodway_gateway/src/platform_api.rs
+++ b/crates/dogwoodway_gateway/src/platform_api.rs
@@ -134,8 +134,14 @@
         head: &http::response::Parts,
     ) -> ResponseClass;
 
-    /// Returns what the server that sent a response says about the requests that it wants.
-    fn server_notice(&self, head: &http::response::Parts) -> ServerNotice;
+    /// Returns what `target` says about the requests that it wants, in its response to the request
+    /// `id`; nothing if the response is of another server or to another request.
+    fn server_notice(
+        &self,
+        id: &str,
+        target: &BackendServerName,
+        head: &http::response::Parts,
+    ) -> ServerNotice;
 
     /// Returns the version of the weights that produced a response, if the server states it.
     fn weights_version(&self, headers: &HeaderMap) -> Option<WeightsVersion>;
--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -329,20 +329,12 @@
         {
             self.report_weights(request, target, WeightsState::Serving(version));
         }
-        let class = self.protocol.classify_response(
-            &request.head.id,
-            &target.placement.name,
-            &upstream.head,
-        );
-        let is_of_target = !matches!(
-            class,
-            ResponseClass::Invalid(_) | ResponseClass::NotExecuted(NotExecuted::OtherServer)
-        );
-        let notice = self.protocol.server_notice(&upstream.head);
-        if !notice.is_empty() && is_of_target {
+        let (id, name) = (&request.head.id, &target.placement.name);
+        let notice = self.protocol.server_notice(id, name, &upstream.head);
+        if !notice.is_empty() {
             self.report_notice(target, notice);
         }
-        match class {
+        match self.protocol.classify_response(id, name, &upstream.head) {
             ResponseClass::Valid => Ok(false),
             ResponseClass::ServerError => Ok(true),
             ResponseClass::NotExecuted(why) => {
--- a/crates/dogwoodway_gateway/src/relay/deliver.rs
+++ b/crates/dogwoodway_gateway/src/relay/deliver.rs
@@ -13,7 +13,7 @@
 use crate::{
     clock, metric,
     relay::{AttemptResponse, ClientRequest, Relay, log_outcome},
-    response_body::{BodyContent, ResponseBody},
+    response_body::{BodyContent, BodyError, ResponseBody},
     stream::{self, StreamedResponse},
 };
 
@@ -29,13 +29,13 @@
     Retry(Box<ClientRequest>),
 }
 
-/// What was read of a body that is buffered.
+/// What was read of a body before anything is sent to the client.
 enum Buffered {
     /// The body, which is complete.
     Complete(Bytes),
-    /// The first bytes of a body that is too long.
-    TooLong(Bytes),
-    BrokenOff(String),
+    /// The first bytes, perhaps none, of a body that is not buffered.
+    Prefix(Bytes),
+    BrokenOff(BodyError),
     TimedOut,
 }
 
@@ -63,22 +63,21 @@
         let is_long = body.length().is_some_and(|bytes| bytes > MAX_BUFFERED_RESPONSE_BYTES as u64);
         let can_break_off = can_break_off(&request, framing);
         let buffered = match can_break_off && (body.is_events() || is_long) {
-            true => Buffered::TooLong(Bytes::new()),
+            true => Buffered::Prefix(Bytes::new()),
             false => buffer_body(&mut body, &request).await,
         };
-        let error = match buffered {
-            Buffered::TooLong(prefix) if can_break_off => {
+        match buffered {
+            Buffered::Prefix(prefix) if can_break_off => {
                 let connection = upstream.connection;
                 let response =
                     StreamedResponse { status, prefix, body, connection, guard, keep_alive_ms };
                 let body = stream::body(self, request, response);
-                return Delivery::Respond(resp.map(|()| body));
+                Delivery::Respond(resp.map(|()| body))
             }
-            Buffered::TooLong(_) => {
+            Buffered::Prefix(_) => {
                 guard.end(None);
                 let why = "the answer is too long for a client that cannot be told of its failure";
-                let resp = self.error_response(&request, StatusCode::BAD_GATEWAY, why);
-                return Delivery::Respond(resp);
+                Delivery::Respond(self.error_response(&request, StatusCode::BAD_GATEWAY, why))
             }
             Buffered::Complete(bytes) => {
                 let signal = if is_error { HealthSignal::Failed } else { HealthSignal::Answered };
@@ -91,21 +90,29 @@
                 }
                 let why = if is_error { "the server's own failure" } else { "" };
                 log_outcome(&request, status, "answered", why, Some(body.end()));
-                return Delivery::Respond(resp.map(|()| full_body(bytes)));
+                Delivery::Respond(resp.map(|()| full_body(bytes)))
             }
             Buffered::TimedOut => {
                 guard.end(None);
-                return Delivery::Respond(self.timeout_response(&request));
+                Delivery::Respond(self.timeout_response(&request))
             }
-            Buffered::BrokenOff(why) => {
+            Buffered::BrokenOff(e) => {
                 guard.connection_lost(request.fingerprint());
-                why
+                self.retry_or_fail(request, &e)
             }
-        };
-        match next_step(request.kind, request.max_attempts, request.attempts, AttemptOutcome::Lost)
-        {
+        }
+    }
+
+    /// Decides what follows an attempt whose response broke off before anything was sent to the
+    /// client.
+    fn retry_or_fail(&self, request: ClientRequest, e: &BodyError) -> Delivery {
+        let outcome = AttemptOutcome::Lost;
+        match next_step(request.kind, request.max_attempts, request.attempts, outcome) {
             NextStep::Retry => Delivery::Retry(Box::new(request)),
-            _ => Delivery::Respond(self.error_response(&request, StatusCode::BAD_GATEWAY, &error)),
+            _ => {
+                let status = StatusCode::BAD_GATEWAY;
+                Delivery::Respond(self.error_response(&request, status, &e.to_string()))
+            }
         }
     }
 }
@@ -118,12 +125,12 @@
     loop {
         match tokio::time::timeout_at(limit, body.next()).await {
             Ok(Some(Ok(bytes))) => buf.extend_from_slice(&bytes),
-            Ok(Some(Err(e))) => return Buffered::BrokenOff(e.to_string()),
+            Ok(Some(Err(e))) => return Buffered::BrokenOff(e),
             Ok(None) => return Buffered::Complete(buf.freeze()),
             Err(_) => return Buffered::TimedOut,
         }
         if buf.len() > MAX_BUFFERED_RESPONSE_BYTES {
-            return Buffered::TooLong(buf.freeze());
+            return Buffered::Prefix(buf.freeze());
         }
     }
 }
