--- a/crates/dogwoodway_gateway/src/leader.rs
+++ b/crates/dogwoodway_gateway/src/leader.rs
@@ -288,9 +288,15 @@
         }
     }
 
-    /// Writes own records again that the store has lost.
+    /// Writes own records again that the store has lost. After a failure, the rest is tried when the
+    /// log has been read again.
     async fn restore_own_records(&mut self) {
+        let mut is_reachable = true;
         for bytes in self.own_records.take_missing() {
+            if !is_reachable {
+                self.own_records.mark_missing(&bytes);
+                continue;
+            }
             match self.config.store.append_to_log(bytes.clone(), None).await {
                 Ok(position) => {
                     log::info!(offset = position.offset.0;
@@ -299,6 +305,7 @@
                 Err(e) => {
                     log::warn!("could not write a lost record again: {e}");
                     self.own_records.mark_missing(&bytes);
+                    is_reachable = false;
                 }
             }
         }
