--- a/crates/dogwoodway_gateway/src/checked_store.rs
+++ b/crates/dogwoodway_gateway/src/checked_store.rs
@@ -1,4 +1,4 @@
-//! Access to the platform's store that tells when the store has returned from a copy.
+//! Access to the platform's store that detects when the store was restored from a copy.
 
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -10,8 +10,8 @@
     platform_api::{Directory, DirectoryPage, DirectoryPart, RecordPage, RouterLog, StoreError},
 };
 
-/// The platform's store. Answers of outdated eras are errors, and no position is used in another
-/// era than its own. Clones share what they know of the eras.
+/// The platform's store. Responses of earlier eras are errors, and a position is used only in the era
+/// that it belongs to. Clones share the newest known era.
 #[derive(Clone)]
 pub(crate) struct CheckedStore {
     directory: Arc<dyn Directory>,
@@ -32,7 +32,7 @@
     }
 
     /// Reads the changes of a part of the directory from a position on. Fails with
-    /// [`StoreError::EraChanged`] if the position means nothing any more.
+    /// [`StoreError::EraChanged`] if the position belongs to an earlier era.
     pub(crate) async fn changes(
         &self,
         part: DirectoryPart,
@@ -48,8 +48,8 @@
     }
 
     /// Reads records of the routers' log from a position on. The start of the log may be read
-    /// without an era. Fails with [`StoreError::EraChanged`] if the position means nothing any
-    /// more.
+    /// without an era. Fails with [`StoreError::EraChanged`] if the position belongs to an
+    /// earlier era.
     pub(crate) async fn read_log(
         &self,
         from: LogPosition,
@@ -64,8 +64,8 @@
     }
 
     /// Appends a record to the routers' log, on the condition that the log ends at `expected_end` if
-    /// that is given. Fails with [`StoreError::EraChanged`] if the record was appended in another
-    /// era, where the log ends at the same offset by chance.
+    /// that is given. Fails with [`StoreError::EraChanged`] if the record was appended in a later
+    /// era, in which the log happened to end at the same offset.
     pub(crate) async fn append_to_log(
         &self,
         record: Vec<u8>,
--- a/crates/dogwoodway_gateway/src/directory.rs
+++ b/crates/dogwoodway_gateway/src/directory.rs
@@ -51,8 +51,9 @@
 /// milliseconds.
 const STALE_AFTER_MS: u64 = 2_500;
 
-/// Time after the store has become reachable again, or has returned from a copy, in which its list of servers may be incomplete,
-/// in milliseconds. Running servers write their entries again within two seconds.
+/// Time after the store has become reachable again, or was restored from a copy, in which its list
+/// of servers may be incomplete, in milliseconds. Running servers write their entries again within
+/// two seconds.
 const RELIST_GRACE_MS: u64 = 2_300;
 
 /// The current routing table, and how long ago it was known to be current.
--- a/crates/dogwoodway_gateway/src/fleet_actor/notices.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/notices.rs
@@ -1,4 +1,4 @@
-//! Messages about what servers say of the requests that they want.
+//! Messages about servers that shut down or ask for a pause.
 
 use std::time::Duration;
 
@@ -14,10 +14,10 @@
     metric,
 };
 
-/// Applies what a server says in an answer about the requests that it wants.
+/// Applies the notice in a server's response.
 pub(crate) struct ApplyServerNotice {
     pub(crate) server: BackendKey,
-    /// Start time of the process that answered.
+    /// Start time of the process that responded.
     pub(crate) started_at_ms: u64,
     pub(crate) notice: ServerNotice,
 }
@@ -31,7 +31,7 @@
         let (is_newly_leaving, paused_until) =
             self.fleet.apply_notice(now, server, started_at_ms, notice);
         if is_newly_leaving {
-            self.close_leaving(server, "its answer");
+            self.close_idle_connections(server, "its answer");
             if let Some(leaving) = self.fleet.leaving_server(server) {
                 let until = now + Duration::from_millis(LEAVING_NOTICE_TTL_MS);
                 self.leaving_notices.push((leaving, until));
@@ -50,7 +50,7 @@
     }
 }
 
-/// Applies what another router has heard of servers that are about to stop.
+/// Applies another router's report of servers that are shutting down.
 pub(crate) struct ApplyLeavingServers(pub(crate) Vec<LeavingServer>);
 
 impl Message<ApplyLeavingServers> for FleetActor {
@@ -61,15 +61,15 @@
             if let Some(key) = self.fleet.find_by_tag(leaving.server)
                 && self.fleet.mark_leaving(key, leaving.started_at_ms)
             {
-                self.close_leaving(key, "another router");
+                self.close_idle_connections(key, "another router");
             }
         }
     }
 }
 
 impl FleetActor {
-    /// Closes the idle connections to a server that gets no more requests.
-    fn close_leaving(&mut self, server: BackendKey, source: &str) {
+    /// Closes the idle connections to a server that is shutting down.
+    fn close_idle_connections(&mut self, server: BackendKey, source: &str) {
         if let Some(idle) = self.idle_connections.get_mut(server) {
             idle.clear();
         }
--- a/crates/dogwoodway_gateway/src/leader.rs
+++ b/crates/dogwoodway_gateway/src/leader.rs
@@ -239,7 +239,7 @@
         }
     }
 
-    /// Passes on what an engine says about the requests that it wants.
+    /// Forwards the notice of an engine to the fleet.
     async fn apply_notice(&self, target: &EngineTarget, notice: ServerNotice) {
         if notice.is_empty() {
             return;
@@ -288,8 +288,8 @@
         }
     }
 
-    /// Writes own records again that the store has lost. After a failure, the rest is tried when the
-    /// log has been read again.
+    /// Appends own records again that the store has lost. Stops at the first failure, since each
+    /// failed append delays renewals and orders; the next complete read of the log continues.
     async fn restore_own_records(&mut self) {
         let mut is_reachable = true;
         for bytes in self.own_records.take_missing() {
@@ -327,7 +327,7 @@
             }
         }
         if leads {
-            // Drops the loads of engines that want no calls before any is made.
+            // Must precede the polls: it drops the loads of engines that accept no calls.
             self.start_due_loads().await;
             self.poll_loads();
         }
--- a/crates/dogwoodway_gateway/src/platform_api.rs
+++ b/crates/dogwoodway_gateway/src/platform_api.rs
@@ -134,8 +134,8 @@
         head: &http::response::Parts,
     ) -> ResponseClass;
 
-    /// Returns what `target` says about the requests that it wants, in its response to the request
-    /// `id`; nothing if the response is of another server or to another request.
+    /// Decodes the notice of `target` in its response to the request `id`; empty if the response is
+    /// from another server or to another request.
     fn server_notice(
         &self,
         id: &str,
@@ -199,8 +199,8 @@
     Expired(LogOffset),
     /// A conditional append found another end of the log; holds that end.
     Conflict(LogOffset),
-    /// The store has returned from a copy since the position of the call was read; holds the era of
-    /// the answer. A conditional append may have taken effect.
+    /// The store was restored from a copy since the position of the call was read; holds the era of
+    /// the response. A conditional append may have taken effect.
     EraChanged(Option<StoreEra>),
 }
 
@@ -357,12 +357,12 @@
     ) -> BoxFuture<'_, Result<Option<KvEventPage>, String>>;
 }
 
-/// Result of a control call, and what the engine's answer says besides.
+/// Result of a control call, and the notice in the engine's response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ControlAnswer<T> {
     /// Result of the call.
     pub result: T,
-    /// What the engine says about the requests that it wants; empty if there is no answer.
+    /// Notice of the engine; empty if there is no response.
     pub notice: ServerNotice,
 }
 
--- a/crates/dogwoodway_gateway/src/relay/deliver.rs
+++ b/crates/dogwoodway_gateway/src/relay/deliver.rs
@@ -8,6 +8,7 @@
     health::HealthSignal,
     retry::{AttemptOutcome, NextStep, next_step},
 };
+use dogwoodway_types::Timestamp;
 use hyper::{Response, StatusCode, Version};
 
 use crate::{
@@ -85,7 +86,7 @@
                 guard.complete(upstream.connection, keep_alive_ms, signal, fingerprint);
                 let outcome = AttemptOutcome::Answered { is_error };
                 let step = next_step(request.kind, request.max_attempts, request.attempts, outcome);
-                if step == NextStep::Retry && has_time_for_retry(&request) {
+                if step == NextStep::Retry && has_time_for_retry(clock::now(), &request) {
                     return Delivery::Retry(Box::new(request));
                 }
                 let why = if is_error { "the server's own failure" } else { "" };
@@ -143,7 +144,6 @@
 
 /// Returns whether at least as much time is left until the deadline as was already spent, so that
 /// a retry after a server error is likely to finish in time.
-fn has_time_for_retry(request: &ClientRequest) -> bool {
-    let now = clock::now();
+fn has_time_for_retry(now: Timestamp, request: &ClientRequest) -> bool {
     request.deadline - now > now - request.arrived_at
 }
--- a/crates/dogwoodway_http/src/body.rs
+++ b/crates/dogwoodway_http/src/body.rs
@@ -33,7 +33,7 @@
     tx: mpsc::Sender<BodyPart>,
 }
 
-/// The client has closed the connection, so the body is no longer read.
+/// Error of a write to a body whose client has disconnected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClientDisconnected;
 
@@ -67,7 +67,7 @@
     /// # }
     /// ```
     pub async fn finish(self) {
-        // Fails only if nobody reads the body any more.
+        // Fails only if the client has disconnected.
         let _ = self.tx.send(BodyPart::End).await;
     }
 
--- a/crates/dogwoodway_routing/src/direct/admission.rs
+++ b/crates/dogwoodway_routing/src/direct/admission.rs
@@ -46,8 +46,8 @@
 /// earlier retry would find the same queue.
 const MIN_RETRY_AFTER_MS: u64 = 60;
 
-/// Time over which the retries are spread of callers that all know when a server accepts requests
-/// again, in milliseconds.
+/// Time over which retries are spread if all refused callers are told the same time, in
+/// milliseconds.
 const KNOWN_RETRY_SPREAD_MS: u64 = 400;
 
 /// Divisor of the time left to the deadline that gives the longest delay for a refused caller.
@@ -152,8 +152,8 @@
     (retry_at - now).min(max_delay).max(min_delay) + jitter
 }
 
-/// Returns the delay after which a refused caller is asked to retry if an earlier retry is refused
-/// for certain. It is true even if it ends after the caller's deadline.
+/// Returns the delay after which a refused caller is asked to retry if any retry before `retry_at`
+/// will be refused. Unlike [`retry_after`], it may exceed the caller's deadline.
 ///
 /// ```
 /// use std::time::Duration;
--- a/crates/dogwoodway_routing/src/direct/fleet.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet.rs
@@ -74,7 +74,7 @@
     /// Set while the server is missing from the platform's list: the time until which it is still
     /// used.
     removal_due_at: Option<Timestamp>,
-    /// Whether the server has said that it is about to stop.
+    /// Whether the server has announced that it is shutting down.
     is_leaving: bool,
     /// End of the pause that the server has asked for.
     paused_until: Timestamp,
@@ -90,7 +90,7 @@
         weights.filter(|(name, _)| name == model).map(|(_, version)| *version).next()
     }
 
-    /// Returns whether the server wants new requests, by what it says itself.
+    /// Returns whether the server is neither shutting down nor paused.
     fn wants_requests(&self, now: Timestamp) -> bool {
         !self.is_leaving && now >= self.paused_until
     }
@@ -161,8 +161,8 @@
     /// Start time and revision of servers that were removed, so that an outdated listing does not
     /// add them again.
     removed: HashMap<BackendServerName, (u64, u64)>,
-    /// Start times of the servers that have said that they are about to stop. They are kept for
-    /// servers that are listed again.
+    /// Start times of the processes that have announced that they are shutting down, so that a server
+    /// that is removed and listed again is recognized.
     leaving: HashMap<BackendServerName, u64>,
     in_flight: SlotMap<RequestKey, InFlightRequest>,
     queue_pressure: HashMap<ServiceName, QueuePressure>,
--- a/crates/dogwoodway_routing/src/direct/fleet/membership.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/membership.rs
@@ -18,8 +18,8 @@
     rendezvous::ServerKey,
 };
 
-/// Most servers that are remembered after they were removed or have said that they stop. For one
-/// more, all of them are forgotten.
+/// Maximum number of removed servers, and of servers that are shutting down, that are remembered.
+/// One more clears the list.
 pub(super) const MAX_REMEMBERED: usize = 4_096;
 
 /// Whether a backend server accepts new requests.
--- a/crates/dogwoodway_routing/src/direct/fleet/notices.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/notices.rs
@@ -1,4 +1,4 @@
-//! What servers say about the requests that they still want.
+//! Servers that are shutting down or have asked for a pause.
 
 use dogwoodway_types::Timestamp;
 use serde::{Deserialize, Serialize};
@@ -8,7 +8,7 @@
     server_notice::ServerNotice,
 };
 
-/// A process of a server that is about to stop, as routers report it to each other.
+/// A server process that is shutting down, as routers report it to each other.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeavingServer {
     /// The server.
@@ -18,8 +18,9 @@
 }
 
 impl Fleet {
-    /// Applies what the process of a server that started at `started_at_ms` says in an answer.
-    /// Returns whether it was not known to be leaving, and the end of a new or longer pause.
+    /// Applies the notice in a response of the server process that started at `started_at_ms`.
+    /// Returns whether the process is newly known to be shutting down, and the end of the pause if
+    /// that has changed.
     pub fn apply_notice(
         &mut self,
         now: Timestamp,
@@ -39,8 +40,8 @@
         (is_newly_leaving, is_longer.then_some(deadline))
     }
 
-    /// Records that the process of a server that started at `started_at_ms` is about to stop. It
-    /// gets no new requests. Returns whether this was not known.
+    /// Records that the server process that started at `started_at_ms` is shutting down, so that it
+    /// gets no new requests. Returns whether this is new.
     pub fn mark_leaving(&mut self, key: BackendKey, started_at_ms: u64) -> bool {
         let server = self.servers.get_mut(key);
         let server = server.filter(|server| server.listing.started_at_ms == started_at_ms);
@@ -55,20 +56,19 @@
         true
     }
 
-    /// Returns how a server that is leaving is named in reports to other routers.
+    /// Returns the report of a server to other routers; `None` if it is not shutting down.
     pub fn leaving_server(&self, key: BackendKey) -> Option<LeavingServer> {
         let server = self.servers.get(key).filter(|server| server.is_leaving)?;
         let started_at_ms = server.listing.started_at_ms;
         Some(LeavingServer { server: server.hash.into(), started_at_ms })
     }
 
-    /// Returns whether a server wants requests and calls, by what it says itself.
+    /// Returns whether a server is neither shutting down nor paused.
     pub fn wants_requests(&self, now: Timestamp, key: BackendKey) -> bool {
         self.servers.get(key).is_some_and(|server| server.wants_requests(now))
     }
 
-    /// Returns when the first pause ends among the servers that accept a request but for their
-    /// pauses.
+    /// Returns the earliest end of a pause among the servers that would accept a request then.
     pub(super) fn first_pause_end(
         &self,
         now: Timestamp,
--- a/crates/dogwoodway_routing/src/direct/fleet/placement.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/placement.rs
@@ -111,7 +111,7 @@
     pub reason: NotRunReason,
     /// Earliest time at which a retry makes sense.
     pub retry_at: Timestamp,
-    /// Whether an earlier retry is refused for certain.
+    /// Whether any retry before `retry_at` will be refused; otherwise `retry_at` is an estimate.
     pub is_retry_at_known: bool,
     /// Predicted queueing time at the best server, in milliseconds, if the request was refused
     /// because of it; 0 for other reasons.
@@ -140,8 +140,8 @@
         Ok(self.record_placement(now, choice, predicted_ms))
     }
 
-    /// Builds the refusal of a request that no server accepts. If only pauses are in the way, it is
-    /// known when the first server accepts requests again.
+    /// Builds the refusal of a request that no server accepts. If servers are only paused, the time
+    /// at which the first one accepts requests again is known.
     fn refusal_without_server(&self, now: Timestamp, request: &PlacementRequest) -> Refusal {
         match self.first_pause_end(now, request) {
             Some(retry_at) => Refusal {
--- a/crates/dogwoodway_routing/src/direct/leadership.rs
+++ b/crates/dogwoodway_routing/src/direct/leadership.rs
@@ -11,10 +11,11 @@
 //! shortest time between orders of different routers to one engine. It need not wait if the
 //! predecessor is the same router before a restart.
 //!
-//! A store that returns from a copy has lost the newest records, perhaps the claim of a leader that
-//! still orders. Its era tells. A router that finds a new era, or that starts and so cannot know how
-//! long the era has lasted, claims nothing until a term that it cannot see must have ended and the
-//! last order under it is older than the lease. Fencing tokens rise with the era.
+//! A store that is restored from a copy starts a new era. It has lost the newest records, among them
+//! perhaps the claim of a leader whose term has not ended. Therefore a router makes no claim within
+//! the longest term plus the lease after it has first read an era, unless it was the leader itself.
+//! This includes routers that have just started, since the age of an era is not known. Fencing
+//! tokens are positions, which are higher in later eras.
 
 use std::time::Duration;
 
@@ -106,8 +107,9 @@
     holder: Option<RouterName>,
     /// Time from which no other router can be the leader or have sent an order within the lease.
     claimable_at: Timestamp,
-    /// Time from which no term that the store has forgotten matters.
-    forgotten_until: Timestamp,
+    /// Time from which no router holds a term whose claim was lost, or has sent an order under it
+    /// within the lease.
+    lost_claims_expire_at: Timestamp,
     term: Option<Term>,
     last_order_at: Timestamp,
 }
@@ -124,14 +126,14 @@
             is_candidate: true,
             holder: None,
             claimable_at: Timestamp::MAX,
-            forgotten_until: Timestamp::default(),
+            lost_claims_expire_at: Timestamp::default(),
             term: None,
             last_order_at: Timestamp::default(),
         }
     }
 
-    /// Begins a new era of the store, of which nothing has been read yet. An era that is known or
-    /// older is ignored. The router leads no longer: its claim may be lost.
+    /// Starts a new era of the store, whose log must be read from its start. Ends the router's own
+    /// term, because its claim may be lost. Has no effect for the current era and earlier ones.
     ///
     /// ```
     /// use dogwoodway_routing::direct::leadership::{Leadership, LeadershipAction};
@@ -148,17 +150,16 @@
         if era <= self.era {
             return;
         }
-        // While the own term lasts, no other router can hold one that the store has forgotten.
+        // Terms exclude each other, so no other router holds one if this router does.
         if !self.is_leader(now) {
-            self.forgotten_until = now + self.unread_term();
+            self.lost_claims_expire_at = now + self.unread_term();
         }
         self.era = era;
         self.log_end = None;
         self.term = None;
     }
 
-    /// Time from an unread claim until its term has ended and its last order is older than the
-    /// lease.
+    /// Returns the longest time from a claim to the end of the lease of its term's last order.
     fn unread_term(&self) -> Duration {
         Duration::from_millis(TERM_MS + self.lease_ms + CLOCK_MARGIN_MS)
     }
@@ -237,7 +238,9 @@
                 LeadershipAction::Append { record: LeaderRecord::Renew { router }, at }
             }
             Some(_) => LeadershipAction::Wait,
-            None if self.is_candidate && now >= self.claimable_at.max(self.forgotten_until) => {
+            None if self.is_candidate
+                && now >= self.claimable_at.max(self.lost_claims_expire_at) =>
+            {
                 LeadershipAction::Append { record: LeaderRecord::Claim { router }, at }
             }
             None => LeadershipAction::Wait,
--- a/crates/dogwoodway_routing/src/direct/own_records.rs
+++ b/crates/dogwoodway_routing/src/direct/own_records.rs
@@ -1,7 +1,7 @@
-//! Records of one router that must be in the shared log, though the store may forget them.
+//! Records of one router that must stay in the shared log.
 //!
-//! After a return of the store from a copy, each router writes those of its own records again that
-//! the log has lost, and no others, so that hundreds of routers do not all write the same ones.
+//! A store that was restored from a copy has lost the newest records. Each router appends only its
+//! own lost records again, so that hundreds of routers do not append the same ones.
 
 use std::collections::VecDeque;
 
@@ -44,22 +44,22 @@
         self.records.push_back(OwnRecord { bytes, is_in_log: true });
     }
 
-    /// Begins a new era of the store: the log is read again from its start.
+    /// Starts a new era of the store, whose log is read from its start.
     pub fn begin_era(&mut self) {
         for record in &mut self.records {
             record.is_in_log = false;
         }
     }
 
-    /// Notes a record that was read from the log.
+    /// Marks an own record as present. Must be called for each record read from the log.
     pub fn observe(&mut self, bytes: &[u8]) {
         for record in &mut self.records {
             record.is_in_log |= record.bytes == bytes;
         }
     }
 
-    /// Returns the records that are to be written again. Must be called only when the log has been
-    /// read to its end.
+    /// Returns the lost records, to be appended again. Must be called only when the log has been read
+    /// to its end.
     pub fn take_missing(&mut self) -> Vec<Vec<u8>> {
         let missing = self.records.iter_mut().filter(|record| !record.is_in_log);
         missing
@@ -70,7 +70,7 @@
             .collect()
     }
 
-    /// Notes that a record could not be written again; it is returned by the next
+    /// Marks a record as lost, after an append has failed; it is returned by the next
     /// [`OwnRecords::take_missing`].
     pub fn mark_missing(&mut self, bytes: &[u8]) {
         for record in self.records.iter_mut().filter(|record| record.bytes == bytes) {
--- a/crates/dogwoodway_routing/src/direct/server_notice.rs
+++ b/crates/dogwoodway_routing/src/direct/server_notice.rs
@@ -1,8 +1,8 @@
-//! What backend servers say in their answers about the requests that they still want.
+//! Notices in backend servers' responses: that the server is shutting down, or asks for a pause.
 //!
-//! A server that is about to stop says so in each answer, often before the platform's list does. A
-//! server that turns a request away because of its load may ask for a pause. Both hold for one
-//! process: a server that has restarted accepts requests again.
+//! A server that is shutting down says so in each response, often before the platform's list does. A
+//! server that refuses a request because of its load may ask for a pause. A notice applies to the
+//! process that sent it; a server that has restarted accepts requests again.
 
 use std::time::Duration;
 
@@ -47,17 +47,17 @@
     }
 }
 
-/// What one answer says of the server that sent it.
+/// Notice in one response.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ServerNotice {
-    /// Whether the server is about to stop and wants no new requests.
+    /// Whether the server is shutting down and accepts no new requests.
     pub is_leaving: bool,
-    /// Pause that the server asks for; only an answer that turns a request away does.
+    /// Pause that the server asks for; present only in responses that refuse a request.
     pub pause: Option<PauseRequest>,
 }
 
 impl ServerNotice {
-    /// Returns whether the answer says nothing.
+    /// Returns whether the response contains no notice.
     ///
     /// ```
     /// use dogwoodway_routing::direct::server_notice::ServerNotice;
--- a/crates/dogwoodway_routing/src/direct/store_era.rs
+++ b/crates/dogwoodway_routing/src/direct/store_era.rs
@@ -1,8 +1,8 @@
-//! Which answers of the platform's store may be used, by the era that they name.
+//! Eras of the platform's store, and which of its responses are valid.
 //!
-//! After a failure the store may return from a copy some seconds old. What it had acknowledged since
-//! is gone, and offsets are given out again. A position of one era must not be used in another, and
-//! a late answer of the era before must not be taken for a new one.
+//! A store that is restored from a copy loses the newest acknowledged writes and assigns their
+//! offsets again. It then starts a new era, which each response states. A late response of an
+//! earlier era must not be used.
 
 use std::fmt;
 
--- a/crates/dogwoodway_types/src/position.rs
+++ b/crates/dogwoodway_types/src/position.rs
@@ -6,10 +6,10 @@
 
 use crate::LogOffset;
 
-/// Period between two returns of a store from a copy.
+/// Period between two restorations of a store from a copy.
 ///
-/// A store that returns from a copy has lost the newest records, and gives their offsets out again.
-/// Its era is then higher by one.
+/// A store that is restored from a copy loses the newest records and assigns their offsets again.
+/// Each restoration increases the era by one.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
@@ -22,13 +22,13 @@
     }
 }
 
-/// Position of a record in a log. Offsets of two eras mean nothing to each other.
+/// Position of a record in a log. Offsets of different eras are not comparable.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 #[serde(rename_all = "kebab-case")]
 pub struct LogPosition {
-    /// Era in which the offset was given out; `None` if the store names none.
+    /// Era in which the offset was assigned; `None` if the store states none.
     pub era: Option<StoreEra>,
     /// Offset in the log.
     pub offset: LogOffset,
