--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -3,8 +3,10 @@
 //! Placement needs a consistent view of all servers, so every change goes through this actor's
 //! mailbox: directory changes, results of attempts and probes, and updates from other routers.
 
+mod attempts;
 mod crash_tracker;
 mod notices;
+mod probes;
 mod routers;
 mod weights;
 
@@ -18,22 +20,16 @@
 use dogwoodway_routing::{
     direct::{
         distance::Regions,
-        fleet::{
-            BackendKey, Fleet, LeavingServer, Placement, PlacementRequest, Refusal, RequestKey,
-            ServerTag,
-        },
-        health::HealthSignal,
+        fleet::{BackendKey, Fleet, LeavingServer, ServerTag},
         kv_stores::KvChange,
     },
     retry_budget::{RetryBudget, RetryLimits},
 };
 use dogwoodway_types::{
-    AvailabilityZone, BackendServerName, NotRunReason, RequestFingerprint, ServiceName, Timestamp,
-    WeightsVersion,
+    AvailabilityZone, BackendServerName, ServiceName, Timestamp, WeightsVersion,
 };
 use kameo::{
-    Actor, Reply,
-    actor::ActorRef,
+    Actor,
     message::{Context, Message},
 };
 use serde::{Deserialize, Serialize};
@@ -49,6 +45,10 @@
 
 use self::crash_tracker::CrashTracker;
 pub(crate) use self::{
+    attempts::{
+        AssignedServer, BytesReceived, EndAttempt, FirstOutputReceived, PlaceRequest,
+        PlacementReply,
+    },
     crash_tracker::FingerprintEvent,
     notices::{ApplyLeavingServers, ApplyServerNotice},
     routers::{
@@ -227,23 +227,6 @@
         }
     }
 
-    /// Opens a connection to a server whose health is in doubt; the result arrives as
-    /// [`ProbeCompleted`].
-    fn probe(&self, key: BackendKey, actor: &ActorRef<FleetActor>) {
-        let Some(listing) = self.fleet.listing(key) else { return };
-        let (address, actor) = (listing.address, actor.clone());
-        tokio::spawn(async move {
-            let connection = Connection::open(address).await;
-            let is_refused = connection
-                .as_ref()
-                .is_err_and(|e| e.kind() == std::io::ErrorKind::ConnectionRefused);
-            let result = ProbeCompleted { key, connection: connection.ok(), is_refused };
-            if let Err(e) = actor.tell(result).await {
-                log::debug!("could not deliver the result of a probe: {e}");
-            }
-        });
-    }
-
     /// Signals the loss of a server to the attempts that wait for it, and closes its idle
     /// connections.
     fn mark_lost(&mut self, key: BackendKey) {
@@ -296,187 +279,6 @@
     }
 }
 
-/// Chooses a server for a request and registers the attempt in the fleet.
-pub(crate) struct PlaceRequest {
-    pub(crate) placement_request: PlacementRequest,
-    /// Whether the request was sent to a server before; a retry is taken from the retry budget.
-    pub(crate) is_retry: bool,
-    /// Present while requests are tracked for crashes.
-    pub(crate) fingerprint: Option<RequestFingerprint>,
-}
-
-/// Reply to [`PlaceRequest`].
-#[derive(Reply)]
-pub(crate) enum PlacementReply {
-    /// The server to send the request to.
-    Assigned(Box<AssignedServer>),
-    /// The request must not be sent to any server now.
-    Refused(Refusal),
-}
-
-/// The server chosen for a request.
-pub(crate) struct AssignedServer {
-    pub(crate) placement: Placement,
-    /// An idle connection to it, if there is one.
-    pub(crate) connection: Option<Connection>,
-    /// Turns true when the server is marked as lost.
-    pub(crate) lost: watch::Receiver<bool>,
-}
-
-impl Message<PlaceRequest> for FleetActor {
-    type Reply = PlacementReply;
-
-    async fn handle(
-        &mut self,
-        msg: PlaceRequest,
-        _: &mut Context<Self, Self::Reply>,
-    ) -> PlacementReply {
-        let now = clock::now();
-        if let Some(fingerprint) = msg.fingerprint
-            && let Some(until) = self.crash_tracker.quarantined_until(now, &fingerprint)
-        {
-            return PlacementReply::Refused(Refusal {
-                reason: NotRunReason::Quarantined,
-                retry_at: until,
-                is_retry_at_known: false,
-                wait_ms: 0,
-            });
-        }
-        let budget = self.retry_budget(&msg.placement_request.service);
-        if !msg.is_retry {
-            budget.record_first_attempt();
-        } else if !budget.try_take_retry() {
-            metrics::counter!(metric::RETRIES_DENIED).increment(1);
-            let retry_at = now + Duration::from_secs(1);
-            return PlacementReply::Refused(Refusal {
-                reason: NotRunReason::Overloaded,
-                retry_at,
-                is_retry_at_known: false,
-                wait_ms: 0,
-            });
-        }
-        match self.fleet.place(now, &msg.placement_request) {
-            Ok(placement) => {
-                self.loads_changed.notify_one();
-                let connection = self.take_idle(now, placement.server);
-                let lost = self.subscribe_lost(placement.server);
-                PlacementReply::Assigned(Box::new(AssignedServer { placement, connection, lost }))
-            }
-            Err(refusal) => PlacementReply::Refused(refusal),
-        }
-    }
-}
-
-/// The first bytes of a response body have arrived. For a response that is read completely before
-/// it is passed on, this is sent at its end.
-pub(crate) struct FirstOutputReceived(pub(crate) RequestKey);
-
-impl Message<FirstOutputReceived> for FleetActor {
-    type Reply = ();
-
-    async fn handle(&mut self, msg: FirstOutputReceived, _: &mut Context<Self, Self::Reply>) {
-        self.fleet.record_first_output(clock::now(), msg.0);
-        self.loads_changed.notify_one();
-    }
-}
-
-/// Further bytes have arrived from a server, which shows that it is alive.
-pub(crate) struct BytesReceived(pub(crate) BackendKey);
-
-impl Message<BytesReceived> for FleetActor {
-    type Reply = ();
-
-    async fn handle(&mut self, msg: BytesReceived, _: &mut Context<Self, Self::Reply>) {
-        self.fleet.record_activity(clock::now(), msg.0);
-    }
-}
-
-/// Ends an attempt and releases its place in the fleet.
-pub(crate) struct EndAttempt {
-    /// Identifies the request in the fleet.
-    pub(crate) request_key: RequestKey,
-    pub(crate) server: BackendKey,
-    /// How it ended; absent if that says nothing about the server's health, such as when the client
-    /// disconnected.
-    pub(crate) signal: Option<HealthSignal>,
-    /// The connection, if it can be reused.
-    pub(crate) connection: Option<Connection>,
-    /// Present if the connection was lost, or while requests are tracked for crashes.
-    pub(crate) fingerprint: Option<RequestFingerprint>,
-}
-
-impl Message<EndAttempt> for FleetActor {
-    type Reply = ();
-
-    async fn handle(&mut self, msg: EndAttempt, cx: &mut Context<Self, Self::Reply>) {
-        let now = clock::now();
-        self.fleet.end_request(now, msg.request_key, msg.signal);
-        self.loads_changed.notify_one();
-        if let Some(connection) = msg.connection {
-            self.store_idle(now, msg.server, connection);
-        }
-        match msg.signal {
-            Some(HealthSignal::Unreachable) => {
-                self.mark_lost(msg.server);
-                self.probe(msg.server, cx.actor_ref());
-            }
-            Some(HealthSignal::ConnectionLost) => {
-                let listing = self.fleet.listing(msg.server);
-                if let (Some(listing), Some(fingerprint)) = (listing, msg.fingerprint) {
-                    self.crash_tracker.add_suspect(now, msg.server, listing, fingerprint);
-                }
-                self.probe(msg.server, cx.actor_ref());
-            }
-            Some(HealthSignal::Answered | HealthSignal::Failed) => {
-                if let Some(fingerprint) = msg.fingerprint {
-                    self.crash_tracker.record_response(fingerprint);
-                }
-            }
-            _ => {}
-        }
-    }
-}
-
-/// Result of a probe.
-struct ProbeCompleted {
-    key: BackendKey,
-    /// Absent if the probe failed.
-    connection: Option<Connection>,
-    /// Whether the connection was refused: no process listens at the address, so the server has
-    /// crashed or stopped.
-    is_refused: bool,
-}
-
-impl Message<ProbeCompleted> for FleetActor {
-    type Reply = ();
-
-    async fn handle(&mut self, msg: ProbeCompleted, _: &mut Context<Self, Self::Reply>) {
-        let now = clock::now();
-        let was_up = self.fleet.is_up(msg.key);
-        self.fleet.record_probe(now, msg.key, msg.connection.is_some());
-        let server = self.fleet.listing(msg.key).map(|listing| listing.name.clone());
-        match msg.connection {
-            Some(connection) => {
-                if !was_up {
-                    self.lost_signals.remove(msg.key);
-                    log::info!(server:? = server; "backend server reached again");
-                }
-                self.store_idle(now, msg.key, connection);
-            }
-            None => {
-                self.mark_lost(msg.key);
-                if was_up {
-                    log::warn!(server:? = server, refused = msg.is_refused;
-                        "backend server lost");
-                }
-                if msg.is_refused {
-                    self.crash_tracker.confirm_crash(now, msg.key);
-                }
-            }
-        }
-    }
-}
-
 /// Applies changes of the directory, in order.
 pub(crate) struct ApplyDirectoryChanges(pub(crate) Vec<DirectoryChange>);
 
--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -5,19 +5,17 @@
 
 mod admit;
 mod deliver;
+mod outcome;
+mod refusal;
 
-use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    time::Duration,
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
 };
 
 use bytes::Bytes;
 use dogwoodway_http::Body;
 use dogwoodway_routing::direct::{
-    admission,
     fleet::{Placement, PlacementRequest, Refusal},
     health::HealthSignal,
     retry::{AttemptCounts, AttemptOutcome, NextStep, next_step},
@@ -31,6 +29,7 @@
 use hyper::{Request, Response, StatusCode, body::Incoming, header, http};
 use kameo::actor::ActorRef;
 
+pub(crate) use self::outcome::log_outcome;
 use crate::{
     clock,
     directory::TableWatch,
@@ -43,8 +42,10 @@
     platform_api::{
         DirectoryChange, ForwardParams, NotExecuted, RequestHead, RequestProtocol, ResponseClass,
     },
-    relay::deliver::Delivery,
-    response_body::BodyEnd,
+    relay::{
+        deliver::Delivery,
+        outcome::{attempt_outcome_label, log_placement},
+    },
     stream::AttemptGuard,
 };
 
@@ -384,54 +385,6 @@
             log::warn!("could not update the weights state of an engine: {e}");
         }
     }
-
-    /// Builds the response for a request that gets no further attempt: 503 with `Retry-After` if it
-    /// cannot have run, otherwise 502, so that the client does not assume that it has not run.
-    pub(crate) fn refusal_response(
-        &self,
-        request: &ClientRequest,
-        refusal: Refusal,
-    ) -> Response<Body> {
-        if request.attempts.may_have_run > 0 {
-            return self.error_response(request, StatusCode::BAD_GATEWAY, refusal.reason.as_str());
-        }
-        let now = clock::now();
-        let (retry_at, draw) = (refusal.retry_at, rand::random());
-        let retry_after = match refusal.is_retry_at_known {
-            true => admission::known_retry_after(now, retry_at, draw),
-            false => admission::retry_after(now, retry_at, request.deadline, draw),
-        };
-        log::info!(
-            request = request.head.id, why = refusal.reason.as_str(), wait_ms = refusal.wait_ms,
-            come_back_ms = retry_after.as_millis() as u64, attempts = request.attempts.total,
-            table_age_ms = self.tables.age_ms(now);
-            "request refused"
-        );
-        let status = StatusCode::SERVICE_UNAVAILABLE;
-        log_outcome(request, status, "not-run", refusal.reason.as_str(), None);
-        self.not_run_response(refusal.reason, retry_after)
-    }
-
-    fn not_run_response(&self, reason: NotRunReason, retry_after: Duration) -> Response<Body> {
-        let mut resp =
-            text_response(StatusCode::SERVICE_UNAVAILABLE, &format!("not run: {reason}"));
-        resp.headers_mut().extend(self.protocol.retry_after_headers(retry_after));
-        resp
-    }
-
-    fn timeout_response(&self, request: &ClientRequest) -> Response<Body> {
-        self.error_response(request, StatusCode::GATEWAY_TIMEOUT, "no answer in time")
-    }
-
-    fn error_response(
-        &self,
-        request: &ClientRequest,
-        status: StatusCode,
-        why: &str,
-    ) -> Response<Body> {
-        log_outcome(request, status, "failed", why, None);
-        text_response(status, why)
-    }
 }
 
 /// Resolves when the fleet marks the server of an attempt as lost.
@@ -443,60 +396,6 @@
     }
 }
 
-fn text_response(status: StatusCode, text: &str) -> Response<Body> {
-    dogwoodway_http::text_response(status, text)
-}
-
 fn path(head: &http::request::Parts) -> &str {
     head.uri.path_and_query().map_or("/", |path| path.as_str())
 }
-
-fn attempt_outcome_label(outcome: AttemptOutcome) -> &'static str {
-    match outcome {
-        AttemptOutcome::Answered { .. } => "answered",
-        AttemptOutcome::NotExecuted => "not-executed",
-        AttemptOutcome::Unreachable => "unreachable",
-        AttemptOutcome::Lost => "lost",
-    }
-}
-
-fn log_placement(request: &ClientRequest, target: &AssignedServer) {
-    let placement = &target.placement;
-    log::info!(
-        request = request.head.id, route:% = request.route, table = request.table_version,
-        server:% = placement.name, running = placement.in_flight,
-        predicted_ms = placement.predicted_ms, weights:? = placement.version.map(|v| v.0),
-        computes = placement.computed_and_fetched_tokens.0,
-        fetches = placement.computed_and_fetched_tokens.1,
-        fetch:? = placement.fetch_from, saves = placement.save_to.is_some(),
-        attempt = request.attempts.total + 1,
-        left_ms = (request.deadline - clock::now()).as_millis() as u64;
-        "request placed"
-    );
-}
-
-/// Logs and counts the final outcome of a request. `body_end` is present if a response of a backend
-/// server was read.
-pub(crate) fn log_outcome(
-    request: &ClientRequest,
-    status: StatusCode,
-    outcome: &'static str,
-    why: &str,
-    body_end: Option<BodyEnd>,
-) {
-    let framing = body_end.map_or("", |end| end.framing.as_str());
-    if body_end.is_some() {
-        let labels = [("framing", framing), ("outcome", outcome)];
-        metrics::counter!(metric::RESPONSE_BODIES, &labels).increment(1);
-    }
-    let took = clock::now() - request.arrived_at;
-    metrics::counter!(metric::REQUESTS, "outcome" => outcome).increment(1);
-    metrics::histogram!(metric::REQUEST_SECONDS).record(took.as_secs_f64());
-    log::info!(
-        request = request.head.id, route:% = request.route, status = status.as_u16(),
-        outcome = outcome, why = why, attempts = request.attempts.total, framing = framing,
-        incomplete_bytes = body_end.map_or(0, |end| end.incomplete_bytes),
-        ms = took.as_millis() as u64;
-        "request ended"
-    );
-}
--- a/crates/dogwoodway_gateway/src/relay/admit.rs
+++ b/crates/dogwoodway_gateway/src/relay/admit.rs
@@ -15,7 +15,7 @@
 use crate::{
     clock, metric,
     platform_api::{HeadError, RequestHead},
-    relay::{ClientRequest, Relay, path, text_response},
+    relay::{ClientRequest, Relay, path, refusal::text_response},
 };
 
 /// Largest request body, in bytes, if the configuration sets no limit.
--- a/crates/dogwoodway_gateway/src/relay/deliver.rs
+++ b/crates/dogwoodway_gateway/src/relay/deliver.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     clock, metric,
-    relay::{AttemptResponse, ClientRequest, Relay, log_outcome},
+    relay::{AttemptResponse, ClientRequest, Relay, outcome::log_outcome},
     response_body::{BodyContent, BodyError, ResponseBody},
     stream::{self, StreamedResponse},
 };
--- /dev/null
+++ b/crates/dogwoodway_gateway/src/relay/outcome.rs
@@ -0,0 +1,58 @@
+//! Log lines and metrics of placements, attempts and requests.
+
+use dogwoodway_routing::direct::retry::AttemptOutcome;
+use hyper::StatusCode;
+
+use crate::{
+    clock, fleet_actor::AssignedServer, metric, relay::ClientRequest, response_body::BodyEnd,
+};
+
+pub(super) fn attempt_outcome_label(outcome: AttemptOutcome) -> &'static str {
+    match outcome {
+        AttemptOutcome::Answered { .. } => "answered",
+        AttemptOutcome::NotExecuted => "not-executed",
+        AttemptOutcome::Unreachable => "unreachable",
+        AttemptOutcome::Lost => "lost",
+    }
+}
+
+pub(super) fn log_placement(request: &ClientRequest, target: &AssignedServer) {
+    let placement = &target.placement;
+    log::info!(
+        request = request.head.id, route:% = request.route, table = request.table_version,
+        server:% = placement.name, running = placement.in_flight,
+        predicted_ms = placement.predicted_ms, weights:? = placement.version.map(|v| v.0),
+        computes = placement.computed_and_fetched_tokens.0,
+        fetches = placement.computed_and_fetched_tokens.1,
+        fetch:? = placement.fetch_from, saves = placement.save_to.is_some(),
+        attempt = request.attempts.total + 1,
+        left_ms = (request.deadline - clock::now()).as_millis() as u64;
+        "request placed"
+    );
+}
+
+/// Logs and counts the final outcome of a request. `body_end` is present if a response of a backend
+/// server was read.
+pub(crate) fn log_outcome(
+    request: &ClientRequest,
+    status: StatusCode,
+    outcome: &'static str,
+    why: &str,
+    body_end: Option<BodyEnd>,
+) {
+    let framing = body_end.map_or("", |end| end.framing.as_str());
+    if body_end.is_some() {
+        let labels = [("framing", framing), ("outcome", outcome)];
+        metrics::counter!(metric::RESPONSE_BODIES, &labels).increment(1);
+    }
+    let took = clock::now() - request.arrived_at;
+    metrics::counter!(metric::REQUESTS, "outcome" => outcome).increment(1);
+    metrics::histogram!(metric::REQUEST_SECONDS).record(took.as_secs_f64());
+    log::info!(
+        request = request.head.id, route:% = request.route, status = status.as_u16(),
+        outcome = outcome, why = why, attempts = request.attempts.total, framing = framing,
+        incomplete_bytes = body_end.map_or(0, |end| end.incomplete_bytes),
+        ms = took.as_millis() as u64;
+        "request ended"
+    );
+}
--- /dev/null
+++ b/crates/dogwoodway_gateway/src/relay/refusal.rs
@@ -0,0 +1,71 @@
+//! Responses that the router gives itself: refusals, timeouts and failures.
+
+use std::time::Duration;
+
+use dogwoodway_http::Body;
+use dogwoodway_routing::direct::{admission, fleet::Refusal};
+use dogwoodway_types::NotRunReason;
+use hyper::{Response, StatusCode};
+
+use crate::{
+    clock,
+    relay::{ClientRequest, Relay, outcome::log_outcome},
+};
+
+impl Relay {
+    /// Builds the response for a request that gets no further attempt: 503 with `Retry-After` if it
+    /// cannot have run, otherwise 502, so that the client does not assume that it has not run.
+    pub(super) fn refusal_response(
+        &self,
+        request: &ClientRequest,
+        refusal: Refusal,
+    ) -> Response<Body> {
+        if request.attempts.may_have_run > 0 {
+            return self.error_response(request, StatusCode::BAD_GATEWAY, refusal.reason.as_str());
+        }
+        let now = clock::now();
+        let (retry_at, draw) = (refusal.retry_at, rand::random());
+        let retry_after = match refusal.is_retry_at_known {
+            true => admission::known_retry_after(now, retry_at, draw),
+            false => admission::retry_after(now, retry_at, request.deadline, draw),
+        };
+        log::info!(
+            request = request.head.id, why = refusal.reason.as_str(), wait_ms = refusal.wait_ms,
+            come_back_ms = retry_after.as_millis() as u64, attempts = request.attempts.total,
+            table_age_ms = self.tables.age_ms(now);
+            "request refused"
+        );
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        log_outcome(request, status, "not-run", refusal.reason.as_str(), None);
+        self.not_run_response(refusal.reason, retry_after)
+    }
+
+    pub(super) fn not_run_response(
+        &self,
+        reason: NotRunReason,
+        retry_after: Duration,
+    ) -> Response<Body> {
+        let mut resp =
+            text_response(StatusCode::SERVICE_UNAVAILABLE, &format!("not run: {reason}"));
+        resp.headers_mut().extend(self.protocol.retry_after_headers(retry_after));
+        resp
+    }
+
+    pub(super) fn timeout_response(&self, request: &ClientRequest) -> Response<Body> {
+        self.error_response(request, StatusCode::GATEWAY_TIMEOUT, "no answer in time")
+    }
+
+    pub(super) fn error_response(
+        &self,
+        request: &ClientRequest,
+        status: StatusCode,
+        why: &str,
+    ) -> Response<Body> {
+        log_outcome(request, status, "failed", why, None);
+        text_response(status, why)
+    }
+}
+
+pub(super) fn text_response(status: StatusCode, text: &str) -> Response<Body> {
+    dogwoodway_http::text_response(status, text)
+}
