--- a/crates/dogwoodway_gateway/src/checked_store.rs
+++ b/crates/dogwoodway_gateway/src/checked_store.rs
@@ -84,13 +84,13 @@
         let admitted = self.eras.lock().unwrap_or_else(PoisonError::into_inner).admit(era);
         match (admitted, era) {
             (Ok(true), Some(era)) => {
-                log::info!(era = era.0; "era of the store began; positions of others are dropped");
+                log::info!(era = era.0; "era of the store changed; positions of earlier eras are dropped");
                 metrics::gauge!(metric::STORE_ERA).set(era.0 as f64);
                 Ok(())
             }
             (Ok(_), _) => Ok(()),
             (Err(e), _) => {
-                log::warn!("answer of the store was not used: {e}");
+                log::warn!("response of the store rejected: {e}");
                 metrics::counter!(metric::STORE_ANSWERS_UNUSED).increment(1);
                 Err(StoreError::Unknown(e.to_string()))
             }
--- a/crates/dogwoodway_gateway/src/fleet_actor/notices.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/notices.rs
@@ -75,6 +75,6 @@
         }
         let name = self.fleet.listing(server).map(|listing| listing.name.clone());
         metrics::counter!(metric::SERVERS_LEAVING).increment(1);
-        log::info!(server:? = name, source = source; "backend server is about to stop");
+        log::info!(server:? = name, source = source; "backend server is shutting down");
     }
 }
--- a/crates/dogwoodway_gateway/src/fleet_actor/weights.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/weights.rs
@@ -139,7 +139,7 @@
             if !notice.notice.is_empty()
                 && let Err(e) = actor.tell(notice).await
             {
-                log::error!("could not apply what an engine says about requests: {e}");
+                log::error!("could not apply the notice of an engine: {e}");
             }
             let report = match answer.result {
                 Ok(report) => report,
--- a/crates/dogwoodway_gateway/src/gossip.rs
+++ b/crates/dogwoodway_gateway/src/gossip.rs
@@ -393,7 +393,7 @@
         if !leaving.is_empty()
             && let Err(e) = self.config.fleet.tell(ApplyLeavingServers(leaving)).await
         {
-            log::error!("could not apply notices about servers that are about to stop: {e}");
+            log::error!("could not apply reports of servers that are shutting down: {e}");
         }
         if weights.is_empty() && versions.is_empty() {
             return;
--- a/crates/dogwoodway_gateway/src/leader.rs
+++ b/crates/dogwoodway_gateway/src/leader.rs
@@ -186,7 +186,7 @@
         let (server, started_at_ms) = (target.weights.server, target.started_at_ms);
         let notice = ApplyServerNotice { server, started_at_ms, notice };
         if let Err(e) = self.config.fleet.tell(notice).await {
-            log::error!("could not apply what an engine says about requests: {e}");
+            log::error!("could not apply the notice of an engine: {e}");
         }
     }
 
@@ -239,10 +239,10 @@
             match self.config.store.append_to_log(bytes.clone(), None).await {
                 Ok(position) => {
                     log::info!(offset = position.offset.0;
-                        "record that the store had lost was written again");
+                        "lost record appended again");
                 }
                 Err(e) => {
-                    log::warn!("could not write a lost record again: {e}");
+                    log::warn!("could not append a lost record again: {e}");
                     self.own_records.mark_missing(&bytes);
                     is_reachable = false;
                 }
--- a/crates/dogwoodway_gateway/src/platform_api.rs
+++ b/crates/dogwoodway_gateway/src/platform_api.rs
@@ -219,7 +219,7 @@
             }
             StoreError::EraChanged(era) => {
                 let era = era.unwrap_or_default();
-                write!(f, "the store has returned from a copy and is in era {era}")
+                write!(f, "the store was restored from a copy and is in era {era}")
             }
         }
     }
--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -369,7 +369,7 @@
         if let Err(e) =
             self.fleet.tell(ApplyServerNotice { server, started_at_ms, notice }).try_send()
         {
-            log::warn!("could not report what a server says about requests: {e}");
+            log::warn!("could not report the notice of a server: {e}");
         }
     }
 
--- a/crates/dogwoodway_gateway/src/relay/deliver.rs
+++ b/crates/dogwoodway_gateway/src/relay/deliver.rs
@@ -77,7 +77,7 @@
             }
             Buffered::Prefix(_) => {
                 guard.end(None);
-                let why = "the answer is too long for a client that cannot be told of its failure";
+                let why = "the response is too long to buffer for an HTTP/1.0 client";
                 Delivery::Respond(self.error_response(&request, StatusCode::BAD_GATEWAY, why))
             }
             Buffered::Complete(bytes) => {
--- a/crates/dogwoodway_routing/src/direct/store_era.rs
+++ b/crates/dogwoodway_routing/src/direct/store_era.rs
@@ -25,9 +25,9 @@
 impl fmt::Display for EraError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            EraError::Missing => write!(f, "the answer names no era of the store"),
+            EraError::Missing => write!(f, "the response states no era of the store"),
             EraError::Outdated { era, newest } => {
-                write!(f, "the answer is of era {era} of the store, the newest is {newest}")
+                write!(f, "the response is of era {era} of the store, the newest is {newest}")
             }
         }
     }
