--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -68,7 +68,7 @@
 /// Time for which a change in the loading of weights is repeated to other routers, in milliseconds.
 const WEIGHTS_UPDATE_TTL_MS: u64 = 3_000;
 
-/// Time for which a server that is about to stop is reported to other routers, in milliseconds.
+/// Time for which a server that is shutting down is reported to other routers, in milliseconds.
 const LEAVING_NOTICE_TTL_MS: u64 = 1_000;
 
 /// Part of the allowed retry budget that is used, in thousandths. The margin is needed because
@@ -121,7 +121,7 @@
     control: Arc<dyn EngineControl>,
     /// Changes to report to other routers, each until the time given.
     weights_updates: Vec<(WeightsUpdate, Timestamp)>,
-    /// Servers that are about to stop, to report to other routers, each until the time given.
+    /// Servers that are shutting down, to report to other routers, each until the time given.
     leaving_notices: Vec<(LeavingServer, Timestamp)>,
     /// When the ages of published versions are next reported to other routers.
     next_version_ages_at: Timestamp,
--- a/crates/dogwoodway_gateway/src/fleet_actor/routers.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/routers.rs
@@ -30,7 +30,7 @@
     pub(crate) prompts: Vec<PromptUpdate>,
     /// Ages of recently published versions; sent only every [`VERSION_AGES_INTERVAL_MS`].
     pub(crate) versions: Vec<VersionAge>,
-    /// Servers that have recently said that they are about to stop.
+    /// Servers that have recently announced that they are shutting down.
     pub(crate) leaving: Vec<LeavingServer>,
 }
 
--- a/crates/dogwoodway_gateway/src/gossip/datagram.rs
+++ b/crates/dogwoodway_gateway/src/gossip/datagram.rs
@@ -45,7 +45,7 @@
     pub(super) feed_reports: Vec<FeedReports>,
     /// Routers that have just started. Most routers do not read the log that announces them.
     pub(super) introduced: Vec<SocketAddr>,
-    /// Servers that have recently said that they are about to stop.
+    /// Servers that have recently announced that they are shutting down.
     pub(super) leaving: Vec<LeavingServer>,
 }
 
--- a/crates/dogwoodway_gateway/src/metric.rs
+++ b/crates/dogwoodway_gateway/src/metric.rs
@@ -37,7 +37,8 @@
 /// Backend servers in the fleet.
 pub(crate) const SERVERS: &str = "dogwoodway_router_servers";
 
-/// Backend servers that were found to be about to stop, by their answers or other routers.
+/// Backend servers that were found to be shutting down, by their responses or reports of other
+/// routers.
 pub(crate) const SERVERS_LEAVING: &str = "dogwoodway_router_servers_leaving_total";
 
 /// Pauses that backend servers have asked for.
--- a/crates/dogwoodway_standin/src/simulation/simulator.rs
+++ b/crates/dogwoodway_standin/src/simulation/simulator.rs
@@ -1,5 +1,8 @@
 //! The event loop of a simulation: a queue of events in the order of simulated time.
 
+mod disturbances;
+mod kv_store;
+
 use std::{
     cmp::Reverse,
     collections::{BinaryHeap, HashMap, HashSet},
@@ -7,26 +10,25 @@
 };
 
 use dogwoodway_routing::direct::{
-    fleet::RequestKey, health::HealthSignal, kv_stores::KvChange, prompt::PrefixKey,
-    token_lru::TokenLru,
+    fleet::RequestKey, health::HealthSignal, prompt::PrefixKey, token_lru::TokenLru,
 };
 use dogwoodway_types::Timestamp;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 use super::{
     arrivals::{Arrival, CLASSES, START_TIME, generate_arrivals, mean_own_tokens},
-    engine::{
-        Engine, EngineRequest, StepOutput, WEIGHTS_LOAD_MS, fetch_ms_per_token,
-        prefill_tokens_per_ms,
-    },
-    pattern::{DISTURBANCE_END_S, DISTURBANCE_START_S, LoadPattern, SimulationConfig},
+    engine::{Engine, EngineRequest, StepOutput, fetch_ms_per_token, prefill_tokens_per_ms},
+    pattern::{LoadPattern, SimulationConfig},
     policy::{
-        EngineState, GossipUpdate, KvSource, PlacementDecision, Policy, PolicyKind, build_policy,
+        GossipUpdate, KvSource, PlacementDecision, Policy, PolicyKind, build_policy,
         prompt_segments, shared_segments,
     },
     summary::{RequestOutcome, Summary},
 };
 
+use self::disturbances::FleetEvent;
+pub(super) use self::kv_store::KvStore;
+
 /// Capacity of the KV store, in tokens.
 pub(super) const STORE_CAPACITY_TOKENS: u64 = 972_571;
 
@@ -66,33 +68,6 @@
 /// engine meanwhile fail after the same time.
 const LOSS_DETECTION_MS: u64 = 250;
 
-/// The KV store that all engines fetch from and save to.
-pub(super) struct KvStore {
-    pub(super) contents: TokenLru,
-    /// Changes that routers have not polled, and when each was made.
-    changes: Vec<(Timestamp, KvChange)>,
-    /// Keys in `contents`, to find out which ones an insertion evicts.
-    stored_keys: HashSet<PrefixKey>,
-}
-
-impl KvStore {
-    fn save(&mut self, now: Timestamp, engine_request: &EngineRequest) {
-        self.contents.insert(&engine_request.segments, now);
-        self.stored_keys.extend(engine_request.segments.iter().map(|segment| segment.key));
-        for segment in &engine_request.segments {
-            self.changes.push((now, KvChange::Stored(*segment)));
-        }
-        let evicted: Vec<_> =
-            self.stored_keys.extract_if(|key| !self.contents.contains(*key)).collect();
-        self.changes.extend(evicted.into_iter().map(|key| (now, KvChange::Evicted(key))));
-    }
-
-    fn take_changes(&mut self, until: Timestamp) -> Vec<KvChange> {
-        let due = self.changes.partition_point(|(at, _)| *at <= until);
-        self.changes.drain(..due).map(|(_, change)| change).collect()
-    }
-}
-
 /// Events that follow from a step carry the incarnation of the engine, and are ignored if the
 /// engine has crashed since.
 enum Event {
@@ -132,19 +107,6 @@
     Fleet(FleetEvent),
 }
 
-/// A change of the state of engines, or its discovery by routers.
-#[derive(Clone, Copy)]
-enum FleetEvent {
-    EngineLost(usize),
-    EngineLossDetected(usize),
-    EngineRestored(usize),
-    EngineDrained(usize),
-    /// The engine starts or stops failing most of its requests.
-    EngineFaulty(usize, bool),
-    WeightsPublished(u32),
-    WeightsLoaded(usize, u32),
-}
-
 /// A request that was sent to an engine.
 struct InFlightRequest {
     engine: usize,
@@ -252,59 +214,6 @@
         self.events.push(Some(event));
     }
 
-    /// Schedules the events of the load pattern that concern engines.
-    fn schedule_disturbances(&mut self) {
-        let engines = self.config.engines;
-        let at = |s: f64| START_TIME + Duration::from_secs_f64(s);
-        let third = engines / 3;
-        match self.config.pattern {
-            LoadPattern::EngineLoss => {
-                for engine in 0..third {
-                    self.schedule(
-                        at(DISTURBANCE_START_S),
-                        Event::Fleet(FleetEvent::EngineLost(engine)),
-                    );
-                    self.schedule(
-                        at(DISTURBANCE_END_S),
-                        Event::Fleet(FleetEvent::EngineRestored(engine)),
-                    );
-                }
-            }
-            LoadPattern::GrayFailures => {
-                for engine in 0..third.div_ceil(2) {
-                    self.schedule(
-                        at(DISTURBANCE_START_S),
-                        Event::Fleet(FleetEvent::EngineFaulty(engine, true)),
-                    );
-                    self.schedule(
-                        at(DISTURBANCE_END_S),
-                        Event::Fleet(FleetEvent::EngineFaulty(engine, false)),
-                    );
-                }
-            }
-            LoadPattern::RollingDrain => {
-                for engine in 0..third {
-                    let start_s = DISTURBANCE_START_S + 2.0 * engine as f64;
-                    self.schedule(at(start_s), Event::Fleet(FleetEvent::EngineDrained(engine)));
-                    self.schedule(
-                        at(start_s + 3.0),
-                        Event::Fleet(FleetEvent::EngineRestored(engine)),
-                    );
-                }
-            }
-            LoadPattern::WeightsRollout => {
-                for (n, s) in
-                    [DISTURBANCE_START_S, DISTURBANCE_START_S + 3.5, DISTURBANCE_START_S + 7.0]
-                        .into_iter()
-                        .enumerate()
-                {
-                    self.schedule(at(s), Event::Fleet(FleetEvent::WeightsPublished(n as u32 + 2)));
-                }
-            }
-            _ => {}
-        }
-    }
-
     fn handle(&mut self, now: Timestamp, event: Event) {
         match event {
             Event::RequestArrived(request) => self.handle_arrival(now, request),
@@ -543,80 +452,6 @@
         self.schedule(now + Duration::from_millis(ms), Event::GossipDue(router));
     }
 
-    fn handle_fleet_event(&mut self, now: Timestamp, event: FleetEvent) {
-        match event {
-            FleetEvent::EngineLost(engine) => {
-                self.engines[engine].is_up = false;
-                for request in self.engines[engine].crash() {
-                    self.fail_request(now, request, HealthSignal::ConnectionLost);
-                }
-                let detected_at = now + Duration::from_millis(LOSS_DETECTION_MS);
-                self.schedule(detected_at, Event::Fleet(FleetEvent::EngineLossDetected(engine)));
-            }
-            FleetEvent::EngineLossDetected(engine) => {
-                self.policy.record_engine_state(now, engine, EngineState::Lost);
-            }
-            FleetEvent::EngineRestored(engine) => {
-                let version = self.engines[engine].version;
-                let mut restored = Engine::new();
-                (restored.version, restored.incarnation) =
-                    (version, self.engines[engine].incarnation + 1);
-                for request in self.engines[engine].crash() {
-                    self.fail_request(now, request, HealthSignal::ConnectionLost);
-                }
-                self.engines[engine] = restored;
-                self.policy.record_engine_state(now, engine, EngineState::Restored);
-            }
-            FleetEvent::EngineDrained(engine) => {
-                self.engines[engine].is_draining = true;
-                self.policy.record_engine_state(now, engine, EngineState::Draining);
-            }
-            FleetEvent::EngineFaulty(engine, is_faulty) => {
-                self.engines[engine].is_faulty = is_faulty;
-            }
-            FleetEvent::WeightsPublished(version) => {
-                self.published_version = version;
-                self.policy.record_published_weights(now, version);
-            }
-            FleetEvent::WeightsLoaded(engine, version) => {
-                let state = &mut self.engines[engine];
-                state.version = version;
-                state.is_loading = false;
-                state.cache.clear();
-                self.loading_engines.remove(&engine);
-                self.policy.record_engine_state(now, engine, EngineState::Loaded(version));
-                self.wake(now, engine);
-            }
-        }
-    }
-
-    /// Orders engines to load new weights. Each one starts to load when its batch is empty.
-    fn load_published_weights(&mut self, now: Timestamp) {
-        for engine in self.policy.engines_to_load(now, &self.engines, self.published_version) {
-            let state = &mut self.engines[engine];
-            if state.is_up && !state.is_loading {
-                state.is_loading = true;
-                self.policy.record_engine_state(now, engine, EngineState::Loading);
-            }
-        }
-        let loading = self.engines.iter().filter(|engine| engine.is_loading).count();
-        for engine in 0..self.engines.len() {
-            let state = &mut self.engines[engine];
-            let is_due = state.is_loading
-                && state.is_batch_empty()
-                && state.version < self.published_version;
-            if is_due && self.loading_engines.insert(engine) {
-                // Engines that load at the same time share the source of the weights.
-                let slowdown = (loading as f64 / 2.0).max(1.0).sqrt();
-                let duration = Duration::from_millis(WEIGHTS_LOAD_MS).mul_f64(slowdown);
-                self.schedule(
-                    now + duration,
-                    Event::Fleet(FleetEvent::WeightsLoaded(engine, self.published_version)),
-                );
-            }
-        }
-    }
-
     fn into_summary(mut self) -> Summary {
         // A request without an outcome was not served before the end of the simulation.
         let unanswered = self.requests.len().saturating_sub(self.outcomes.len());
