Log the requests on a crashed server, with digests of their shared parts

The line of a crash named neither the request, nor the parts of its prompt, nor whether it was being answered, so that the hypotheses of the crashing prompt part could not be told apart. Each request is now logged with digests of the parts that others may share and with the time for which it was being answered; a counter counts the crashes.

No decision changes.

--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -46,8 +46,8 @@
 use self::crash_tracker::CrashTracker;
 pub(crate) use self::{
     attempts::{
-        AssignedServer, BytesReceived, EndAttempt, FirstOutputReceived, PlaceRequest,
-        PlacementReply,
+        AssignedServer, AttemptedRequest, BytesReceived, EndAttempt, FirstOutputReceived,
+        PlaceRequest, PlacementReply,
     },
     crash_tracker::FingerprintEvent,
     notices::{ApplyLeavingServers, ApplyServerNotice},
--- a/crates/dogwoodway_gateway/src/fleet_actor/attempts.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/attempts.rs
@@ -1,12 +1,13 @@
 //! Messages about attempts: their placement, progress and end.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use dogwoodway_routing::direct::{
     fleet::{BackendKey, Placement, PlacementRequest, Refusal, RequestKey},
     health::HealthSignal,
 };
-use dogwoodway_types::{NotRunReason, RequestFingerprint};
+use dogwoodway_routing::part_blame::PartKey;
+use dogwoodway_types::{NotRunReason, RequestFingerprint, Timestamp};
 use kameo::{
     Reply,
     message::{Context, Message},
@@ -110,6 +111,17 @@
     }
 }
 
+/// What is known of the request of an attempt if its server turns out to have crashed.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct AttemptedRequest {
+    /// Id chosen by the client.
+    pub(crate) id: String,
+    /// Parts of the prompt that other requests may share, in order.
+    pub(crate) shared_parts: Arc<[PartKey]>,
+    /// When the server began to answer; absent if it did not.
+    pub(crate) answer_started_at: Option<Timestamp>,
+}
+
 /// Ends an attempt and releases its place in the fleet.
 pub(crate) struct EndAttempt {
     /// Identifies the request in the fleet.
@@ -122,6 +134,7 @@
     pub(crate) connection: Option<Connection>,
     /// Present if the connection was lost, or while requests are tracked for crashes.
     pub(crate) fingerprint: Option<RequestFingerprint>,
+    pub(crate) request: AttemptedRequest,
 }
 
 impl Message<EndAttempt> for FleetActor {
@@ -142,7 +155,8 @@
             Some(HealthSignal::ConnectionLost) => {
                 let listing = self.fleet.listing(msg.server);
                 if let (Some(listing), Some(fingerprint)) = (listing, msg.fingerprint) {
-                    self.crash_tracker.add_suspect(now, msg.server, listing, fingerprint);
+                    let request = msg.request;
+                    self.crash_tracker.add_suspect(now, msg.server, listing, fingerprint, request);
                 }
                 self.probe(msg.server, cx.actor_ref());
             }
--- a/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
@@ -14,6 +14,7 @@
 
 use dogwoodway_routing::{
     direct::fleet::{BackendKey, ServerListing},
+    part_blame::PartKey,
     quarantine::{Quarantine, QuarantineStatus},
     rendezvous::ServerKey,
 };
@@ -21,6 +22,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 
+use crate::{fleet_actor::AttemptedRequest, metric};
+
 /// Maximum number of requests whose crashes are recorded.
 const MAX_QUARANTINED: usize = 1_000;
 
@@ -58,10 +61,26 @@
 /// A request whose connection was lost, and the report to publish if its server has crashed.
 struct Suspect {
     report: CrashReport,
+    request: AttemptedRequest,
+    /// When the connection was lost.
+    lost_at: Timestamp,
     key: BackendKey,
     until: Timestamp,
 }
 
+impl Suspect {
+    fn log(&self) {
+        let parts: Vec<_> = self.request.shared_parts.iter().map(PartKey::to_string).collect();
+        let answered_ms =
+            self.request.answer_started_at.map(|at| (self.lost_at - at).as_millis() as u64);
+        log::info!(
+            request = self.request.id, server:% = self.report.server, parts:? = parts,
+            answered_ms:? = answered_ms;
+            "request was on a backend server that crashed"
+        );
+    }
+}
+
 /// Crashes recorded by this router and by others, and the suspects of this one.
 pub(super) struct CrashTracker {
     quarantine: Quarantine,
@@ -102,6 +121,7 @@
         key: BackendKey,
         listing: &ServerListing,
         fingerprint: RequestFingerprint,
+        request: AttemptedRequest,
     ) {
         if self.suspects.len() >= MAX_SUSPECTS {
             self.suspects.remove(0);
@@ -109,7 +129,7 @@
         let (server, started_at_ms) = (listing.name.clone(), listing.started_at_ms);
         let report = CrashReport { fingerprint, server, started_at_ms };
         let until = now + Duration::from_millis(SUSPECT_TTL_MS);
-        self.suspects.push(Suspect { report, key, until });
+        self.suspects.push(Suspect { report, request, lost_at: now, key, until });
     }
 
     /// Records a confirmed crash of a server for all requests that it may have been running.
@@ -117,7 +137,11 @@
         self.suspects.retain(|suspect| suspect.until > now);
         let confirmed: Vec<_> =
             self.suspects.extract_if(.., |suspect| suspect.key == key).collect();
+        if !confirmed.is_empty() {
+            metrics::counter!(metric::SERVER_CRASHES).increment(1);
+        }
         for suspect in confirmed {
+            suspect.log();
             self.record_crash(now, &suspect.report);
             self.publish(FingerprintEvent::Crashed(suspect.report));
         }
--- a/crates/dogwoodway_gateway/src/metric.rs
+++ b/crates/dogwoodway_gateway/src/metric.rs
@@ -44,6 +44,9 @@
 /// Pauses that backend servers have asked for.
 pub(crate) const SERVER_PAUSES: &str = "dogwoodway_router_server_pauses_total";
 
+/// Crashes of backend servers with requests of this router.
+pub(crate) const SERVER_CRASHES: &str = "dogwoodway_router_server_crashes_total";
+
 /// Known routers, this one included.
 pub(crate) const ROUTERS: &str = "dogwoodway_router_routers";
 
--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -18,10 +18,12 @@
 use dogwoodway_routing::direct::{
     fleet::{Placement, PlacementRequest, Refusal},
     health::HealthSignal,
+    prompt::Prompt,
     retry::{AttemptCounts, AttemptOutcome, NextStep, next_step},
     server_notice::ServerNotice,
     table::{RouteKind, TeamRule},
 };
+use dogwoodway_routing::part_blame::PartKey;
 use dogwoodway_types::{
     BackendServerName, NotRunReason, RequestFingerprint, RouteName, ServiceName, TeamName,
     Timestamp,
@@ -44,7 +46,7 @@
     },
     relay::{
         deliver::Delivery,
-        outcome::{attempt_outcome_label, log_placement},
+        outcome::{log_attempt_end, log_placement},
     },
     stream::AttemptGuard,
 };
@@ -87,6 +89,8 @@
     pub(crate) service: ServiceName,
     /// Absent on anonymous routes.
     pub(crate) team: Option<TeamRule>,
+    /// Parts of the prompt that other requests may share, in order.
+    pub(crate) shared_parts: Arc<[PartKey]>,
     pub(crate) attempts: AttemptCounts,
     /// Servers that the request was sent to so far.
     pub(crate) tried: Vec<BackendServerName>,
@@ -255,7 +259,7 @@
         resume_after: Option<String>,
     ) -> Attempt {
         let params = request.forward_params(&target, resume_after);
-        let guard = AttemptGuard::new(&self.fleet, &target.placement);
+        let mut guard = AttemptGuard::new(&self.fleet, &target.placement, request);
         request.tried.push(target.placement.name.clone());
         log_placement(request, &target);
         let head = match self.protocol.backend_head(clock::now(), &request.http_head, &params) {
@@ -284,6 +288,7 @@
         let (outcome, why) = match result {
             Ok(upstream) => match self.classify_response(request, &target, &upstream) {
                 Ok(is_error) => {
+                    guard.record_answer_start();
                     request.attempts.record(AttemptOutcome::Answered { is_error });
                     metrics::counter!(metric::ATTEMPTS, "end" => "answered").increment(1);
                     let response = Box::new(AttemptResponse { upstream, guard });
@@ -304,13 +309,7 @@
             }
         };
         request.attempts.record(outcome);
-        metrics::counter!(metric::ATTEMPTS, "end" => attempt_outcome_label(outcome)).increment(1);
-        log::info!(
-            request = request.head.id, server:% = target.placement.name,
-            outcome = attempt_outcome_label(outcome), why = why,
-            ms = (clock::now() - request.arrived_at).as_millis() as u64;
-            "attempt ended"
-        );
+        log_attempt_end(request, &target, outcome, &why);
         Attempt::Failed { outcome, why }
     }
 
@@ -387,6 +386,14 @@
     }
 }
 
+/// Returns the keys of the parts of a prompt that other requests may share: all but the last.
+fn shared_parts(prompt: Option<&Prompt>, team: Option<&TeamRule>) -> Arc<[PartKey]> {
+    let Some(prompt) = prompt else { return Arc::default() };
+    let isolated = team.filter(|team| team.is_isolated).map(|team| &team.name);
+    let shared = prompt.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    shared.iter().map(|part| PartKey::new(&prompt.model, isolated, &part.id)).collect()
+}
+
 /// Resolves when the fleet marks the server of an attempt as lost.
 async fn server_marked_lost(lost: &mut tokio::sync::watch::Receiver<bool>) {
     if lost.wait_for(|is_lost| *is_lost).await.is_err() {
--- a/crates/dogwoodway_gateway/src/relay/admit.rs
+++ b/crates/dogwoodway_gateway/src/relay/admit.rs
@@ -15,7 +15,7 @@
 use crate::{
     clock, metric,
     platform_api::{HeadError, RequestHead},
-    relay::{ClientRequest, Relay, path, refusal::text_response},
+    relay::{ClientRequest, Relay, path, refusal::text_response, shared_parts},
 };
 
 /// Largest request body, in bytes, if the configuration sets no limit.
@@ -76,13 +76,6 @@
             Ok(body) => body,
             Err(status) => return Err(self.reject_with_status(&head, &http_head, status, &table)),
         };
-        let priority = match team.as_ref().and_then(|team| team.priority) {
-            Some(priority) => {
-                let route_priority = route.priority.min(ROUTE_PRIORITIES - 1);
-                priority.saturating_mul(ROUTE_PRIORITIES).saturating_add(route_priority)
-            }
-            None => route.priority,
-        };
         Ok(ClientRequest {
             http_head,
             body,
@@ -92,9 +85,10 @@
             route: route.name.clone(),
             kind: route.kind,
             max_attempts: route.max_attempts.max(1),
-            priority,
+            priority: engine_priority(route, team.as_ref()),
             route_priority: route.priority,
             service,
+            shared_parts: shared_parts(head.prompt.as_ref(), team.as_ref()),
             team,
             attempts: AttemptCounts::default(),
             tried: Vec::new(),
@@ -156,6 +150,17 @@
     }
 }
 
+/// Returns the priority at the engine, to which the team's contributes more than the route's.
+fn engine_priority(route: &Route, team: Option<&TeamRule>) -> u8 {
+    match team.and_then(|team| team.priority) {
+        Some(priority) => {
+            let route_priority = route.priority.min(ROUTE_PRIORITIES - 1);
+            priority.saturating_mul(ROUTE_PRIORITIES).saturating_add(route_priority)
+        }
+        None => route.priority,
+    }
+}
+
 async fn read_body(
     body: Incoming,
     max_bytes: usize,
--- a/crates/dogwoodway_gateway/src/relay/outcome.rs
+++ b/crates/dogwoodway_gateway/src/relay/outcome.rs
@@ -7,7 +7,7 @@
     clock, fleet_actor::AssignedServer, metric, relay::ClientRequest, response_body::BodyEnd,
 };
 
-pub(super) fn attempt_outcome_label(outcome: AttemptOutcome) -> &'static str {
+fn attempt_outcome_label(outcome: AttemptOutcome) -> &'static str {
     match outcome {
         AttemptOutcome::Answered { .. } => "answered",
         AttemptOutcome::NotExecuted => "not-executed",
@@ -31,6 +31,22 @@
     );
 }
 
+/// Logs and counts an attempt that ended without a valid response.
+pub(super) fn log_attempt_end(
+    request: &ClientRequest,
+    target: &AssignedServer,
+    outcome: AttemptOutcome,
+    why: &str,
+) {
+    let outcome = attempt_outcome_label(outcome);
+    metrics::counter!(metric::ATTEMPTS, "end" => outcome).increment(1);
+    log::info!(
+        request = request.head.id, server:% = target.placement.name, outcome = outcome, why = why,
+        ms = (clock::now() - request.arrived_at).as_millis() as u64;
+        "attempt ended"
+    );
+}
+
 /// Logs and counts the final outcome of a request. `body_end` is present if a response of a backend
 /// server was read.
 pub(crate) fn log_outcome(
--- a/crates/dogwoodway_gateway/src/stream.rs
+++ b/crates/dogwoodway_gateway/src/stream.rs
@@ -21,7 +21,10 @@
 use crate::{
     clock,
     connection::Connection,
-    fleet_actor::{BytesReceived, EndAttempt, FirstOutputReceived, FleetActor, PlacementReply},
+    fleet_actor::{
+        AttemptedRequest, BytesReceived, EndAttempt, FirstOutputReceived, FleetActor,
+        PlacementReply,
+    },
     relay::{Attempt, ClientRequest, Relay, log_outcome},
     response_body::ResponseBody,
 };
@@ -43,6 +46,7 @@
     signal: Option<HealthSignal>,
     connection: Option<Connection>,
     fingerprint: Option<RequestFingerprint>,
+    request: AttemptedRequest,
     /// Whether any bytes of the response body have arrived.
     has_output: bool,
     /// When received bytes were last reported to the fleet.
@@ -50,7 +54,11 @@
 }
 
 impl AttemptGuard {
-    pub(crate) fn new(fleet: &ActorRef<FleetActor>, placement: &Placement) -> AttemptGuard {
+    pub(crate) fn new(
+        fleet: &ActorRef<FleetActor>,
+        placement: &Placement,
+        request: &ClientRequest,
+    ) -> AttemptGuard {
         AttemptGuard {
             fleet: fleet.clone(),
             request_key: placement.request,
@@ -59,11 +67,21 @@
             signal: None,
             connection: None,
             fingerprint: None,
+            request: AttemptedRequest {
+                id: request.head.id.clone(),
+                shared_parts: request.shared_parts.clone(),
+                answer_started_at: None,
+            },
             has_output: false,
             activity_reported_at: clock::now(),
         }
     }
 
+    /// Records that the head of a valid answer has arrived.
+    pub(crate) fn record_answer_start(&mut self) {
+        self.request.answer_started_at = Some(clock::now());
+    }
+
     /// Reports received bytes to the fleet: the first ones at once, later ones at most every
     /// [`ACTIVITY_INTERVAL_MS`].
     fn record_bytes(&mut self) {
@@ -126,6 +144,7 @@
             signal: self.signal,
             connection: self.connection.take(),
             fingerprint: self.fingerprint,
+            request: mem::take(&mut self.request),
         };
         if let Err(e) = self.fleet.tell(end).try_send() {
             log::warn!("could not report the end of an attempt to the fleet: {e}");
--- a/crates/dogwoodway_routing/src/lib.rs
+++ b/crates/dogwoodway_routing/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod direct;
 pub mod membership;
 pub mod outlier;
+pub mod part_blame;
 pub mod placement;
 pub mod prefill_rate;
 pub mod prefix_index;
