--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -6,6 +6,7 @@
 mod attempts;
 mod crash_tracker;
 mod notices;
+mod part_evidence;
 mod probes;
 mod routers;
 mod weights;
@@ -43,7 +44,6 @@
     platform_api::{DirectoryChange, EngineControl},
 };
 
-use self::crash_tracker::CrashTracker;
 pub(crate) use self::{
     attempts::{
         AssignedServer, AttemptedRequest, BytesReceived, EndAttempt, FirstOutputReceived,
@@ -52,11 +52,12 @@
     crash_tracker::FingerprintEvent,
     notices::{ApplyLeavingServers, ApplyServerNotice},
     routers::{
-        ApplyFingerprintEvent, ApplyPeerUpdate, ApplyWeightsNotices, ClearPeerLoads,
-        CollectRouterUpdate, SetRouterCount,
+        ApplyFingerprintEvent, ApplyPartNotices, ApplyPeerUpdate, ApplyWeightsNotices,
+        ClearPeerLoads, CollectRouterUpdate, SetRouterCount,
     },
     weights::{EngineTarget, GetRolloutState, UpdateWeightsState, WeightsState},
 };
+use self::{crash_tracker::CrashTracker, part_evidence::PartEvidence};
 
 /// Maximum number of idle connections kept for one server.
 const MAX_IDLE_CONNECTIONS: usize = 64;
@@ -118,6 +119,7 @@
     /// Number of routers that share the retry budget and the connection limits.
     router_count: u32,
     crash_tracker: CrashTracker,
+    part_evidence: PartEvidence,
     control: Arc<dyn EngineControl>,
     /// Changes to report to other routers, each until the time given.
     weights_updates: Vec<(WeightsUpdate, Timestamp)>,
@@ -132,6 +134,8 @@
 
 /// Settings and channels of a [`FleetActor`].
 pub(crate) struct FleetConfig {
+    /// Distinguishes this router from the others.
+    pub(crate) seed: u64,
     pub(crate) zone: AvailabilityZone,
     pub(crate) regions: Regions,
     pub(crate) retry_bounds: RetryBounds,
@@ -160,6 +164,7 @@
             retry_budgets: HashMap::new(),
             router_count: ASSUMED_ROUTERS,
             crash_tracker: CrashTracker::new(config.fingerprint_events, config.quarantine_in_use),
+            part_evidence: PartEvidence::new(config.seed, ASSUMED_ROUTERS),
             control: config.control,
             weights_updates: Vec::new(),
             leaving_notices: Vec::new(),
@@ -259,7 +264,7 @@
                     self.idle_connections.insert(key, Vec::new());
                     self.mark_lost(key);
                     self.lost_signals.remove(key);
-                    self.crash_tracker.confirm_crash(now, key);
+                    self.confirm_crash(now, key);
                     log::info!(server:% = name; "backend server listed");
                 }
             }
@@ -273,6 +278,14 @@
         }
     }
 
+    /// Records a crash against the requests and the prompt parts that the server was running.
+    fn confirm_crash(&mut self, now: Timestamp, key: BackendKey) {
+        if let Some(crash) = self.crash_tracker.confirm_crash(now, key) {
+            self.part_evidence.record_crash(now, crash);
+            self.loads_changed.notify_one();
+        }
+    }
+
     fn remove_connections(&mut self, key: BackendKey) {
         self.idle_connections.remove(key);
         self.lost_signals.remove(key);
--- a/crates/dogwoodway_gateway/src/fleet_actor/attempts.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/attempts.rs
@@ -6,7 +6,7 @@
     fleet::{BackendKey, Placement, PlacementRequest, Refusal, RequestKey},
     health::HealthSignal,
 };
-use dogwoodway_routing::part_blame::PartKey;
+use dogwoodway_routing::part_blame::{PartKey, PartStatus};
 use dogwoodway_types::{NotRunReason, RequestFingerprint, Timestamp};
 use kameo::{
     Reply,
@@ -21,6 +21,10 @@
     pub(crate) placement_request: PlacementRequest,
     /// Whether the request was sent to a server before; a retry is taken from the retry budget.
     pub(crate) is_retry: bool,
+    /// Whether a server may have run the request before.
+    pub(crate) may_have_run: bool,
+    /// Parts of the prompt that other requests may share, in order.
+    pub(crate) shared_parts: Arc<[PartKey]>,
     /// Present while requests are tracked for crashes.
     pub(crate) fingerprint: Option<RequestFingerprint>,
 }
@@ -32,6 +36,14 @@
     Assigned(Box<AssignedServer>),
     /// The request must not be sent to any server now.
     Refused(Refusal),
+    /// A part of the prompt is in quarantine, or the request must not be sent again because a part
+    /// is suspected.
+    PartBlamed {
+        /// The part in quarantine; absent if there is only a suspicion.
+        part: Option<PartKey>,
+        /// When the part is tried again.
+        retry_at: Timestamp,
+    },
 }
 
 /// The server chosen for a request.
@@ -62,6 +74,16 @@
                 wait_ms: 0,
             });
         }
+        let part_status = self.part_evidence.status(now, &msg.shared_parts);
+        match part_status {
+            PartStatus::Quarantined { part, until } => {
+                return PlacementReply::PartBlamed { part: Some(part), retry_at: until };
+            }
+            PartStatus::Suspect | PartStatus::Trial(_) if msg.may_have_run => {
+                return PlacementReply::PartBlamed { part: None, retry_at: now };
+            }
+            PartStatus::Clear | PartStatus::Suspect | PartStatus::Trial(_) => {}
+        }
         let budget = self.retry_budget(&msg.placement_request.service);
         if !msg.is_retry {
             budget.record_first_attempt();
@@ -77,6 +99,9 @@
         }
         match self.fleet.place(now, &msg.placement_request) {
             Ok(placement) => {
+                if let PartStatus::Trial(part) = part_status {
+                    self.part_evidence.start_trial(now, part);
+                }
                 self.loads_changed.notify_one();
                 let connection = self.take_idle(now, placement.server);
                 let lost = self.subscribe_lost(placement.server);
@@ -160,7 +185,11 @@
                 }
                 self.probe(msg.server, cx.actor_ref());
             }
-            Some(HealthSignal::Answered | HealthSignal::Failed) => {
+            Some(signal @ (HealthSignal::Answered | HealthSignal::Failed)) => {
+                let AttemptedRequest { shared_parts, answer_started_at, .. } = msg.request;
+                if let (HealthSignal::Answered, Some(started_at)) = (signal, answer_started_at) {
+                    self.part_evidence.record_answer(now, &shared_parts, started_at);
+                }
                 if let Some(fingerprint) = msg.fingerprint {
                     self.crash_tracker.record_response(fingerprint);
                 }
--- a/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
@@ -14,7 +14,7 @@
 
 use dogwoodway_routing::{
     direct::fleet::{BackendKey, ServerListing},
-    part_blame::PartKey,
+    part_blame::{EngineCrash, PartKey, PartRun},
     quarantine::{Quarantine, QuarantineStatus},
     rendezvous::ServerKey,
 };
@@ -69,6 +69,14 @@
 }
 
 impl Suspect {
+    /// Returns the answer that the server had begun, for each shared part of the prompt.
+    fn runs(&self, crashed_at: Timestamp) -> Vec<PartRun> {
+        let Some(started_at) = self.request.answer_started_at else { return Vec::new() };
+        let parts = self.request.shared_parts.iter().zip(0..);
+        let lead = crashed_at - started_at;
+        parts.map(|(part, position)| PartRun { part: *part, position, lead }).collect()
+    }
+
     fn log(&self) {
         let parts: Vec<_> = self.request.shared_parts.iter().map(PartKey::to_string).collect();
         let answered_ms =
@@ -132,19 +140,23 @@
         self.suspects.push(Suspect { report, request, lost_at: now, key, until });
     }
 
-    /// Records a confirmed crash of a server for all requests that it may have been running.
-    pub(super) fn confirm_crash(&mut self, now: Timestamp, key: BackendKey) {
+    /// Records a confirmed crash of a server for all requests that it may have been running. Returns
+    /// the crash with the answers that it had begun, or `None` if it had no request of this router.
+    pub(super) fn confirm_crash(&mut self, now: Timestamp, key: BackendKey) -> Option<EngineCrash> {
         self.suspects.retain(|suspect| suspect.until > now);
         let confirmed: Vec<_> =
             self.suspects.extract_if(.., |suspect| suspect.key == key).collect();
-        if !confirmed.is_empty() {
-            metrics::counter!(metric::SERVER_CRASHES).increment(1);
-        }
+        let first = confirmed.iter().min_by_key(|suspect| suspect.lost_at)?;
+        let (engine, crashed_at) = (first.report.incarnation(), first.lost_at);
+        let mut crash = EngineCrash { engine, crashed_at, runs: Vec::new() };
+        metrics::counter!(metric::SERVER_CRASHES).increment(1);
         for suspect in confirmed {
             suspect.log();
+            crash.merge(&EngineCrash { engine, crashed_at, runs: suspect.runs(crashed_at) });
             self.record_crash(now, &suspect.report);
             self.publish(FingerprintEvent::Crashed(suspect.report));
         }
+        Some(crash)
     }
 
     /// Clears a request after a server has responded to it and survived: the earlier crashes must
--- a/crates/dogwoodway_gateway/src/fleet_actor/probes.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/probes.rs
@@ -60,7 +60,7 @@
                         "backend server lost");
                 }
                 if msg.is_refused {
-                    self.crash_tracker.confirm_crash(now, msg.key);
+                    self.confirm_crash(now, msg.key);
                 }
             }
         }
--- a/crates/dogwoodway_gateway/src/fleet_actor/routers.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/routers.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use dogwoodway_routing::direct::fleet::{
-    LeavingServer, OriginPrompt, PromptUpdate, ServerLoad, VersionAge,
+use dogwoodway_routing::{
+    direct::fleet::{LeavingServer, OriginPrompt, PromptUpdate, ServerLoad, VersionAge},
+    part_blame::PartNotice,
 };
 use kameo::{
     Reply,
@@ -32,17 +33,22 @@
     pub(crate) versions: Vec<VersionAge>,
     /// Servers that have recently announced that they are shutting down.
     pub(crate) leaving: Vec<LeavingServer>,
+    /// Evidence of prompt parts that crash engines.
+    pub(crate) parts: Vec<PartNotice>,
 }
 
 /// Builds the update to send to other routers.
-pub(crate) struct CollectRouterUpdate;
+pub(crate) struct CollectRouterUpdate {
+    /// Whether this router aggregates the state of its zone.
+    pub(crate) is_aggregator: bool,
+}
 
 impl Message<CollectRouterUpdate> for FleetActor {
     type Reply = RouterUpdate;
 
     async fn handle(
         &mut self,
-        _: CollectRouterUpdate,
+        msg: CollectRouterUpdate,
         _: &mut Context<Self, Self::Reply>,
     ) -> RouterUpdate {
         let now = clock::now();
@@ -58,7 +64,8 @@
         }
         self.leaving_notices.retain(|(_, until)| *until > now);
         let leaving = self.leaving_notices.iter().map(|(leaving, _)| *leaving).collect();
-        RouterUpdate { loads: self.fleet.own_loads(), weights, prompts, versions, leaving }
+        let parts = self.part_evidence.take_notices(now, msg.is_aggregator);
+        RouterUpdate { loads: self.fleet.own_loads(), weights, prompts, versions, leaving, parts }
     }
 }
 
@@ -119,6 +126,17 @@
     }
 }
 
+/// Applies what another router reports of prompt parts that crash engines.
+pub(crate) struct ApplyPartNotices(pub(crate) Vec<PartNotice>);
+
+impl Message<ApplyPartNotices> for FleetActor {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: ApplyPartNotices, _: &mut Context<Self, Self::Reply>) {
+        self.part_evidence.apply(clock::now(), &msg.0);
+    }
+}
+
 /// Sets the number of routers, this one included.
 pub(crate) struct SetRouterCount(pub(crate) u32);
 
@@ -128,6 +146,7 @@
     async fn handle(&mut self, msg: SetRouterCount, _: &mut Context<Self, Self::Reply>) {
         self.router_count = msg.0.max(1);
         self.fleet.set_router_count(msg.0);
+        self.part_evidence.set_router_count(msg.0);
     }
 }
 
--- a/crates/dogwoodway_gateway/src/gossip.rs
+++ b/crates/dogwoodway_gateway/src/gossip.rs
@@ -32,8 +32,8 @@
     clock,
     feeds::SharedFeeds,
     fleet_actor::{
-        ApplyLeavingServers, ApplyPeerUpdate, ApplyWeightsNotices, ClearPeerLoads,
-        CollectRouterUpdate, FleetActor, SetRouterCount,
+        ApplyLeavingServers, ApplyPartNotices, ApplyPeerUpdate, ApplyWeightsNotices,
+        ClearPeerLoads, CollectRouterUpdate, FleetActor, SetRouterCount,
     },
     metric,
 };
@@ -223,7 +223,10 @@
     }
 
     async fn send_all(&mut self, now: Timestamp) {
-        let Ok(update) = self.config.fleet.ask(CollectRouterUpdate).await else { return };
+        let is_aggregator = self.chosen == self.config.address;
+        let Ok(update) = self.config.fleet.ask(CollectRouterUpdate { is_aggregator }).await else {
+            return;
+        };
         let origin = router_id(self.config.address);
         let prompts = update.prompts.into_iter().map(|update| OriginPrompt { origin, update });
         let prompts: Vec<_> = prompts.collect();
@@ -233,11 +236,13 @@
             weights: update.weights,
             versions: update.versions,
             leaving: update.leaving,
+            parts: update.parts,
+            sent_at: now,
             feed_reports: vec![self.config.feeds.feed_reports(now)],
             introduced: introduced.clone(),
         };
         self.seq += 1;
-        if self.chosen == self.config.address {
+        if is_aggregator {
             self.notices_for_zone.add(now, &notices);
             self.notices_for_others.add(now, &notices);
             self.aggregator.apply_report(now, self.config.address, self.seq, update.loads, prompts);
@@ -307,8 +312,8 @@
                 self.answer_greeting(now, sender.address, wants_reply, introduced);
             }
             Content::Report { seq, loads, prompts, notices } => {
-                self.has_changes |=
-                    !loads.is_empty() || !prompts.is_empty() || notices.has_feed_reports();
+                let notices = notices.received(now);
+                self.has_changes |= !loads.is_empty() || !prompts.is_empty() || notices.is_urgent();
                 self.notices_for_others.add(now, &notices);
                 self.apply_notices(now, notices).await;
                 self.aggregator.apply_report(
@@ -321,8 +326,9 @@
                 self.apply_as_aggregator(sender.address, loads, prompts).await;
             }
             Content::ZoneDigest { digest, notices, alive } => {
-                self.has_changes |= self.is_aggregating(now)
-                    && (!digest.loads.is_empty() || notices.has_feed_reports());
+                let notices = notices.received(now);
+                self.has_changes |=
+                    self.is_aggregating(now) && (!digest.loads.is_empty() || notices.is_urgent());
                 self.peers.record_digest(now, sender.address);
                 self.record_alive(now, alive);
                 self.apply_notices(now, notices).await;
@@ -331,6 +337,7 @@
                 self.apply_as_aggregator(sender.address, loads, prompts).await;
             }
             Content::FleetDigest { digest, notices, alive } => {
+                let notices = notices.received(now);
                 self.peers.record_digest(now, sender.address);
                 self.record_alive(now, alive);
                 self.apply_notices(now, notices).await;
@@ -389,7 +396,12 @@
         for address in notices.introduced {
             self.add_peer(now, address);
         }
-        let Notices { weights, versions, leaving, .. } = notices;
+        let Notices { weights, versions, leaving, parts, .. } = notices;
+        if !parts.is_empty()
+            && let Err(e) = self.config.fleet.tell(ApplyPartNotices(parts)).await
+        {
+            log::error!("could not apply notices about prompt parts: {e}");
+        }
         if !leaving.is_empty()
             && let Err(e) = self.config.fleet.tell(ApplyLeavingServers(leaving)).await
         {
--- a/crates/dogwoodway_gateway/src/gossip/datagram.rs
+++ b/crates/dogwoodway_gateway/src/gossip/datagram.rs
@@ -3,17 +3,21 @@
 use std::net::SocketAddr;
 
 use bincode::Options;
-use dogwoodway_routing::direct::{
-    aggregation::Digest,
-    fleet::{LeavingServer, OriginPrompt, ServerLoad, VersionAge},
-    peers::RouterInfo,
+use dogwoodway_routing::{
+    direct::{
+        aggregation::Digest,
+        fleet::{LeavingServer, OriginPrompt, ServerLoad, VersionAge},
+        peers::RouterInfo,
+    },
+    part_blame::PartNotice,
 };
+use dogwoodway_types::Timestamp;
 use serde::{Deserialize, Serialize};
 
 use crate::{feeds::FeedReports, fleet_actor::WeightsUpdate};
 
 /// First byte of each datagram. Routers ignore datagrams of other versions of the format.
-const FORMAT_VERSION: u8 = 3;
+const FORMAT_VERSION: u8 = 4;
 
 /// A datagram and the router that sent it.
 #[derive(Debug, Serialize, Deserialize)]
@@ -47,12 +51,24 @@
     pub(super) introduced: Vec<SocketAddr>,
     /// Servers that have recently announced that they are shutting down.
     pub(super) leaving: Vec<LeavingServer>,
+    /// Evidence of prompt parts that crash engines.
+    pub(super) parts: Vec<PartNotice>,
+    /// When the notices were sent, by the clock of the times in `parts`.
+    pub(super) sent_at: Timestamp,
 }
 
 impl Notices {
-    /// Returns whether there is any report of what a router has read from the store.
-    pub(super) fn has_feed_reports(&self) -> bool {
-        self.feed_reports.iter().any(FeedReports::is_useful)
+    /// Returns whether an aggregator passes the notices on at once.
+    pub(super) fn is_urgent(&self) -> bool {
+        !self.parts.is_empty() || self.feed_reports.iter().any(FeedReports::is_useful)
+    }
+
+    /// Converts the times to the clock of this router, which has received the notices at `now`.
+    pub(super) fn received(mut self, now: Timestamp) -> Notices {
+        let parts = std::mem::take(&mut self.parts).into_iter();
+        self.parts = parts.map(|notice| notice.shifted(self.sent_at, now)).collect();
+        self.sent_at = now;
+        self
     }
 }
 
--- a/crates/dogwoodway_gateway/src/gossip/notice_board.rs
+++ b/crates/dogwoodway_gateway/src/gossip/notice_board.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use dogwoodway_routing::direct::fleet::{LeavingServer, VersionAge};
+use dogwoodway_routing::{
+    direct::fleet::{LeavingServer, VersionAge},
+    part_blame::PartNotice,
+};
 use dogwoodway_types::Timestamp;
 
 use crate::{feeds::FeedReports, fleet_actor::WeightsUpdate, gossip::datagram::Notices};
@@ -22,6 +25,7 @@
     feed_reports: Vec<(FeedReports, Timestamp)>,
     introduced: Vec<(SocketAddr, Timestamp)>,
     leaving: Vec<(LeavingServer, Timestamp)>,
+    parts: Vec<(PartNotice, Timestamp)>,
 }
 
 impl NoticeBoard {
@@ -44,6 +48,12 @@
             self.leaving.retain(|(other, _)| other != leaving);
             self.leaving.push((*leaving, now));
         }
+        for notice in &notices.parts {
+            match self.parts.iter_mut().find_map(|(known, at)| known.merge(notice).then_some(at)) {
+                Some(at) => *at = now,
+                None => self.parts.push((notice.clone(), now)),
+            }
+        }
         let useful = notices.feed_reports.iter().filter(|reports| reports.is_useful());
         self.feed_reports.extend(useful.map(|reports| (*reports, now)));
         self.feed_reports.sort_by_key(|(reports, at)| reports.aged(now - *at).age_ms());
@@ -58,6 +68,7 @@
         self.feed_reports.retain(|(_, at)| is_fresh(*at));
         self.introduced.retain(|(_, at)| is_fresh(*at));
         self.leaving.retain(|(_, at)| is_fresh(*at));
+        self.parts.retain(|(_, at)| is_fresh(*at));
         let aged = |age: &VersionAge, at: Timestamp| VersionAge {
             age_ms: age.age_ms + (now - at).as_millis() as u64,
             ..age.clone()
@@ -72,6 +83,8 @@
                 .collect(),
             introduced: self.introduced.iter().map(|(address, _)| *address).collect(),
             leaving: self.leaving.iter().map(|(leaving, _)| *leaving).collect(),
+            parts: self.parts.iter().map(|(notice, _)| notice.clone()).collect(),
+            sent_at: now,
         }
     }
 }
--- a/crates/dogwoodway_gateway/src/metric.rs
+++ b/crates/dogwoodway_gateway/src/metric.rs
@@ -47,6 +47,9 @@
 /// Crashes of backend servers with requests of this router.
 pub(crate) const SERVER_CRASHES: &str = "dogwoodway_router_server_crashes_total";
 
+/// Prompt parts in quarantine.
+pub(crate) const PARTS_QUARANTINED: &str = "dogwoodway_router_parts_quarantined";
+
 /// Known routers, this one included.
 pub(crate) const ROUTERS: &str = "dogwoodway_router_routers";
 
--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -188,6 +188,9 @@
                 PlacementReply::Refused(refusal) => {
                     return self.refusal_response(&request, refusal);
                 }
+                PlacementReply::PartBlamed { part, retry_at } => {
+                    return self.part_blamed_response(&request, part, retry_at);
+                }
             };
             match self.attempt(&mut request, target, None).await {
                 Attempt::TimedOut => return self.timeout_response(&request),
@@ -236,7 +239,14 @@
     ) -> PlacementReply {
         let fingerprint = self.fingerprint_if_tracked(request);
         let is_retry = request.attempts.total > 0;
-        match self.fleet.ask(PlaceRequest { placement_request, is_retry, fingerprint }).await {
+        let msg = PlaceRequest {
+            placement_request,
+            is_retry,
+            may_have_run: request.attempts.may_have_run > 0,
+            shared_parts: request.shared_parts.clone(),
+            fingerprint,
+        };
+        match self.fleet.ask(msg).await {
             Ok(reply) => reply,
             Err(e) => {
                 log::error!("fleet actor did not answer a placement request: {e}");
--- a/crates/dogwoodway_gateway/src/relay/refusal.rs
+++ b/crates/dogwoodway_gateway/src/relay/refusal.rs
@@ -3,8 +3,11 @@
 use std::time::Duration;
 
 use dogwoodway_http::Body;
-use dogwoodway_routing::direct::{admission, fleet::Refusal};
-use dogwoodway_types::NotRunReason;
+use dogwoodway_routing::{
+    direct::{admission, fleet::Refusal},
+    part_blame::PartKey,
+};
+use dogwoodway_types::{NotRunReason, Timestamp};
 use hyper::{Response, StatusCode};
 
 use crate::{
@@ -40,6 +43,23 @@
         self.not_run_response(refusal.reason, retry_after)
     }
 
+    /// Builds the response for a request that gets no attempt because of a part of its prompt. It
+    /// names the time until which any retry would be refused.
+    pub(super) fn part_blamed_response(
+        &self,
+        request: &ClientRequest,
+        part: Option<PartKey>,
+        retry_at: Timestamp,
+    ) -> Response<Body> {
+        let blamed = part.map_or_else(|| "suspected".to_owned(), |part| part.to_string());
+        log::info!(request = request.head.id, part = blamed; "request refused for a prompt part");
+        let reason = NotRunReason::Quarantined;
+        self.refusal_response(
+            request,
+            Refusal { reason, retry_at, is_retry_at_known: true, wait_ms: 0 },
+        )
+    }
+
     pub(super) fn not_run_response(
         &self,
         reason: NotRunReason,
--- a/crates/dogwoodway_gateway/src/router.rs
+++ b/crates/dogwoodway_gateway/src/router.rs
@@ -11,7 +11,7 @@
 };
 
 use dogwoodway_http::{ServerLimits, serve, serve_with_dynamic_limits};
-use dogwoodway_routing::direct::{distance::Regions, peers::ZoneTag};
+use dogwoodway_routing::direct::{distance::Regions, load::router_id, peers::ZoneTag};
 use dogwoodway_types::{AvailabilityZone, RouterName};
 use futures::future::BoxFuture;
 use kameo::{
@@ -136,6 +136,7 @@
     let quarantine_in_use = Arc::new(AtomicBool::new(false));
     let loads_changed = Arc::new(Notify::new());
     let fleet = FleetActor::new(FleetConfig {
+        seed: router_id(settings.gossip_listen),
         zone: settings.zone.clone(),
         regions: settings.regions.clone(),
         retry_bounds: RetryBounds { ratio: settings.retry_ratio, slack: settings.retry_slack },
--- a/crates/dogwoodway_routing/src/part_blame.rs
+++ b/crates/dogwoodway_routing/src/part_blame.rs
@@ -1,5 +1,455 @@
 //! Blame of prompt parts for crashes of the engines that answer prompts with them.
+//!
+//! The load pattern behind this: a part that many requests share, such as a document, crashes each
+//! engine that begins to answer a prompt with it. The requests differ in all else and arrive at
+//! every router, so counting crashes against whole requests never stops them. Each crash also takes
+//! down a batch of sound requests, which may share other parts with the cause.
+//!
+//! The evidence is counted against each shared part:
+//!
+//! - *A crash counts against the parts of the answers that the engine had begun.* Requests that were
+//!   queued there count for nothing.
+//! - *A complete answer refutes all crashes before it began*, wherever it ran. An answer that broke
+//!   off, and an error, refute nothing.
+//! - *Only crashes one after the other count*: a further crash counts against a part only if its
+//!   answer began after the crash before it. When many engines are lost at the same moment, every
+//!   common part was on several of them, and that counts as one crash.
+//! - *A crash is explained once.* The part with the longest series of crashes is blamed first; what
+//!   it explains no longer counts against the parts that accompany it.
+//! - *There must be a contrast*: a part is blamed only if prompts without it, for the same model,
+//!   were answered meanwhile. If nothing is answered, the cause is elsewhere.
+//!
+//! A part with [`BLAME_THRESHOLD`] crashes in series is quarantined for [`INITIAL_QUARANTINE`], and
+//! twice as long after each further crash. Then one request tries it again; a complete answer clears
+//! it. The last part of a prompt is its own and is never blamed; see
+//! [`quarantine`](crate::quarantine) for single requests.
+//!
+//! Routers exchange the evidence as [`PartNotice`]s. Each evaluates all of it, so that they come to
+//! the same result, whatever the order in which it arrives.
 
+mod evidence;
 mod key;
+mod notice;
 
-pub use self::key::PartKey;
+use std::{
+    collections::{HashMap, HashSet, VecDeque},
+    time::Duration,
+};
+
+use dogwoodway_types::Timestamp;
+
+use self::evidence::{CountedCrash, Series};
+pub use self::{
+    evidence::{EngineCrash, PartRun},
+    key::PartKey,
+    notice::{AnsweredPart, PartNotice},
+};
+
+/// Crashes in series from which on a part is quarantined.
+pub const BLAME_THRESHOLD: usize = 3;
+
+/// Crashes in series from which on a request with the part is not sent again after it was lost.
+const NO_RETRY_THRESHOLD: usize = 2;
+
+/// Duration of the first quarantine of a part; each further crash doubles it.
+pub const INITIAL_QUARANTINE: Duration = Duration::from_secs(60);
+
+/// Maximum number of times that the duration of a quarantine is doubled.
+const MAX_DOUBLINGS: usize = 5;
+
+/// Answers to prompts without a part that must have completed before it is blamed.
+const MIN_CONTRAST: usize = 3;
+
+/// Largest number of parts in quarantine, which bounds what wrong blame can refuse.
+pub const MAX_QUARANTINED: usize = 8;
+
+/// Time for which crashes are remembered.
+const EVIDENCE_TTL: Duration = Duration::from_secs(3_600);
+
+/// Largest number of crashes that are remembered.
+const MAX_CRASHES: usize = 128;
+
+/// Largest number of parts whose complete answers are remembered.
+const MAX_ANSWERED_PARTS: usize = 4_096;
+
+/// Number of complete answers that are remembered as contrast.
+const MAX_RECENT_ANSWERS: usize = 64;
+
+/// Time between the trials of two routers. A trial that crashes its engine is known to the others
+/// by then.
+const TRIAL_SPACING: Duration = Duration::from_millis(500);
+
+/// Time after which a trial without a result is repeated.
+const TRIAL_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Largest number of notices that are queued for other routers.
+const MAX_OUTGOING: usize = 256;
+
+/// Whether a request with certain parts may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PartStatus {
+    /// The request may run.
+    Clear,
+    /// The request may run, but must not be sent again after it was lost.
+    Suspect,
+    /// The part is in quarantine, and this request may try it again if [`PartBlame::start_trial`] is
+    /// called. It must not be sent again after it was lost.
+    Trial(PartKey),
+    /// The request must not run.
+    Quarantined {
+        /// The part that is blamed.
+        part: PartKey,
+        /// When the part is tried again.
+        until: Timestamp,
+    },
+}
+
+/// A part that is blamed for crashes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QuarantinedPart {
+    /// The part.
+    pub part: PartKey,
+    /// Crashes one after the other.
+    pub crashes: usize,
+    /// When the quarantine ends.
+    pub until: Timestamp,
+}
+
+/// Evidence of which parts crash engines, and the parts that are blamed.
+///
+/// ```
+/// use std::time::Duration;
+/// use dogwoodway_routing::part_blame::{EngineCrash, PartBlame, PartKey, PartRun, PartStatus};
+/// use dogwoodway_types::{EngineIncarnation, ModelName, Timestamp};
+///
+/// let model = ModelName::try_from("m").unwrap();
+/// let [common, bad, good] = ["a", "b", "c"].map(|part| PartKey::new(&model, None, part));
+/// let at = Timestamp::from_millis;
+/// let lead = Duration::from_millis(30);
+/// let mut blame = PartBlame::new(1, 1);
+/// for n in 1..4 {
+///     let runs = vec![
+///         PartRun { part: common, position: 0, lead },
+///         PartRun { part: bad, position: 1, lead },
+///     ];
+///     let engine = EngineIncarnation(n);
+///     blame.record_crash(at(100 * n), EngineCrash { engine, crashed_at: at(100 * n), runs });
+/// }
+/// for _ in 0..3 {
+///     blame.record_answer(at(400), &[common, good], at(350));
+/// }
+/// assert_eq!(blame.status(at(500), &[common, good]), PartStatus::Clear);
+/// assert!(matches!(blame.status(at(500), &[common, bad]), PartStatus::Quarantined { .. }));
+/// ```
+#[derive(Clone, Debug)]
+pub struct PartBlame {
+    /// Distinguishes this router from the others, so that their trials do not coincide.
+    seed: u64,
+    router_count: u32,
+    /// Oldest first.
+    crashes: Vec<EngineCrash>,
+    /// When the last complete answer to a prompt with a part began.
+    answered: HashMap<PartKey, Timestamp>,
+    /// The last complete answers, oldest first: when each began, and its parts.
+    recent_answers: VecDeque<(Timestamp, Vec<PartKey>)>,
+    /// Parts for which some router has a contrast.
+    contrasted: HashSet<PartKey>,
+    /// The strongest blame first.
+    quarantined: Vec<QuarantinedPart>,
+    /// Parts from [`NO_RETRY_THRESHOLD`] on.
+    suspects: HashSet<PartKey>,
+    /// Trials of this router, and when each counts as without a result.
+    trials: HashMap<PartKey, Timestamp>,
+    /// Whether a part would be quarantined if there were a contrast.
+    awaits_contrast: bool,
+    is_outdated: bool,
+    outgoing: VecDeque<PartNotice>,
+}
+
+impl PartBlame {
+    /// Creates an empty table. `seed` differs from router to router.
+    pub fn new(seed: u64, router_count: u32) -> PartBlame {
+        PartBlame {
+            seed,
+            router_count,
+            crashes: Vec::new(),
+            answered: HashMap::new(),
+            recent_answers: VecDeque::new(),
+            contrasted: HashSet::new(),
+            quarantined: Vec::new(),
+            suspects: HashSet::new(),
+            trials: HashMap::new(),
+            awaits_contrast: false,
+            is_outdated: false,
+            outgoing: VecDeque::new(),
+        }
+    }
+
+    /// Sets the number of routers, this one included.
+    pub fn set_router_count(&mut self, routers: u32) {
+        self.router_count = routers.max(1);
+    }
+
+    /// Records a crash of an engine and the answers that it had begun for this router. Repeated
+    /// reports of one crash are merged.
+    pub fn record_crash(&mut self, now: Timestamp, crash: EngineCrash) {
+        if !crash.runs.is_empty() && self.merge_crash(now, &crash) {
+            self.queue(PartNotice::Crashed { crash, contrasted: Vec::new() });
+        }
+    }
+
+    /// Records a complete answer that began at `started_at`, to a prompt with these shared parts.
+    pub fn record_answer(&mut self, now: Timestamp, parts: &[PartKey], started_at: Timestamp) {
+        for part in parts {
+            if self.refute(now, *part, started_at) {
+                self.queue(PartNotice::Answered(AnsweredPart { part: *part, started_at }));
+            }
+        }
+        if self.recent_answers.len() >= MAX_RECENT_ANSWERS {
+            self.recent_answers.pop_front();
+        }
+        self.recent_answers.push_back((started_at, parts.to_vec()));
+        self.is_outdated |= self.awaits_contrast;
+    }
+
+    /// Applies what another router reports. Its times are by this router's clock.
+    pub fn apply(&mut self, now: Timestamp, notice: &PartNotice) {
+        match notice {
+            PartNotice::Crashed { crash, contrasted } => {
+                for part in contrasted {
+                    self.is_outdated |= self.contrasted.insert(*part);
+                }
+                self.merge_crash(now, crash);
+                // The sender may not know that an answer has refuted the crash.
+                for run in &crash.runs {
+                    if let Some(started_at) = self.answered.get(&run.part).copied()
+                        && started_at >= crash.crashed_at
+                    {
+                        let answered = AnsweredPart { part: run.part, started_at };
+                        self.queue(PartNotice::Answered(answered));
+                    }
+                }
+            }
+            PartNotice::Answered(AnsweredPart { part, started_at }) => {
+                self.refute(now, *part, *started_at);
+            }
+        }
+    }
+
+    /// Returns whether a request with these shared parts may run now.
+    pub fn status(&mut self, now: Timestamp, parts: &[PartKey]) -> PartStatus {
+        self.evaluate(now);
+        let blamed = self.quarantined.iter().find(|blamed| parts.contains(&blamed.part));
+        if let Some(QuarantinedPart { part, until, .. }) = blamed.copied() {
+            let trial_at = until + self.trial_delay(part);
+            let until = trial_at.max(self.trials.get(&part).copied().unwrap_or_default());
+            return match now < until {
+                true => PartStatus::Quarantined { part, until },
+                false => PartStatus::Trial(part),
+            };
+        }
+        match parts.iter().any(|part| self.suspects.contains(part)) {
+            true => PartStatus::Suspect,
+            false => PartStatus::Clear,
+        }
+    }
+
+    /// Starts the trial of a part. Later requests with it wait for the result.
+    pub fn start_trial(&mut self, now: Timestamp, part: PartKey) {
+        self.trials.insert(part, now + TRIAL_TIMEOUT);
+    }
+
+    /// Returns the parts in quarantine, those with the longest series of crashes first.
+    pub fn quarantined(&mut self, now: Timestamp) -> &[QuarantinedPart] {
+        self.evaluate(now);
+        &self.quarantined
+    }
+
+    /// Takes the notices for other routers. Each is to be sent several times, since some are lost.
+    pub fn take_notices(&mut self) -> Vec<PartNotice> {
+        self.outgoing.drain(..).collect()
+    }
+
+    /// Returns the evidence against all parts in quarantine, for routers that have just started.
+    pub fn summary(&mut self, now: Timestamp) -> Vec<PartNotice> {
+        self.evaluate(now);
+        let counted = self.counted_crashes();
+        let mut notices = Vec::new();
+        for QuarantinedPart { part, .. } in &self.quarantined {
+            let series = series_of(&counted, *part, &HashSet::new());
+            let newest = series.indices.iter().rev().take(BLAME_THRESHOLD + MAX_DOUBLINGS);
+            notices.extend(newest.map(|i| PartNotice::Crashed {
+                crash: self.crashes[*i].restricted_to(*part),
+                contrasted: vec![*part],
+            }));
+        }
+        notices
+    }
+
+    /// Merges a report of a crash. Returns whether it added anything.
+    fn merge_crash(&mut self, now: Timestamp, report: &EngineCrash) -> bool {
+        let known = self.crashes.iter_mut().find(|crash| crash.engine == report.engine);
+        let is_news = match known {
+            Some(crash) => crash.merge(report),
+            None => {
+                self.make_room(now);
+                let mut crash = EngineCrash { runs: Vec::new(), ..report.clone() };
+                crash.merge(report);
+                self.crashes.push(crash);
+                true
+            }
+        };
+        self.is_outdated |= is_news;
+        is_news
+    }
+
+    /// Drops crashes that are too old, and otherwise the oldest that is not held against a part in
+    /// quarantine, if there are too many.
+    fn make_room(&mut self, now: Timestamp) {
+        self.crashes.retain(|crash| now - crash.crashed_at < EVIDENCE_TTL);
+        if self.crashes.len() < MAX_CRASHES {
+            return;
+        }
+        let is_needed = |crash: &EngineCrash| {
+            self.quarantined.iter().any(|blamed| crash.run_of(blamed.part).is_some())
+        };
+        let dropped = self.crashes.iter().position(|crash| !is_needed(crash)).unwrap_or(0);
+        self.crashes.remove(dropped);
+    }
+
+    /// Records when a complete answer began. Returns whether it refutes any crash that counted
+    /// against the part.
+    fn refute(&mut self, now: Timestamp, part: PartKey, started_at: Timestamp) -> bool {
+        let known = self.answered.get(&part).copied().unwrap_or_default();
+        if started_at <= known {
+            return false;
+        }
+        if self.answered.len() >= MAX_ANSWERED_PARTS && !self.answered.contains_key(&part) {
+            self.forget_answers(now);
+        }
+        self.answered.insert(part, started_at);
+        let refutes = self.crashes.iter().any(|crash| {
+            crash.crashed_at <= started_at
+                && crash.crashed_at > known
+                && crash.run_of(part).is_some()
+        });
+        if refutes {
+            self.is_outdated = true;
+            self.trials.remove(&part);
+            self.contrasted.remove(&part);
+        }
+        refutes
+    }
+
+    /// Forgets the older half of the complete answers.
+    fn forget_answers(&mut self, now: Timestamp) {
+        let mut ages: Vec<_> = self.answered.values().map(|started_at| now - *started_at).collect();
+        let middle = ages.len() / 2;
+        let (_, median, _) = ages.select_nth_unstable(middle);
+        let median = *median;
+        self.answered.retain(|_, started_at| now - *started_at < median);
+    }
+
+    fn queue(&mut self, notice: PartNotice) {
+        if self.outgoing.len() >= MAX_OUTGOING {
+            self.outgoing.pop_front();
+        }
+        self.outgoing.push_back(notice);
+    }
+
+    /// Returns how much later than others this router tries a part again.
+    fn trial_delay(&self, part: PartKey) -> Duration {
+        let draw = crate::rendezvous::mix(self.seed ^ part.part) % u64::from(self.router_count);
+        TRIAL_SPACING * draw as u32
+    }
+
+    /// Decides from the evidence which parts are blamed.
+    fn evaluate(&mut self, now: Timestamp) {
+        if !std::mem::take(&mut self.is_outdated) {
+            return;
+        }
+        self.crashes.retain(|crash| now - crash.crashed_at < EVIDENCE_TTL);
+        let counted = self.counted_crashes();
+        let mut explained = HashSet::new();
+        let mut blamed = Vec::new();
+        self.awaits_contrast = false;
+        while blamed.len() < MAX_QUARANTINED {
+            let series = counted.keys().map(|part| series_of(&counted, *part, &explained));
+            let strong: Vec<_> =
+                series.filter(|series| series.indices.len() >= BLAME_THRESHOLD).collect();
+            let contrasted = strong.iter().filter(|series| self.has_contrast(series));
+            let strongest = contrasted.max_by_key(|series| series.strength());
+            self.awaits_contrast |= strongest.is_none() && !strong.is_empty();
+            let Some(series) = strongest else { break };
+            explained.extend(series.all_indices.iter().copied());
+            blamed.push(quarantine(series));
+        }
+        let is_suspect = |part: &PartKey| {
+            series_of(&counted, *part, &explained).indices.len() >= NO_RETRY_THRESHOLD
+        };
+        self.suspects = counted.keys().copied().filter(is_suspect).collect();
+        self.contrasted.retain(|part| counted.contains_key(part));
+        for QuarantinedPart { part, .. } in &blamed {
+            // The other routers may not have seen the contrast.
+            if self.contrasted.insert(*part)
+                && let Some(last) = counted.get(part).and_then(|crashes| crashes.last())
+            {
+                let crash = self.crashes[last.index].restricted_to(*part);
+                self.outgoing.push_back(PartNotice::Crashed { crash, contrasted: vec![*part] });
+            }
+        }
+        self.quarantined = blamed;
+    }
+
+    /// Returns for each part the crashes that no complete answer refutes, in the order of time.
+    fn counted_crashes(&self) -> HashMap<PartKey, Vec<CountedCrash>> {
+        let mut counted: HashMap<PartKey, Vec<CountedCrash>> = HashMap::new();
+        let mut indices: Vec<_> = (0..self.crashes.len()).collect();
+        indices.sort_by_key(|i| self.crashes[*i].crashed_at);
+        for index in indices {
+            let crash = &self.crashes[index];
+            for run in &crash.runs {
+                let answered_at = self.answered.get(&run.part).copied().unwrap_or_default();
+                if crash.crashed_at > answered_at {
+                    counted.entry(run.part).or_default().push(CountedCrash {
+                        index,
+                        position: run.position,
+                        started_at: crash.crashed_at.earlier_by(run.lead),
+                        crashed_at: crash.crashed_at,
+                    });
+                }
+            }
+        }
+        counted
+    }
+
+    /// Returns whether prompts without the part were answered after its first crash.
+    fn has_contrast(&self, series: &Series) -> bool {
+        if self.contrasted.contains(&series.part) {
+            return true;
+        }
+        let others = self.recent_answers.iter().filter(|(started_at, parts)| {
+            *started_at > series.first_crash_at
+                && parts.iter().any(|part| part.model == series.part.model)
+                && !parts.contains(&series.part)
+        });
+        others.count() >= MIN_CONTRAST
+    }
+}
+
+/// Returns the series of crashes that count against a part and have no other explanation.
+fn series_of(
+    counted: &HashMap<PartKey, Vec<CountedCrash>>,
+    part: PartKey,
+    explained: &HashSet<usize>,
+) -> Series {
+    let crashes = counted.get(&part).map_or(&[][..], Vec::as_slice);
+    Series::longest(part, crashes.iter().filter(|crash| !explained.contains(&crash.index)).copied())
+}
+
+fn quarantine(series: &Series) -> QuarantinedPart {
+    let crashes = series.indices.len();
+    let doublings = (crashes - BLAME_THRESHOLD).min(MAX_DOUBLINGS) as u32;
+    let until = series.last_crash_at + INITIAL_QUARANTINE * (1 << doublings);
+    QuarantinedPart { part: series.part, crashes, until }
+}
--- /dev/null
+++ b/crates/dogwoodway_routing/src/part_blame/evidence.rs
@@ -0,0 +1,122 @@
+//! Crashes of engines, and the series of crashes that count against one part.
+
+use std::{cmp::Reverse, time::Duration};
+
+use dogwoodway_types::{EngineIncarnation, Timestamp};
+use serde::{Deserialize, Serialize};
+
+use crate::part_blame::PartKey;
+
+/// Largest number of parts for which the answers of one crashed engine are kept.
+const MAX_RUNS: usize = 64;
+
+/// An answer, to a prompt with a part, that an engine had begun when it crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartRun {
+    /// The part.
+    pub part: PartKey,
+    /// Position of the part in the prompt; 0 is the first.
+    pub position: u8,
+    /// Time from the beginning of the answer to the crash. Of several answers, the last one counts.
+    pub lead: Duration,
+}
+
+/// A crash of one engine process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineCrash {
+    /// The process that crashed.
+    pub engine: EngineIncarnation,
+    /// When it crashed.
+    pub crashed_at: Timestamp,
+    /// Answers that it had begun, one for each part.
+    pub runs: Vec<PartRun>,
+}
+
+impl EngineCrash {
+    /// Returns the answer to a prompt with `part`, if there was one.
+    pub(super) fn run_of(&self, part: PartKey) -> Option<PartRun> {
+        self.runs.iter().find(|run| run.part == part).copied()
+    }
+
+    /// Returns the crash with the answers to prompts with one part only.
+    pub(super) fn restricted_to(&self, part: PartKey) -> EngineCrash {
+        let runs = self.run_of(part).into_iter().collect();
+        EngineCrash { runs, ..self.clone() }
+    }
+
+    /// Adds another report of the same crash; returns whether it names further parts.
+    pub fn merge(&mut self, other: &EngineCrash) -> bool {
+        let known = self.runs.len();
+        // A report that took longer to arrive makes the crash look later.
+        self.crashed_at = self.crashed_at.min(other.crashed_at);
+        for run in &other.runs {
+            if let Some(known) = self.runs.iter_mut().find(|known| known.part == run.part) {
+                known.lead = known.lead.min(run.lead);
+                known.position = known.position.max(run.position);
+            } else if self.runs.len() < MAX_RUNS {
+                self.runs.push(*run);
+            }
+        }
+        self.runs.len() > known
+    }
+}
+
+/// A crash that counts against one part.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CountedCrash {
+    /// Index of the crash.
+    pub(super) index: usize,
+    pub(super) position: u8,
+    /// When the answer to the prompt with the part began.
+    pub(super) started_at: Timestamp,
+    pub(super) crashed_at: Timestamp,
+}
+
+/// The longest series of crashes of one part in which each answer began after the crash before it.
+#[derive(Clone, Debug)]
+pub(super) struct Series {
+    pub(super) part: PartKey,
+    position: u8,
+    /// Indices of the crashes in the series, oldest first.
+    pub(super) indices: Vec<usize>,
+    /// Indices of all crashes that count against the part.
+    pub(super) all_indices: Vec<usize>,
+    pub(super) first_crash_at: Timestamp,
+    pub(super) last_crash_at: Timestamp,
+}
+
+impl Series {
+    /// Chooses the series from all crashes that count against a part, in the order of time.
+    pub(super) fn longest<I>(part: PartKey, crashes: I) -> Series
+    where
+        I: Iterator<Item = CountedCrash>,
+    {
+        let mut series = Series {
+            part,
+            position: 0,
+            indices: Vec::new(),
+            all_indices: Vec::new(),
+            first_crash_at: Timestamp::default(),
+            last_crash_at: Timestamp::default(),
+        };
+        let mut previous_crash_at: Option<Timestamp> = None;
+        for crash in crashes {
+            if series.all_indices.is_empty() {
+                (series.position, series.first_crash_at) = (crash.position, crash.crashed_at);
+            }
+            series.all_indices.push(crash.index);
+            series.last_crash_at = crash.crashed_at;
+            if previous_crash_at.is_none_or(|previous| crash.started_at > previous) {
+                series.indices.push(crash.index);
+                previous_crash_at = Some(crash.crashed_at);
+            }
+        }
+        series
+    }
+
+    /// Returns how well the part explains crashes, for comparison. Of two parts that always occur
+    /// together the later one is blamed, which refuses fewer requests.
+    pub(super) fn strength(&self) -> (usize, usize, u8, Reverse<PartKey>) {
+        (self.indices.len(), self.all_indices.len(), self.position, Reverse(self.part))
+    }
+}
--- /dev/null
+++ b/crates/dogwoodway_routing/tests/part_blame.rs
@@ -0,0 +1,332 @@
+//! Blame of prompt parts: what counts as evidence, and what does not.
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use dogwoodway_routing::part_blame::{
+    BLAME_THRESHOLD, EngineCrash, INITIAL_QUARANTINE, MAX_QUARANTINED, PartBlame, PartKey,
+    PartNotice, PartRun, PartStatus,
+};
+use dogwoodway_types::{EngineIncarnation, ModelName, TeamName, Timestamp};
+use proptest::prelude::*;
+
+fn part(name: &str) -> PartKey {
+    PartKey::new(&ModelName::try_from("m").unwrap(), None, name)
+}
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+/// Builds a crash at `ms` of an engine that had begun to answer prompts with these parts 30 ms
+/// before.
+fn crash(engine: u64, ms: u64, parts: &[&str]) -> EngineCrash {
+    let lead = Duration::from_millis(30);
+    let runs = parts.iter().zip(0..);
+    let runs = runs.map(|(name, position)| PartRun { part: part(name), position, lead }).collect();
+    EngineCrash { engine: EngineIncarnation(engine), crashed_at: at(ms), runs }
+}
+
+/// Records that prompts with the parts `a` and `other` are answered, from `ms` on.
+fn answer_others(blame: &mut PartBlame, ms: u64) {
+    for n in 0..5 {
+        blame.record_answer(at(ms + 50 + n), &[part("a"), part("other")], at(ms + n));
+    }
+}
+
+/// Returns a table in which the part `bad` is in quarantine since its third crash at 300 ms.
+fn blame_with_bad_part() -> PartBlame {
+    let mut blame = PartBlame::new(1, 1);
+    for n in 1..=3 {
+        blame.record_crash(at(100 * n), crash(n, 100 * n, &["a", "bad"]));
+    }
+    answer_others(&mut blame, 310);
+    blame
+}
+
+fn quarantined(blame: &mut PartBlame, ms: u64) -> Vec<PartKey> {
+    blame.quarantined(at(ms)).iter().map(|blamed| blamed.part).collect()
+}
+
+#[test]
+fn sound_part_that_accompanies_the_cause_is_not_blamed() {
+    let mut blame = blame_with_bad_part();
+    assert_eq!(quarantined(&mut blame, 400), [part("bad")]);
+    assert_eq!(blame.status(at(400), &[part("a"), part("other")]), PartStatus::Clear);
+    // The first part was in each crash as well, and no prompt with it was ever answered.
+    let mut blame = PartBlame::new(1, 1);
+    for n in 1..=4 {
+        blame.record_crash(at(100 * n), crash(n, 100 * n, &["a", "bad"]));
+    }
+    for n in 0..5 {
+        blame.record_answer(at(450 + n), &[part("b"), part("c")], at(410 + n));
+    }
+    assert_eq!(quarantined(&mut blame, 500), [part("bad")]);
+    assert_eq!(blame.status(at(500), &[part("a"), part("d")]), PartStatus::Clear);
+}
+
+#[test]
+fn engines_lost_at_the_same_moment_blame_no_part() {
+    let mut blame = PartBlame::new(1, 1);
+    for n in 0..20 {
+        blame.record_crash(at(1_000 + n), crash(n, 1_000 + n, &["a", "b"]));
+    }
+    for n in 0..5 {
+        blame.record_answer(at(1_200 + n), &[part("c"), part("d")], at(1_100 + n));
+    }
+    assert_eq!(quarantined(&mut blame, 1_300), []);
+    assert_eq!(blame.status(at(1_300), &[part("a"), part("b")]), PartStatus::Clear);
+}
+
+#[test]
+fn nothing_is_blamed_while_no_prompt_is_answered() {
+    let mut blame = PartBlame::new(1, 1);
+    for n in 1..=40 {
+        blame.record_crash(at(100 * n), crash(n, 100 * n, &["a", &format!("b{}", n % 4)]));
+    }
+    assert_eq!(quarantined(&mut blame, 5_000), []);
+}
+
+#[test]
+fn crash_reported_late_does_not_undo_a_complete_answer() {
+    let mut blame = PartBlame::new(1, 1);
+    for n in 1..=2 {
+        blame.record_crash(at(100 * n), crash(n, 100 * n, &["a", "b"]));
+    }
+    blame.record_answer(at(400), &[part("a"), part("b")], at(310));
+    answer_others(&mut blame, 320);
+    // Reported after the answer, but from before it.
+    blame.record_crash(at(420), crash(3, 300, &["a", "b"]));
+    blame.record_crash(at(430), crash(1, 100, &["a", "b"]));
+    assert_eq!(quarantined(&mut blame, 450), []);
+    assert_eq!(blame.status(at(450), &[part("a"), part("b")]), PartStatus::Clear);
+}
+
+#[test]
+fn answer_that_began_before_a_crash_does_not_refute_it() {
+    let mut blame = PartBlame::new(1, 1);
+    for n in 1..=3 {
+        blame.record_crash(at(100 * n), crash(n, 100 * n, &["a", "bad"]));
+    }
+    blame.record_answer(at(390), &[part("a"), part("bad")], at(90));
+    answer_others(&mut blame, 310);
+    assert_eq!(quarantined(&mut blame, 400), [part("bad")]);
+}
+
+#[test]
+fn queued_requests_are_no_evidence() {
+    let mut blame = PartBlame::new(1, 1);
+    for n in 1..=9 {
+        blame.record_crash(at(100 * n), crash(n, 100 * n, &[]));
+    }
+    answer_others(&mut blame, 1_000);
+    assert_eq!(quarantined(&mut blame, 1_100), []);
+    assert_eq!(blame.take_notices(), []);
+}
+
+#[test]
+fn two_causes_at_once_are_both_found() {
+    let mut blame = PartBlame::new(1, 1);
+    for n in 1..=8 {
+        let cause = if n % 2 == 0 { "bad" } else { "worse" };
+        blame.record_crash(at(100 * n), crash(n, 100 * n, &["a", cause]));
+    }
+    answer_others(&mut blame, 810);
+    let mut found = quarantined(&mut blame, 900);
+    found.sort_unstable();
+    let mut expected = [part("bad"), part("worse")];
+    expected.sort_unstable();
+    assert_eq!(found, expected);
+    assert_eq!(blame.status(at(900), &[part("a"), part("b")]), PartStatus::Clear);
+}
+
+#[test]
+fn number_of_blamed_parts_is_bounded() {
+    let mut blame = PartBlame::new(1, 1);
+    for n in 1..=60 {
+        blame.record_crash(at(100 * n), crash(n, 100 * n, &["a", &format!("b{}", n % 20)]));
+    }
+    answer_others(&mut blame, 6_010);
+    assert_eq!(quarantined(&mut blame, 6_100).len(), MAX_QUARANTINED);
+}
+
+#[test]
+fn request_that_was_lost_is_not_sent_again_from_the_second_crash_on() {
+    let mut blame = PartBlame::new(1, 1);
+    let parts = [part("a"), part("bad")];
+    blame.record_crash(at(100), crash(1, 100, &["a", "bad"]));
+    assert_eq!(blame.status(at(110), &parts), PartStatus::Clear);
+    blame.record_crash(at(200), crash(2, 200, &["a", "bad"]));
+    assert_eq!(blame.status(at(210), &parts), PartStatus::Suspect);
+}
+
+#[test]
+fn part_is_tried_again_by_one_request_and_cleared_by_its_answer() {
+    let mut blame = blame_with_bad_part();
+    let parts = [part("a"), part("bad")];
+    let end = at(300) + INITIAL_QUARANTINE;
+    assert_eq!(
+        blame.status(at(400), &parts),
+        PartStatus::Quarantined { part: part("bad"), until: end }
+    );
+    assert_eq!(blame.status(end, &parts), PartStatus::Trial(part("bad")));
+    blame.start_trial(end, part("bad"));
+    assert_matches!(blame.status(end, &parts), PartStatus::Quarantined { .. });
+    let started_at = end + Duration::from_millis(80);
+    blame.record_answer(started_at + Duration::from_millis(90), &parts, started_at);
+    assert_eq!(blame.status(started_at + Duration::from_secs(1), &parts), PartStatus::Clear);
+}
+
+#[test]
+fn trial_that_crashes_its_engine_doubles_the_quarantine() {
+    let mut blame = blame_with_bad_part();
+    let parts = [part("a"), part("bad")];
+    let end = at(300) + INITIAL_QUARANTINE;
+    blame.start_trial(end, part("bad"));
+    let crashed_at = end + Duration::from_millis(200);
+    blame.record_crash(crashed_at, EngineCrash { crashed_at, ..crash(4, 0, &["a", "bad"]) });
+    let until = crashed_at + INITIAL_QUARANTINE * 2;
+    assert_eq!(
+        blame.status(crashed_at, &parts),
+        PartStatus::Quarantined { part: part("bad"), until }
+    );
+    assert_eq!(blame.status(until, &parts), PartStatus::Trial(part("bad")));
+}
+
+#[test]
+fn routers_try_a_part_again_at_different_times() {
+    let mut ends = Vec::new();
+    for seed in 0..40 {
+        let mut blame = PartBlame::new(seed, 40);
+        for notice in blame_with_bad_part().summary(at(500)) {
+            blame.apply(at(500), &notice);
+        }
+        match blame.status(at(500), &[part("bad")]) {
+            PartStatus::Quarantined { until, .. } => ends.push(until),
+            status => panic!("{status:?}"),
+        }
+    }
+    ends.sort_unstable();
+    ends.dedup();
+    assert!(ends.len() > 20, "{} different times", ends.len());
+}
+
+#[test]
+fn parts_of_isolated_teams_are_told_apart() {
+    let model = ModelName::try_from("m").unwrap();
+    let team = |name: &str| TeamName::try_from(name).unwrap();
+    let own = PartKey::new(&model, Some(&team("mill")), "bad");
+    for other in [part("bad"), PartKey::new(&model, Some(&team("desk")), "bad")] {
+        assert_ne!(own, other);
+        assert_eq!(blame_with_bad_part().status(at(400), &[own]), PartStatus::Clear);
+    }
+}
+
+#[test]
+fn router_that_starts_later_learns_the_blamed_parts_from_a_summary() {
+    let mut late = PartBlame::new(2, 2);
+    for notice in blame_with_bad_part().summary(at(500)) {
+        late.apply(at(500), &notice);
+    }
+    assert_matches!(
+        late.status(at(500), &[part("a"), part("bad")]),
+        PartStatus::Quarantined { .. }
+    );
+    assert_eq!(late.status(at(500), &[part("a"), part("b")]), PartStatus::Clear);
+}
+
+#[test]
+fn router_that_missed_an_answer_is_told_when_it_repeats_the_blame() {
+    let (mut behind, mut ahead) = (blame_with_bad_part(), blame_with_bad_part());
+    ahead.record_answer(at(900), &[part("a"), part("bad")], at(800));
+    let _ = (ahead.take_notices(), behind.take_notices());
+    for notice in behind.summary(at(1_000)) {
+        ahead.apply(at(1_000), &notice);
+    }
+    assert_eq!(quarantined(&mut ahead, 1_000), []);
+    for notice in ahead.take_notices() {
+        behind.apply(at(1_001), &notice);
+    }
+    assert_eq!(quarantined(&mut behind, 1_001), []);
+}
+
+#[test]
+fn evidence_is_bounded_and_keeps_what_is_held_against_blamed_parts() {
+    let mut blame = blame_with_bad_part();
+    assert_eq!(quarantined(&mut blame, 400), [part("bad")]);
+    for n in 0..5_000 {
+        blame.record_crash(at(1_000 + n), crash(100 + n, 1_000 + n, &[&format!("p{n}")]));
+    }
+    assert_eq!(quarantined(&mut blame, 7_000), [part("bad")]);
+    assert!(blame.take_notices().len() < 1_000);
+}
+
+/// A crash (engine, time, parts) or an answer (part, start).
+#[derive(Clone, Debug)]
+enum Evidence {
+    Crash(u64, u64, Vec<u8>),
+    Answer(u8, u64),
+}
+
+fn evidence() -> impl Strategy<Value = Evidence> {
+    let parts = prop::collection::vec(0..6_u8, 1..4);
+    prop_oneof![
+        3 => (0..12_u64, 1..50_u64, parts).prop_map(|(e, t, p)| Evidence::Crash(e, 20 * t + e, p)),
+        1 => (0..6_u8, 1..50_u64).prop_map(|(p, t)| Evidence::Answer(p, 20 * t)),
+    ]
+}
+
+proptest! {
+    /// Routers receive the same notices in different orders, some of them twice.
+    #[test]
+    fn order_and_repetition_of_notices_do_not_matter(
+        evidence in prop::collection::vec(evidence(), 0..40),
+        order in prop::collection::vec(0..1_000_u32, 80),
+    ) {
+        let now = at(5_000);
+        let mut reporter = PartBlame::new(1, 3);
+        for item in &evidence {
+            match item {
+                Evidence::Crash(engine, ms, parts) => {
+                    let names: Vec<_> = parts.iter().map(|n| format!("p{n}")).collect();
+                    let names: Vec<_> = names.iter().map(String::as_str).collect();
+                    reporter.record_crash(now, crash(*engine, *ms, &names));
+                }
+                Evidence::Answer(n, ms) => {
+                    reporter.record_answer(now, &[part(&format!("p{n}"))], at(*ms));
+                }
+            }
+        }
+        let mut notices = reporter.take_notices();
+        notices.extend(notices.clone());
+        let mut shuffled: Vec<_> = notices.iter().zip(&order).collect();
+        shuffled.sort_by_key(|(_, order)| **order);
+        let mut receivers = [PartBlame::new(2, 3), PartBlame::new(3, 3)];
+        notices.iter().for_each(|notice| receivers[0].apply(now, notice));
+        shuffled.iter().for_each(|(notice, _)| receivers[1].apply(now, notice));
+        for receiver in &mut receivers {
+            for n in 0..5 {
+                receiver.record_answer(now, &[part("other")], at(3_000 + n));
+            }
+        }
+        let [first, second] = &mut receivers;
+        prop_assert_eq!(first.quarantined(now), second.quarantined(now));
+        for blamed in first.quarantined(now) {
+            prop_assert!(blamed.crashes >= BLAME_THRESHOLD);
+        }
+        let notices_stay_equal = notices.iter().all(|notice| {
+            let sent_at = at(9_000);
+            notice.clone().shifted(sent_at, sent_at) == *notice
+        });
+        prop_assert!(notices_stay_equal);
+    }
+}
+
+#[test]
+fn merged_notices_keep_all_parts_and_the_earliest_time() {
+    let crashed = |crash, contrasted| PartNotice::Crashed { crash, contrasted };
+    let mut notice = crashed(crash(1, 105, &["a"]), vec![]);
+    assert!(notice.merge(&crashed(crash(1, 100, &["a", "b"]), vec![part("b")])));
+    assert_eq!(notice, crashed(crash(1, 100, &["a", "b"]), vec![part("b")]));
+    assert!(!notice.merge(&crashed(crash(2, 100, &["a"]), vec![])));
+}
