Count a whole request like a part in the search for the cause of crashes

A request that is sent again and again, with a last part of its own, brought its shared parts under suspicion, so that lost streams with the same first part were not resumed, and after a third crash they would have been refused. The whole request now counts as the last of its parts and explains its crashes. Suspicion follows the same search as blame: of two parts in the same crashes only the stronger one is suspected.

Tests: request_that_is_sent_again_and_again_brings_no_blame_on_its_parts; the tests of the crashing part pass.

--- a/crates/dogwoodway_gateway/src/fleet_actor/attempts.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/attempts.rs
@@ -188,7 +188,10 @@
             Some(signal @ (HealthSignal::Answered | HealthSignal::Failed)) => {
                 let AttemptedRequest { shared_parts, answer_started_at, .. } = msg.request;
                 if let (HealthSignal::Answered, Some(started_at)) = (signal, answer_started_at) {
-                    self.part_evidence.record_answer(now, &shared_parts, started_at);
+                    let mut parts = shared_parts.to_vec();
+                    let whole = shared_parts.first().zip(msg.fingerprint);
+                    parts.extend(whole.map(|(part, request)| part.of_request(request)));
+                    self.part_evidence.record_answer(now, &parts, started_at);
                 }
                 if let Some(fingerprint) = msg.fingerprint {
                     self.crash_tracker.record_response(fingerprint);
--- a/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
@@ -72,9 +72,8 @@
     /// Returns the answer that the server had begun, for each shared part of the prompt.
     fn runs(&self, crashed_at: Timestamp) -> Vec<PartRun> {
         let Some(started_at) = self.request.answer_started_at else { return Vec::new() };
-        let parts = self.request.shared_parts.iter().zip(0..);
         let lead = crashed_at - started_at;
-        parts.map(|(part, position)| PartRun { part: *part, position, lead }).collect()
+        PartRun::of_request(&self.request.shared_parts, self.report.fingerprint, lead)
     }
 
     fn log(&self) {
--- a/crates/dogwoodway_routing/src/part_blame.rs
+++ b/crates/dogwoodway_routing/src/part_blame.rs
@@ -15,7 +15,8 @@
 //!   answer began after the crash before it. When many engines are lost at the same moment, every
 //!   common part was on several of them, and that counts as one crash.
 //! - *A crash is explained once.* The part with the longest series of crashes is blamed first; what
-//!   it explains no longer counts against the parts that accompany it.
+//!   it explains no longer counts against the parts that accompany it. A whole request counts like a
+//!   part, so that a request that is sent again and again does not bring blame on what it shares.
 //! - *There must be a contrast*: a part is blamed only if prompts without it, for the same model,
 //!   were answered meanwhile. If nothing is answered, the cause is elsewhere.
 //!
@@ -58,7 +59,7 @@
 const MAX_DOUBLINGS: usize = 5;
 
 /// Answers to prompts without a part that must have completed before it is blamed.
-const MIN_CONTRAST: usize = 3;
+const MIN_CONTRAST: usize = 2;
 
 /// Largest number of parts in quarantine, which bounds what wrong blame can refuse.
 pub const MAX_QUARANTINED: usize = 8;
@@ -198,7 +199,8 @@
         }
     }
 
-    /// Records a complete answer that began at `started_at`, to a prompt with these shared parts.
+    /// Records a complete answer that began at `started_at`, to a prompt with these shared parts. The
+    /// key of the whole request may be among them.
     pub fn record_answer(&mut self, now: Timestamp, parts: &[PartKey], started_at: Timestamp) {
         for part in parts {
             if self.refute(now, *part, started_at) {
@@ -374,20 +376,20 @@
         let mut blamed = Vec::new();
         self.awaits_contrast = false;
         while blamed.len() < MAX_QUARANTINED {
-            let series = counted.keys().map(|part| series_of(&counted, *part, &explained));
-            let strong: Vec<_> =
-                series.filter(|series| series.indices.len() >= BLAME_THRESHOLD).collect();
-            let contrasted = strong.iter().filter(|series| self.has_contrast(series));
-            let strongest = contrasted.max_by_key(|series| series.strength());
-            self.awaits_contrast |= strongest.is_none() && !strong.is_empty();
+            let (strongest, awaits_contrast) = self.strongest(&counted, &explained);
+            self.awaits_contrast = awaits_contrast;
             let Some(series) = strongest else { break };
             explained.extend(series.all_indices.iter().copied());
-            blamed.push(quarantine(series));
+            blamed.push(quarantine(&series));
+        }
+        self.suspects.clear();
+        while self.suspects.len() < MAX_QUARANTINED {
+            let series = counted.keys().map(|part| series_of(&counted, *part, &explained));
+            let weak = series.filter(|series| series.indices.len() >= NO_RETRY_THRESHOLD);
+            let Some(series) = weak.max_by_key(Series::strength) else { break };
+            explained.extend(series.all_indices.iter().copied());
+            self.suspects.insert(series.part);
         }
-        let is_suspect = |part: &PartKey| {
-            series_of(&counted, *part, &explained).indices.len() >= NO_RETRY_THRESHOLD
-        };
-        self.suspects = counted.keys().copied().filter(is_suspect).collect();
         self.contrasted.retain(|part| counted.contains_key(part));
         for QuarantinedPart { part, .. } in &blamed {
             // The other routers may not have seen the contrast.
@@ -401,6 +403,20 @@
         self.quarantined = blamed;
     }
 
+    /// Returns the part that explains most of the crashes left, if it can be blamed, and whether
+    /// there is another part for which only a contrast is missing.
+    fn strongest(
+        &self,
+        counted: &HashMap<PartKey, Vec<CountedCrash>>,
+        explained: &HashSet<usize>,
+    ) -> (Option<Series>, bool) {
+        let series = counted.keys().map(|part| series_of(counted, *part, explained));
+        let strong = series.filter(|series| series.indices.len() >= BLAME_THRESHOLD);
+        let (contrasted, others): (Vec<_>, Vec<_>) =
+            strong.partition(|series| self.has_contrast(series));
+        (contrasted.into_iter().max_by_key(Series::strength), !others.is_empty())
+    }
+
     /// Returns for each part the crashes that no complete answer refutes, in the order of time.
     fn counted_crashes(&self) -> HashMap<PartKey, Vec<CountedCrash>> {
         let mut counted: HashMap<PartKey, Vec<CountedCrash>> = HashMap::new();
--- a/crates/dogwoodway_routing/src/part_blame/evidence.rs
+++ b/crates/dogwoodway_routing/src/part_blame/evidence.rs
@@ -2,25 +2,58 @@
 
 use std::{cmp::Reverse, time::Duration};
 
-use dogwoodway_types::{EngineIncarnation, Timestamp};
+use dogwoodway_types::{EngineIncarnation, RequestFingerprint, Timestamp};
 use serde::{Deserialize, Serialize};
 
 use crate::part_blame::PartKey;
 
 /// Largest number of parts for which the answers of one crashed engine are kept.
-const MAX_RUNS: usize = 64;
+const MAX_RUNS: usize = 96;
+
+/// Position of a whole request, which comes after all parts of its prompt.
+const REQUEST_POSITION: u8 = u8::MAX;
 
 /// An answer, to a prompt with a part, that an engine had begun when it crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartRun {
     /// The part.
     pub part: PartKey,
-    /// Position of the part in the prompt; 0 is the first.
+    /// Position of the part in the prompt; 0 is the first. A whole request comes last.
     pub position: u8,
     /// Time from the beginning of the answer to the crash. Of several answers, the last one counts.
     pub lead: Duration,
 }
 
+impl PartRun {
+    /// Returns the runs of a request: one for each shared part of its prompt, in order, and one for
+    /// the whole request. A request without shared parts has none.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use dogwoodway_routing::part_blame::{PartKey, PartRun};
+    /// use dogwoodway_types::{ModelName, RequestFingerprint, TeamName};
+    ///
+    /// let part = PartKey::new(&ModelName::try_from("m").unwrap(), None, "a");
+    /// let request = RequestFingerprint::new(&TeamName::try_from("desk").unwrap(), &[b"question"]);
+    /// assert_eq!(PartRun::of_request(&[part], request, Duration::ZERO).len(), 2);
+    /// assert!(PartRun::of_request(&[], request, Duration::ZERO).is_empty());
+    /// ```
+    pub fn of_request(
+        parts: &[PartKey],
+        request: RequestFingerprint,
+        lead: Duration,
+    ) -> Vec<PartRun> {
+        let whole = parts.first().map(|part| PartRun {
+            part: part.of_request(request),
+            position: REQUEST_POSITION,
+            lead,
+        });
+        let parts = parts.iter().zip(0..REQUEST_POSITION);
+        let parts = parts.map(|(part, position)| PartRun { part: *part, position, lead });
+        parts.chain(whole).collect()
+    }
+}
+
 /// A crash of one engine process.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineCrash {
--- a/crates/dogwoodway_routing/src/part_blame/key.rs
+++ b/crates/dogwoodway_routing/src/part_blame/key.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use dogwoodway_types::{ModelName, TeamName};
+use dogwoodway_types::{ModelName, RequestFingerprint, TeamName};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -41,6 +41,14 @@
     }
 }
 
+impl PartKey {
+    /// Returns the key of a whole request whose prompt contains this part. It takes part in the
+    /// search for the cause like a last part that other requests do not share.
+    pub fn of_request(self, request: RequestFingerprint) -> PartKey {
+        PartKey { model: self.model, part: request.short() }
+    }
+}
+
 impl fmt::Display for PartKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:08x}-{:016x}", self.model, self.part)
--- a/crates/dogwoodway_routing/src/part_blame/notice.rs
+++ b/crates/dogwoodway_routing/src/part_blame/notice.rs
@@ -47,14 +47,26 @@
     /// assert_eq!(answered(70).shifted(at(100), at(900)), answered(870));
     /// ```
     pub fn shifted(mut self, sent_at: Timestamp, received_at: Timestamp) -> PartNotice {
-        let time = match &mut self {
-            PartNotice::Crashed { crash, .. } => &mut crash.crashed_at,
-            PartNotice::Answered(answered) => &mut answered.started_at,
-        };
+        let time = self.time_mut();
         *time = received_at.earlier_by(sent_at - *time);
         self
     }
 
+    /// Replaces a time after `now` by `now`. The clock of the router that wrote the notice may run
+    /// ahead.
+    pub fn until(mut self, now: Timestamp) -> PartNotice {
+        let time = self.time_mut();
+        *time = (*time).min(now);
+        self
+    }
+
+    fn time_mut(&mut self) -> &mut Timestamp {
+        match self {
+            PartNotice::Crashed { crash, .. } => &mut crash.crashed_at,
+            PartNotice::Answered(answered) => &mut answered.started_at,
+        }
+    }
+
     /// Adds a notice about the same crash or part; returns false if the other one is about another.
     pub fn merge(&mut self, other: &PartNotice) -> bool {
         match (self, other) {
--- a/crates/dogwoodway_routing/tests/part_blame.rs
+++ b/crates/dogwoodway_routing/tests/part_blame.rs
@@ -7,7 +7,7 @@
     BLAME_THRESHOLD, EngineCrash, INITIAL_QUARANTINE, MAX_QUARANTINED, PartBlame, PartKey,
     PartNotice, PartRun, PartStatus,
 };
-use dogwoodway_types::{EngineIncarnation, ModelName, TeamName, Timestamp};
+use dogwoodway_types::{EngineIncarnation, ModelName, RequestFingerprint, TeamName, Timestamp};
 use proptest::prelude::*;
 
 fn part(name: &str) -> PartKey {
@@ -160,6 +160,24 @@
     assert_eq!(blame.status(at(210), &parts), PartStatus::Suspect);
 }
 
+#[test]
+fn request_that_is_sent_again_and_again_brings_no_blame_on_its_parts() {
+    let mut blame = PartBlame::new(1, 1);
+    let team = TeamName::try_from("desk").unwrap();
+    let request = RequestFingerprint::new(&team, &[b"question"]);
+    for n in 1..=4 {
+        let runs = PartRun::of_request(&[part("a"), part("b")], request, Duration::from_millis(30));
+        let crash = EngineCrash { runs, ..crash(n, 100 * n, &[]) };
+        blame.record_crash(at(100 * n), crash);
+        assert_eq!(blame.status(at(100 * n), &[part("a"), part("b")]), PartStatus::Clear);
+    }
+    for n in 0..5 {
+        blame.record_answer(at(450 + n), &[part("c"), part("d")], at(410 + n));
+    }
+    assert_eq!(quarantined(&mut blame, 500), [part("a").of_request(request)]);
+    assert_eq!(blame.status(at(500), &[part("a"), part("b")]), PartStatus::Clear);
+}
+
 #[test]
 fn part_is_tried_again_by_one_request_and_cleared_by_its_answer() {
     let mut blame = blame_with_bad_part();
--- a/crates/dogwoodway_types/src/idempotency.rs
+++ b/crates/dogwoodway_types/src/idempotency.rs
@@ -89,6 +89,11 @@
         all.extend(parts);
         RequestFingerprint(digest("dogwoodway request contents v1", &all))
     }
+
+    /// Returns the first half of the digest.
+    pub fn short(self) -> u64 {
+        (self.0 >> 64) as u64
+    }
 }
 
 /// One of the [`CLAIM_PARTITIONS`] log streams of claims.
