--- a/src/entry/dispatch/request_state.rs
+++ b/src/entry/dispatch/request_state.rs
@@ -1,9 +1,9 @@
 //! State of a request across its attempts, and its outcome if it is abandoned.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use dogwoodway_caller::AnswerEvent;
-use dogwoodway_routing::answer_stream::AnswerStream;
+use dogwoodway_routing::{answer_stream::AnswerStream, part_blame::PartKey};
 use dogwoodway_types::{
     BackendServerName, ClaimRequest, EngineIncarnation, NotRunReason, Outcome, RequestFingerprint,
     Timestamp,
@@ -35,6 +35,10 @@
     pub(super) may_have_run: bool,
     /// Digest of the request's content.
     pub(super) fingerprint: RequestFingerprint,
+    /// Messages of the prompt that other prompts may share, in order.
+    pub(super) shared_parts: Arc<[PartKey]>,
+    /// When the last attempt began.
+    pub(super) attempt_started_at: Timestamp,
     /// Engine that crashed while it ran the last attempt, until the crash is reported.
     pub(super) crashed_engine: Option<EngineIncarnation>,
     /// Backend servers that were chosen for an attempt of this request.
--- a/src/entry/dispatch/serve.rs
+++ b/src/entry/dispatch/serve.rs
@@ -3,11 +3,13 @@
 //! A repeatable request is retried after a lost attempt. Any request is retried after an attempt
 //! that was not run.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use dogwoodway_caller::{AnswerEvent, CallerRequest, CallerWork};
 use dogwoodway_peer::{BackendKind, StartRequest};
-use dogwoodway_routing::{answer_stream::AnswerStream, quarantine::QuarantineStatus};
+use dogwoodway_routing::{
+    answer_stream::AnswerStream, part_blame::PartKey, quarantine::QuarantineStatus,
+};
 use dogwoodway_types::{
     AttemptId, ClassName, NotRunReason, Outcome, Timestamp, WeightsVersion, Work,
 };
@@ -24,7 +26,9 @@
             retry_state::RetryState,
         },
         idempotency,
-        quarantine::{Crash, GetStatus, PublishRecord, QuarantineRecord},
+        quarantine::{
+            Crash, GetStatus, PublishRecord, QuarantineRecord, RecordPartAnswer, RecordPartCrash,
+        },
         retry_budget::{RecordFirstAttempt, TakeRetry},
     },
     metrics_server,
@@ -74,6 +78,8 @@
             stream: AnswerStream::new(max_tokens),
             may_have_run: false,
             fingerprint: idempotency::fingerprint(&req.team, &req.work),
+            shared_parts: shared_parts(&req),
+            attempt_started_at: Timestamp::default(),
             crashed_engine: None,
             tried: Vec::new(),
         };
@@ -109,9 +115,8 @@
             self.report_crash(state).await;
             match &result {
                 AttemptResult::Final(outcome) => {
-                    if is_suspect && *outcome == Outcome::Answered {
-                        let cleared = QuarantineRecord::Answered(state.fingerprint);
-                        let _ = self.quarantine.tell(PublishRecord(cleared)).await;
+                    if *outcome == Outcome::Answered {
+                        self.report_answer(is_suspect, state).await;
                     }
                     return outcome.clone();
                 }
@@ -149,14 +154,35 @@
     /// Reports to all entries a crash of the engine that ran the last attempt, if there was one.
     async fn report_crash(&self, state: &mut RequestState) {
         if let Some(engine) = state.crashed_engine.take() {
-            let crash = Crash { at: Timestamp::now(), request: state.fingerprint, engine };
+            let crashed_at = Timestamp::now();
+            let crash = Crash { at: crashed_at, request: state.fingerprint, engine };
             let _ = self.quarantine.tell(PublishRecord(QuarantineRecord::Crash(crash))).await;
+            let started_at = state.attempt_started_at;
+            let parts = state.shared_parts.clone();
+            let request = state.fingerprint;
+            let crash = RecordPartCrash { engine, crashed_at, started_at, request, parts };
+            let _ = self.quarantine.tell(crash).await;
+        }
+    }
+
+    /// Reports to all entries that a request was answered, as far as that clears anything.
+    async fn report_answer(&self, is_suspect: bool, state: &RequestState) {
+        if is_suspect {
+            let cleared = QuarantineRecord::Answered(state.fingerprint);
+            let _ = self.quarantine.tell(PublishRecord(cleared)).await;
+        }
+        if !state.shared_parts.is_empty() {
+            let started_at = state.attempt_started_at;
+            let (request, parts) = (state.fingerprint, state.shared_parts.clone());
+            let answer = RecordPartAnswer { started_at, request, parts };
+            let _ = self.quarantine.tell(answer).await;
         }
     }
 
     /// Returns the quarantine status of the request.
     async fn quarantine_status(&self, state: &RequestState) -> QuarantineStatus {
-        let status = self.quarantine.ask(GetStatus(state.fingerprint)).await;
+        let (request, parts) = (state.fingerprint, state.shared_parts.clone());
+        let status = self.quarantine.ask(GetStatus { request, parts }).await;
         status.map_or(QuarantineStatus::Clear, |status| *status)
     }
 
@@ -217,10 +243,18 @@
             is_suspect,
             work,
         };
+        state.attempt_started_at = Timestamp::now();
         run_attempt(agent.client.clone(), start_req, state).await
     }
 }
 
+/// Returns the keys of the messages that other prompts of the team may share: all but the last.
+fn shared_parts(req: &CallerRequest) -> Arc<[PartKey]> {
+    let CallerWork::Chat { model, messages, .. } = &req.work else { return Arc::default() };
+    let shared = messages.split_last().map_or(&[][..], |(_, shared)| shared);
+    shared.iter().map(|message| PartKey::new(model, Some(&req.team), &message.content)).collect()
+}
+
 /// Returns the outcome of a request that must not run before `until`.
 fn quarantined(state: &RequestState, until: Timestamp) -> Outcome {
     match state.may_have_run || state.stream.has_started() {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -1,5 +1,6 @@
-//! Quarantine of a request that crashes each engine that runs it. It must crash no more than two of
-//! three engines, and streams that run beside it must complete.
+//! Quarantine of requests that crash each engine that runs them. A single one must crash no more than
+//! two of three engines, and streams that run beside it must complete. Requests that share the message
+//! that crashes engines must not each crash further ones.
 
 mod fleet;
 
@@ -7,7 +8,7 @@
 
 use dogwoodway_http::HttpClient;
 use hyper::Method;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use crate::fleet::{Fleet, FleetOptions, POISON, chat_body, stream::CallerStream};
 
@@ -90,3 +91,41 @@
         );
     }
 }
+
+/// Builds a chat whose first two messages other chats share.
+fn chat_with_shared_messages(shared: &str, question: &str) -> Value {
+    json!({
+        "model": "demo-model", "max_tokens": 3,
+        "messages": [
+            { "role": "system", "content": "be brief" },
+            { "role": "user", "content": shared },
+            { "role": "user", "content": question },
+        ],
+    })
+}
+
+#[tokio::test]
+async fn requests_that_share_a_message_that_crashes_engines_are_quarantined() {
+    let options = FleetOptions { engines: 3, services: 0, entries: 2, ..FleetOptions::default() };
+    let fleet = Fleet::start(options).await;
+    for entry in 0..2 {
+        while !fleet.chat(entry, &chat_body("up?", 1)).await.status.is_success() {}
+    }
+    for engine in 0..3 {
+        fleet.wait_until_routed_to(0, engine).await;
+    }
+    for n in 0..10 {
+        let poison = chat_with_shared_messages(POISON, &format!("question {n}"));
+        fleet.chat(n % 2, &poison).await;
+        for (i, shared) in ["catalogue", "price list"].into_iter().enumerate() {
+            let sound = chat_with_shared_messages(shared, &format!("question {n}"));
+            let reply = fleet.chat((n + i) % 2, &sound).await;
+            assert!(reply.status.is_success(), "{n}: {}", String::from_utf8_lossy(&reply.body));
+        }
+    }
+    let crashes = crash_count(&fleet).await;
+    assert!(crashes <= 5, "{crashes} engines crashed under ten requests that share a message");
+    let reply = fleet.chat(0, &chat_with_shared_messages(POISON, "another question")).await;
+    let body: Value = serde_json::from_slice(&reply.body).unwrap();
+    assert_eq!(body["error"]["code"], "quarantined", "{body}");
+}
