--- a/crates/dogwoodway_gateway/src/fleet_actor/notices.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/notices.rs
@@ -38,6 +38,10 @@
                 self.loads_changed.notify_one();
             }
         }
+        if let Some(limit) = notice.limit {
+            let name = self.fleet.listing(server).map(|listing| listing.name.clone());
+            log::info!(server:? = name, limit:? = limit; "backend server stated a limit");
+        }
         if let Some(until) = paused_until {
             let name = self.fleet.listing(server).map(|listing| listing.name.clone());
             metrics::counter!(metric::SERVER_PAUSES).increment(1);
--- a/crates/dogwoodway_routing/src/direct/server_notice.rs
+++ b/crates/dogwoodway_routing/src/direct/server_notice.rs
@@ -1,4 +1,5 @@
-//! Notices in backend servers' responses: that the server is shutting down, or asks for a pause.
+//! Notices in backend servers' responses: that the server is shutting down, asks for a pause, or takes
+//! only so many requests a second.
 //!
 //! A server that is shutting down says so in each response, often before the platform's list does. A
 //! server that refuses a request because of its load may ask for a pause. A notice applies to the
@@ -7,6 +8,7 @@
 use std::time::Duration;
 
 use dogwoodway_types::Timestamp;
+use serde::{Deserialize, Serialize};
 
 /// Longest pause that is kept, in milliseconds. A server that asks for a longer one is asked again
 /// after this time.
@@ -47,6 +49,51 @@
     }
 }
 
+/// Requests a second, from all routers together.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct RequestRate(u64);
+
+/// Unit of a [`RequestRate`], in requests a second.
+const RATE_UNIT: f64 = 1e-3;
+
+/// Highest [`RequestRate`], in requests a second; no server takes that many.
+const MAX_RATE: f64 = 1e9;
+
+impl RequestRate {
+    /// Returns the rate in requests a second.
+    pub fn per_second(self) -> f64 {
+        self.0 as f64 * RATE_UNIT
+    }
+}
+
+/// Rounds down to thousandths of a request a second. Fails for negative numbers and NaN.
+impl TryFrom<f64> for RequestRate {
+    type Error = InvalidRate;
+
+    fn try_from(per_second: f64) -> Result<RequestRate, InvalidRate> {
+        match per_second >= 0.0 {
+            true => Ok(RequestRate((per_second.min(MAX_RATE) / RATE_UNIT) as u64)),
+            false => Err(InvalidRate),
+        }
+    }
+}
+
+/// A number of requests a second that is negative or not a number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct InvalidRate;
+
+/// Limit that a server states.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StatedLimit {
+    /// The server takes so many requests.
+    Rate(RequestRate),
+    /// The limit is negative or no number.
+    Unreadable,
+}
+
 /// Notice in one response.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ServerNotice {
@@ -54,6 +101,8 @@
     pub is_leaving: bool,
     /// Pause that the server asks for; present only in responses that refuse a request.
     pub pause: Option<PauseRequest>,
+    /// Limit that the server states.
+    pub limit: Option<StatedLimit>,
 }
 
 impl ServerNotice {
--- a/crates/dogwoodway_routing/tests/direct_notices.rs
+++ b/crates/dogwoodway_routing/tests/direct_notices.rs
@@ -63,10 +63,10 @@
 
 fn pause(ms: u64) -> ServerNotice {
     let pause = Some(PauseRequest::For(Duration::from_millis(ms)));
-    ServerNotice { is_leaving: false, pause }
+    ServerNotice { pause, ..ServerNotice::default() }
 }
 
-const LEAVING: ServerNotice = ServerNotice { is_leaving: true, pause: None };
+const LEAVING: ServerNotice = ServerNotice { is_leaving: true, pause: None, limit: None };
 
 #[test]
 fn a_leaving_server_gets_no_requests_until_it_has_restarted() {
