Keep the limits that servers state, over all routers together

What callers saw: nothing yet; a server in need that had named a limit of 1.6 requests a second got 21 to 29 in 4 s and more, where 15 were allowed.

Cause: nothing read the limit. The class: a signal of a server for all its clients that no client heeds, or each for itself. Reading it in each router would have kept it only for few routers: equal shares with one request at a time are a hundred first requests at once at a hundred routers.

Evidence: the test sent 82 requests in 4 s to a server with a limit of 1.6 (14 allowed), and all of 20 in a second where both servers state 0.5.

The fix gives the right to send to a limited server to the first routers in its rendezvous order among those alive, at most one more than the limit is high, each at an equal part. Requests that no server accepts are refused at once with the time of the next one.

--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -5,6 +5,7 @@
 
 mod attempts;
 mod crash_tracker;
+mod limit_reports;
 mod notices;
 mod part_evidence;
 mod probes;
@@ -50,14 +51,15 @@
         PlaceRequest, PlacementReply,
     },
     crash_tracker::FingerprintEvent,
+    limit_reports::ApplyLimitNotices,
     notices::{ApplyLeavingServers, ApplyServerNotice},
     routers::{
         ApplyFingerprintEvent, ApplyPartNotices, ApplyPeerUpdate, ApplyWeightsNotices,
-        ClearPeerLoads, CollectRouterUpdate, SetRouterCount,
+        ClearPeerLoads, CollectRouterUpdate, SetRouters,
     },
     weights::{EngineTarget, GetRolloutState, UpdateWeightsState, WeightsState},
 };
-use self::{crash_tracker::CrashTracker, part_evidence::PartEvidence};
+use self::{crash_tracker::CrashTracker, limit_reports::LimitReports, part_evidence::PartEvidence};
 
 /// Maximum number of idle connections kept for one server.
 const MAX_IDLE_CONNECTIONS: usize = 64;
@@ -120,6 +122,7 @@
     router_count: u32,
     crash_tracker: CrashTracker,
     part_evidence: PartEvidence,
+    limit_reports: LimitReports,
     control: Arc<dyn EngineControl>,
     /// Changes to report to other routers, each until the time given.
     weights_updates: Vec<(WeightsUpdate, Timestamp)>,
@@ -165,6 +168,7 @@
             router_count: ASSUMED_ROUTERS,
             crash_tracker: CrashTracker::new(config.fingerprint_events, config.quarantine_in_use),
             part_evidence: PartEvidence::new(config.seed, ASSUMED_ROUTERS),
+            limit_reports: LimitReports::default(),
             control: config.control,
             weights_updates: Vec::new(),
             leaving_notices: Vec::new(),
--- a/crates/dogwoodway_gateway/src/fleet_actor/notices.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/notices.rs
@@ -6,6 +6,7 @@
     fleet::{BackendKey, LeavingServer},
     server_notice::{PauseRequest, ServerNotice},
 };
+use dogwoodway_types::Timestamp;
 use kameo::message::{Context, Message};
 
 use crate::{
@@ -20,6 +21,8 @@
     /// Start time of the process that responded.
     pub(crate) started_at_ms: u64,
     pub(crate) notice: ServerNotice,
+    /// When the request was sent; absent if an answer without a limit does not end a limit.
+    pub(crate) sent_at: Option<Timestamp>,
 }
 
 impl Message<ApplyServerNotice> for FleetActor {
@@ -27,7 +30,8 @@
 
     async fn handle(&mut self, msg: ApplyServerNotice, _: &mut Context<Self, Self::Reply>) {
         let now = clock::now();
-        let ApplyServerNotice { server, started_at_ms, notice } = msg;
+        let ApplyServerNotice { server, started_at_ms, notice, sent_at } = msg;
+        self.apply_limit(now, server, started_at_ms, &notice, sent_at);
         let (is_newly_leaving, paused_until) =
             self.fleet.apply_notice(now, server, started_at_ms, notice);
         if is_newly_leaving {
@@ -38,10 +42,6 @@
                 self.loads_changed.notify_one();
             }
         }
-        if let Some(limit) = notice.limit {
-            let name = self.fleet.listing(server).map(|listing| listing.name.clone());
-            log::info!(server:? = name, limit:? = limit; "backend server stated a limit");
-        }
         if let Some(until) = paused_until {
             let name = self.fleet.listing(server).map(|listing| listing.name.clone());
             metrics::counter!(metric::SERVER_PAUSES).increment(1);
--- a/crates/dogwoodway_gateway/src/fleet_actor/routers.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/routers.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use dogwoodway_routing::{
-    direct::fleet::{LeavingServer, OriginPrompt, PromptUpdate, ServerLoad, VersionAge},
+    direct::fleet::{
+        LeavingServer, LimitNotice, OriginPrompt, PromptUpdate, ServerLoad, VersionAge,
+    },
     part_blame::PartNotice,
 };
 use kameo::{
@@ -35,6 +37,8 @@
     pub(crate) leaving: Vec<LeavingServer>,
     /// Evidence of prompt parts that crash engines.
     pub(crate) parts: Vec<PartNotice>,
+    /// Limits that servers state.
+    pub(crate) limits: Vec<LimitNotice>,
 }
 
 /// Builds the update to send to other routers.
@@ -65,7 +69,9 @@
         self.leaving_notices.retain(|(_, until)| *until > now);
         let leaving = self.leaving_notices.iter().map(|(leaving, _)| *leaving).collect();
         let parts = self.part_evidence.take_notices(now, msg.is_aggregator);
-        RouterUpdate { loads: self.fleet.own_loads(), weights, prompts, versions, leaving, parts }
+        let limits = self.limit_reports.take_notices(now, &self.fleet, msg.is_aggregator);
+        let loads = self.fleet.own_loads();
+        RouterUpdate { loads, weights, prompts, versions, leaving, parts, limits }
     }
 }
 
@@ -137,16 +143,24 @@
     }
 }
 
-/// Sets the number of routers, this one included.
-pub(crate) struct SetRouterCount(pub(crate) u32);
+/// Sets the routers that this one knows.
+pub(crate) struct SetRouters {
+    /// Number of routers, this one included.
+    pub(crate) count: u32,
+    /// Identifier of this router.
+    pub(crate) own: u64,
+    /// Identifiers of those that are alive, this one included.
+    pub(crate) alive: Vec<u64>,
+}
 
-impl Message<SetRouterCount> for FleetActor {
+impl Message<SetRouters> for FleetActor {
     type Reply = ();
 
-    async fn handle(&mut self, msg: SetRouterCount, _: &mut Context<Self, Self::Reply>) {
-        self.router_count = msg.0.max(1);
-        self.fleet.set_router_count(msg.0);
-        self.part_evidence.set_router_count(msg.0);
+    async fn handle(&mut self, msg: SetRouters, _: &mut Context<Self, Self::Reply>) {
+        self.router_count = msg.count.max(1);
+        self.fleet.set_router_count(msg.count);
+        self.fleet.set_routers(clock::now(), msg.own, msg.alive);
+        self.part_evidence.set_router_count(msg.count);
     }
 }
 
--- a/crates/dogwoodway_gateway/src/fleet_actor/weights.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/weights.rs
@@ -135,7 +135,8 @@
         let (control, actor) = (self.control.clone(), actor.clone());
         tokio::spawn(async move {
             let answer = control.report(&name, address).await;
-            let notice = ApplyServerNotice { server, started_at_ms, notice: answer.notice };
+            let notice =
+                ApplyServerNotice { server, started_at_ms, notice: answer.notice, sent_at: None };
             if !notice.notice.is_empty()
                 && let Err(e) = actor.tell(notice).await
             {
--- a/crates/dogwoodway_gateway/src/gossip.rs
+++ b/crates/dogwoodway_gateway/src/gossip.rs
@@ -32,8 +32,8 @@
     clock,
     feeds::SharedFeeds,
     fleet_actor::{
-        ApplyLeavingServers, ApplyPartNotices, ApplyPeerUpdate, ApplyWeightsNotices,
-        ClearPeerLoads, CollectRouterUpdate, FleetActor, SetRouterCount,
+        ApplyLeavingServers, ApplyLimitNotices, ApplyPartNotices, ApplyPeerUpdate,
+        ApplyWeightsNotices, ClearPeerLoads, CollectRouterUpdate, FleetActor, SetRouters,
     },
     metric,
 };
@@ -111,7 +111,10 @@
     /// Routers that this one introduces to the others, each until the time given.
     introductions: Vec<(SocketAddr, Timestamp)>,
     next_alive_at: Timestamp,
+    /// Number of routers as last told to the fleet.
     router_count: u32,
+    /// Identifiers of the routers alive, as last told to the fleet.
+    routers_alive: Vec<u64>,
     /// Whether there is something new to send.
     has_changes: bool,
 }
@@ -133,6 +136,7 @@
             introductions: Vec::new(),
             next_alive_at: Timestamp::default(),
             router_count: 0,
+            routers_alive: Vec::new(),
             has_changes: true,
         }
     }
@@ -165,7 +169,7 @@
                         self.update_role(now);
                     }
                     self.peers.remove_expired(now);
-                    self.publish_router_count(now >= count_from).await;
+                    self.publish_routers(now, now >= count_from).await;
                     self.choose_aggregator(now).await;
                     self.has_changes = false;
                     self.send_all(now).await;
@@ -237,6 +241,7 @@
             versions: update.versions,
             leaving: update.leaving,
             parts: update.parts,
+            limits: update.limits,
             sent_at: now,
             feed_reports: vec![self.config.feeds.feed_reports(now)],
             introduced: introduced.clone(),
@@ -396,7 +401,12 @@
         for address in notices.introduced {
             self.add_peer(now, address);
         }
-        let Notices { weights, versions, leaving, parts, .. } = notices;
+        let Notices { weights, versions, leaving, parts, limits, .. } = notices;
+        if !limits.is_empty()
+            && let Err(e) = self.config.fleet.tell(ApplyLimitNotices(limits)).await
+        {
+            log::error!("could not apply notices about servers' limits: {e}");
+        }
         if !parts.is_empty()
             && let Err(e) = self.config.fleet.tell(ApplyPartNotices(parts)).await
         {
@@ -427,17 +437,26 @@
         }
     }
 
-    /// Tells the fleet how many routers there are, once others are known or `is_discovery_over`.
-    async fn publish_router_count(&mut self, is_discovery_over: bool) {
-        let routers = self.peers.router_count();
-        if routers == self.router_count || (routers == 1 && !is_discovery_over) {
+    /// Tells the fleet which routers there are, once others are known or `is_discovery_over`.
+    async fn publish_routers(&mut self, now: Timestamp, is_discovery_over: bool) {
+        let count = self.peers.router_count();
+        if count == 1 && !is_discovery_over {
             return;
         }
-        self.router_count = routers;
-        metrics::gauge!(metric::ROUTERS).set(f64::from(routers));
-        log::info!(routers = routers; "routers known");
-        if let Err(e) = self.config.fleet.tell(SetRouterCount(routers)).await {
-            log::error!("could not set the number of routers in the fleet: {e}");
+        let own = router_id(self.config.address);
+        let alive = self.peers.infos(now).map(|info| router_id(info.address));
+        let mut alive: Vec<_> = alive.chain([own]).collect();
+        alive.sort_unstable();
+        if count == self.router_count && alive == self.routers_alive {
+            return;
+        }
+        if count != self.router_count {
+            metrics::gauge!(metric::ROUTERS).set(f64::from(count));
+            log::info!(routers = count; "routers known");
+        }
+        (self.router_count, self.routers_alive) = (count, alive.clone());
+        if let Err(e) = self.config.fleet.tell(SetRouters { count, own, alive }).await {
+            log::error!("could not set the routers in the fleet: {e}");
         }
     }
 }
--- a/crates/dogwoodway_gateway/src/gossip/datagram.rs
+++ b/crates/dogwoodway_gateway/src/gossip/datagram.rs
@@ -6,7 +6,7 @@
 use dogwoodway_routing::{
     direct::{
         aggregation::Digest,
-        fleet::{LeavingServer, OriginPrompt, ServerLoad, VersionAge},
+        fleet::{LeavingServer, LimitNotice, OriginPrompt, ServerLoad, VersionAge},
         peers::RouterInfo,
     },
     part_blame::PartNotice,
@@ -53,20 +53,27 @@
     pub(super) leaving: Vec<LeavingServer>,
     /// Evidence of prompt parts that crash engines.
     pub(super) parts: Vec<PartNotice>,
-    /// When the notices were sent, by the clock of the times in `parts`.
+    /// Limits that servers state.
+    pub(super) limits: Vec<LimitNotice>,
+    /// When the notices were sent, by the clock of the times in `parts` and `limits`.
     pub(super) sent_at: Timestamp,
 }
 
 impl Notices {
     /// Returns whether an aggregator passes the notices on at once.
     pub(super) fn is_urgent(&self) -> bool {
-        !self.parts.is_empty() || self.feed_reports.iter().any(FeedReports::is_useful)
+        !self.parts.is_empty()
+            || !self.limits.is_empty()
+            || self.feed_reports.iter().any(FeedReports::is_useful)
     }
 
     /// Converts the times to the clock of this router, which has received the notices at `now`.
     pub(super) fn received(mut self, now: Timestamp) -> Notices {
         let parts = std::mem::take(&mut self.parts).into_iter();
         self.parts = parts.map(|notice| notice.shifted(self.sent_at, now)).collect();
+        for notice in &mut self.limits {
+            *notice = notice.shifted(self.sent_at, now);
+        }
         self.sent_at = now;
         self
     }
--- a/crates/dogwoodway_gateway/src/gossip/notice_board.rs
+++ b/crates/dogwoodway_gateway/src/gossip/notice_board.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use dogwoodway_routing::{
-    direct::fleet::{LeavingServer, VersionAge},
+    direct::fleet::{LeavingServer, LimitNotice, VersionAge},
     part_blame::PartNotice,
 };
 use dogwoodway_types::Timestamp;
@@ -26,6 +26,7 @@
     introduced: Vec<(SocketAddr, Timestamp)>,
     leaving: Vec<(LeavingServer, Timestamp)>,
     parts: Vec<(PartNotice, Timestamp)>,
+    limits: Vec<(LimitNotice, Timestamp)>,
 }
 
 impl NoticeBoard {
@@ -54,6 +55,15 @@
                 None => self.parts.push((notice.clone(), now)),
             }
         }
+        for notice in &notices.limits {
+            let is_newer = |(known, _): &(LimitNotice, Timestamp)| {
+                known.server == notice.server && known.statement.at > notice.statement.at
+            };
+            if !self.limits.iter().any(is_newer) {
+                self.limits.retain(|(known, _)| known.server != notice.server);
+                self.limits.push((*notice, now));
+            }
+        }
         let useful = notices.feed_reports.iter().filter(|reports| reports.is_useful());
         self.feed_reports.extend(useful.map(|reports| (*reports, now)));
         self.feed_reports.sort_by_key(|(reports, at)| reports.aged(now - *at).age_ms());
@@ -69,6 +79,7 @@
         self.introduced.retain(|(_, at)| is_fresh(*at));
         self.leaving.retain(|(_, at)| is_fresh(*at));
         self.parts.retain(|(_, at)| is_fresh(*at));
+        self.limits.retain(|(_, at)| is_fresh(*at));
         let aged = |age: &VersionAge, at: Timestamp| VersionAge {
             age_ms: age.age_ms + (now - at).as_millis() as u64,
             ..age.clone()
@@ -84,6 +95,7 @@
             introduced: self.introduced.iter().map(|(address, _)| *address).collect(),
             leaving: self.leaving.iter().map(|(leaving, _)| *leaving).collect(),
             parts: self.parts.iter().map(|(notice, _)| notice.clone()).collect(),
+            limits: self.limits.iter().map(|(notice, _)| *notice).collect(),
             sent_at: now,
         }
     }
--- a/crates/dogwoodway_gateway/src/leader.rs
+++ b/crates/dogwoodway_gateway/src/leader.rs
@@ -184,7 +184,7 @@
             return;
         }
         let (server, started_at_ms) = (target.weights.server, target.started_at_ms);
-        let notice = ApplyServerNotice { server, started_at_ms, notice };
+        let notice = ApplyServerNotice { server, started_at_ms, notice, sent_at: None };
         if let Err(e) = self.config.fleet.tell(notice).await {
             log::error!("could not apply the notice of an engine: {e}");
         }
--- a/crates/dogwoodway_gateway/src/metric.rs
+++ b/crates/dogwoodway_gateway/src/metric.rs
@@ -50,6 +50,9 @@
 /// Prompt parts in quarantine.
 pub(crate) const PARTS_QUARANTINED: &str = "dogwoodway_router_parts_quarantined";
 
+/// Limits that backend servers have stated, changed or ended.
+pub(crate) const SERVER_LIMITS: &str = "dogwoodway_router_server_limits_total";
+
 /// Known routers, this one included.
 pub(crate) const ROUTERS: &str = "dogwoodway_router_routers";
 
--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -341,10 +341,16 @@
         }
         let (id, name) = (&request.head.id, &target.placement.name);
         let notice = self.protocol.server_notice(id, name, &upstream.head);
-        if !notice.is_empty() {
-            self.report_notice(target, notice);
+        let class = self.protocol.classify_response(id, name, &upstream.head);
+        let is_of_target = !matches!(
+            class,
+            ResponseClass::Invalid(_) | ResponseClass::NotExecuted(NotExecuted::OtherServer)
+        );
+        let may_end_limit = target.placement.has_limit && is_of_target;
+        if !notice.is_empty() || may_end_limit {
+            self.report_notice(target, notice, may_end_limit);
         }
-        match self.protocol.classify_response(id, name, &upstream.head) {
+        match class {
             ResponseClass::Valid => Ok(false),
             ResponseClass::ServerError => Ok(true),
             ResponseClass::NotExecuted(why) => {
@@ -373,11 +379,11 @@
         }
     }
 
-    fn report_notice(&self, target: &AssignedServer, notice: ServerNotice) {
-        let Placement { server, started_at_ms, .. } = target.placement;
-        if let Err(e) =
-            self.fleet.tell(ApplyServerNotice { server, started_at_ms, notice }).try_send()
-        {
+    fn report_notice(&self, target: &AssignedServer, notice: ServerNotice, may_end_limit: bool) {
+        let Placement { server, started_at_ms, sent_at, .. } = target.placement;
+        let sent_at = may_end_limit.then_some(sent_at);
+        let msg = ApplyServerNotice { server, started_at_ms, notice, sent_at };
+        if let Err(e) = self.fleet.tell(msg).try_send() {
             log::warn!("could not report the notice of a server: {e}");
         }
     }
--- a/crates/dogwoodway_routing/src/direct.rs
+++ b/crates/dogwoodway_routing/src/direct.rs
@@ -23,6 +23,7 @@
 pub mod retry;
 pub mod rollout;
 pub mod sampling;
+pub mod server_limit;
 pub mod server_notice;
 pub mod store_era;
 pub mod table;
--- a/crates/dogwoodway_routing/src/direct/fleet.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet.rs
@@ -1,6 +1,7 @@
 //! The backend servers that a router knows, and the requests that it has sent to them.
 
 mod gossip;
+mod limits;
 mod membership;
 mod notices;
 mod placement;
@@ -27,6 +28,7 @@
         link_slowdown::LinkSlowdown,
         load::Load,
         sampling::PromptRate,
+        server_limit::ServerLimit,
         table::{EngineSpec, RoutingTable, ServiceKind},
         token_lru::TokenLru,
     },
@@ -36,6 +38,7 @@
 pub(crate) use self::gossip::{subtract_loads, sum_loads};
 pub use self::{
     gossip::{OriginPrompt, PromptFilter, PromptUpdate, ServerLoad, ServerTag},
+    limits::LimitNotice,
     membership::{Availability, ServerListing},
     notices::LeavingServer,
     placement::{Placement, PlacementRequest, Refusal},
@@ -78,6 +81,7 @@
     is_leaving: bool,
     /// End of the pause that the server has asked for.
     paused_until: Timestamp,
+    limit: ServerLimit,
 }
 
 impl Server {
@@ -164,6 +168,12 @@
     /// Start times of the processes that have announced that they are shutting down, so that a server
     /// that is removed and listed again is recognized.
     leaving: HashMap<BackendServerName, u64>,
+    /// Limits of servers that were removed, by the start times of their processes.
+    removed_limits: HashMap<BackendServerName, (u64, ServerLimit)>,
+    /// Identifier of this router.
+    own_id: u64,
+    /// Identifiers of all routers that are alive; empty until they are known.
+    routers: Vec<u64>,
     in_flight: SlotMap<RequestKey, InFlightRequest>,
     queue_pressure: HashMap<ServiceName, QueuePressure>,
     prompt_rates: HashMap<ServiceName, PromptRate>,
@@ -201,6 +211,9 @@
             published_versions: HashMap::new(),
             removed: HashMap::new(),
             leaving: HashMap::new(),
+            removed_limits: HashMap::new(),
+            own_id: 0,
+            routers: Vec::new(),
             in_flight: SlotMap::with_key(),
             queue_pressure: HashMap::new(),
             prompt_rates: HashMap::new(),
--- a/crates/dogwoodway_routing/src/direct/fleet/membership.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/membership.rs
@@ -13,6 +13,7 @@
         health::Health,
         link_slowdown::LinkSlowdown,
         load::Load,
+        server_limit::ServerLimit,
         token_lru::TokenLru,
     },
     rendezvous::ServerKey,
@@ -97,6 +98,10 @@
         let hash = ServerKey::new(&listing.name);
         let (name, service) = (listing.name.clone(), listing.service.clone());
         let is_leaving = self.leaving.get(&name) == Some(&listing.started_at_ms);
+        let removed_limit = self.removed_limits.remove(&name);
+        let removed_limit =
+            removed_limit.filter(|(started_at_ms, _)| *started_at_ms == listing.started_at_ms);
+        let limit = removed_limit.map(|(_, limit)| limit).unwrap_or_default();
         let key = self.servers.insert(Server {
             listing,
             hash,
@@ -110,6 +115,7 @@
             removal_due_at: None,
             is_leaving,
             paused_until: Timestamp::default(),
+            limit,
         });
         self.by_name.insert(name, key);
         self.by_tag.insert(ServerTag::from(hash), key);
@@ -136,6 +142,12 @@
         }
         let last = (server.listing.started_at_ms, server.listing.revision);
         self.removed.insert(name.clone(), last);
+        if server.limit.is_stated() {
+            if self.removed_limits.len() >= MAX_REMEMBERED {
+                self.removed_limits.clear();
+            }
+            self.removed_limits.insert(name.clone(), (last.0, server.limit));
+        }
         if let Some(keys) = self.by_service.get_mut(&server.listing.service) {
             keys.retain(|other| *other != key);
         }
@@ -160,6 +172,7 @@
         server.loading_until = Timestamp::default();
         server.is_leaving = false;
         server.paused_until = Timestamp::default();
+        server.limit = ServerLimit::default();
         server.listing = listing;
         return true;
     }
--- a/crates/dogwoodway_routing/src/direct/fleet/notices.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/notices.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::direct::{
-    fleet::{BackendKey, Fleet, PlacementRequest, ServerTag, membership::MAX_REMEMBERED},
+    fleet::{BackendKey, Fleet, ServerTag, membership::MAX_REMEMBERED},
     server_notice::ServerNotice,
 };
 
@@ -67,17 +67,4 @@
     pub fn wants_requests(&self, now: Timestamp, key: BackendKey) -> bool {
         self.servers.get(key).is_some_and(|server| server.wants_requests(now))
     }
-
-    /// Returns the earliest end of a pause among the servers that would accept a request then.
-    pub(super) fn first_pause_end(
-        &self,
-        now: Timestamp,
-        request: &PlacementRequest,
-    ) -> Option<Timestamp> {
-        let keys = self.by_service.get(&request.service)?;
-        let paused = keys.iter().filter_map(|key| self.servers.get(*key)).filter(|server| {
-            now < server.paused_until && self.accepts_requests(server.paused_until, server, request)
-        });
-        paused.map(|server| server.paused_until).min()
-    }
 }
--- a/crates/dogwoodway_routing/src/direct/fleet/placement.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/placement.rs
@@ -14,7 +14,7 @@
 use crate::{
     direct::{
         admission,
-        cost::{self, Candidate},
+        cost::{self, Candidate, PrefillWork},
         fleet::{
             Availability, BackendKey, Fleet, RequestKey, STORE_SAVE_DELAY_MS, Server,
             prefix_sources::{FetchSource, ScopedPrompt, ScopedPrompts},
@@ -22,7 +22,7 @@
         },
         health::Health,
         load::Load,
-        prompt::Prompt,
+        prompt::{PrefixSegment, Prompt},
         sampling::{self, is_sampled},
     },
     rendezvous,
@@ -102,6 +102,10 @@
     pub predicted_ms: u32,
     /// Requests of all known routers in flight at the server, including this one.
     pub in_flight: u32,
+    /// When the request was placed.
+    pub sent_at: Timestamp,
+    /// Whether the server has stated a limit.
+    pub has_limit: bool,
 }
 
 /// Why a request was not placed, and when to retry it.
@@ -140,10 +144,10 @@
         Ok(self.record_placement(now, choice, predicted_ms))
     }
 
-    /// Builds the refusal of a request that no server accepts. If servers are only paused, the time
-    /// at which the first one accepts requests again is known.
+    /// Builds the refusal of a request that no server accepts. If servers are only paused or at their
+    /// limits, the time at which the first one accepts requests again is known.
     fn refusal_without_server(&self, now: Timestamp, request: &PlacementRequest) -> Refusal {
-        match self.first_pause_end(now, request) {
+        match self.first_acceptance(now, request) {
             Some(retry_at) => Refusal {
                 reason: NotRunReason::Overloaded,
                 retry_at,
@@ -296,14 +300,13 @@
             has_output: false,
         };
         server.own_load = server.own_load + load;
+        server.limit.record_request(now);
         if let Some(prefill) = prefill {
-            server
-                .prefix_cache
-                .set_capacity((prefill.kv_capacity_tokens as f64 * USABLE_CAPACITY_SHARE) as u64);
-            server.prefix_cache.insert(&in_flight_request.segments, ready_at);
+            server.expect_prompt(&prefill, &in_flight_request.segments, ready_at);
         }
-        let (name, address) = (server.listing.name.clone(), server.listing.address);
-        let started_at_ms = server.listing.started_at_ms;
+        let (listing, has_limit) = (&server.listing, server.limit.is_stated());
+        let (name, address) = (listing.name.clone(), listing.address);
+        let started_at_ms = listing.started_at_ms;
         let (tag, server_in_flight) = (server.hash.into(), server.load().running);
         let segments = &in_flight_request.segments;
         if !segments.is_empty() {
@@ -325,6 +328,8 @@
                 .map_or((0, 0), |r| (r.computed_tokens, r.fetched_tokens)),
             predicted_ms: predicted_ms as u32,
             in_flight: server_in_flight,
+            sent_at: now,
+            has_limit,
         }
     }
 
@@ -341,12 +346,27 @@
             && server.listing.availability == Availability::Ready
             && server.is_retained(now)
             && server.wants_requests(now)
+            && server.limit.next_send_at(now).is_some_and(|at| at <= now)
             && now >= server.loading_until
             && !is_full
             && !request.tried.contains(&server.listing.name)
     }
 }
 
+impl Server {
+    /// Records that the server holds a prompt from `ready_at` on.
+    fn expect_prompt(
+        &mut self,
+        prefill: &PrefillWork,
+        segments: &[PrefixSegment],
+        ready_at: Timestamp,
+    ) {
+        let usable_tokens = prefill.kv_capacity_tokens as f64 * USABLE_CAPACITY_SHARE;
+        self.prefix_cache.set_capacity(usable_tokens as u64);
+        self.prefix_cache.insert(segments, ready_at);
+    }
+}
+
 /// The server chosen for a request, before the request counts as in flight there.
 struct Choice {
     key: BackendKey,
