--- a/crates/dogwoodway_gateway/src/fleet_actor/routers.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/routers.rs
@@ -147,9 +147,9 @@
 pub(crate) struct SetRouters {
     /// Number of routers, this one included.
     pub(crate) count: u32,
-    /// Identifier of this router.
+    /// Rank of this router.
     pub(crate) own: u64,
-    /// Identifiers of those that are alive, this one included.
+    /// Ranks of those that are alive, this one included.
     pub(crate) alive: Vec<u64>,
 }
 
--- a/crates/dogwoodway_gateway/src/gossip.rs
+++ b/crates/dogwoodway_gateway/src/gossip.rs
@@ -15,7 +15,7 @@
     aggregation::{Aggregator, Digest, ReportHistory},
     fleet::{OriginPrompt, ServerLoad},
     load::router_id,
-    peers::{Peers, RouterInfo, ZoneTag},
+    peers::{Peers, RouterInfo, ZoneTag, rank},
 };
 use dogwoodway_types::Timestamp;
 use kameo::actor::ActorRef;
@@ -113,7 +113,7 @@
     next_alive_at: Timestamp,
     /// Number of routers as last told to the fleet.
     router_count: u32,
-    /// Identifiers of the routers alive, as last told to the fleet.
+    /// Ranks of the routers alive, as last told to the fleet.
     routers_alive: Vec<u64>,
     /// Whether there is something new to send.
     has_changes: bool,
@@ -443,10 +443,8 @@
         if count == 1 && !is_discovery_over {
             return;
         }
-        let own = router_id(self.config.address);
-        let alive = self.peers.infos(now).map(|info| router_id(info.address));
-        let mut alive: Vec<_> = alive.chain([own]).collect();
-        alive.sort_unstable();
+        let own = rank(self.config.address);
+        let alive = self.peers.ranks_alive(now, self.config.address);
         if count == self.router_count && alive == self.routers_alive {
             return;
         }
--- a/crates/dogwoodway_routing/src/direct/peers.rs
+++ b/crates/dogwoodway_routing/src/direct/peers.rs
@@ -240,6 +240,23 @@
         addresses
     }
 
+    /// Returns the ranks of the routers that are alive, the one at `own` included, in ascending order.
+    /// A rank identifies a router.
+    ///
+    /// ```
+    /// use dogwoodway_routing::direct::peers::{Peers, rank};
+    /// use dogwoodway_types::Timestamp;
+    ///
+    /// let own = "10.0.1.1:7340".parse().unwrap();
+    /// assert_eq!(Peers::default().ranks_alive(Timestamp::from_millis(1), own), [rank(own)]);
+    /// ```
+    pub fn ranks_alive(&self, now: Timestamp, own: SocketAddr) -> Vec<u64> {
+        let others = self.peers.values().filter(|peer| peer.info.is_some() && !peer.is_silent(now));
+        let mut ranks: Vec<_> = others.map(|peer| peer.rank).chain([rank(own)]).collect();
+        ranks.sort_unstable();
+        ranks
+    }
+
     /// Returns what the routers that are not silent have told about themselves.
     pub fn infos(&self, now: Timestamp) -> impl Iterator<Item = RouterInfo> + '_ {
         self.peers.values().filter(move |peer| !peer.is_silent(now)).filter_map(|peer| peer.info)
@@ -251,6 +268,7 @@
     (Reverse(info.cpu_percent), rank(info.address))
 }
 
-fn rank(address: SocketAddr) -> u64 {
+/// Returns the rank of the router at an address, which puts all routers into one random order.
+pub fn rank(address: SocketAddr) -> u64 {
     rendezvous::mix(router_id(address))
 }
