Simulate storms of crashing requests, and consider chance before a part is blamed

The simulation plays storms against the decisions of all routers, with no blame and with a count of crashes as baselines. Crashes without a part, from 10 s before its first one to its last one, now raise the number that is needed, by three at most. The test of the bound on blamed parts needs more crashes of each for that reason.

Test: crashes_for_other_reasons_refuse_nothing, which failed before; part_that_was_in_three_of_many_crashes_by_chance_is_not_blamed.

--- a/crates/dogwoodway_routing/src/part_blame.rs
+++ b/crates/dogwoodway_routing/src/part_blame.rs
@@ -19,6 +19,7 @@
 //!   part, so that a request that is sent again and again does not bring blame on what it shares.
 //! - *There must be a contrast*: a part is blamed only if prompts without it, for the same model,
 //!   were answered meanwhile. If nothing is answered, the cause is elsewhere.
+//! - *Chance is considered*: while engines crash without the part as well, more crashes are needed.
 //!
 //! A part with [`BLAME_THRESHOLD`] crashes in series is quarantined for [`INITIAL_QUARANTINE`], and
 //! twice as long after each further crash. Then one request tries it again; a complete answer clears
@@ -46,9 +47,18 @@
     notice::{AnsweredPart, PartNotice},
 };
 
-/// Crashes in series from which on a part is quarantined.
+/// Crashes in series from which on a part is quarantined, if no engine crashes without it.
 pub const BLAME_THRESHOLD: usize = 3;
 
+/// Unexplained crashes of engines without a part for which one further crash is needed to blame it.
+const OTHERS_PER_FURTHER_CRASH: usize = 2;
+
+/// Time before the first crash of a part from which on crashes without it count.
+const BACKGROUND_PERIOD: Duration = Duration::from_secs(10);
+
+/// Largest number of further crashes. With several causes, most crashes are without each of them.
+const MAX_FURTHER_CRASHES: usize = 3;
+
 /// Crashes in series from which on a request with the part is not sent again after it was lost.
 const NO_RETRY_THRESHOLD: usize = 2;
 
@@ -411,12 +421,28 @@
         explained: &HashSet<usize>,
     ) -> (Option<Series>, bool) {
         let series = counted.keys().map(|part| series_of(counted, *part, explained));
-        let strong = series.filter(|series| series.indices.len() >= BLAME_THRESHOLD);
+        let strong =
+            series.filter(|series| series.indices.len() >= self.threshold(series, explained));
         let (contrasted, others): (Vec<_>, Vec<_>) =
             strong.partition(|series| self.has_contrast(series));
         (contrasted.into_iter().max_by_key(Series::strength), !others.is_empty())
     }
 
+    /// Returns the crashes in series from which on a part is blamed: the more engines crashed without
+    /// it meanwhile and shortly before, the likelier it is that the part was there by chance.
+    fn threshold(&self, series: &Series, explained: &HashSet<usize>) -> usize {
+        // Later crashes do not count: a part that is refused cannot be in them.
+        let from = series.first_crash_at.earlier_by(BACKGROUND_PERIOD);
+        let period = from..=series.last_crash_at;
+        let others = self.crashes.iter().enumerate().filter(|(i, crash)| {
+            period.contains(&crash.crashed_at)
+                && !explained.contains(i)
+                && crash.run_of(series.part).is_none()
+        });
+        let further = others.count() / OTHERS_PER_FURTHER_CRASH;
+        BLAME_THRESHOLD + further.min(MAX_FURTHER_CRASHES)
+    }
+
     /// Returns for each part the crashes that no complete answer refutes, in the order of time.
     fn counted_crashes(&self) -> HashMap<PartKey, Vec<CountedCrash>> {
         let mut counted: HashMap<PartKey, Vec<CountedCrash>> = HashMap::new();
--- a/crates/dogwoodway_standin/src/lib.rs
+++ b/crates/dogwoodway_standin/src/lib.rs
@@ -12,6 +12,7 @@
 mod load;
 mod log_service;
 mod overhead;
+pub mod crash_storm;
 pub mod simulation;
 mod service;
 mod scaling;
