Blame no part of long answers for waves of crashes

Three changes, each with a test that failed before: a crash counts only if all answers with the part began after the crash before (not the last of them); an answer that goes on for 1.5 times as long as any of the series, and 200 ms, counts as complete; crashes of the last 150 ms need one more, since the routers' reports of a crash arrive one by one. On the own path entries report answers that go on in the same way.

--- a/crates/dogwoodway_gateway/src/fleet_actor/attempts.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/attempts.rs
@@ -125,14 +125,25 @@
     }
 }
 
-/// Further bytes have arrived from a server, which shows that it is alive.
-pub(crate) struct BytesReceived(pub(crate) BackendKey);
+/// Further bytes have arrived from a server, which shows that it is alive and that the answer goes
+/// on.
+pub(crate) struct BytesReceived {
+    pub(crate) server: BackendKey,
+    /// When the answer began.
+    pub(crate) answer_started_at: Option<Timestamp>,
+    /// Parts of the prompt that other requests may share, in order.
+    pub(crate) shared_parts: Arc<[PartKey]>,
+}
 
 impl Message<BytesReceived> for FleetActor {
     type Reply = ();
 
     async fn handle(&mut self, msg: BytesReceived, _: &mut Context<Self, Self::Reply>) {
-        self.fleet.record_activity(clock::now(), msg.0);
+        let now = clock::now();
+        self.fleet.record_activity(now, msg.server);
+        if let Some(started_at) = msg.answer_started_at {
+            self.part_evidence.record_progress(now, &msg.shared_parts, started_at);
+        }
     }
 }
 
--- a/crates/dogwoodway_gateway/src/fleet_actor/part_evidence.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/part_evidence.rs
@@ -67,6 +67,15 @@
         self.blame.record_answer(now, parts, started_at);
     }
 
+    pub(super) fn record_progress(
+        &mut self,
+        now: Timestamp,
+        parts: &[PartKey],
+        started_at: Timestamp,
+    ) {
+        self.blame.record_progress(now, parts, started_at);
+    }
+
     pub(super) fn apply(&mut self, now: Timestamp, notices: &[PartNotice]) {
         for notice in notices {
             self.blame.apply(now, notice);
--- a/crates/dogwoodway_gateway/src/stream.rs
+++ b/crates/dogwoodway_gateway/src/stream.rs
@@ -91,7 +91,12 @@
             self.report_first_output();
         } else if (now - self.activity_reported_at).as_millis() as u64 >= ACTIVITY_INTERVAL_MS {
             self.activity_reported_at = now;
-            if let Err(e) = self.fleet.tell(BytesReceived(self.server)).try_send() {
+            let bytes = BytesReceived {
+                server: self.server,
+                answer_started_at: self.request.answer_started_at,
+                shared_parts: self.request.shared_parts.clone(),
+            };
+            if let Err(e) = self.fleet.tell(bytes).try_send() {
                 log::debug!("could not report received bytes to the fleet: {e}");
             }
         }
--- a/crates/dogwoodway_routing/src/part_blame.rs
+++ b/crates/dogwoodway_routing/src/part_blame.rs
@@ -10,10 +10,13 @@
 //! - *A crash counts against the parts of the answers that the engine had begun.* Requests that were
 //!   queued there count for nothing.
 //! - *A complete answer refutes all crashes before it began*, wherever it ran. An answer that broke
-//!   off, and an error, refute nothing.
-//! - *Only crashes one after the other count*: a further crash counts against a part only if its
-//!   answer began after the crash before it. When many engines are lost at the same moment, every
-//!   common part was on several of them, and that counts as one crash.
+//!   off, and an error, refute nothing. An answer that goes on for clearly longer than those that
+//!   ended in crashes counts as complete: long answers could otherwise clear their parts only
+//!   seconds after engines were lost.
+//! - *Only crashes one after the other count*: a further crash counts against a part only if all its
+//!   answers there began after the crash before. When many engines are lost at the same moment, every
+//!   common part was on several of them, and that counts as one crash; and an answer that had gone on
+//!   since before an earlier crash shows that its parts do not crash engines at once.
 //! - *A crash is explained once.* The part with the longest series of crashes is blamed first; what
 //!   it explains no longer counts against the parts that accompany it. A whole request counts like a
 //!   part, so that a request that is sent again and again does not bring blame on what it shares.
@@ -53,6 +56,12 @@
 /// Unexplained crashes of engines without a part for which one further crash is needed to blame it.
 const OTHERS_PER_FURTHER_CRASH: usize = 2;
 
+/// An answer that goes on for this many times as long as the longest that ended in a crash, and for
+/// [`SURVIVAL_MARGIN`] more, is taken for a complete one.
+const SURVIVAL_FACTOR: f64 = 1.5;
+
+const SURVIVAL_MARGIN: Duration = Duration::from_millis(200);
+
 /// Time before the first crash of a part from which on crashes without it count.
 const BACKGROUND_PERIOD: Duration = Duration::from_secs(10);
 
@@ -74,6 +83,10 @@
 /// Largest number of parts in quarantine, which bounds what wrong blame can refuse.
 pub const MAX_QUARANTINED: usize = 8;
 
+/// Time after a crash within which the reports of all routers arrive: one router alone may not have
+/// the answers that had gone on for long. With more recent crashes, one more is needed for blame.
+const REPORT_PERIOD: Duration = Duration::from_millis(150);
+
 /// Time for which crashes are remembered.
 const EVIDENCE_TTL: Duration = Duration::from_secs(3_600);
 
@@ -174,6 +187,8 @@
     /// Whether a part would be quarantined if there were a contrast.
     awaits_contrast: bool,
     is_outdated: bool,
+    /// When a crash begins to count for blame.
+    next_evaluation_at: Timestamp,
     outgoing: VecDeque<PartNotice>,
 }
 
@@ -192,6 +207,7 @@
             trials: HashMap::new(),
             awaits_contrast: false,
             is_outdated: false,
+            next_evaluation_at: Timestamp::MAX,
             outgoing: VecDeque::new(),
         }
     }
@@ -224,6 +240,23 @@
         self.is_outdated |= self.awaits_contrast;
     }
 
+    /// Records that an answer that began at `started_at` still goes on, to a prompt with these shared
+    /// parts. It refutes what a complete answer refutes, once it has gone on for clearly longer than
+    /// any answer in the series of crashes of a part.
+    pub fn record_progress(&mut self, now: Timestamp, parts: &[PartKey], started_at: Timestamp) {
+        for part in parts {
+            let counted = self.counted_crashes_of(*part);
+            if !counted.iter().any(|crash| crash.crashed_at <= started_at) {
+                continue;
+            }
+            let series = Series::longest(*part, counted.iter().copied());
+            let survival = series.longest_lead.mul_f64(SURVIVAL_FACTOR) + SURVIVAL_MARGIN;
+            if now - started_at >= survival && self.refute(now, *part, started_at) {
+                self.queue(PartNotice::Answered(AnsweredPart { part: *part, started_at }));
+            }
+        }
+    }
+
     /// Applies what another router reports. Its times are by this router's clock.
     pub fn apply(&mut self, now: Timestamp, notice: &PartNotice) {
         match notice {
@@ -377,16 +410,20 @@
 
     /// Decides from the evidence which parts are blamed.
     fn evaluate(&mut self, now: Timestamp) {
-        if !std::mem::take(&mut self.is_outdated) {
+        let is_outdated = std::mem::take(&mut self.is_outdated);
+        if !is_outdated && now < self.next_evaluation_at {
             return;
         }
         self.crashes.retain(|crash| now - crash.crashed_at < EVIDENCE_TTL);
+        let due_times = self.crashes.iter().map(|crash| crash.crashed_at + REPORT_PERIOD);
+        self.next_evaluation_at =
+            due_times.filter(|due| *due > now).min().unwrap_or(Timestamp::MAX);
         let counted = self.counted_crashes();
         let mut explained = HashSet::new();
         let mut blamed = Vec::new();
         self.awaits_contrast = false;
         while blamed.len() < MAX_QUARANTINED {
-            let (strongest, awaits_contrast) = self.strongest(&counted, &explained);
+            let (strongest, awaits_contrast) = self.strongest(now, &counted, &explained);
             self.awaits_contrast = awaits_contrast;
             let Some(series) = strongest else { break };
             explained.extend(series.all_indices.iter().copied());
@@ -417,12 +454,17 @@
     /// there is another part for which only a contrast is missing.
     fn strongest(
         &self,
+        now: Timestamp,
         counted: &HashMap<PartKey, Vec<CountedCrash>>,
         explained: &HashSet<usize>,
     ) -> (Option<Series>, bool) {
         let series = counted.keys().map(|part| series_of(counted, *part, explained));
-        let strong =
-            series.filter(|series| series.indices.len() >= self.threshold(series, explained));
+        let strong = series.filter(|series| {
+            let is_reported = |i: &&usize| now - self.crashes[**i].crashed_at >= REPORT_PERIOD;
+            let reported = series.indices.iter().filter(is_reported).count();
+            let threshold = self.threshold(series, explained);
+            reported >= threshold || series.indices.len() > threshold
+        });
         let (contrasted, others): (Vec<_>, Vec<_>) =
             strong.partition(|series| self.has_contrast(series));
         (contrasted.into_iter().max_by_key(Series::strength), !others.is_empty())
@@ -453,18 +495,24 @@
             for run in &crash.runs {
                 let answered_at = self.answered.get(&run.part).copied().unwrap_or_default();
                 if crash.crashed_at > answered_at {
-                    counted.entry(run.part).or_default().push(CountedCrash {
-                        index,
-                        position: run.position,
-                        started_at: crash.crashed_at.earlier_by(run.lead),
-                        crashed_at: crash.crashed_at,
-                    });
+                    counted.entry(run.part).or_default().push(crash.counted(index, *run));
                 }
             }
         }
         counted
     }
 
+    /// Returns the crashes that count against one part, in the order of time.
+    fn counted_crashes_of(&self, part: PartKey) -> Vec<CountedCrash> {
+        let answered_at = self.answered.get(&part).copied().unwrap_or_default();
+        let crashes = self.crashes.iter().enumerate();
+        let counted = crashes.filter(|(_, crash)| crash.crashed_at > answered_at);
+        let counted = counted.filter_map(|(i, crash)| Some(crash.counted(i, crash.run_of(part)?)));
+        let mut counted: Vec<_> = counted.collect();
+        counted.sort_by_key(|crash| crash.crashed_at);
+        counted
+    }
+
     /// Returns whether prompts without the part were answered after its first crash.
     fn has_contrast(&self, series: &Series) -> bool {
         if self.contrasted.contains(&series.part) {
--- a/crates/dogwoodway_routing/src/part_blame/evidence.rs
+++ b/crates/dogwoodway_routing/src/part_blame/evidence.rs
@@ -20,7 +20,8 @@
     pub part: PartKey,
     /// Position of the part in the prompt; 0 is the first. A whole request comes last.
     pub position: u8,
-    /// Time from the beginning of the answer to the crash. Of several answers, the last one counts.
+    /// Time from the beginning of the answer to the crash. Of several answers, the one that began
+    /// first counts: it would have crashed the engine before the others.
     pub lead: Duration,
 }
 
@@ -71,6 +72,13 @@
         self.runs.iter().find(|run| run.part == part).copied()
     }
 
+    /// Returns the crash as it counts against the part of `run`.
+    pub(super) fn counted(&self, index: usize, run: PartRun) -> CountedCrash {
+        let started_at = self.crashed_at.earlier_by(run.lead);
+        let (position, crashed_at) = (run.position, self.crashed_at);
+        CountedCrash { index, position, started_at, crashed_at }
+    }
+
     /// Returns the crash with the answers to prompts with one part only.
     pub(super) fn restricted_to(&self, part: PartKey) -> EngineCrash {
         let runs = self.run_of(part).into_iter().collect();
@@ -84,7 +92,7 @@
         self.crashed_at = self.crashed_at.min(other.crashed_at);
         for run in &other.runs {
             if let Some(known) = self.runs.iter_mut().find(|known| known.part == run.part) {
-                known.lead = known.lead.min(run.lead);
+                known.lead = known.lead.max(run.lead);
                 known.position = known.position.max(run.position);
             } else if self.runs.len() < MAX_RUNS {
                 self.runs.push(*run);
@@ -105,7 +113,7 @@
     pub(super) crashed_at: Timestamp,
 }
 
-/// The longest series of crashes of one part in which each answer began after the crash before it.
+/// The longest series of crashes of one part in which all answers began after the crash before.
 #[derive(Clone, Debug)]
 pub(super) struct Series {
     pub(super) part: PartKey,
@@ -116,6 +124,8 @@
     pub(super) all_indices: Vec<usize>,
     pub(super) first_crash_at: Timestamp,
     pub(super) last_crash_at: Timestamp,
+    /// Longest time from the beginning of an answer to a crash of the series.
+    pub(super) longest_lead: Duration,
 }
 
 impl Series {
@@ -131,6 +141,7 @@
             all_indices: Vec::new(),
             first_crash_at: Timestamp::default(),
             last_crash_at: Timestamp::default(),
+            longest_lead: Duration::ZERO,
         };
         let mut previous_crash_at: Option<Timestamp> = None;
         for crash in crashes {
@@ -141,6 +152,7 @@
             series.last_crash_at = crash.crashed_at;
             if previous_crash_at.is_none_or(|previous| crash.started_at > previous) {
                 series.indices.push(crash.index);
+                series.longest_lead = series.longest_lead.max(crash.crashed_at - crash.started_at);
                 previous_crash_at = Some(crash.crashed_at);
             }
         }
--- a/src/entry/dispatch/attempt.rs
+++ b/src/entry/dispatch/attempt.rs
@@ -152,7 +152,10 @@
         let event = match state.stream.accept(attempt, frame) {
             StreamEvent::Ignored => return None,
             StreamEvent::Started { cached_tokens } => AnswerEvent::Started { cached_tokens },
-            StreamEvent::Text(text) => AnswerEvent::Text(text),
+            StreamEvent::Text(text) => {
+                state.report_progress().await;
+                AnswerEvent::Text(text)
+            }
             StreamEvent::Response { status, content_type, body } => {
                 AnswerEvent::Response { status, content_type, body }
             }
--- a/src/entry/dispatch/request_state.rs
+++ b/src/entry/dispatch/request_state.rs
@@ -8,10 +8,12 @@
     BackendServerName, ClaimRequest, EngineIncarnation, NotRunReason, Outcome, RequestFingerprint,
     Timestamp,
 };
+use kameo::actor::ActorRef;
 use tokio::sync::mpsc;
 
 use crate::{
     clock::sleep_until,
+    entry::quarantine::{QuarantineActor, RecordPartProgress},
     shutdown::{Shutdown, ShutdownPhase},
 };
 
@@ -19,6 +21,9 @@
 /// callers that are refused together do not retry together.
 const RETRY_AFTER_MS: std::ops::Range<u64> = 500..3_500;
 
+/// Least time between two reports that an answer goes on, in milliseconds.
+const PROGRESS_INTERVAL_MS: u64 = 500;
+
 /// State of a request that is kept from one attempt to the next.
 pub(super) struct RequestState {
     /// Events of the answer, to the caller; closed when the caller disconnects.
@@ -39,6 +44,9 @@
     pub(super) shared_parts: Arc<[PartKey]>,
     /// When the last attempt began.
     pub(super) attempt_started_at: Timestamp,
+    /// When it was last reported that the answer goes on.
+    pub(super) progress_reported_at: Timestamp,
+    pub(super) quarantine: ActorRef<QuarantineActor>,
     /// Engine that crashed while it ran the last attempt, until the crash is reported.
     pub(super) crashed_engine: Option<EngineIncarnation>,
     /// Backend servers that were chosen for an attempt of this request.
@@ -57,6 +65,22 @@
         }
     }
 
+    /// Reports that the answer of the last attempt goes on, at most every [`PROGRESS_INTERVAL_MS`].
+    pub(super) async fn report_progress(&mut self) {
+        let now = Timestamp::now();
+        let since = self.progress_reported_at.max(self.attempt_started_at);
+        let is_due = now - since >= Duration::from_millis(PROGRESS_INTERVAL_MS);
+        if !is_due || self.shared_parts.is_empty() {
+            return;
+        }
+        self.progress_reported_at = now;
+        let (started_at, parts) = (self.attempt_started_at, self.shared_parts.clone());
+        let progress = RecordPartProgress { started_at, parts };
+        if let Err(e) = self.quarantine.tell(progress).await {
+            log::warn!("could not report that an answer goes on: {e}");
+        }
+    }
+
     /// Resolves with the outcome of the request once the caller has disconnected, the deadline has
     /// passed or the entry aborts its requests.
     pub(super) async fn interrupted(&self) -> Outcome {
--- a/src/entry/dispatch/serve.rs
+++ b/src/entry/dispatch/serve.rs
@@ -80,6 +80,8 @@
             fingerprint: idempotency::fingerprint(&req.team, &req.work),
             shared_parts: shared_parts(&req),
             attempt_started_at: Timestamp::default(),
+            progress_reported_at: Timestamp::default(),
+            quarantine: self.quarantine.clone(),
             crashed_engine: None,
             tried: Vec::new(),
         };
--- a/src/entry/quarantine.rs
+++ b/src/entry/quarantine.rs
@@ -250,3 +250,20 @@
         self.append_notices();
     }
 }
+
+/// Records that the answer of an attempt at a prompt goes on.
+pub(crate) struct RecordPartProgress {
+    /// When the attempt began.
+    pub(crate) started_at: Timestamp,
+    /// Messages that other prompts may share, in order.
+    pub(crate) parts: Arc<[PartKey]>,
+}
+
+impl Message<RecordPartProgress> for QuarantineActor {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: RecordPartProgress, _: &mut Context<Self, ()>) {
+        self.part_blame.record_progress(Timestamp::now(), &msg.parts, msg.started_at);
+        self.append_notices();
+    }
+}
