--- a/crates/dogwoodway_routing/src/part_blame.rs
+++ b/crates/dogwoodway_routing/src/part_blame.rs
@@ -35,6 +35,7 @@
 mod evidence;
 mod key;
 mod notice;
+mod search;
 
 use std::{
     collections::{HashMap, HashSet, VecDeque},
@@ -43,7 +44,7 @@
 
 use dogwoodway_types::Timestamp;
 
-use self::evidence::{CountedCrash, Series};
+use self::{evidence::Series, search::series_of};
 pub use self::{
     evidence::{EngineCrash, PartRun},
     key::PartKey,
@@ -53,40 +54,21 @@
 /// Crashes in series from which on a part is quarantined, if no engine crashes without it.
 pub const BLAME_THRESHOLD: usize = 3;
 
-/// Unexplained crashes of engines without a part for which one further crash is needed to blame it.
-const OTHERS_PER_FURTHER_CRASH: usize = 2;
-
 /// An answer that goes on for this many times as long as the longest that ended in a crash, and for
 /// [`SURVIVAL_MARGIN`] more, is taken for a complete one.
 const SURVIVAL_FACTOR: f64 = 1.5;
 
 const SURVIVAL_MARGIN: Duration = Duration::from_millis(200);
 
-/// Time before the first crash of a part from which on crashes without it count.
-const BACKGROUND_PERIOD: Duration = Duration::from_secs(10);
-
-/// Largest number of further crashes. With several causes, most crashes are without each of them.
-const MAX_FURTHER_CRASHES: usize = 3;
-
-/// Crashes in series from which on a request with the part is not sent again after it was lost.
-const NO_RETRY_THRESHOLD: usize = 2;
-
 /// Duration of the first quarantine of a part; each further crash doubles it.
 pub const INITIAL_QUARANTINE: Duration = Duration::from_secs(60);
 
 /// Maximum number of times that the duration of a quarantine is doubled.
 const MAX_DOUBLINGS: usize = 5;
 
-/// Answers to prompts without a part that must have completed before it is blamed.
-const MIN_CONTRAST: usize = 2;
-
 /// Largest number of parts in quarantine, which bounds what wrong blame can refuse.
 pub const MAX_QUARANTINED: usize = 8;
 
-/// Time after a crash within which the reports of all routers arrive: one router alone may not have
-/// the answers that had gone on for long. With more recent crashes, one more is needed for blame.
-const REPORT_PERIOD: Duration = Duration::from_millis(150);
-
 /// Time for which crashes are remembered.
 const EVIDENCE_TTL: Duration = Duration::from_secs(3_600);
 
@@ -407,139 +389,4 @@
         let draw = crate::rendezvous::mix(self.seed ^ part.part) % u64::from(self.router_count);
         TRIAL_SPACING * draw as u32
     }
-
-    /// Decides from the evidence which parts are blamed.
-    fn evaluate(&mut self, now: Timestamp) {
-        let is_outdated = std::mem::take(&mut self.is_outdated);
-        if !is_outdated && now < self.next_evaluation_at {
-            return;
-        }
-        self.crashes.retain(|crash| now - crash.crashed_at < EVIDENCE_TTL);
-        let due_times = self.crashes.iter().map(|crash| crash.crashed_at + REPORT_PERIOD);
-        self.next_evaluation_at =
-            due_times.filter(|due| *due > now).min().unwrap_or(Timestamp::MAX);
-        let counted = self.counted_crashes();
-        let mut explained = HashSet::new();
-        let mut blamed = Vec::new();
-        self.awaits_contrast = false;
-        while blamed.len() < MAX_QUARANTINED {
-            let (strongest, awaits_contrast) = self.strongest(now, &counted, &explained);
-            self.awaits_contrast = awaits_contrast;
-            let Some(series) = strongest else { break };
-            explained.extend(series.all_indices.iter().copied());
-            blamed.push(quarantine(&series));
-        }
-        self.suspects.clear();
-        while self.suspects.len() < MAX_QUARANTINED {
-            let series = counted.keys().map(|part| series_of(&counted, *part, &explained));
-            let weak = series.filter(|series| series.indices.len() >= NO_RETRY_THRESHOLD);
-            let Some(series) = weak.max_by_key(Series::strength) else { break };
-            explained.extend(series.all_indices.iter().copied());
-            self.suspects.insert(series.part);
-        }
-        self.contrasted.retain(|part| counted.contains_key(part));
-        for QuarantinedPart { part, .. } in &blamed {
-            // The other routers may not have seen the contrast.
-            if self.contrasted.insert(*part)
-                && let Some(last) = counted.get(part).and_then(|crashes| crashes.last())
-            {
-                let crash = self.crashes[last.index].restricted_to(*part);
-                self.outgoing.push_back(PartNotice::Crashed { crash, contrasted: vec![*part] });
-            }
-        }
-        self.quarantined = blamed;
-    }
-
-    /// Returns the part that explains most of the crashes left, if it can be blamed, and whether
-    /// there is another part for which only a contrast is missing.
-    fn strongest(
-        &self,
-        now: Timestamp,
-        counted: &HashMap<PartKey, Vec<CountedCrash>>,
-        explained: &HashSet<usize>,
-    ) -> (Option<Series>, bool) {
-        let series = counted.keys().map(|part| series_of(counted, *part, explained));
-        let strong = series.filter(|series| {
-            let is_reported = |i: &&usize| now - self.crashes[**i].crashed_at >= REPORT_PERIOD;
-            let reported = series.indices.iter().filter(is_reported).count();
-            let threshold = self.threshold(series, explained);
-            reported >= threshold || series.indices.len() > threshold
-        });
-        let (contrasted, others): (Vec<_>, Vec<_>) =
-            strong.partition(|series| self.has_contrast(series));
-        (contrasted.into_iter().max_by_key(Series::strength), !others.is_empty())
-    }
-
-    /// Returns the crashes in series from which on a part is blamed: the more engines crashed without
-    /// it meanwhile and shortly before, the likelier it is that the part was there by chance.
-    fn threshold(&self, series: &Series, explained: &HashSet<usize>) -> usize {
-        // Later crashes do not count: a part that is refused cannot be in them.
-        let from = series.first_crash_at.earlier_by(BACKGROUND_PERIOD);
-        let period = from..=series.last_crash_at;
-        let others = self.crashes.iter().enumerate().filter(|(i, crash)| {
-            period.contains(&crash.crashed_at)
-                && !explained.contains(i)
-                && crash.run_of(series.part).is_none()
-        });
-        let further = others.count() / OTHERS_PER_FURTHER_CRASH;
-        BLAME_THRESHOLD + further.min(MAX_FURTHER_CRASHES)
-    }
-
-    /// Returns for each part the crashes that no complete answer refutes, in the order of time.
-    fn counted_crashes(&self) -> HashMap<PartKey, Vec<CountedCrash>> {
-        let mut counted: HashMap<PartKey, Vec<CountedCrash>> = HashMap::new();
-        let mut indices: Vec<_> = (0..self.crashes.len()).collect();
-        indices.sort_by_key(|i| self.crashes[*i].crashed_at);
-        for index in indices {
-            let crash = &self.crashes[index];
-            for run in &crash.runs {
-                let answered_at = self.answered.get(&run.part).copied().unwrap_or_default();
-                if crash.crashed_at > answered_at {
-                    counted.entry(run.part).or_default().push(crash.counted(index, *run));
-                }
-            }
-        }
-        counted
-    }
-
-    /// Returns the crashes that count against one part, in the order of time.
-    fn counted_crashes_of(&self, part: PartKey) -> Vec<CountedCrash> {
-        let answered_at = self.answered.get(&part).copied().unwrap_or_default();
-        let crashes = self.crashes.iter().enumerate();
-        let counted = crashes.filter(|(_, crash)| crash.crashed_at > answered_at);
-        let counted = counted.filter_map(|(i, crash)| Some(crash.counted(i, crash.run_of(part)?)));
-        let mut counted: Vec<_> = counted.collect();
-        counted.sort_by_key(|crash| crash.crashed_at);
-        counted
-    }
-
-    /// Returns whether prompts without the part were answered after its first crash.
-    fn has_contrast(&self, series: &Series) -> bool {
-        if self.contrasted.contains(&series.part) {
-            return true;
-        }
-        let others = self.recent_answers.iter().filter(|(started_at, parts)| {
-            *started_at > series.first_crash_at
-                && parts.iter().any(|part| part.model == series.part.model)
-                && !parts.contains(&series.part)
-        });
-        others.count() >= MIN_CONTRAST
-    }
-}
-
-/// Returns the series of crashes that count against a part and have no other explanation.
-fn series_of(
-    counted: &HashMap<PartKey, Vec<CountedCrash>>,
-    part: PartKey,
-    explained: &HashSet<usize>,
-) -> Series {
-    let crashes = counted.get(&part).map_or(&[][..], Vec::as_slice);
-    Series::longest(part, crashes.iter().filter(|crash| !explained.contains(&crash.index)).copied())
-}
-
-fn quarantine(series: &Series) -> QuarantinedPart {
-    let crashes = series.indices.len();
-    let doublings = (crashes - BLAME_THRESHOLD).min(MAX_DOUBLINGS) as u32;
-    let until = series.last_crash_at + INITIAL_QUARANTINE * (1 << doublings);
-    QuarantinedPart { part: series.part, crashes, until }
 }
--- a/crates/dogwoodway_standin/examples/crash_storm.rs
+++ b/crates/dogwoodway_standin/examples/crash_storm.rs
@@ -12,53 +12,45 @@
     seeds: u64,
 }
 
-const USUAL: Storm = Storm {
-    routers: 4,
-    engines: 18,
-    batch: 16,
-    requests_per_s: 140.0,
-    cause_share: 0.05,
-    knowledge_ms: 50,
-    other_crashes_per_hour: 0.0,
-    cause: Cause::Document,
-    seconds: 20,
-};
-
 fn cases() -> Vec<(String, Storm)> {
     let mut cases = Vec::new();
     for share in [0.001, 0.01, 0.05, 0.3] {
         cases.push((
             format!("{:.1}% of requests", share * 1e2),
-            Storm { cause_share: share, ..USUAL },
+            Storm { cause_share: share, ..Storm::default() },
         ));
     }
     for batch in [4, 64] {
         let requests_per_s = 140.0 * batch as f64 / 16.0;
-        cases.push((format!("batches of {batch}"), Storm { batch, requests_per_s, ..USUAL }));
+        cases.push((
+            format!("batches of {batch}"),
+            Storm { batch, requests_per_s, ..Storm::default() },
+        ));
     }
     for (routers, engines, requests_per_s) in [(30, 100, 700.0), (103, 250, 1_700.0)] {
-        let storm = Storm { routers, engines, requests_per_s, ..USUAL };
+        let storm = Storm { routers, engines, requests_per_s, ..Storm::default() };
         cases.push((format!("{routers} routers, {engines} engines"), storm));
     }
     for knowledge_ms in [500, 2_000] {
         cases.push((
             format!("notices take up to {knowledge_ms} ms"),
-            Storm { knowledge_ms, ..USUAL },
+            Storm { knowledge_ms, ..Storm::default() },
         ));
     }
     let other_crashes_per_hour = 120.0;
     cases.push((
         "engines crash for other reasons too".to_owned(),
-        Storm { other_crashes_per_hour, ..USUAL },
+        Storm { other_crashes_per_hour, ..Storm::default() },
     ));
     for (name, cause) in [
         ("two causes", Cause::TwoDocuments),
         ("last parts under a shared document", Cause::OwnParts),
         ("all requests", Cause::Everything),
     ] {
-        cases.push((name.to_owned(), Storm { cause, ..USUAL }));
+        cases.push((name.to_owned(), Storm { cause, ..Storm::default() }));
     }
-    let nothing = Storm { cause: Cause::Nothing, other_crashes_per_hour: 600.0, ..USUAL };
+    let nothing =
+        Storm { cause: Cause::Nothing, other_crashes_per_hour: 600.0, ..Storm::default() };
     cases.push(("only other reasons, 600 an hour each".to_owned(), nothing));
     cases
 }
--- a/crates/dogwoodway_standin/src/crash_storm/simulator.rs
+++ b/crates/dogwoodway_standin/src/crash_storm/simulator.rs
@@ -80,6 +80,24 @@
     pub seconds: u64,
 }
 
+/// A storm on a fleet of the usual size, in which 5% of the requests have a document that crashes
+/// engines.
+impl Default for Storm {
+    fn default() -> Storm {
+        Storm {
+            routers: 4,
+            engines: 18,
+            batch: 16,
+            requests_per_s: 140.0,
+            cause_share: 0.05,
+            knowledge_ms: 50,
+            other_crashes_per_hour: 0.0,
+            cause: Cause::Document,
+            seconds: 20,
+        }
+    }
+}
+
 /// What happened in a storm.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Outcome {
@@ -187,10 +205,7 @@
 /// ```
 /// use dogwoodway_standin::crash_storm::{Cause, PolicyKind, Storm, simulate};
 ///
-/// let storm = Storm {
-///     routers: 4, engines: 18, batch: 16, requests_per_s: 140.0, cause_share: 0.05,
-///     knowledge_ms: 50, other_crashes_per_hour: 0.0, cause: Cause::Document, seconds: 10,
-/// };
+/// let storm = Storm { cause: Cause::TwoDocuments, seconds: 10, ..Storm::default() };
 /// let outcome = simulate(storm, PolicyKind::PartBlame, 1);
 /// assert!(outcome.late_requests <= 3);
 /// ```
