Bound the notices of crashed engines in a datagram, and evaluate many crashes less often

A third of the engines is lost there at one moment, and the notices of all their answers, repeated in each digest, are larger than a datagram; each of them caused an evaluation of all crashes. Datagrams now name at most 256 parts, evaluations wait 2 ms for each crash beyond 16, and only parts in two crashes and more are searched.

--- a/crates/dogwoodway_gateway/src/gossip/notice_board.rs
+++ b/crates/dogwoodway_gateway/src/gossip/notice_board.rs
@@ -17,6 +17,10 @@
 /// Most feed reports that are passed on. The youngest are from the watchers.
 const MAX_FEED_REPORTS: usize = 4;
 
+/// Most parts that the notices of crashed engines name in one datagram, some 6 kB. The first notices
+/// go; where many engines are lost at once, the others add little.
+const MAX_NOTICED_PARTS: usize = 256;
+
 /// The latest notices, each with the time at which it arrived.
 #[derive(Debug, Default)]
 pub(super) struct NoticeBoard {
@@ -70,6 +74,15 @@
         self.feed_reports.truncate(MAX_FEED_REPORTS);
     }
 
+    fn parts_to_send(&self) -> Vec<PartNotice> {
+        let mut named = 0;
+        let fitting = self.parts.iter().take_while(|(notice, _)| {
+            named += notice.part_count();
+            named <= MAX_NOTICED_PARTS
+        });
+        fitting.map(|(notice, _)| notice.clone()).collect()
+    }
+
     /// Returns the notices to send now, with ages as of now.
     pub(super) fn current(&mut self, now: Timestamp) -> Notices {
         let is_fresh = |at: Timestamp| now - at < Duration::from_millis(NOTICE_TTL_MS);
@@ -94,7 +107,7 @@
                 .collect(),
             introduced: self.introduced.iter().map(|(address, _)| *address).collect(),
             leaving: self.leaving.iter().map(|(leaving, _)| *leaving).collect(),
-            parts: self.parts.iter().map(|(notice, _)| notice.clone()).collect(),
+            parts: self.parts_to_send(),
             limits: self.limits.iter().map(|(notice, _)| *notice).collect(),
             sent_at: now,
         }
--- a/crates/dogwoodway_routing/src/part_blame.rs
+++ b/crates/dogwoodway_routing/src/part_blame.rs
@@ -171,6 +171,7 @@
     is_outdated: bool,
     /// When a crash begins to count for blame.
     next_evaluation_at: Timestamp,
+    evaluated_at: Timestamp,
     outgoing: VecDeque<PartNotice>,
 }
 
@@ -190,6 +191,7 @@
             awaits_contrast: false,
             is_outdated: false,
             next_evaluation_at: Timestamp::MAX,
+            evaluated_at: Timestamp::default(),
             outgoing: VecDeque::new(),
         }
     }
--- a/crates/dogwoodway_routing/src/part_blame/notice.rs
+++ b/crates/dogwoodway_routing/src/part_blame/notice.rs
@@ -67,6 +67,14 @@
         }
     }
 
+    /// Returns the number of parts that the notice names, by which its size grows.
+    pub fn part_count(&self) -> usize {
+        match self {
+            PartNotice::Crashed { crash, contrasted } => 1 + crash.runs.len() + contrasted.len(),
+            PartNotice::Answered(_) => 1,
+        }
+    }
+
     /// Adds a notice about the same crash or part; returns false if the other one is about another.
     pub fn merge(&mut self, other: &PartNotice) -> bool {
         match (self, other) {
--- a/crates/dogwoodway_routing/src/part_blame/search.rs
+++ b/crates/dogwoodway_routing/src/part_blame/search.rs
@@ -29,21 +29,30 @@
 /// the answers that had gone on for long. With more recent crashes, one more is needed for blame.
 const REPORT_PERIOD: Duration = Duration::from_millis(150);
 
+/// Crashes up to which each change is evaluated at once.
+const FEW_CRASHES: usize = 16;
+
+/// Least time between two evaluations for each crash, if there are more.
+const EVALUATION_INTERVAL_PER_CRASH: Duration = Duration::from_millis(2);
+
 /// Crashes in series from which on a request with the part is not sent again after it was lost.
 const NO_RETRY_THRESHOLD: usize = 2;
 
 impl PartBlame {
     /// Decides from the evidence which parts are blamed.
     pub(super) fn evaluate(&mut self, now: Timestamp) {
-        let is_outdated = std::mem::take(&mut self.is_outdated);
-        if !is_outdated && now < self.next_evaluation_at {
+        let is_due = now >= self.evaluated_at + self.evaluation_interval();
+        if !is_due || (!self.is_outdated && now < self.next_evaluation_at) {
             return;
         }
+        (self.is_outdated, self.evaluated_at) = (false, now);
         self.crashes.retain(|crash| now - crash.crashed_at < EVIDENCE_TTL);
         let due_times = self.crashes.iter().map(|crash| crash.crashed_at + REPORT_PERIOD);
         self.next_evaluation_at =
             due_times.filter(|due| *due > now).min().unwrap_or(Timestamp::MAX);
-        let counted = self.counted_crashes();
+        // Only these can be blamed or suspected.
+        let mut counted = self.counted_crashes();
+        counted.retain(|_, crashes| crashes.len() >= NO_RETRY_THRESHOLD);
         let mut explained = HashSet::new();
         let mut blamed = Vec::new();
         self.awaits_contrast = false;
@@ -62,7 +71,7 @@
             explained.extend(series.all_indices.iter().copied());
             self.suspects.insert(series.part);
         }
-        self.contrasted.retain(|part| counted.contains_key(part));
+        self.contrasted.retain(|part| self.crashes.iter().any(|c| c.run_of(*part).is_some()));
         for QuarantinedPart { part, .. } in &blamed {
             // The other routers may not have seen the contrast.
             if self.contrasted.insert(*part)
@@ -75,6 +84,14 @@
         self.quarantined = blamed;
     }
 
+    /// Returns the least time between two evaluations, which take longer the more crashes there are.
+    fn evaluation_interval(&self) -> Duration {
+        match self.crashes.len() {
+            0..=FEW_CRASHES => Duration::ZERO,
+            many => EVALUATION_INTERVAL_PER_CRASH * many as u32,
+        }
+    }
+
     /// Returns the part that explains most of the crashes left, if it can be blamed, and whether
     /// there is another part for which only a contrast is missing.
     fn strongest(
