Log the software of servers, and what callers take up again

The list of servers names each one's software version, which the router did not read. An entry without it names no server to use, as for any other missing field.

--- a/crates/dogwoodway_gateway/src/platform_api.rs
+++ b/crates/dogwoodway_gateway/src/platform_api.rs
@@ -31,6 +31,18 @@
     pub deadline: Option<Timestamp>,
     /// Model and prompt; absent if the request is not for a model.
     pub prompt: Option<Prompt>,
+    /// Present if the client takes up a stream that broke off.
+    pub resumption: Option<StreamResumption>,
+}
+
+/// What a client says of the stream that it takes up again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamResumption {
+    /// Id of the client's attempt that brought the first event of the stream; absent if the client
+    /// does not say.
+    pub first_attempt: Option<String>,
+    /// Id of the last event that the client has received.
+    pub after: Option<String>,
 }
 
 /// Why a request head is rejected.
--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -46,7 +46,7 @@
     },
     relay::{
         deliver::Delivery,
-        outcome::{log_attempt_end, log_placement},
+        outcome::{log_attempt_end, log_placement, log_resumption},
     },
     stream::AttemptGuard,
 };
@@ -182,6 +182,9 @@
 
     /// Places and sends a request until there is a response or no further attempt is allowed.
     async fn run(self: Arc<Relay>, mut request: ClientRequest) -> Response<Body> {
+        if let Some(resumption) = &request.head.resumption {
+            log_resumption(&request, resumption);
+        }
         loop {
             let target = match self.place(&request, request.placement_request()).await {
                 PlacementReply::Assigned(target) => target,
--- a/crates/dogwoodway_gateway/src/relay/outcome.rs
+++ b/crates/dogwoodway_gateway/src/relay/outcome.rs
@@ -4,7 +4,8 @@
 use hyper::StatusCode;
 
 use crate::{
-    clock, fleet_actor::AssignedServer, metric, relay::ClientRequest, response_body::BodyEnd,
+    clock, fleet_actor::AssignedServer, metric, platform_api::StreamResumption,
+    relay::ClientRequest, response_body::BodyEnd,
 };
 
 fn attempt_outcome_label(outcome: AttemptOutcome) -> &'static str {
@@ -20,7 +21,7 @@
     let placement = &target.placement;
     log::info!(
         request = request.head.id, route:% = request.route, table = request.table_version,
-        server:% = placement.name, running = placement.in_flight,
+        server:% = placement.name, software:% = placement.software, running = placement.in_flight,
         predicted_ms = placement.predicted_ms, weights:? = placement.version.map(|v| v.0),
         computes = placement.computed_and_fetched_tokens.0,
         fetches = placement.computed_and_fetched_tokens.1,
@@ -31,6 +32,16 @@
     );
 }
 
+/// Logs that a client takes up a stream that broke off.
+pub(super) fn log_resumption(request: &ClientRequest, resumption: &StreamResumption) {
+    metrics::counter!(metric::RESUMPTIONS).increment(1);
+    log::info!(
+        request = request.head.id, resumes:? = resumption.first_attempt,
+        after:? = resumption.after;
+        "stream taken up again by its client"
+    );
+}
+
 /// Logs and counts an attempt that ended without a valid response.
 pub(super) fn log_attempt_end(
     request: &ClientRequest,
--- a/crates/dogwoodway_routing/src/direct/fleet.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet.rs
@@ -113,7 +113,9 @@
 ///     fleet::{Availability, Fleet, PlacementRequest, ServerListing},
 ///     health::HealthSignal,
 /// };
-/// use dogwoodway_types::{AvailabilityZone, BackendServerName, ServiceName, Timestamp};
+/// use dogwoodway_types::{
+///     AvailabilityZone, BackendServerName, ServiceName, SoftwareVersion, Timestamp,
+/// };
 ///
 /// let zone = AvailabilityZone::try_from("lj-a").unwrap();
 /// let service = ServiceName::try_from("desk").unwrap();
@@ -124,6 +126,7 @@
 ///     service: service.clone(),
 ///     address: "10.0.0.1:80".parse().unwrap(),
 ///     zone,
+///     software: SoftwareVersion::from("v1"),
 ///     slots: 6,
 ///     availability: Availability::Ready,
 ///     weights: Vec::new(),
--- a/crates/dogwoodway_routing/src/direct/fleet/membership.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/membership.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use dogwoodway_types::{
-    AvailabilityZone, BackendServerName, ModelName, ServiceName, Timestamp, WeightsVersion,
+    AvailabilityZone, BackendServerName, ModelName, ServiceName, SoftwareVersion, Timestamp,
+    WeightsVersion,
 };
 use serde::{Deserialize, Serialize};
 
@@ -44,6 +45,8 @@
     pub address: SocketAddr,
     /// Zone that the server runs in.
     pub zone: AvailabilityZone,
+    /// Version of the server's software. A service may have servers of several versions.
+    pub software: SoftwareVersion,
     /// Requests that the server runs concurrently.
     pub slots: u32,
     /// Whether the server accepts new requests; a draining one only finishes those that it runs.
--- a/crates/dogwoodway_routing/src/direct/fleet/placement.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/placement.rs
@@ -8,7 +8,8 @@
 use std::{net::SocketAddr, time::Duration};
 
 use dogwoodway_types::{
-    BackendServerName, NotRunReason, ServiceName, TeamName, Timestamp, WeightsVersion,
+    BackendServerName, NotRunReason, ServiceName, SoftwareVersion, TeamName, Timestamp,
+    WeightsVersion,
 };
 
 use crate::{
@@ -84,6 +85,8 @@
     pub name: BackendServerName,
     /// Start time of the server's process.
     pub started_at_ms: u64,
+    /// Version of the server's software.
+    pub software: SoftwareVersion,
     /// Address of the server.
     pub address: SocketAddr,
     /// Version of the weights that the engine is asked for; absent for a plain server.
@@ -306,6 +309,7 @@
         }
         let (listing, has_limit) = (&server.listing, server.limit.is_stated());
         let (name, address) = (listing.name.clone(), listing.address);
+        let software = listing.software.clone();
         let started_at_ms = listing.started_at_ms;
         let (tag, server_in_flight) = (server.hash.into(), server.load().running);
         let segments = &in_flight_request.segments;
@@ -319,6 +323,7 @@
             server: key,
             name,
             started_at_ms,
+            software,
             address,
             version: scope.as_ref().map(|scope| scope.version),
             scope: scope.map(|scope| scope.label),
--- a/crates/dogwoodway_routing/tests/direct_fleet.rs
+++ b/crates/dogwoodway_routing/tests/direct_fleet.rs
@@ -18,7 +18,8 @@
     rendezvous::ServerKey,
 };
 use dogwoodway_types::{
-    AvailabilityZone, BackendServerName, ModelName, ServiceName, Timestamp, WeightsVersion,
+    AvailabilityZone, BackendServerName, ModelName, ServiceName, SoftwareVersion, Timestamp,
+    WeightsVersion,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -46,6 +47,7 @@
         service: service("llm"),
         address: format!("10.0.0.{n}:80").parse().unwrap(),
         zone: zone("a"),
+        software: SoftwareVersion::from("v1"),
         slots: 64,
         availability: Availability::Ready,
         weights: vec![(ModelName::try_from(MODEL).unwrap(), WeightsVersion(version))],
--- a/crates/dogwoodway_routing/tests/direct_notices.rs
+++ b/crates/dogwoodway_routing/tests/direct_notices.rs
@@ -6,7 +6,9 @@
     fleet::{Availability, BackendKey, Fleet, PlacementRequest, ServerListing},
     server_notice::{MAX_PAUSE_MS, PauseRequest, ServerNotice},
 };
-use dogwoodway_types::{AvailabilityZone, BackendServerName, NotRunReason, ServiceName, Timestamp};
+use dogwoodway_types::{
+    AvailabilityZone, BackendServerName, NotRunReason, ServiceName, SoftwareVersion, Timestamp,
+};
 
 fn at(ms: u64) -> Timestamp {
     Timestamp::from_millis(100_000 + ms)
@@ -18,6 +20,7 @@
         service: ServiceName::try_from("desk").unwrap(),
         address: format!("10.0.0.{n}:80").parse().unwrap(),
         zone: AvailabilityZone::try_from("a").unwrap(),
+        software: SoftwareVersion::from("v1"),
         slots: 6,
         availability: Availability::Ready,
         weights: Vec::new(),
--- a/crates/dogwoodway_standin/src/simulation/policy/router.rs
+++ b/crates/dogwoodway_standin/src/simulation/policy/router.rs
@@ -10,7 +10,9 @@
     rollout,
     table::{EngineSpec, KvStoreSpec, RoutingTable, Service, ServiceKind, TableParts},
 };
-use dogwoodway_types::{AvailabilityZone, ModelName, ServiceName, Timestamp, WeightsVersion};
+use dogwoodway_types::{
+    AvailabilityZone, ModelName, ServiceName, SoftwareVersion, Timestamp, WeightsVersion,
+};
 
 use crate::simulation::{
     arrivals::{Arrival, CLASSES, MODEL, parse_id},
@@ -75,6 +77,7 @@
             service: service(),
             address: address(engine),
             zone: self.zone.clone(),
+            software: SoftwareVersion::from("v1"),
             slots: SLOTS as u32,
             availability,
             weights: vec![(self.model.clone(), WeightsVersion(version))],
--- a/crates/dogwoodway_types/src/id.rs
+++ b/crates/dogwoodway_types/src/id.rs
@@ -129,6 +129,38 @@
     RouterName;
 }
 
+/// Version of a backend server's software, which is independent of the weights that it runs.
+///
+/// The text is opaque: versions have no order, and two are the same only if their texts are.
+///
+/// ```
+/// use dogwoodway_types::SoftwareVersion;
+///
+/// assert_ne!(SoftwareVersion::from("v1.1"), SoftwareVersion::from("v1.10"));
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct SoftwareVersion(String);
+
+impl SoftwareVersion {
+    /// Returns the version as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl From<&str> for SoftwareVersion {
+    fn from(text: &str) -> SoftwareVersion {
+        SoftwareVersion(text.to_owned())
+    }
+}
+
+impl fmt::Display for SoftwareVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
 macro_rules! number_types {
     ($($(#[$doc:meta])* $name:ident($repr:ty);)*) => {$(
         $(#[$doc])*
--- a/crates/dogwoodway_types/src/lib.rs
+++ b/crates/dogwoodway_types/src/lib.rs
@@ -23,8 +23,8 @@
     id::{
         AgentIncarnation, AttemptId, AvailabilityZone, BackendServerName, ChangeId, ClassName,
         EngineIncarnation, EntryIncarnation, IdError, IdempotencyKey, LogOffset, ModelName,
-        RequestId, RouteName, RouterName, SelectorName, ServiceName, TeamName, Token,
-        WeightsVersion,
+        RequestId, RouteName, RouterName, SelectorName, ServiceName, SoftwareVersion, TeamName,
+        Token, WeightsVersion,
     },
     idempotency::{CLAIM_PARTITIONS, ClaimKey, ClaimPartition, ClaimRequest, RequestFingerprint},
     outcome::{NotRunReason, Outcome},
