--- a/crates/dogwoodway_routing/src/direct/fleet/placement.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/placement.rs
@@ -276,11 +276,7 @@
     fn record_placement(&mut self, now: Timestamp, choice: Choice, predicted_ms: f64) -> Placement {
         let Choice { key, candidate, scope, fetch } = choice;
         let prefill = candidate.prefill;
-        let load = Load {
-            running: 1,
-            pending_prefill_tokens: prefill.map_or(0, |prefill| u64::from(prefill.computed_tokens)),
-            kv_tokens: prefill.map_or(0, |prefill| u64::from(prefill.new_kv_tokens)),
-        };
+        let load = added_load(prefill.as_ref());
         let segments = scope.as_ref().map(|scope| scope.segments.clone()).unwrap_or_default();
         let ready_at = now + Duration::from_micros((predicted_ms * 1e3) as u64);
         let fetch_from = self.source_address(fetch, &segments);
@@ -308,9 +304,8 @@
             server.expect_prompt(&prefill, &in_flight_request.segments, ready_at);
         }
         let (listing, has_limit) = (&server.listing, server.limit.is_stated());
-        let (name, address) = (listing.name.clone(), listing.address);
-        let software = listing.software.clone();
-        let started_at_ms = listing.started_at_ms;
+        let (name, software) = (listing.name.clone(), listing.software.clone());
+        let (address, started_at_ms) = (listing.address, listing.started_at_ms);
         let (tag, server_in_flight) = (server.hash.into(), server.load().running);
         let segments = &in_flight_request.segments;
         if !segments.is_empty() {
@@ -372,6 +367,15 @@
     }
 }
 
+/// Returns the load that a request adds to its server; `prefill` is absent at a plain server.
+fn added_load(prefill: Option<&PrefillWork>) -> Load {
+    Load {
+        running: 1,
+        pending_prefill_tokens: prefill.map_or(0, |prefill| u64::from(prefill.computed_tokens)),
+        kv_tokens: prefill.map_or(0, |prefill| u64::from(prefill.new_kv_tokens)),
+    }
+}
+
 /// The server chosen for a request, before the request counts as in flight there.
 struct Choice {
     key: BackendKey,
