Continue a broken-off answer only on the software that began it

Callers got events of two software versions in one answer. The continuation now names the software of the server that brought the first event, and only servers of that version accept it; there is no other path by which an answer changes its server. Before the first event any version may begin the stream.

--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -119,6 +119,7 @@
             prompt: self.head.prompt.clone(),
             isolated_team: isolated.map(|team| team.name.clone()),
             required_version: None,
+            required_software: None,
             priority: self.route_priority,
             deadline: self.deadline,
             expected_by: self.expected_by,
--- a/crates/dogwoodway_gateway/src/stream.rs
+++ b/crates/dogwoodway_gateway/src/stream.rs
@@ -12,6 +12,7 @@
     fleet::{BackendKey, Placement, RequestKey},
     health::HealthSignal,
     retry::{AttemptOutcome, NextStep, next_step},
+    software::SoftwareTag,
 };
 use dogwoodway_types::{RequestFingerprint, Timestamp, WeightsVersion};
 use http_body_util::{BodyExt, StreamBody};
@@ -42,6 +43,8 @@
     pub(crate) server: BackendKey,
     /// Version of the weights that the server was asked to use.
     pub(crate) version: Option<WeightsVersion>,
+    /// Software version of the server.
+    pub(crate) software: SoftwareTag,
     /// Result to report; absent if the client disconnected or the deadline passed.
     signal: Option<HealthSignal>,
     connection: Option<Connection>,
@@ -64,6 +67,7 @@
             request_key: placement.request,
             server: placement.server,
             version: placement.version,
+            software: placement.software_tag,
             signal: None,
             connection: None,
             fingerprint: None,
@@ -268,6 +272,9 @@
     async fn resume(&mut self, why: &str) -> bool {
         let Some(resume_after) = self.body.prepare_resumption() else { return false };
         let version = self.guard.as_ref().and_then(|guard| guard.version);
+        // A stream begins with its first event; until then, any software may begin it.
+        let software = self.guard.as_ref().map(|guard| guard.software);
+        let software = software.filter(|_| resume_after.is_some());
         self.end_attempt(Some(HealthSignal::ConnectionLost));
         log::info!(
             request = self.request.head.id, why = why, framing = self.body.framing().as_str(),
@@ -285,6 +292,7 @@
             let mut placement_request = request.placement_request();
             // Output of other weights would not continue the text sent so far.
             placement_request.required_version = version;
+            placement_request.required_software = software;
             let PlacementReply::Assigned(target) =
                 self.relay.place(request, placement_request).await
             else {
--- a/crates/dogwoodway_routing/src/direct.rs
+++ b/crates/dogwoodway_routing/src/direct.rs
@@ -25,6 +25,7 @@
 pub mod sampling;
 pub mod server_limit;
 pub mod server_notice;
+pub mod software;
 pub mod store_era;
 pub mod table;
 pub mod token_lru;
--- a/crates/dogwoodway_routing/src/direct/fleet.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet.rs
@@ -29,6 +29,7 @@
         load::Load,
         sampling::PromptRate,
         server_limit::ServerLimit,
+        software::SoftwareTag,
         table::{EngineSpec, RoutingTable, ServiceKind},
         token_lru::TokenLru,
     },
@@ -63,6 +64,7 @@
 #[derive(Clone, Debug)]
 struct Server {
     listing: ServerListing,
+    software: SoftwareTag,
     hash: ServerKey,
     own_load: Load,
     peer_load_sum: Load,
@@ -139,6 +141,7 @@
 ///     prompt: None,
 ///     isolated_team: None,
 ///     required_version: None,
+///     required_software: None,
 ///     priority: 0,
 ///     deadline: now + Duration::from_millis(600),
 ///     expected_by: now + Duration::from_millis(100),
--- a/crates/dogwoodway_routing/src/direct/fleet/membership.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/membership.rs
@@ -15,6 +15,7 @@
         link_slowdown::LinkSlowdown,
         load::Load,
         server_limit::ServerLimit,
+        software::SoftwareTag,
         token_lru::TokenLru,
     },
     rendezvous::ServerKey,
@@ -106,6 +107,7 @@
             removed_limit.filter(|(started_at_ms, _)| *started_at_ms == listing.started_at_ms);
         let limit = removed_limit.map(|(_, limit)| limit).unwrap_or_default();
         let key = self.servers.insert(Server {
+            software: SoftwareTag::new(&listing.service, &listing.software),
             listing,
             hash,
             own_load: Load::default(),
@@ -167,7 +169,9 @@
 
 /// Replaces the listing of a known server; returns whether the server has restarted.
 fn update_listing(server: &mut Server, now: Timestamp, listing: ServerListing) -> bool {
-    if server.listing.started_at_ms != listing.started_at_ms {
+    let software = SoftwareTag::new(&listing.service, &listing.software);
+    // A process keeps its software; the start time may be unknown.
+    if server.listing.started_at_ms != listing.started_at_ms || server.software != software {
         server.health = Health::new(now);
         server.prefix_cache.clear();
         server.own_load = Load::default();
@@ -176,6 +180,7 @@
         server.is_leaving = false;
         server.paused_until = Timestamp::default();
         server.limit = ServerLimit::default();
+        server.software = software;
         server.listing = listing;
         return true;
     }
--- a/crates/dogwoodway_routing/src/direct/fleet/placement.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/placement.rs
@@ -25,6 +25,7 @@
         load::Load,
         prompt::{PrefixSegment, Prompt},
         sampling::{self, is_sampled},
+        software::SoftwareTag,
     },
     rendezvous,
 };
@@ -62,6 +63,8 @@
     pub isolated_team: Option<TeamName>,
     /// Version of the weights that must run the request; absent if any version may.
     pub required_version: Option<WeightsVersion>,
+    /// Software version that must run the request; present if the request continues a stream.
+    pub required_software: Option<SoftwareTag>,
     /// Priority among the requests of the service; 0 is the highest.
     pub priority: u8,
     /// Time after which the caller has no use for the answer.
@@ -87,6 +90,8 @@
     pub started_at_ms: u64,
     /// Version of the server's software.
     pub software: SoftwareVersion,
+    /// Identifies that version.
+    pub software_tag: SoftwareTag,
     /// Address of the server.
     pub address: SocketAddr,
     /// Version of the weights that the engine is asked for; absent for a plain server.
@@ -306,7 +311,8 @@
         let (listing, has_limit) = (&server.listing, server.limit.is_stated());
         let (name, software) = (listing.name.clone(), listing.software.clone());
         let (address, started_at_ms) = (listing.address, listing.started_at_ms);
-        let (tag, server_in_flight) = (server.hash.into(), server.load().running);
+        let (tag, software_tag) = (server.hash.into(), server.software);
+        let server_in_flight = server.load().running;
         let segments = &in_flight_request.segments;
         if !segments.is_empty() {
             self.queue_prompt_update(tag, segments, predicted_ms, save_to.is_some());
@@ -319,6 +325,7 @@
             name,
             started_at_ms,
             software,
+            software_tag,
             address,
             version: scope.as_ref().map(|scope| scope.version),
             scope: scope.map(|scope| scope.label),
@@ -343,6 +350,7 @@
         let is_full =
             request.prompt.is_none() && server.load().running >= slots * (1 + MAX_QUEUED_PER_SLOT);
         server.health.is_up()
+            && request.required_software.is_none_or(|software| software == server.software)
             && server.listing.availability == Availability::Ready
             && server.is_retained(now)
             && server.wants_requests(now)
--- a/crates/dogwoodway_routing/tests/direct_fleet.rs
+++ b/crates/dogwoodway_routing/tests/direct_fleet.rs
@@ -13,13 +13,14 @@
         kv_stores::KvChange,
         prompt::{PrefixKey, PrefixSegment, Prompt, PromptPart},
         rollout::engines_to_load,
+        software::SoftwareTag,
         table::{EngineSpec, KvStoreSpec, RoutingTable, Service, ServiceKind, TableParts},
     },
     rendezvous::ServerKey,
 };
 use dogwoodway_types::{
-    AvailabilityZone, BackendServerName, ModelName, ServiceName, SoftwareVersion, Timestamp,
-    WeightsVersion,
+    AvailabilityZone, BackendServerName, ModelName, NotRunReason, ServiceName, SoftwareVersion,
+    Timestamp, WeightsVersion,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -112,6 +113,7 @@
         prompt: Some(prompt),
         isolated_team: None,
         required_version: None,
+        required_software: None,
         priority,
         deadline: now + Duration::from_secs(15),
         expected_by: now + Duration::from_millis(expected_ms),
@@ -563,3 +565,25 @@
         finish(&mut fleet, at(8_001 + 5 * n), placement.request);
     }
 }
+
+#[test]
+fn continued_stream_is_placed_only_on_the_software_that_began_it() {
+    let (mut fleet, _) = fleet(9);
+    let other = SoftwareVersion::from("v1.1");
+    for n in 0..8 {
+        let software = other.clone();
+        fleet.apply_listing(at(0), ServerListing { software, revision: 2, ..listing(n, 1) });
+    }
+    let tag = |software: &SoftwareVersion| SoftwareTag::new(&service("llm"), software);
+    let v1 = SoftwareVersion::from("v1");
+    for draw in 0..50 {
+        let mut request = placement_request(at(10), prompt(7, 5_000, 1_000, draw), 1, 800, draw);
+        request.required_software = Some(tag(&v1));
+        let placement = fleet.place(at(10), &request).expect("the ninth engine accepts it");
+        assert_eq!(placement.software, v1);
+        request.tried.push(placement.name);
+        let refusal = fleet.place(at(10), &request).expect_err("no other engine runs it");
+        assert_eq!(refusal.reason, NotRunReason::NoBackendServer);
+        finish(&mut fleet, at(20), placement.request);
+    }
+}
