Continue streams that callers take up only where they began

Callers that took up a broken-off stream got events of a second software version: 12 of 24 at another router after theirs was killed, 8 of 24 at a restarted one. The next attempt was placed like a new stream; nothing linked it to the attempt that it names in Resumes, and what its router knew was lost with the connection.

A router that does not know a stream asks its homes. If nobody knows, the stream goes on only if one software version alone has served for longer than any stream lasts; otherwise it is refused as not run, code unknown-stream-origin. A stream of another team is another stream. Weights are preferred, not required: the new response names its weights itself.

Datagrams have a further kind of content, which earlier builds drop.

--- a/crates/dogwoodway_gateway/src/feeds.rs
+++ b/crates/dogwoodway_gateway/src/feeds.rs
@@ -206,6 +206,11 @@
         }
     }
 
+    /// Returns when the list of servers was last known to be current.
+    pub(crate) fn servers_verified_at(&self) -> Timestamp {
+        self.feeds.borrow().servers.verified_at()
+    }
+
     /// Returns when the configuration was last known to be current.
     pub(crate) fn configuration_verified_at(&self) -> Timestamp {
         self.feeds.borrow().operator.verified_at()
--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -10,6 +10,7 @@
 mod part_evidence;
 mod probes;
 mod routers;
+mod software;
 mod weights;
 
 use std::{
@@ -21,15 +22,13 @@
 
 use dogwoodway_routing::{
     direct::{
-        distance::Regions,
         fleet::{BackendKey, Fleet, LeavingServer, ServerTag},
         kv_stores::KvChange,
+        load::router_id,
     },
     retry_budget::{RetryBudget, RetryLimits},
 };
-use dogwoodway_types::{
-    AvailabilityZone, BackendServerName, ServiceName, Timestamp, WeightsVersion,
-};
+use dogwoodway_types::{BackendServerName, ServiceName, Timestamp, WeightsVersion};
 use kameo::{
     Actor,
     message::{Context, Message},
@@ -41,8 +40,10 @@
 use crate::{
     clock,
     connection::Connection,
+    feeds::SharedFeeds,
     metric,
     platform_api::{DirectoryChange, EngineControl},
+    router::RouterSettings,
 };
 
 pub(crate) use self::{
@@ -57,6 +58,7 @@
         ApplyFingerprintEvent, ApplyPartNotices, ApplyPeerUpdate, ApplyWeightsNotices,
         ClearPeerLoads, CollectRouterUpdate, SetRouters,
     },
+    software::GetServiceSoftware,
     weights::{EngineTarget, GetRolloutState, UpdateWeightsState, WeightsState},
 };
 use self::{crash_tracker::CrashTracker, limit_reports::LimitReports, part_evidence::PartEvidence};
@@ -78,6 +80,9 @@
 /// routers count requests at slightly different times.
 const RETRY_BUDGET_USE_PERMILLE: u32 = 750;
 
+/// Age of the list of servers, in milliseconds, up to which it shows which software serves.
+const MAX_SERVER_LIST_AGE_MS: u64 = 3_000;
+
 /// Number of routers that are assumed to share the retry budget until the actual number is known.
 const ASSUMED_ROUTERS: u32 = 24;
 
@@ -124,6 +129,7 @@
     part_evidence: PartEvidence,
     limit_reports: LimitReports,
     control: Arc<dyn EngineControl>,
+    feeds: SharedFeeds,
     /// Changes to report to other routers, each until the time given.
     weights_updates: Vec<(WeightsUpdate, Timestamp)>,
     /// Servers that are shutting down, to report to other routers, each until the time given.
@@ -135,19 +141,12 @@
     loads_changed: Arc<Notify>,
 }
 
-/// Settings and channels of a [`FleetActor`].
-pub(crate) struct FleetConfig {
-    /// Distinguishes this router from the others.
-    pub(crate) seed: u64,
-    pub(crate) zone: AvailabilityZone,
-    pub(crate) regions: Regions,
-    pub(crate) retry_bounds: RetryBounds,
-    /// Time after the publication of new weights within which requests may start on old ones, in
-    /// milliseconds.
-    pub(crate) stale_weights_limit_ms: u32,
+/// What a [`FleetActor`] shares with other tasks.
+pub(crate) struct FleetChannels {
     /// Receives the events that are shared with other routers.
     pub(crate) fingerprint_events: mpsc::Sender<FingerprintEvent>,
     pub(crate) control: Arc<dyn EngineControl>,
+    pub(crate) feeds: SharedFeeds,
     /// Set by the actor once any request has been linked to a crash.
     pub(crate) quarantine_in_use: Arc<AtomicBool>,
     /// Notified when there are new loads to report to other routers.
@@ -155,26 +154,30 @@
 }
 
 impl FleetActor {
-    pub(crate) fn new(config: FleetConfig) -> FleetActor {
-        let mut fleet = Fleet::new(config.zone);
-        fleet.set_regions(config.regions);
-        fleet.set_stale_weights_limit(config.stale_weights_limit_ms);
+    pub(crate) fn new(settings: &RouterSettings, channels: FleetChannels) -> FleetActor {
+        let mut fleet = Fleet::new(settings.zone.clone());
+        fleet.set_regions(settings.regions.clone());
+        fleet.set_stale_weights_limit(settings.stale_weights_limit_ms);
+        let seed = router_id(settings.gossip_listen);
+        let crash_tracker =
+            CrashTracker::new(channels.fingerprint_events, channels.quarantine_in_use);
         FleetActor {
             fleet,
             idle_connections: SecondaryMap::new(),
             lost_signals: SecondaryMap::new(),
-            retry_bounds: config.retry_bounds,
+            retry_bounds: RetryBounds { ratio: settings.retry_ratio, slack: settings.retry_slack },
             retry_budgets: HashMap::new(),
             router_count: ASSUMED_ROUTERS,
-            crash_tracker: CrashTracker::new(config.fingerprint_events, config.quarantine_in_use),
-            part_evidence: PartEvidence::new(config.seed, ASSUMED_ROUTERS),
+            crash_tracker,
+            part_evidence: PartEvidence::new(seed, ASSUMED_ROUTERS),
             limit_reports: LimitReports::default(),
-            control: config.control,
+            control: channels.control,
+            feeds: channels.feeds,
             weights_updates: Vec::new(),
             leaving_notices: Vec::new(),
             next_version_ages_at: Timestamp::default(),
             max_connections: HashMap::new(),
-            loads_changed: config.loads_changed,
+            loads_changed: channels.loads_changed,
         }
     }
 
@@ -353,6 +356,10 @@
     async fn handle(&mut self, _: Tick, cx: &mut Context<Self, Self::Reply>) {
         let now = clock::now();
         self.fleet.expire_peer_loads(now);
+        let list_age = now - self.feeds.servers_verified_at();
+        if list_age <= Duration::from_millis(MAX_SERVER_LIST_AGE_MS) {
+            self.fleet.observe_software(now);
+        }
         for (name, key) in self.fleet.remove_unlisted(now) {
             self.remove_connections(key);
             log::info!(server:% = name; "backend server gone: not listed again in time");
--- /dev/null
+++ b/crates/dogwoodway_gateway/src/fleet_actor/software.rs
@@ -0,0 +1,29 @@
+//! Messages about the software of services.
+
+use dogwoodway_routing::direct::stream_origin::ServiceSoftware;
+use dogwoodway_types::ServiceName;
+use kameo::{
+    Reply,
+    message::{Context, Message},
+};
+
+use crate::{clock, fleet_actor::FleetActor};
+
+/// Returns the software of a service, now and for the time that streams last.
+pub(crate) struct GetServiceSoftware(pub(crate) ServiceName);
+
+/// Reply to [`GetServiceSoftware`].
+#[derive(Reply)]
+pub(crate) struct ServiceSoftwareReply(pub(crate) ServiceSoftware);
+
+impl Message<GetServiceSoftware> for FleetActor {
+    type Reply = ServiceSoftwareReply;
+
+    async fn handle(
+        &mut self,
+        msg: GetServiceSoftware,
+        _: &mut Context<Self, Self::Reply>,
+    ) -> ServiceSoftwareReply {
+        ServiceSoftwareReply(self.fleet.service_software(clock::now(), &msg.0))
+    }
+}
--- a/crates/dogwoodway_gateway/src/gossip.rs
+++ b/crates/dogwoodway_gateway/src/gossip.rs
@@ -8,6 +8,7 @@
 
 mod datagram;
 mod notice_board;
+mod origin_messages;
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -36,6 +37,7 @@
         ApplyWeightsNotices, ClearPeerLoads, CollectRouterUpdate, FleetActor, SetRouters,
     },
     metric,
+    stream_origins::{OriginQuestion, SharedOrigins},
 };
 
 /// Least interval between two reports or digests of a router, in milliseconds.
@@ -82,6 +84,9 @@
     pub(crate) loads_changed: Arc<Notify>,
     /// Addresses of routers that the log has announced.
     pub(crate) discovered: mpsc::Receiver<SocketAddr>,
+    pub(crate) origins: SharedOrigins,
+    /// Questions about the origins of streams, to be sent to other routers.
+    pub(crate) origin_questions: mpsc::Receiver<OriginQuestion>,
 }
 
 /// Sends and receives until the process ends.
@@ -162,6 +167,9 @@
                     self.introductions.push((address, until));
                     self.add_peer(now, address);
                 }
+                Some(question) = self.config.origin_questions.recv() => {
+                    self.send_origin_question(clock::now(), question);
+                }
                 () = loads_changed.notified(), if !self.has_changes => self.has_changes = true,
                 () = clock::sleep_until(due) => {
                     let now = clock::now();
@@ -259,6 +267,7 @@
         if self.is_aggregating(now) {
             self.send_digests(now);
         }
+        self.send_origin_records(now);
         let to_greet = self.peers.routers_to_greet(now);
         self.send(Content::Greeting { wants_reply: true, introduced }, &to_greet);
     }
@@ -341,6 +350,9 @@
                 self.aggregator.apply_zone(now, sender.address, loads.clone(), prompts.clone());
                 self.apply_as_aggregator(sender.address, loads, prompts).await;
             }
+            Content::StreamOrigins(message) => {
+                self.receive_origin_message(now, sender.address, message).await;
+            }
             Content::FleetDigest { digest, notices, alive } => {
                 let notices = notices.received(now);
                 self.peers.record_digest(now, sender.address);
--- a/crates/dogwoodway_gateway/src/gossip/datagram.rs
+++ b/crates/dogwoodway_gateway/src/gossip/datagram.rs
@@ -8,10 +8,11 @@
         aggregation::Digest,
         fleet::{LeavingServer, LimitNotice, OriginPrompt, ServerLoad, VersionAge},
         peers::RouterInfo,
+        stream_origin::{HomeAnswer, OriginRecord, StreamKey},
     },
     part_blame::PartNotice,
 };
-use dogwoodway_types::Timestamp;
+use dogwoodway_types::{ServiceName, Timestamp};
 use serde::{Deserialize, Serialize};
 
 use crate::{feeds::FeedReports, fleet_actor::WeightsUpdate};
@@ -26,6 +27,8 @@
     pub(super) content: Content,
 }
 
+/// Further variants come last: routers of an earlier build drop those that they do not know, and
+/// read the others.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) enum Content {
     /// Makes the sender known, and asks for the same if `wants_reply` is set.
@@ -36,6 +39,19 @@
     ZoneDigest { digest: Digest, notices: Notices, alive: Vec<RouterInfo> },
     /// State of the fleet, for the routers of the sender's zone.
     FleetDigest { digest: Digest, notices: Notices, alive: Vec<RouterInfo> },
+    /// About the origins of streams, between single routers.
+    StreamOrigins(OriginMessage),
+}
+
+/// A message between a router and the home router of a stream.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) enum OriginMessage {
+    /// Where new streams of the sender began.
+    Records(Vec<OriginRecord>),
+    /// Asks where a stream of a service began.
+    Question { key: StreamKey, service: ServiceName },
+    /// Answers such a question.
+    Answer { key: StreamKey, answer: HomeAnswer },
 }
 
 /// State that each router needs as it is, so that aggregators pass it on unchanged.
--- /dev/null
+++ b/crates/dogwoodway_gateway/src/gossip/origin_messages.rs
@@ -0,0 +1,79 @@
+//! Exchange of the origins of streams with their home routers.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use dogwoodway_routing::direct::stream_origin::{
+    ASKED_PER_ZONE, HomeAnswer, OriginRecord, TOLD_PER_ZONE, homes,
+};
+use dogwoodway_types::Timestamp;
+
+use crate::{
+    fleet_actor::GetServiceSoftware,
+    gossip::{
+        Gossip,
+        datagram::{Content, OriginMessage},
+    },
+    stream_origins::OriginQuestion,
+};
+
+impl Gossip {
+    /// Tells the home routers of new streams where those began.
+    pub(super) fn send_origin_records(&self, now: Timestamp) {
+        let records = self.config.origins.take_unsent();
+        if records.is_empty() {
+            return;
+        }
+        let routers: Vec<_> = self.peers.infos(now).collect();
+        let mut by_home: BTreeMap<SocketAddr, Vec<OriginRecord>> = BTreeMap::new();
+        for record in records {
+            for home in homes(routers.iter().copied(), record.key, TOLD_PER_ZONE) {
+                by_home.entry(home).or_default().push(record);
+            }
+        }
+        for (home, records) in by_home {
+            self.send(Content::StreamOrigins(OriginMessage::Records(records)), &[home]);
+        }
+    }
+
+    /// Asks the home routers of a stream where it began.
+    pub(super) fn send_origin_question(&self, now: Timestamp, question: OriginQuestion) {
+        let OriginQuestion { key, service } = question;
+        let asked = homes(self.peers.infos(now), key, ASKED_PER_ZONE);
+        self.send(Content::StreamOrigins(OriginMessage::Question { key, service }), &asked);
+    }
+
+    pub(super) async fn receive_origin_message(
+        &self,
+        now: Timestamp,
+        from: SocketAddr,
+        message: OriginMessage,
+    ) {
+        match message {
+            OriginMessage::Records(records) => self.config.origins.apply_records(now, &records),
+            OriginMessage::Answer { key, answer } => {
+                self.config.origins.apply_answer(now, key, answer);
+            }
+            OriginMessage::Question { key, service } => {
+                let answer = self.origin_answer(now, OriginQuestion { key, service }).await;
+                let message = OriginMessage::Answer { key, answer };
+                self.send(Content::StreamOrigins(message), &[from]);
+            }
+        }
+    }
+
+    async fn origin_answer(&self, now: Timestamp, question: OriginQuestion) -> HomeAnswer {
+        let origin = self.config.origins.find(now, question.key);
+        if origin.is_some() {
+            return HomeAnswer { origin, sole_software: None };
+        }
+        let sole_software = match self.config.fleet.ask(GetServiceSoftware(question.service)).await
+        {
+            Ok(reply) => reply.0.sole,
+            Err(e) => {
+                log::error!("fleet actor did not name the software of a service: {e}");
+                None
+            }
+        };
+        HomeAnswer { origin: None, sole_software }
+    }
+}
--- a/crates/dogwoodway_gateway/src/lib.rs
+++ b/crates/dogwoodway_gateway/src/lib.rs
@@ -26,5 +26,6 @@
 mod router;
 mod feeds;
 mod stream;
+mod stream_origins;
 
 pub use crate::router::{RouterDependencies, RouterError, RouterSettings, ShutdownSignals, run};
--- a/crates/dogwoodway_gateway/src/metric.rs
+++ b/crates/dogwoodway_gateway/src/metric.rs
@@ -10,7 +10,7 @@
 /// outcome of the request.
 pub(crate) const RESPONSE_BODIES: &str = "dogwoodway_router_response_bodies_total";
 
-/// Streams that clients have taken up again.
+/// Streams that clients have taken up again, by how their origin was found (label `origin`).
 pub(crate) const RESUMPTIONS: &str = "dogwoodway_router_resumptions_total";
 
 /// Seconds from a request's arrival to the head of its response.
--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -8,9 +8,12 @@
 mod outcome;
 mod refusal;
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -21,6 +24,7 @@
     prompt::Prompt,
     retry::{AttemptCounts, AttemptOutcome, NextStep, next_step},
     server_notice::ServerNotice,
+    stream_origin::{StreamKey, StreamOrigin},
     table::{RouteKind, TeamRule},
 };
 use dogwoodway_routing::part_blame::PartKey;
@@ -49,13 +53,19 @@
         outcome::{log_attempt_end, log_placement, log_resumption},
     },
     stream::AttemptGuard,
+    stream_origins::OriginResolver,
 };
 
+/// Delay after which a client may take up a stream of unknown origin again, in milliseconds. Another
+/// router may know it.
+const UNKNOWN_ORIGIN_RETRY_MS: u64 = 200;
+
 /// Serves client requests. Shared by all connections.
 pub(crate) struct Relay {
     pub(crate) protocol: Arc<dyn RequestProtocol>,
     pub(crate) fleet: ActorRef<FleetActor>,
     pub(crate) tables: TableWatch,
+    pub(crate) origins: OriginResolver,
     /// Secret that is hashed together with bearer keys.
     pub(crate) key_pepper: String,
     /// Set when the process is asked to drain; responses then carry `Connection: close`.
@@ -87,10 +97,14 @@
     /// Priority of the route alone, used for placement.
     pub(crate) route_priority: u8,
     pub(crate) service: ServiceName,
+    /// All services that the route distributes requests over.
+    pub(crate) services: Vec<ServiceName>,
     /// Absent on anonymous routes.
     pub(crate) team: Option<TeamRule>,
     /// Parts of the prompt that other requests may share, in order.
     pub(crate) shared_parts: Arc<[PartKey]>,
+    /// Where the stream began that the request continues; absent if it begins one.
+    pub(crate) origin: Option<StreamOrigin>,
     pub(crate) attempts: AttemptCounts,
     /// Servers that the request was sent to so far.
     pub(crate) tried: Vec<BackendServerName>,
@@ -112,6 +126,9 @@
     }
 
     /// Builds the placement request, which allows any version of the weights.
+    ///
+    /// A client's response names its weights itself, so that a stream that the client takes up may go
+    /// on at other ones than it began.
     pub(crate) fn placement_request(&self) -> PlacementRequest {
         let isolated = self.team.as_ref().filter(|team| team.is_isolated);
         PlacementRequest {
@@ -119,7 +136,8 @@
             prompt: self.head.prompt.clone(),
             isolated_team: isolated.map(|team| team.name.clone()),
             required_version: None,
-            required_software: None,
+            preferred_version: self.origin.and_then(|origin| origin.weights),
+            required_software: self.origin.map(|origin| origin.software),
             priority: self.route_priority,
             deadline: self.deadline,
             expected_by: self.expected_by,
@@ -183,8 +201,8 @@
 
     /// Places and sends a request until there is a response or no further attempt is allowed.
     async fn run(self: Arc<Relay>, mut request: ClientRequest) -> Response<Body> {
-        if let Some(resumption) = &request.head.resumption {
-            log_resumption(&request, resumption);
+        if let Err(resp) = self.find_origin(&mut request).await {
+            return *resp;
         }
         loop {
             let target = match self.place(&request, request.placement_request()).await {
@@ -223,6 +241,33 @@
         }
     }
 
+    /// Finds out where the stream began that a client takes up. `Err` holds the response that refuses
+    /// to continue a stream of unknown origin.
+    async fn find_origin(&self, request: &mut ClientRequest) -> Result<(), Box<Response<Body>>> {
+        if request.kind != RouteKind::ResumableStream {
+            return Ok(());
+        }
+        let Some(resumption) = request.head.resumption.clone() else { return Ok(()) };
+        let team = request.team.as_ref().map(|team| &team.name);
+        let key = resumption.first_attempt.as_deref().map(|id| StreamKey::new(team, id));
+        let (service, is_only_service) = (&request.service, request.services.len() == 1);
+        let found = self.origins.resolve(key, service, is_only_service, request.deadline).await;
+        log_resumption(request, &resumption, key, found);
+        let Some((origin, _)) = found else {
+            let reason = NotRunReason::UnknownStreamOrigin;
+            let retry_at = clock::now() + Duration::from_millis(UNKNOWN_ORIGIN_RETRY_MS);
+            let refusal = Refusal { reason, retry_at, is_retry_at_known: false, wait_ms: 0 };
+            return Err(Box::new(self.refusal_response(request, refusal)));
+        };
+        request.origin = Some(origin);
+        if !is_only_service
+            && let Some(service) = self.origins.service_of(origin.software, &request.services).await
+        {
+            request.service = service;
+        }
+        Ok(())
+    }
+
     /// Returns the request's fingerprint, or `None` as long as no request has been linked to a
     /// server crash: hashing each body would be wasted work until then.
     pub(crate) fn fingerprint_if_tracked(
--- a/crates/dogwoodway_gateway/src/relay/outcome.rs
+++ b/crates/dogwoodway_gateway/src/relay/outcome.rs
@@ -1,6 +1,9 @@
 //! Log lines and metrics of placements, attempts and requests.
 
-use dogwoodway_routing::direct::retry::AttemptOutcome;
+use dogwoodway_routing::direct::{
+    retry::AttemptOutcome,
+    stream_origin::{OriginSource, StreamKey, StreamOrigin},
+};
 use hyper::StatusCode;
 
 use crate::{
@@ -32,12 +35,23 @@
     );
 }
 
-/// Logs that a client takes up a stream that broke off.
-pub(super) fn log_resumption(request: &ClientRequest, resumption: &StreamResumption) {
-    metrics::counter!(metric::RESUMPTIONS).increment(1);
+/// Logs and counts that a client takes up a stream that broke off, and what is known of its origin.
+pub(super) fn log_resumption(
+    request: &ClientRequest,
+    resumption: &StreamResumption,
+    key: Option<StreamKey>,
+    found: Option<(StreamOrigin, OriginSource)>,
+) {
+    let source = found.map_or("unknown", |(_, source)| source.as_str());
+    metrics::counter!(metric::RESUMPTIONS, "origin" => source).increment(1);
+    let origin = found.map(|(origin, _)| origin);
     log::info!(
         request = request.head.id, resumes:? = resumption.first_attempt,
-        after:? = resumption.after;
+        stream = key.map_or_else(String::new, |key| key.to_string()),
+        after:? = resumption.after, origin = source,
+        software:? = origin.map(|origin| origin.software),
+        weights:? = origin.and_then(|origin| origin.weights),
+        ms = (clock::now() - request.arrived_at).as_millis() as u64;
         "stream taken up again by its client"
     );
 }
--- a/crates/dogwoodway_gateway/src/response_body.rs
+++ b/crates/dogwoodway_gateway/src/response_body.rs
@@ -105,6 +105,11 @@
         self.content.is_events()
     }
 
+    /// Returns whether another server can continue the body.
+    pub(crate) fn can_be_resumed(&self) -> bool {
+        matches!(self.content, BodyContent::ResumableEvents(_))
+    }
+
     /// Returns the length in bytes, if the head states it.
     pub(crate) fn length(&self) -> Option<u64> {
         self.incoming.size_hint().exact()
--- a/crates/dogwoodway_gateway/src/router.rs
+++ b/crates/dogwoodway_gateway/src/router.rs
@@ -11,7 +11,7 @@
 };
 
 use dogwoodway_http::{ServerLimits, serve, serve_with_dynamic_limits};
-use dogwoodway_routing::direct::{distance::Regions, load::router_id, peers::ZoneTag};
+use dogwoodway_routing::direct::{distance::Regions, peers::ZoneTag};
 use dogwoodway_types::{AvailabilityZone, RouterName};
 use futures::future::BoxFuture;
 use kameo::{
@@ -27,12 +27,13 @@
     checked_store::CheckedStore,
     clock, directory,
     feeds::SharedFeeds,
-    fleet_actor::{FleetActor, FleetConfig, RetryBounds, Tick},
+    fleet_actor::{FleetActor, FleetChannels, Tick},
     gossip::{self, GossipConfig},
     ingress, kv_follower, leader,
     leader::LeaderConfig,
     platform_api::{Directory, EngineControl, KvEventSource, RequestProtocol, RouterLog},
     relay::Relay,
+    stream_origins::{OriginResolver, SharedOrigins},
 };
 
 /// Capacity of the queue of fingerprint events to append to the routers' log.
@@ -135,21 +136,16 @@
     let (leader_shutdown_tx, leader_shutdown) = watch::channel(false);
     let quarantine_in_use = Arc::new(AtomicBool::new(false));
     let loads_changed = Arc::new(Notify::new());
-    let fleet = FleetActor::new(FleetConfig {
-        seed: router_id(settings.gossip_listen),
-        zone: settings.zone.clone(),
-        regions: settings.regions.clone(),
-        retry_bounds: RetryBounds { ratio: settings.retry_ratio, slack: settings.retry_slack },
-        stale_weights_limit_ms: settings.stale_weights_limit_ms,
+    let feeds = SharedFeeds::new(loads_changed.clone());
+    let (origins, origin_questions) = SharedOrigins::new(loads_changed.clone());
+    let fleet_channels = FleetChannels {
         fingerprint_events: fingerprint_tx,
         control: dependencies.control.clone(),
+        feeds: feeds.clone(),
         quarantine_in_use: quarantine_in_use.clone(),
         loads_changed: loads_changed.clone(),
-    });
-    // Ends of attempts are sent from destructors, which cannot wait for space in a mailbox.
-    let fleet = FleetActor::spawn_with_mailbox(fleet, mailbox::unbounded());
-    tokio::spawn(tick(fleet.clone()));
-    let feeds = SharedFeeds::new(loads_changed.clone());
+    };
+    let fleet = spawn_fleet(&settings, fleet_channels);
     let store = CheckedStore::new(dependencies.directory, dependencies.log);
     let tables = directory::follow(&store, &feeds, &fleet);
     tokio::spawn(kv_follower::run(dependencies.kv_events, tables.subscribe(), fleet.clone()));
@@ -161,6 +157,8 @@
         feeds: feeds.clone(),
         loads_changed,
         discovered,
+        origins: origins.clone(),
+        origin_questions,
     }));
     let leader = tokio::spawn(leader::run(LeaderConfig {
         router: settings.name.clone(),
@@ -176,6 +174,7 @@
     }));
     let relay = Arc::new(Relay {
         protocol: dependencies.protocol,
+        origins: OriginResolver::new(origins, &fleet),
         fleet,
         tables,
         key_pepper: dependencies.key_pepper,
@@ -189,6 +188,14 @@
     Ok(())
 }
 
+fn spawn_fleet(settings: &RouterSettings, channels: FleetChannels) -> ActorRef<FleetActor> {
+    let fleet = FleetActor::new(settings, channels);
+    // Ends of attempts are sent from destructors, which cannot wait for space in a mailbox.
+    let fleet = FleetActor::spawn_with_mailbox(fleet, mailbox::unbounded());
+    tokio::spawn(tick(fleet.clone()));
+    fleet
+}
+
 async fn serve_health_checks(listener: TcpListener, relay: Arc<Relay>) {
     let tables = relay.tables.clone();
     let handler = ingress::readiness_handler(relay, tables);
--- a/crates/dogwoodway_gateway/src/stream.rs
+++ b/crates/dogwoodway_gateway/src/stream.rs
@@ -4,7 +4,7 @@
 //! sent to another one together with the id of the last complete event, and the client sees one
 //! uninterrupted stream.
 
-use std::{mem, sync::Arc};
+use std::{mem, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use dogwoodway_http::{Body, BodyAborted};
@@ -13,6 +13,7 @@
     health::HealthSignal,
     retry::{AttemptOutcome, NextStep, next_step},
     software::SoftwareTag,
+    stream_origin::{StreamKey, StreamOrigin},
 };
 use dogwoodway_types::{RequestFingerprint, Timestamp, WeightsVersion};
 use http_body_util::{BodyExt, StreamBody};
@@ -33,6 +34,10 @@
 /// Least time between two reports of received bytes for one response, in milliseconds.
 const ACTIVITY_INTERVAL_MS: u64 = 150;
 
+/// Time after its deadline for which a client may still take up a stream, in milliseconds; its clock
+/// started earlier than the router's.
+const RESUMPTION_MARGIN_MS: u64 = 1_000;
+
 /// Guard of one attempt at a backend server.
 ///
 /// Dropping it reports the end of the attempt to the fleet actor, so that the server's slot is also
@@ -172,6 +177,8 @@
     connection: Option<Connection>,
     guard: Option<AttemptGuard>,
     keep_alive_ms: Option<u64>,
+    /// Whether an event was passed on, and the stream's origin recorded.
+    has_begun: bool,
     is_ended: bool,
 }
 
@@ -197,6 +204,7 @@
         connection: Some(response.connection),
         guard: Some(response.guard),
         keep_alive_ms: response.keep_alive_ms,
+        has_begun: false,
         is_ended: false,
     };
     let frames = futures::stream::unfold(stream, |mut stream| async move {
@@ -223,7 +231,10 @@
             }
             match bytes {
                 Ok(bytes) if bytes.is_empty() => {}
-                Ok(bytes) => return Some(Ok(bytes)),
+                Ok(bytes) => {
+                    self.record_origin();
+                    return Some(Ok(bytes));
+                }
                 Err(e) => {
                     let why = e.to_string();
                     if !self.resume(&why).await {
@@ -235,6 +246,21 @@
         None
     }
 
+    /// Records, before the first event is passed on, which software and weights bring it.
+    fn record_origin(&mut self) {
+        if mem::replace(&mut self.has_begun, true) || !self.body.can_be_resumed() {
+            return;
+        }
+        let Some(guard) = &self.guard else { return };
+        let request = &self.request;
+        let team = request.team.as_ref().map(|team| &team.name);
+        let key = StreamKey::new(team, &request.head.id);
+        let origin = StreamOrigin { software: guard.software, weights: guard.version };
+        let until = request.head.deadline.unwrap_or(request.deadline);
+        let until = until + Duration::from_millis(RESUMPTION_MARGIN_MS);
+        self.relay.origins.record(key, origin, until);
+    }
+
     fn finish(&mut self) -> Option<Result<Bytes, BodyAborted>> {
         self.is_ended = true;
         if let (Some(guard), Some(connection)) = (self.guard.take(), self.connection.take()) {
@@ -273,8 +299,10 @@
         let Some(resume_after) = self.body.prepare_resumption() else { return false };
         let version = self.guard.as_ref().and_then(|guard| guard.version);
         // A stream begins with its first event; until then, any software may begin it.
-        let software = self.guard.as_ref().map(|guard| guard.software);
-        let software = software.filter(|_| resume_after.is_some());
+        let software = match self.has_begun {
+            true => self.guard.as_ref().map(|guard| guard.software),
+            false => self.request.origin.map(|origin| origin.software),
+        };
         self.end_attempt(Some(HealthSignal::ConnectionLost));
         log::info!(
             request = self.request.head.id, why = why, framing = self.body.framing().as_str(),
@@ -292,6 +320,7 @@
             let mut placement_request = request.placement_request();
             // Output of other weights would not continue the text sent so far.
             placement_request.required_version = version;
+            placement_request.preferred_version = None;
             placement_request.required_software = software;
             let PlacementReply::Assigned(target) =
                 self.relay.place(request, placement_request).await
--- a/crates/dogwoodway_routing/src/direct.rs
+++ b/crates/dogwoodway_routing/src/direct.rs
@@ -27,5 +27,6 @@
 pub mod server_notice;
 pub mod software;
 pub mod store_era;
+pub mod stream_origin;
 pub mod table;
 pub mod token_lru;
--- a/crates/dogwoodway_routing/src/direct/fleet.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet.rs
@@ -7,6 +7,7 @@
 mod placement;
 mod prefix_sources;
 mod requests;
+mod software;
 mod versions;
 
 use std::{
@@ -29,7 +30,7 @@
         load::Load,
         sampling::PromptRate,
         server_limit::ServerLimit,
-        software::SoftwareTag,
+        software::{SoftwareHistory, SoftwareTag},
         table::{EngineSpec, RoutingTable, ServiceKind},
         token_lru::TokenLru,
     },
@@ -141,6 +142,7 @@
 ///     prompt: None,
 ///     isolated_team: None,
 ///     required_version: None,
+///     preferred_version: None,
 ///     required_software: None,
 ///     priority: 0,
 ///     deadline: now + Duration::from_millis(600),
@@ -162,6 +164,9 @@
     by_name: HashMap<BackendServerName, BackendKey>,
     by_tag: HashMap<ServerTag, BackendKey>,
     by_service: HashMap<ServiceName, Vec<BackendKey>>,
+    software_histories: HashMap<ServiceName, SoftwareHistory>,
+    /// When the software of all listed servers was last recorded.
+    software_observed_at: Timestamp,
     engine_specs: HashMap<ServiceName, EngineSpec>,
     kv_stores: KvStores,
     /// Time after the publication of new weights within which requests may start on old ones.
@@ -211,6 +216,8 @@
             by_name: HashMap::new(),
             by_tag: HashMap::new(),
             by_service: HashMap::new(),
+            software_histories: HashMap::new(),
+            software_observed_at: Timestamp::default(),
             engine_specs: HashMap::new(),
             kv_stores: KvStores::default(),
             stale_weights_limit_ms: versions::DEFAULT_STALE_WEIGHTS_LIMIT_MS,
--- a/crates/dogwoodway_routing/src/direct/fleet/membership.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/membership.rs
@@ -94,7 +94,9 @@
                 || server.listing.address != listing.address;
             if !has_moved {
                 server.removal_due_at = None;
-                return Some((key, update_listing(server, now, listing)));
+                let has_restarted = update_listing(server, now, listing);
+                self.record_software(now, key);
+                return Some((key, has_restarted));
             }
             self.remove(&listing.name);
             self.removed.remove(&listing.name);
@@ -125,6 +127,7 @@
         self.by_name.insert(name, key);
         self.by_tag.insert(ServerTag::from(hash), key);
         self.by_service.entry(service).or_default().push(key);
+        self.record_software(now, key);
         Some((key, true))
     }
 
--- a/crates/dogwoodway_routing/src/direct/fleet/placement.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/placement.rs
@@ -63,6 +63,8 @@
     pub isolated_team: Option<TeamName>,
     /// Version of the weights that must run the request; absent if any version may.
     pub required_version: Option<WeightsVersion>,
+    /// Version of the weights that runs the request if any server that accepts it serves that one.
+    pub preferred_version: Option<WeightsVersion>,
     /// Software version that must run the request; present if the request continues a stream.
     pub required_software: Option<SoftwareTag>,
     /// Priority among the requests of the service; 0 is the highest.
@@ -144,9 +146,13 @@
     ) -> Result<Placement, Refusal> {
         let sample_share = self.update_sample_share(now, request);
         // The engines of the sample may all be loading weights or have other versions.
-        let choice = self
-            .choose(now, request, sample_share)
-            .or_else(|| self.choose(now, request, EVERY_ENGINE))
+        let versions = request.preferred_version.map(Some).into_iter();
+        let mut versions = versions.chain([request.required_version]);
+        let choice = versions
+            .find_map(|version| {
+                self.choose(now, request, version, sample_share)
+                    .or_else(|| self.choose(now, request, version, EVERY_ENGINE))
+            })
             .ok_or_else(|| self.refusal_without_server(now, request))?;
         let predicted_ms = self.check_wait_and_deadline(now, request, &choice.candidate)?;
         Ok(self.record_placement(now, choice, predicted_ms))
@@ -168,7 +174,13 @@
 
     /// Returns the cheapest of the servers that accept a request, among those that the prompt is
     /// attached to and a sample of the others; `None` if there is none.
-    fn choose(&self, now: Timestamp, request: &PlacementRequest, share: f64) -> Option<Choice> {
+    fn choose(
+        &self,
+        now: Timestamp,
+        request: &PlacementRequest,
+        required_version: Option<WeightsVersion>,
+        share: f64,
+    ) -> Option<Choice> {
         let keys = self.by_service.get(&request.service)?.as_slice();
         let spec = self.engine_specs.get(&request.service);
         // Some requests fail on every server, so only failures beyond the usual share count. The
@@ -189,7 +201,7 @@
                     let Some(serving) = server.version(&prompt.model) else { continue };
                     let (version, penalty_ms) =
                         self.version_to_request(now, &prompt.model, serving);
-                    if request.required_version.is_some_and(|wanted| wanted != version) {
+                    if required_version.is_some_and(|wanted| wanted != version) {
                         continue;
                     }
                     let scope = scoped_prompts.get_or_insert(prompt, version, |segments| {
@@ -256,8 +268,9 @@
         candidate: &Candidate,
     ) -> Result<f64, Refusal> {
         // The queueing time is checked on the first attempt only: a prompt that another server
-        // turned down has already waited.
-        if request.prompt.is_some() && request.tried.is_empty() {
+        // turned down, and a stream that goes on, have already waited.
+        let is_first_attempt = request.tried.is_empty() && request.required_software.is_none();
+        if request.prompt.is_some() && is_first_attempt {
             let (wait_ms, expected) = (cost::queue_wait_ms(candidate), request.expected_by - now);
             let pressure = self.queue_pressure.entry(request.service.clone()).or_default();
             pressure.record(now, wait_ms);
--- /dev/null
+++ b/crates/dogwoodway_routing/src/direct/fleet/software.rs
@@ -0,0 +1,44 @@
+//! Software versions of the servers of each service, now and in the past.
+
+use dogwoodway_types::{ServiceName, Timestamp};
+
+use crate::direct::{
+    fleet::{BackendKey, Fleet},
+    software::OBSERVATION_INTERVAL,
+    stream_origin::ServiceSoftware,
+};
+
+impl Fleet {
+    /// Records the software of all listed servers, at most once in each [`OBSERVATION_INTERVAL`].
+    pub fn observe_software(&mut self, now: Timestamp) {
+        if now - self.software_observed_at < OBSERVATION_INTERVAL {
+            return;
+        }
+        self.software_observed_at = now;
+        let keys: Vec<_> = self.servers.keys().collect();
+        keys.into_iter().for_each(|key| self.record_software(now, key));
+    }
+
+    pub(super) fn record_software(&mut self, now: Timestamp, key: BackendKey) {
+        let Some(server) = self.servers.get(key) else { return };
+        let service = &server.listing.service;
+        match self.software_histories.get_mut(service) {
+            Some(history) => history.observe(now, server.software),
+            None => {
+                let history = self.software_histories.entry(service.clone()).or_default();
+                history.observe(now, server.software);
+            }
+        }
+    }
+
+    /// Returns the software of a service.
+    pub fn service_software(&self, now: Timestamp, service: &ServiceName) -> ServiceSoftware {
+        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let servers = keys.iter().filter_map(|key| self.servers.get(*key));
+        let mut listed: Vec<_> = servers.map(|server| server.software).collect();
+        listed.sort_unstable();
+        listed.dedup();
+        let history = self.software_histories.get(service);
+        ServiceSoftware { listed, sole: history.and_then(|history| history.sole(now)) }
+    }
+}
--- a/crates/dogwoodway_routing/src/direct/software.rs
+++ b/crates/dogwoodway_routing/src/direct/software.rs
@@ -3,7 +3,9 @@
 //! During a release, servers of several versions serve side by side. The events that two versions
 //! write do not fit together, so a stream goes on only at the version that began it.
 
-use dogwoodway_types::{ServiceName, SoftwareVersion};
+use std::{collections::BTreeMap, time::Duration};
+
+use dogwoodway_types::{ServiceName, SoftwareVersion, Timestamp};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -28,3 +30,67 @@
         SoftwareTag((xxh3_64(text.as_bytes()) >> 32) as u32)
     }
 }
+
+/// Time for which a software version that is not listed any more may have streams that clients take
+/// up again; longer than the deadlines of clients.
+pub const STREAM_LIFETIME: Duration = Duration::from_secs(30);
+
+/// Time between two observations of the list of servers.
+pub const OBSERVATION_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time without an observation after which the history begins anew, since a version may have come
+/// and gone unseen.
+const MAX_OBSERVATION_GAP: Duration = Duration::from_secs(4);
+
+/// Time for which a version counts after its last observation.
+const KEPT: Duration = STREAM_LIFETIME.saturating_add(MAX_OBSERVATION_GAP);
+
+/// The software versions of one service in the past.
+///
+/// ```
+/// use std::time::Duration;
+/// use dogwoodway_routing::direct::software::{SoftwareHistory, SoftwareTag};
+/// use dogwoodway_types::{ServiceName, SoftwareVersion, Timestamp};
+///
+/// let service = ServiceName::try_from("llm").unwrap();
+/// let v1 = SoftwareTag::new(&service, &SoftwareVersion::from("v1"));
+/// let start = Timestamp::from_millis(1);
+/// let mut history = SoftwareHistory::default();
+/// history.observe(start, v1);
+/// assert_eq!(history.sole(start), None, "it was not observed for long enough");
+/// let seconds = (1..=60).map(|n| start + Duration::from_secs(n));
+/// seconds.for_each(|now| history.observe(now, v1));
+/// assert_eq!(history.sole(start + Duration::from_secs(60)), Some(v1));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct SoftwareHistory {
+    /// When the uninterrupted observation began.
+    since: Timestamp,
+    /// When any version was last observed; absent if none was.
+    observed_at: Option<Timestamp>,
+    /// When each version was last observed.
+    last_seen: BTreeMap<SoftwareTag, Timestamp>,
+}
+
+impl SoftwareHistory {
+    /// Records that a server of this version is listed now.
+    pub fn observe(&mut self, now: Timestamp, software: SoftwareTag) {
+        if self.observed_at.is_none_or(|at| now - at > MAX_OBSERVATION_GAP) {
+            self.since = now;
+        }
+        self.observed_at = Some(now);
+        self.last_seen.insert(software, now);
+        self.last_seen.retain(|_, seen_at| now - *seen_at <= KEPT);
+    }
+
+    /// Returns the version that was the only one for [`STREAM_LIFETIME`], without a gap in which
+    /// another one could have come and gone, if there is one.
+    pub fn sole(&self, now: Timestamp) -> Option<SoftwareTag> {
+        let is_followed = self.observed_at.is_some_and(|at| now - at <= MAX_OBSERVATION_GAP);
+        let mut recent = self.last_seen.iter().filter(|(_, seen_at)| now - **seen_at <= KEPT);
+        match (recent.next(), recent.next()) {
+            (Some((sole, _)), None) if is_followed && now - self.since >= KEPT => Some(*sole),
+            _ => None,
+        }
+    }
+}
--- a/crates/dogwoodway_routing/src/direct/table.rs
+++ b/crates/dogwoodway_routing/src/direct/table.rs
@@ -78,6 +78,12 @@
 }
 
 impl Route {
+    /// Returns the services that get requests.
+    pub fn services(&self) -> Vec<ServiceName> {
+        let targets = self.targets.iter().filter(|target| target.weight > 0);
+        targets.map(|target| target.service.clone()).collect()
+    }
+
     /// Chooses the service for one request. `draw` is a random number.
     ///
     /// Returns `None` for a route without targets.
--- a/crates/dogwoodway_routing/tests/direct_fleet.rs
+++ b/crates/dogwoodway_routing/tests/direct_fleet.rs
@@ -113,6 +113,7 @@
         prompt: Some(prompt),
         isolated_team: None,
         required_version: None,
+        preferred_version: None,
         required_software: None,
         priority,
         deadline: now + Duration::from_secs(15),
--- a/crates/dogwoodway_routing/tests/direct_notices.rs
+++ b/crates/dogwoodway_routing/tests/direct_notices.rs
@@ -56,6 +56,7 @@
         prompt: None,
         isolated_team: None,
         required_version: None,
+        preferred_version: None,
         required_software: None,
         priority: 0,
         deadline: now + Duration::from_secs(1),
--- /dev/null
+++ b/crates/dogwoodway_routing/tests/stream_origins.rs
@@ -0,0 +1,181 @@
+//! Where streams began: who remembers it, and what follows from what is known.
+
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
+
+use dogwoodway_routing::direct::{
+    peers::{RouterInfo, ZoneTag},
+    software::{SoftwareHistory, SoftwareTag},
+    stream_origin::{
+        ASKED_PER_ZONE, HOME_ZONES, HomeAnswer, OriginSource, ServiceSoftware, StreamKey,
+        StreamOrigin, StreamOrigins, TOLD_PER_ZONE, homes, resolve,
+    },
+};
+use dogwoodway_types::{ServiceName, SoftwareVersion, TeamName, Timestamp, WeightsVersion};
+
+const START: Timestamp = Timestamp::from_millis(1_000_000);
+
+fn software(version: &str) -> SoftwareTag {
+    SoftwareTag::new(&ServiceName::try_from("llm").unwrap(), &SoftwareVersion::from(version))
+}
+
+fn origin(version: &str) -> StreamOrigin {
+    StreamOrigin { software: software(version), weights: Some(WeightsVersion(1)) }
+}
+
+fn key(n: usize) -> StreamKey {
+    StreamKey::new(None, &format!("r{n}"))
+}
+
+fn seconds(n: u64) -> Timestamp {
+    START + Duration::from_secs(n)
+}
+
+/// Returns routers that are spread over zones.
+fn routers(count: usize, zones: usize) -> Vec<RouterInfo> {
+    let router = |n: usize| RouterInfo {
+        address: format!("10.0.{}.{}:7340", n / 200, n % 200 + 1).parse().unwrap(),
+        zone: ZoneTag((n % zones) as u16),
+        cpu_percent: 20,
+        reaches_store: true,
+    };
+    (0..count).map(router).collect()
+}
+
+/// Returns the homes that a router among `known` chooses.
+fn homes_of(
+    own: SocketAddr,
+    known: &[RouterInfo],
+    key: StreamKey,
+    count: usize,
+) -> Vec<SocketAddr> {
+    homes(known.iter().copied().filter(|info| info.address != own), key, count)
+}
+
+#[test]
+fn lost_router_or_zone_and_new_router_hide_no_origin() {
+    for (count, zones) in [(4, 3), (30, 3), (103, 3), (380, 8)] {
+        let all = routers(count + 1, zones);
+        let (before, joined) = (&all[..count], &all[count]);
+        for n in 0..4_000 / count + 8 {
+            let began = before[n % count];
+            let told = homes_of(began.address, before, key(n), TOLD_PER_ZONE);
+            let zones_told: BTreeSet<_> =
+                before.iter().filter(|info| told.contains(&info.address)).map(|i| i.zone).collect();
+            assert_eq!(zones_told.len(), HOME_ZONES, "homes are in different zones");
+            // The router that began the stream is gone, and with it any other router or its zone.
+            let mut views: Vec<Vec<RouterInfo>> = Vec::new();
+            for lost in before.iter().step_by(count.div_ceil(12)) {
+                let alive =
+                    |info: &&RouterInfo| ![began.address, lost.address].contains(&info.address);
+                views.push(before.iter().filter(alive).copied().collect());
+            }
+            views.push(before.iter().filter(|info| info.zone != began.zone).copied().collect());
+            for view in views {
+                for view in [view.clone(), view.into_iter().chain([*joined]).collect()] {
+                    let asking = view[n % view.len()].address;
+                    let asked = homes_of(asking, &view, key(n), ASKED_PER_ZONE);
+                    let is_known =
+                        told.contains(&asking) || asked.iter().any(|home| told.contains(home));
+                    assert!(is_known, "{count} routers: stream {n} is unknown at {asking}");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn homes_are_spread_evenly() {
+    let all = routers(380, 8);
+    let mut told = std::collections::HashMap::new();
+    for n in 0..7_600 {
+        for home in homes_of(all[n % 380].address, &all, key(n), TOLD_PER_ZONE) {
+            *told.entry(home).or_insert(0_u32) += 1;
+        }
+    }
+    // 40 in the mean; six standard deviations.
+    assert!(told.len() == 380 && told.values().all(|count| (2..=78).contains(count)));
+}
+
+#[test]
+fn stream_of_another_team_is_another_stream() {
+    let team = |name| TeamName::try_from(name).unwrap();
+    let keys = [
+        StreamKey::new(Some(&team("desk")), "r1"),
+        StreamKey::new(Some(&team("mill")), "r1"),
+        StreamKey::new(None, "r1"),
+        StreamKey::new(None, "deskr1"),
+    ];
+    for (n, key) in keys.iter().enumerate() {
+        assert!(!keys[..n].contains(key), "{n}");
+    }
+}
+
+#[test]
+fn first_record_of_a_stream_holds_and_memory_is_bounded() {
+    let mut origins = StreamOrigins::default();
+    origins.record(START, key(0), origin("v1"), seconds(10));
+    origins.record(START, key(0), origin("v1.1"), seconds(20));
+    assert_eq!(origins.find(seconds(9), key(0)), Some(origin("v1")));
+    assert_eq!(origins.find(seconds(10), key(0)), None);
+    for n in 1..=100_000 {
+        origins.record(seconds(1), key(n), origin("v1.1"), seconds(16));
+    }
+    assert!(origins.len() <= 32_768);
+    assert_eq!(origins.find(seconds(2), key(100_000)), Some(origin("v1.1")));
+    assert_eq!(origins.find(seconds(2), key(1)), None, "the oldest are dropped first");
+    origins.record(seconds(20), key(200_000), origin("v1"), seconds(30));
+    assert_eq!(origins.len(), 1, "expired origins are removed");
+}
+
+#[test]
+fn origin_is_decided_from_what_is_known_for_certain() {
+    let home = |origin| HomeAnswer { origin, sole_software: None };
+    let unknown = home(None);
+    let reports = |version| HomeAnswer { origin: None, sole_software: Some(software(version)) };
+    let sole = |version| ServiceSoftware {
+        listed: vec![software(version)],
+        sole: Some(software(version)),
+    };
+    let listed = |versions: &[&str]| ServiceSoftware {
+        listed: versions.iter().copied().map(software).collect(),
+        sole: None,
+    };
+    let at = |version, source| {
+        Some((StreamOrigin { software: software(version), weights: None }, source))
+    };
+    let reported = OriginSource::ReportedSoleSoftware;
+    // A home that remembers the origin decides, whatever serves now.
+    let known = Some((origin("v1"), OriginSource::Home));
+    assert_eq!(resolve(&[unknown, home(Some(origin("v1")))], &sole("v1.1")), known);
+    assert_eq!(resolve(&[home(Some(origin("v1")))], &listed(&[])), known);
+    // Only one version has served for longer than streams last.
+    assert_eq!(resolve(&[unknown], &sole("v1")), at("v1", OriginSource::SoleSoftware));
+    assert_eq!(resolve(&[], &sole("v1")), at("v1", OriginSource::SoleSoftware));
+    // This router has started lately and relies on the others.
+    assert_eq!(resolve(&[reports("v1")], &listed(&["v1"])), at("v1", reported));
+    assert_eq!(resolve(&[reports("v1"), unknown], &listed(&["v1"])), None);
+    assert_eq!(resolve(&[reports("v1")], &listed(&["v1", "v1.1"])), None);
+    assert_eq!(resolve(&[reports("v1")], &listed(&["v1.1"])), None);
+    // Several versions, or nobody knows.
+    assert_eq!(resolve(&[unknown, unknown], &listed(&["v1", "v1.1"])), None);
+    assert_eq!(resolve(&[], &listed(&["v1"])), None);
+}
+
+#[test]
+fn software_counts_as_the_only_one_after_streams_of_others_have_ended() {
+    let mut history = SoftwareHistory::default();
+    for n in 0..100 {
+        history.observe(seconds(n), software("v1"));
+        if (40..60).contains(&n) {
+            history.observe(seconds(n), software("v1.1"));
+        }
+        let sole = history.sole(seconds(n));
+        match n {
+            0..=33 | 40..=93 => assert_eq!(sole, None, "second {n}"),
+            _ => assert_eq!(sole, Some(software("v1")), "second {n}"),
+        }
+    }
+    assert_eq!(history.sole(seconds(105)), None, "the list of servers is not followed any more");
+    history.observe(seconds(105), software("v1"));
+    assert_eq!(history.sole(seconds(105)), None, "another version may have come and gone");
+}
--- a/crates/dogwoodway_standin/src/simulation/policy/router.rs
+++ b/crates/dogwoodway_standin/src/simulation/policy/router.rs
@@ -100,6 +100,7 @@
             prompt: Some(request.prompt.clone()),
             isolated_team: None,
             required_version: None,
+            preferred_version: None,
             required_software: None,
             priority: CLASSES[request.class].priority,
             deadline: request.deadline,
--- a/crates/dogwoodway_types/src/outcome.rs
+++ b/crates/dogwoodway_types/src/outcome.rs
@@ -64,6 +64,9 @@
     Quarantined,
     /// The attempt was cancelled before it started.
     Cancelled,
+    /// It is not known which software version began the stream that the request continues, and the
+    /// service has several.
+    UnknownStreamOrigin,
 }
 
 impl NotRunReason {
@@ -87,6 +90,7 @@
             NotRunReason::KeyReused => "key-reused",
             NotRunReason::Quarantined => "quarantined",
             NotRunReason::Cancelled => "cancelled",
+            NotRunReason::UnknownStreamOrigin => "unknown-stream-origin",
         }
     }
 }
