Resume answers of the own engines only on the software that began them

Engines state their software, agents pass it on with the engine's incarnation, and the entry continues an answer only on the software whose engine brought the first token. The version belongs to the process: the agent already ends an attempt that another incarnation answers. The last engine of that software is found if there is one.

--- a/crates/dogwoodway_engine/src/model_engine.rs
+++ b/crates/dogwoodway_engine/src/model_engine.rs
@@ -4,7 +4,7 @@
 
 use dogwoodway_types::{
     AttemptId, ChatMessage, EngineIncarnation, FinishReason, LogOffset, ModelName, PieceHash,
-    Priority, Token, Usage, WeightsVersion,
+    Priority, SoftwareVersion, Token, Usage, WeightsVersion,
 };
 use futures::future::BoxFuture;
 use serde::{Deserialize, Serialize};
@@ -95,6 +95,9 @@
     pub model: ModelName,
     /// Version of the loaded weights.
     pub version: WeightsVersion,
+    /// Version of the engine's software; empty for engines that do not state it.
+    #[serde(default)]
+    pub software: SoftwareVersion,
     /// Number of requests in the running batch. The engine may report an outdated number.
     pub running: u32,
     /// Number of queued requests. The engine may report an outdated number.
--- a/crates/dogwoodway_peer/src/message.rs
+++ b/crates/dogwoodway_peer/src/message.rs
@@ -5,7 +5,7 @@
 use dogwoodway_types::{
     AgentIncarnation, AttemptId, AvailabilityZone, BackendServerName, ClaimRequest,
     EngineIncarnation, Frame, LogOffset, ModelName, NotRunReason, PieceHash, Priority, RequestId,
-    TeamName, Timestamp, WeightsVersion, Work,
+    SoftwareVersion, TeamName, Timestamp, WeightsVersion, Work,
 };
 use serde::{Deserialize, Serialize};
 
@@ -20,6 +20,8 @@
         model: ModelName,
         /// Version of the model's weights, as last reported.
         version: WeightsVersion,
+        /// Version of the engine's software, which only a restart changes.
+        software: SoftwareVersion,
     },
     /// A plain service, whose state is not monitored.
     Service,
--- a/crates/dogwoodway_standin/src/engine.rs
+++ b/crates/dogwoodway_standin/src/engine.rs
@@ -23,7 +23,7 @@
     stream_fault::StreamFault,
 };
 
-use dogwoodway_types::{ModelName, WeightsVersion};
+use dogwoodway_types::{ModelName, SoftwareVersion, WeightsVersion};
 
 /// Configuration of an engine stand-in.
 #[derive(Clone, Debug)]
@@ -32,6 +32,8 @@
     pub model: ModelName,
     /// Weights version that is loaded at the start.
     pub version: WeightsVersion,
+    /// Version of the software that the engine states.
+    pub software: SoftwareVersion,
     /// Maximum number of requests in the batch.
     pub max_batch: u32,
     /// Prefill time of one prompt token, in microseconds.
--- a/crates/dogwoodway_standin/src/engine/server.rs
+++ b/crates/dogwoodway_standin/src/engine/server.rs
@@ -179,6 +179,7 @@
             incarnation,
             model: self.options.model.clone(),
             version,
+            software: self.options.software.clone(),
             running: u32::try_from(running).unwrap_or(u32::MAX),
             waiting: u32::try_from(waiting).unwrap_or(u32::MAX),
             max_batch: self.options.max_batch,
--- a/crates/dogwoodway_standin/src/main.rs
+++ b/crates/dogwoodway_standin/src/main.rs
@@ -12,7 +12,7 @@
     measure_config_propagation, measure_config_recovery, measure_decisions, measure_overhead,
     measure_scaling, process_usage, run_demo, service_handler, vm_list_handler,
 };
-use dogwoodway_types::{ModelName, WeightsVersion};
+use dogwoodway_types::{ModelName, SoftwareVersion, WeightsVersion};
 use dogwoodway_vms::Vm;
 
 use crate::{load_command::LoadArgs, replay_command::ReplayArgs};
@@ -147,6 +147,9 @@
     /// Version of the loaded weights.
     #[arg(long, default_value_t = 1)]
     weights: u32,
+    /// Version of the software that the engine states.
+    #[arg(long, default_value = "")]
+    software: String,
     /// Maximum number of requests in the batch.
     #[arg(long, default_value_t = 16)]
     max_batch: u32,
@@ -187,6 +190,7 @@
         EngineOptions {
             model: args.model,
             version: WeightsVersion(args.weights),
+            software: SoftwareVersion::from(args.software.as_str()),
             max_batch: args.max_batch,
             prefill_us: args.prefill_us,
             decode_us: args.decode_us,
--- a/crates/dogwoodway_types/src/id.rs
+++ b/crates/dogwoodway_types/src/id.rs
@@ -131,14 +131,15 @@
 
 /// Version of a backend server's software, which is independent of the weights that it runs.
 ///
-/// The text is opaque: versions have no order, and two are the same only if their texts are.
+/// The text is opaque: versions have no order, and two are the same only if their texts are. It is
+/// empty if a server does not state its version.
 ///
 /// ```
 /// use dogwoodway_types::SoftwareVersion;
 ///
 /// assert_ne!(SoftwareVersion::from("v1.1"), SoftwareVersion::from("v1.10"));
 /// ```
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct SoftwareVersion(String);
 
--- a/src/agent/actor.rs
+++ b/src/agent/actor.rs
@@ -117,6 +117,7 @@
                     incarnation: self.engine_reachable.then_some(status.incarnation),
                     model: status.model.clone(),
                     version: status.version,
+                    software: status.software.clone(),
                 })
             }
         }
--- a/src/entry/agent_registry.rs
+++ b/src/entry/agent_registry.rs
@@ -140,14 +140,13 @@
 ) -> Compatibility {
     match (kind, model) {
         (BackendKind::Service, None) => Compatibility::Compatible,
-        (BackendKind::Engine { incarnation: Some(_), model, version: loaded }, Some(wanted))
-            if model == wanted =>
-        {
-            match version.is_none_or(|version| version == *loaded) {
-                true => Compatibility::Compatible,
-                false => Compatibility::OtherVersion,
-            }
-        }
+        (
+            BackendKind::Engine { incarnation: Some(_), model, version: loaded, .. },
+            Some(wanted),
+        ) if model == wanted => match version.is_none_or(|version| version == *loaded) {
+            true => Compatibility::Compatible,
+            false => Compatibility::OtherVersion,
+        },
         _ => Compatibility::Incompatible,
     }
 }
--- a/src/entry/dispatch/attempt.rs
+++ b/src/entry/dispatch/attempt.rs
@@ -11,7 +11,7 @@
 use dogwoodway_routing::answer_stream::StreamEvent;
 use dogwoodway_types::{
     AgentIncarnation, AttemptId, EngineIncarnation, Frame, LogOffset, NotRunReason, Outcome,
-    Timestamp,
+    SoftwareVersion, Timestamp,
 };
 
 use crate::{
@@ -55,6 +55,8 @@
     id: AttemptId,
     agent: AgentIncarnation,
     engine: Option<EngineIncarnation>,
+    /// Software of that engine, `None` for a plain service.
+    software: Option<SoftwareVersion>,
     start_before: Timestamp,
 }
 
@@ -64,11 +66,12 @@
 pub(super) async fn run_attempt(
     client: Arc<dyn AgentApi>,
     req: StartRequest,
+    software: Option<SoftwareVersion>,
     state: &mut RequestState,
 ) -> AttemptResult {
     let (id, agent, start_before) = (req.attempt, req.agent, req.start_before);
     let engine = req.engine;
-    let attempt = Attempt { client, id, agent, engine, start_before };
+    let attempt = Attempt { client, id, agent, engine, software, start_before };
     let may_have_run_before = std::mem::replace(&mut state.may_have_run, true);
     state.stream.begin_attempt(id);
     let result = match attempt.start(req).await {
@@ -153,6 +156,9 @@
             StreamEvent::Ignored => return None,
             StreamEvent::Started { cached_tokens } => AnswerEvent::Started { cached_tokens },
             StreamEvent::Text(text) => {
+                if state.software.is_none() {
+                    state.software.clone_from(&self.software);
+                }
                 state.report_progress().await;
                 AnswerEvent::Text(text)
             }
--- a/src/entry/dispatch/request_state.rs
+++ b/src/entry/dispatch/request_state.rs
@@ -6,7 +6,7 @@
 use dogwoodway_routing::{answer_stream::AnswerStream, part_blame::PartKey};
 use dogwoodway_types::{
     BackendServerName, ClaimRequest, EngineIncarnation, NotRunReason, Outcome, RequestFingerprint,
-    Timestamp,
+    SoftwareVersion, Timestamp,
 };
 use kameo::actor::ActorRef;
 use tokio::sync::mpsc;
@@ -36,6 +36,8 @@
     /// Claim that an agent must make before it runs the request, `None` if it need not be claimed.
     pub(super) claim: Option<ClaimRequest>,
     pub(super) stream: AnswerStream,
+    /// Software of the engine that began the answer, `None` before the first token.
+    pub(super) software: Option<SoftwareVersion>,
     /// Whether an attempt was passed to a backend server, or may have been.
     pub(super) may_have_run: bool,
     /// Digest of the request's content.
--- a/src/entry/dispatch/serve.rs
+++ b/src/entry/dispatch/serve.rs
@@ -76,6 +76,7 @@
             repeatable,
             claim: idempotency::claim_request(&req, repeatable),
             stream: AnswerStream::new(max_tokens),
+            software: None,
             may_have_run: false,
             fingerprint: idempotency::fingerprint(&req.team, &req.work),
             shared_parts: shared_parts(&req),
@@ -218,7 +219,7 @@
             return AttemptResult::ConfigBehind(probe.config_offset);
         }
         state.tried.push(agent.name.clone());
-        if !can_continue(&work, state.stream.version()) {
+        if !can_continue(&work, state.stream.version()) || !runs_software(&probe.kind, state) {
             let reason = NotRunReason::StaleBackendServer;
             return AttemptResult::NotRun { reason, retry_at: None };
         }
@@ -227,9 +228,11 @@
             return AttemptResult::RetryDenied;
         }
         metrics::counter!(metrics_server::ATTEMPTS).increment(1);
-        let engine = match &probe.kind {
-            BackendKind::Engine { incarnation, .. } => *incarnation,
-            BackendKind::Service => None,
+        let (engine, software) = match &probe.kind {
+            BackendKind::Engine { incarnation, software, .. } => {
+                (*incarnation, Some(software.clone()))
+            }
+            BackendKind::Service => (None, None),
         };
         let start_req = StartRequest {
             attempt: AttemptId(rand::random()),
@@ -246,7 +249,7 @@
             work,
         };
         state.attempt_started_at = Timestamp::now();
-        run_attempt(agent.client.clone(), start_req, state).await
+        run_attempt(agent.client.clone(), start_req, software, state).await
     }
 }
 
@@ -274,6 +277,7 @@
     if let Some(version) = state.stream.version() {
         eligible.agents.retain(|agent| runs_version(agent, version));
     }
+    eligible.agents.retain(|agent| runs_software(&agent.description.kind, state));
     let is_untried = |agent: &EligibleAgent| !state.tried.contains(&agent.name);
     if eligible.agents.iter().any(is_untried) {
         eligible.agents.retain(is_untried);
@@ -287,6 +291,15 @@
     }
 }
 
+/// Returns whether a backend server has the software that began the answer. What two software
+/// versions generate does not fit together.
+fn runs_software(kind: &BackendKind, state: &RequestState) -> bool {
+    match (kind, &state.software) {
+        (BackendKind::Engine { software, .. }, Some(wanted)) => software == wanted,
+        _ => true,
+    }
+}
+
 /// Returns whether `work` can continue an answer whose tokens come from weights version `version`.
 fn can_continue(work: &Work, version: Option<WeightsVersion>) -> bool {
     match (work, version) {
@@ -298,9 +311,11 @@
 /// Returns the message for a request whose attempts may have run but gave no complete answer.
 fn failure_message(state: &RequestState, reason: NotRunReason) -> String {
     match (state.stream.version(), reason) {
-        (Some(version), NotRunReason::NoBackendServer) => {
-            format!("no backend server continues the answer on weights version {}", version.0)
-        }
+        (Some(version), NotRunReason::NoBackendServer) => format!(
+            "no backend server continues the answer on weights version {} and software version {}",
+            version.0,
+            state.software.clone().unwrap_or_default()
+        ),
         _ => format!("the answer broke off: {reason}"),
     }
 }
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -209,6 +209,43 @@
     with_timeout(test).await;
 }
 
+/// Starts a stream, restarts all but `same` of the other engines with other software, and kills the
+/// engine that runs the stream. Returns the stream, and another one that nothing interrupts.
+async fn stream_across_a_release(engines: usize, same: usize) -> (ReceivedStream, ReceivedStream) {
+    let mut fleet = Fleet::start(FleetOptions { engines, ..SLOW_FLEET }).await;
+    let body = chat_body("software", 50);
+    let expected = complete_stream(&fleet, &body).await;
+    let mut stream = CallerStream::open(&fleet, 0, &body);
+    let engine = fleet.wait_for_busy_engine().await;
+    for n in 1..engines - same {
+        fleet.engines[(engine + n) % engines].restart_with(&["--software", "v2"]);
+    }
+    stream.wait_for_tokens(2).await;
+    fleet.engines[engine].kill();
+    (stream.finish().await, expected)
+}
+
+#[tokio::test]
+async fn stream_is_not_resumed_on_other_software() {
+    with_timeout(async {
+        let (received, _) = stream_across_a_release(3, 0).await;
+        assert_eq!(received.error.as_deref(), Some("failed"), "{received:?}");
+        assert!(!received.is_done && received.usage.is_none(), "{received:?}");
+        assert!((2..50).contains(&received.tokens.len()), "{received:?}");
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn stream_is_resumed_on_the_last_engine_of_its_software() {
+    with_timeout(async {
+        let (received, expected) = stream_across_a_release(4, 1).await;
+        assert_eq!(received.tokens, expected.tokens, "{received:?}");
+        assert!(received.is_done, "{received:?}");
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn client_disconnect_during_a_stall_cancels_the_request() {
     let test = async {
