Bound the memory of software versions by the routes' timeouts, and simulate ways to know origins

A software version counts for as long as streams may last: twice the longest timeout of the routes whose streams may be resumed, so that a service with one version is known to have one soon after the routers start. A request whose client leaves while other routers are asked no longer waits in the table.

--- a/crates/dogwoodway_gateway/src/stream_origins.rs
+++ b/crates/dogwoodway_gateway/src/stream_origins.rs
@@ -128,9 +128,8 @@
 
     /// Asks other routers, and returns their answers: all up to the first that names the origin.
     async fn ask(&self, question: OriginQuestion, deadline: Timestamp) -> Vec<HomeAnswer> {
-        let (tx, mut rx) = mpsc::channel(ANSWER_QUEUE);
         let key = question.key;
-        self.lock().waiting.entry(key).or_default().push(tx);
+        let mut waiter = Waiter::new(self, key);
         let mut answers = Vec::new();
         for round_ms in ASK_ROUNDS_MS {
             if let Err(e) = self.questions.try_send(question.clone()) {
@@ -138,33 +137,49 @@
             }
             let until = (clock::now() + Duration::from_millis(round_ms)).min(deadline);
             let until = clock::timer_instant(until);
-            while let Ok(Some(answer)) = tokio::time::timeout_at(until, rx.recv()).await {
+            while let Ok(Some(answer)) = tokio::time::timeout_at(until, waiter.answers.recv()).await
+            {
                 answers.push(answer);
                 if answer.origin.is_some() {
-                    self.forget(key, rx);
                     return answers;
                 }
             }
         }
-        self.forget(key, rx);
         answers
     }
 
-    /// Removes the requests that no longer wait for answers about a stream.
-    fn forget(&self, key: StreamKey, rx: mpsc::Receiver<HomeAnswer>) {
-        drop(rx);
-        let mut state = self.lock();
-        if let Some(waiting) = state.waiting.get_mut(&key) {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A request that waits for answers about a stream. Dropping it ends that, also when the client
+/// disconnects.
+struct Waiter<'a> {
+    origins: &'a SharedOrigins,
+    key: StreamKey,
+    answers: mpsc::Receiver<HomeAnswer>,
+}
+
+impl Waiter<'_> {
+    fn new(origins: &SharedOrigins, key: StreamKey) -> Waiter<'_> {
+        let (tx, answers) = mpsc::channel(ANSWER_QUEUE);
+        origins.lock().waiting.entry(key).or_default().push(tx);
+        Waiter { origins, key, answers }
+    }
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        self.answers.close();
+        let mut state = self.origins.lock();
+        if let Some(waiting) = state.waiting.get_mut(&self.key) {
             waiting.retain(|tx| !tx.is_closed());
             if waiting.is_empty() {
-                state.waiting.remove(&key);
+                state.waiting.remove(&self.key);
             }
         }
     }
-
-    fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
 
 /// Finds out where streams began.
--- a/crates/dogwoodway_routing/src/direct/fleet.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet.rs
@@ -13,6 +13,7 @@
 use std::{
     collections::{HashMap, VecDeque},
     net::SocketAddr,
+    time::Duration,
 };
 
 use dogwoodway_types::{
@@ -62,6 +63,10 @@
 /// Time to compute one prompt token that is assumed until it has been measured, in milliseconds.
 const DEFAULT_PREFILL_MS_PER_TOKEN: f64 = 0.018;
 
+/// Attempts of a client, one after the other, each as long as the route's timeout, after which the
+/// client is taken to have given up its stream.
+const ATTEMPTS_PER_STREAM: u32 = 2;
+
 #[derive(Clone, Debug)]
 struct Server {
     listing: ServerListing,
@@ -165,6 +170,9 @@
     by_tag: HashMap<ServerTag, BackendKey>,
     by_service: HashMap<ServiceName, Vec<BackendKey>>,
     software_histories: HashMap<ServiceName, SoftwareHistory>,
+    /// Time for which streams may last, attempts of their clients included; absent until a route is
+    /// known whose streams may be resumed.
+    stream_lifetime: Option<Duration>,
     /// When the software of all listed servers was last recorded.
     software_observed_at: Timestamp,
     engine_specs: HashMap<ServiceName, EngineSpec>,
@@ -217,6 +225,7 @@
             by_tag: HashMap::new(),
             by_service: HashMap::new(),
             software_histories: HashMap::new(),
+            stream_lifetime: None,
             software_observed_at: Timestamp::default(),
             engine_specs: HashMap::new(),
             kv_stores: KvStores::default(),
@@ -255,6 +264,10 @@
 
     /// Replaces the engine specifications and the KV stores by those of a routing table.
     pub fn set_table(&mut self, table: &RoutingTable) {
+        if let Some(timeout) = table.resumable_stream_timeout() {
+            // Streams that began under an earlier table may last longer.
+            self.stream_lifetime = self.stream_lifetime.max(Some(timeout * ATTEMPTS_PER_STREAM));
+        }
         self.engine_specs.clear();
         for service in table.services() {
             if let ServiceKind::Engines(spec) = &service.kind {
--- a/crates/dogwoodway_routing/src/direct/fleet/software.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/software.rs
@@ -4,7 +4,7 @@
 
 use crate::direct::{
     fleet::{BackendKey, Fleet},
-    software::OBSERVATION_INTERVAL,
+    software::{DEFAULT_STREAM_LIFETIME, OBSERVATION_INTERVAL},
     stream_origin::ServiceSoftware,
 };
 
@@ -38,7 +38,8 @@
         let mut listed: Vec<_> = servers.map(|server| server.software).collect();
         listed.sort_unstable();
         listed.dedup();
+        let lifetime = self.stream_lifetime.unwrap_or(DEFAULT_STREAM_LIFETIME);
         let history = self.software_histories.get(service);
-        ServiceSoftware { listed, sole: history.and_then(|history| history.sole(now)) }
+        ServiceSoftware { listed, sole: history.and_then(|history| history.sole(now, lifetime)) }
     }
 }
--- a/crates/dogwoodway_routing/src/direct/software.rs
+++ b/crates/dogwoodway_routing/src/direct/software.rs
@@ -31,9 +31,11 @@
     }
 }
 
-/// Time for which a software version that is not listed any more may have streams that clients take
-/// up again; longer than the deadlines of clients.
-pub const STREAM_LIFETIME: Duration = Duration::from_secs(30);
+/// Time for which streams may last, attempts of their clients included, until the routes are known.
+pub const DEFAULT_STREAM_LIFETIME: Duration = Duration::from_secs(30);
+
+/// Longest time for which streams are taken to last.
+const MAX_STREAM_LIFETIME: Duration = Duration::from_secs(60);
 
 /// Time between two observations of the list of servers.
 pub const OBSERVATION_INTERVAL: Duration = Duration::from_millis(500);
@@ -42,8 +44,8 @@
 /// and gone unseen.
 const MAX_OBSERVATION_GAP: Duration = Duration::from_secs(4);
 
-/// Time for which a version counts after its last observation.
-const KEPT: Duration = STREAM_LIFETIME.saturating_add(MAX_OBSERVATION_GAP);
+/// Time for which the last observation of a version is kept.
+const KEPT: Duration = MAX_STREAM_LIFETIME.saturating_add(MAX_OBSERVATION_GAP);
 
 /// The software versions of one service in the past.
 ///
@@ -57,10 +59,11 @@
 /// let start = Timestamp::from_millis(1);
 /// let mut history = SoftwareHistory::default();
 /// history.observe(start, v1);
-/// assert_eq!(history.sole(start), None, "it was not observed for long enough");
+/// let lifetime = Duration::from_secs(30);
+/// assert_eq!(history.sole(start, lifetime), None, "it was not observed for long enough");
 /// let seconds = (1..=60).map(|n| start + Duration::from_secs(n));
 /// seconds.for_each(|now| history.observe(now, v1));
-/// assert_eq!(history.sole(start + Duration::from_secs(60)), Some(v1));
+/// assert_eq!(history.sole(start + Duration::from_secs(60), lifetime), Some(v1));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct SoftwareHistory {
@@ -83,13 +86,14 @@
         self.last_seen.retain(|_, seen_at| now - *seen_at <= KEPT);
     }
 
-    /// Returns the version that was the only one for [`STREAM_LIFETIME`], without a gap in which
-    /// another one could have come and gone, if there is one.
-    pub fn sole(&self, now: Timestamp) -> Option<SoftwareTag> {
+    /// Returns the version that was the only one for `stream_lifetime`, without a gap in which another
+    /// one could have come and gone, if there is one.
+    pub fn sole(&self, now: Timestamp, stream_lifetime: Duration) -> Option<SoftwareTag> {
+        let counted = stream_lifetime.min(MAX_STREAM_LIFETIME) + MAX_OBSERVATION_GAP;
         let is_followed = self.observed_at.is_some_and(|at| now - at <= MAX_OBSERVATION_GAP);
-        let mut recent = self.last_seen.iter().filter(|(_, seen_at)| now - **seen_at <= KEPT);
+        let mut recent = self.last_seen.iter().filter(|(_, seen_at)| now - **seen_at <= counted);
         match (recent.next(), recent.next()) {
-            (Some((sole, _)), None) if is_followed && now - self.since >= KEPT => Some(*sole),
+            (Some((sole, _)), None) if is_followed && now - self.since >= counted => Some(*sole),
             _ => None,
         }
     }
--- a/crates/dogwoodway_routing/src/direct/table.rs
+++ b/crates/dogwoodway_routing/src/direct/table.rs
@@ -1,6 +1,6 @@
 //! The routing table: which service each request goes to, and which rules apply to it.
 
-use std::{collections::HashMap, net::SocketAddr};
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
 use dogwoodway_types::{AvailabilityZone, KeyHash, ModelName, RouteName, ServiceName, TeamName};
 use serde::{Deserialize, Serialize};
@@ -281,6 +281,12 @@
         &self.routes[key.0 as usize]
     }
 
+    /// Returns the longest timeout of the routes whose streams may be resumed; `None` if there are none.
+    pub fn resumable_stream_timeout(&self) -> Option<Duration> {
+        let routes = self.routes.iter().filter(|route| route.kind == RouteKind::ResumableStream);
+        routes.map(|route| Duration::from_millis(u64::from(route.timeout_ms))).max()
+    }
+
     /// Returns all routes.
     pub fn routes(&self) -> &[Route] {
         &self.routes
--- a/crates/dogwoodway_routing/tests/stream_origins.rs
+++ b/crates/dogwoodway_routing/tests/stream_origins.rs
@@ -169,13 +169,21 @@
         if (40..60).contains(&n) {
             history.observe(seconds(n), software("v1.1"));
         }
-        let sole = history.sole(seconds(n));
+        let sole = history.sole(seconds(n), Duration::from_secs(30));
         match n {
             0..=33 | 40..=93 => assert_eq!(sole, None, "second {n}"),
             _ => assert_eq!(sole, Some(software("v1")), "second {n}"),
         }
     }
-    assert_eq!(history.sole(seconds(105)), None, "the list of servers is not followed any more");
+    assert_eq!(
+        history.sole(seconds(105), Duration::from_secs(30)),
+        None,
+        "the list of servers is not followed any more"
+    );
     history.observe(seconds(105), software("v1"));
-    assert_eq!(history.sole(seconds(105)), None, "another version may have come and gone");
+    assert_eq!(
+        history.sole(seconds(105), Duration::from_secs(30)),
+        None,
+        "another version may have come and gone"
+    );
 }
--- a/crates/dogwoodway_standin/src/lib.rs
+++ b/crates/dogwoodway_standin/src/lib.rs
@@ -14,6 +14,7 @@
 mod overhead;
 pub mod crash_storm;
 pub mod simulation;
+pub mod stream_origins;
 mod service;
 mod scaling;
 mod vm_list;
