--- a/crates/dogwoodway_gateway/src/gossip/origin_messages.rs
+++ b/crates/dogwoodway_gateway/src/gossip/origin_messages.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use dogwoodway_routing::direct::stream_origin::{
-    ASKED_PER_ZONE, HomeAnswer, OriginRecord, TOLD_PER_ZONE, homes,
+    HomeAnswer, OriginRecord, TOLD_PER_ZONE, homes, routers_to_ask,
 };
 use dogwoodway_types::Timestamp;
 
@@ -35,10 +35,10 @@
         }
     }
 
-    /// Asks the home routers of a stream where it began.
+    /// Asks other routers where a stream began.
     pub(super) fn send_origin_question(&self, now: Timestamp, question: OriginQuestion) {
         let OriginQuestion { key, service } = question;
-        let asked = homes(self.peers.infos(now), key, ASKED_PER_ZONE);
+        let asked = routers_to_ask(self.peers.infos(now), key);
         self.send(Content::StreamOrigins(OriginMessage::Question { key, service }), &asked);
     }
 
--- a/crates/dogwoodway_routing/src/direct/stream_origin.rs
+++ b/crates/dogwoodway_routing/src/direct/stream_origin.rs
@@ -39,7 +39,11 @@
 
 /// Routers that are asked for an origin in each of these zones: one more, since the router that began
 /// the stream may have known another set of routers.
-pub const ASKED_PER_ZONE: usize = 2;
+const ASKED_PER_ZONE: usize = 2;
+
+/// Number of other routers up to which all are asked: the one that began a stream remembers it even if
+/// its records were lost.
+const SMALL_FLEET: usize = 8;
 
 /// Most origins that a router remembers, some 3 MB. The oldest are dropped first: their clients have
 /// the least time left.
@@ -211,6 +215,35 @@
     chosen.map(|(_, _, _, address)| *address).collect()
 }
 
+/// Returns the routers to ask for the origin of a stream.
+///
+/// ```
+/// use dogwoodway_routing::direct::{
+///     peers::{RouterInfo, ZoneTag},
+///     stream_origin::{StreamKey, routers_to_ask},
+/// };
+///
+/// let router = |n: u16| RouterInfo {
+///     address: format!("10.0.0.{n}:7340").parse().unwrap(),
+///     zone: ZoneTag(n % 3),
+///     cpu_percent: 20,
+///     reaches_store: true,
+/// };
+/// let key = StreamKey::new(None, "r1");
+/// assert_eq!(routers_to_ask((1..=3).map(router), key).len(), 3);
+/// assert_eq!(routers_to_ask((1..=100).map(router), key).len(), 4);
+/// ```
+pub fn routers_to_ask<I>(routers: I, key: StreamKey) -> Vec<SocketAddr>
+where
+    I: IntoIterator<Item = RouterInfo>,
+{
+    let routers: Vec<_> = routers.into_iter().collect();
+    match routers.len() <= SMALL_FLEET {
+        true => routers.iter().map(|info| info.address).collect(),
+        false => homes(routers, key, ASKED_PER_ZONE),
+    }
+}
+
 /// What a home router answers when it is asked for the origin of a stream.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HomeAnswer {
--- a/crates/dogwoodway_routing/tests/stream_origins.rs
+++ b/crates/dogwoodway_routing/tests/stream_origins.rs
@@ -6,8 +6,8 @@
     peers::{RouterInfo, ZoneTag},
     software::{SoftwareHistory, SoftwareTag},
     stream_origin::{
-        ASKED_PER_ZONE, HOME_ZONES, HomeAnswer, OriginSource, ServiceSoftware, StreamKey,
-        StreamOrigin, StreamOrigins, TOLD_PER_ZONE, homes, resolve,
+        HOME_ZONES, HomeAnswer, OriginSource, ServiceSoftware, StreamKey, StreamOrigin,
+        StreamOrigins, TOLD_PER_ZONE, homes, resolve, routers_to_ask,
     },
 };
 use dogwoodway_types::{ServiceName, SoftwareVersion, TeamName, Timestamp, WeightsVersion};
@@ -42,13 +42,8 @@
 }
 
 /// Returns the homes that a router among `known` chooses.
-fn homes_of(
-    own: SocketAddr,
-    known: &[RouterInfo],
-    key: StreamKey,
-    count: usize,
-) -> Vec<SocketAddr> {
-    homes(known.iter().copied().filter(|info| info.address != own), key, count)
+fn homes_of(own: SocketAddr, known: &[RouterInfo], key: StreamKey) -> Vec<SocketAddr> {
+    homes(known.iter().copied().filter(|info| info.address != own), key, TOLD_PER_ZONE)
 }
 
 #[test]
@@ -58,7 +53,7 @@
         let (before, joined) = (&all[..count], &all[count]);
         for n in 0..4_000 / count + 8 {
             let began = before[n % count];
-            let told = homes_of(began.address, before, key(n), TOLD_PER_ZONE);
+            let told = homes_of(began.address, before, key(n));
             let zones_told: BTreeSet<_> =
                 before.iter().filter(|info| told.contains(&info.address)).map(|i| i.zone).collect();
             assert_eq!(zones_told.len(), HOME_ZONES, "homes are in different zones");
@@ -73,7 +68,8 @@
             for view in views {
                 for view in [view.clone(), view.into_iter().chain([*joined]).collect()] {
                     let asking = view[n % view.len()].address;
-                    let asked = homes_of(asking, &view, key(n), ASKED_PER_ZONE);
+                    let others = view.iter().copied().filter(|info| info.address != asking);
+                    let asked = routers_to_ask(others, key(n));
                     let is_known =
                         told.contains(&asking) || asked.iter().any(|home| told.contains(home));
                     assert!(is_known, "{count} routers: stream {n} is unknown at {asking}");
@@ -88,7 +84,7 @@
     let all = routers(380, 8);
     let mut told = std::collections::HashMap::new();
     for n in 0..7_600 {
-        for home in homes_of(all[n % 380].address, &all, key(n), TOLD_PER_ZONE) {
+        for home in homes_of(all[n % 380].address, &all, key(n)) {
             *told.entry(home).or_insert(0_u32) += 1;
         }
     }
--- a/crates/dogwoodway_standin/src/stream_origins.rs
+++ b/crates/dogwoodway_standin/src/stream_origins.rs
@@ -11,7 +11,7 @@
 use clap::ValueEnum;
 use dogwoodway_routing::direct::{
     peers::{RouterInfo, ZoneTag},
-    stream_origin::{ASKED_PER_ZONE, StreamKey, TOLD_PER_ZONE, homes},
+    stream_origin::{StreamKey, TOLD_PER_ZONE, homes, routers_to_ask},
 };
 use rand::{Rng, RngExt, SeedableRng, rngs::StdRng};
 
@@ -298,18 +298,26 @@
             let heard = routers.filter(move |(n, router)| *n != but && router.is_heard(at));
             heard.map(|(_, router)| router.info)
         };
-        let sent_at = sent_at?;
-        let told = homes(alive(sent_at, broken.router), broken.key, TOLD_PER_ZONE);
+        let told = sent_at
+            .map(|at| homes(alive(at, broken.router), broken.key, TOLD_PER_ZONE))
+            .unwrap_or_default();
         let told: Vec<_> = told.into_iter().filter(|_| !rng.random_bool(LOSS)).collect();
         let asked_at = broken.taken_up_at;
-        let asked = homes(alive(asked_at, broken.taken_up_by), broken.key, ASKED_PER_ZONE);
+        let asked = routers_to_ask(alive(asked_at, broken.taken_up_by), broken.key);
         let own = self.routers[broken.taken_up_by].info.address;
         let answers = self.routers.iter().filter_map(|home| {
             let address = home.info.address;
-            let known_at = sent_at + rng.random_range(0.001..0.004);
-            let knows = told.contains(&address)
-                && home.reaches_others(sent_at)
-                && home.remembers(known_at, asked_at.max(known_at));
+            let began = &self.routers[broken.router];
+            let (known_at, knows) = match began.info.address == address {
+                true => (broken.began_at, home.remembers(broken.began_at, asked_at)),
+                false => {
+                    let known_at = sent_at.unwrap_or(f64::MAX) + rng.random_range(0.001..0.004);
+                    let is_told = told.contains(&address)
+                        && home.reaches_others(known_at)
+                        && home.remembers(known_at, asked_at.max(known_at));
+                    (known_at, is_told)
+                }
+            };
             if !knows {
                 return None;
             }
