Compare the origin of a stream with the process that is listed at its server

An engine may start again under its name with other software. An origin now names the server and the time of the first event. When the stream goes on, this is compared with the start of the process that is listed: if the stream began 2 s after it, its software counts; if it began 2 s before, the remembered one; in between it is not known, since clocks differ.

--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -58,7 +58,7 @@
         ApplyFingerprintEvent, ApplyPartNotices, ApplyPeerUpdate, ApplyWeightsNotices,
         ClearPeerLoads, CollectRouterUpdate, SetRouters,
     },
-    software::GetServiceSoftware,
+    software::{CheckOrigin, GetServiceSoftware},
     weights::{EngineTarget, GetRolloutState, UpdateWeightsState, WeightsState},
 };
 use self::{crash_tracker::CrashTracker, limit_reports::LimitReports, part_evidence::PartEvidence};
--- a/crates/dogwoodway_gateway/src/fleet_actor/software.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/software.rs
@@ -1,6 +1,6 @@
 //! Messages about the software of services.
 
-use dogwoodway_routing::direct::stream_origin::ServiceSoftware;
+use dogwoodway_routing::direct::stream_origin::{ServiceSoftware, StreamOrigin};
 use dogwoodway_types::ServiceName;
 use kameo::{
     Reply,
@@ -27,3 +27,19 @@
         ServiceSoftwareReply(self.fleet.service_software(clock::now(), &msg.0))
     }
 }
+
+/// Checks the origin of a stream against the process that is listed at its server now. The reply is
+/// empty if the stream may have begun at another process.
+pub(crate) struct CheckOrigin(pub(crate) StreamOrigin);
+
+impl Message<CheckOrigin> for FleetActor {
+    type Reply = Option<StreamOrigin>;
+
+    async fn handle(
+        &mut self,
+        msg: CheckOrigin,
+        _: &mut Context<Self, Self::Reply>,
+    ) -> Option<StreamOrigin> {
+        self.fleet.check_origin(msg.0)
+    }
+}
--- a/crates/dogwoodway_gateway/src/stream.rs
+++ b/crates/dogwoodway_gateway/src/stream.rs
@@ -9,11 +9,11 @@
 use bytes::Bytes;
 use dogwoodway_http::{Body, BodyAborted};
 use dogwoodway_routing::direct::{
-    fleet::{BackendKey, Placement, RequestKey},
+    fleet::{BackendKey, Placement, RequestKey, ServerTag},
     health::HealthSignal,
     retry::{AttemptOutcome, NextStep, next_step},
     software::SoftwareTag,
-    stream_origin::{StreamKey, StreamOrigin},
+    stream_origin::{StreamBeginning, StreamKey, StreamOrigin},
 };
 use dogwoodway_types::{RequestFingerprint, Timestamp, WeightsVersion};
 use http_body_util::{BodyExt, StreamBody};
@@ -48,8 +48,10 @@
     pub(crate) server: BackendKey,
     /// Version of the weights that the server was asked to use.
     pub(crate) version: Option<WeightsVersion>,
+    /// Identifies the server to other routers.
+    server_tag: ServerTag,
     /// Software version of the server.
-    pub(crate) software: SoftwareTag,
+    software: SoftwareTag,
     /// Result to report; absent if the client disconnected or the deadline passed.
     signal: Option<HealthSignal>,
     connection: Option<Connection>,
@@ -72,6 +74,7 @@
             request_key: placement.request,
             server: placement.server,
             version: placement.version,
+            server_tag: placement.server_tag,
             software: placement.software_tag,
             signal: None,
             connection: None,
@@ -177,8 +180,8 @@
     connection: Option<Connection>,
     guard: Option<AttemptGuard>,
     keep_alive_ms: Option<u64>,
-    /// Whether an event was passed on, and the stream's origin recorded.
-    has_begun: bool,
+    /// Where the stream began; absent until an event was passed on.
+    origin: Option<StreamOrigin>,
     is_ended: bool,
 }
 
@@ -204,7 +207,7 @@
         connection: Some(response.connection),
         guard: Some(response.guard),
         keep_alive_ms: response.keep_alive_ms,
-        has_begun: false,
+        origin: None,
         is_ended: false,
     };
     let frames = futures::stream::unfold(stream, |mut stream| async move {
@@ -248,14 +251,16 @@
 
     /// Records, before the first event is passed on, which software and weights bring it.
     fn record_origin(&mut self) {
-        if mem::replace(&mut self.has_begun, true) || !self.body.can_be_resumed() {
+        if self.origin.is_some() || !self.body.can_be_resumed() {
             return;
         }
         let Some(guard) = &self.guard else { return };
         let request = &self.request;
         let team = request.team.as_ref().map(|team| &team.name);
         let key = StreamKey::new(team, &request.head.id);
-        let origin = StreamOrigin { software: guard.software, weights: guard.version };
+        let began = Some(StreamBeginning { server: guard.server_tag, at: clock::now() });
+        let origin = StreamOrigin { software: guard.software, weights: guard.version, began };
+        self.origin = Some(origin);
         let until = request.head.deadline.unwrap_or(request.deadline);
         let until = until + Duration::from_millis(RESUMPTION_MARGIN_MS);
         self.relay.origins.record(key, origin, until);
@@ -299,10 +304,14 @@
         let Some(resume_after) = self.body.prepare_resumption() else { return false };
         let version = self.guard.as_ref().and_then(|guard| guard.version);
         // A stream begins with its first event; until then, any software may begin it.
-        let software = match self.has_begun {
-            true => self.guard.as_ref().map(|guard| guard.software),
-            false => self.request.origin.map(|origin| origin.software),
+        let origin = match self.origin {
+            Some(origin) => match self.relay.origins.check(origin).await {
+                Some(origin) => Some(origin),
+                None => return false,
+            },
+            None => self.request.origin,
         };
+        let software = origin.map(|origin| origin.software);
         self.end_attempt(Some(HealthSignal::ConnectionLost));
         log::info!(
             request = self.request.head.id, why = why, framing = self.body.framing().as_str(),
--- a/crates/dogwoodway_gateway/src/stream_origins.rs
+++ b/crates/dogwoodway_gateway/src/stream_origins.rs
@@ -24,7 +24,7 @@
 
 use crate::{
     clock,
-    fleet_actor::{FleetActor, GetServiceSoftware},
+    fleet_actor::{CheckOrigin, FleetActor, GetServiceSoftware},
 };
 
 /// Times after which other routers are asked again, in milliseconds, and at the end of which the
@@ -210,7 +210,7 @@
         deadline: Timestamp,
     ) -> Option<(StreamOrigin, OriginSource)> {
         if let Some(origin) = key.and_then(|key| self.origins.find(clock::now(), key)) {
-            return Some((origin, OriginSource::Own));
+            return Some((self.check(origin).await?, OriginSource::Own));
         }
         let answers = match key {
             Some(key) => {
@@ -224,7 +224,20 @@
             true => self.software(service).await,
             false => ServiceSoftware::default(),
         };
-        resolve(&answers, &software)
+        let (origin, source) = resolve(&answers, &software)?;
+        Some((self.check(origin).await?, source))
+    }
+
+    /// Checks an origin against the process that is listed at its server now; `None` if the stream may
+    /// have begun at another process.
+    pub(crate) async fn check(&self, origin: StreamOrigin) -> Option<StreamOrigin> {
+        match self.fleet.ask(CheckOrigin(origin)).await {
+            Ok(origin) => origin,
+            Err(e) => {
+                log::error!("fleet actor did not check the origin of a stream: {e}");
+                None
+            }
+        }
     }
 
     /// Returns the service among `services` that has servers of a software version.
--- a/crates/dogwoodway_routing/src/direct/fleet/placement.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/placement.rs
@@ -17,7 +17,7 @@
         admission,
         cost::{self, Candidate, PrefillWork},
         fleet::{
-            Availability, BackendKey, Fleet, RequestKey, STORE_SAVE_DELAY_MS, Server,
+            Availability, BackendKey, Fleet, RequestKey, STORE_SAVE_DELAY_MS, Server, ServerTag,
             prefix_sources::{FetchSource, ScopedPrompt, ScopedPrompts},
             requests::InFlightRequest,
         },
@@ -86,6 +86,8 @@
     pub request: RequestKey,
     /// Key of the server.
     pub server: BackendKey,
+    /// Identifies the server to other routers.
+    pub server_tag: ServerTag,
     /// Name of the server.
     pub name: BackendServerName,
     /// Start time of the server's process.
@@ -335,6 +337,7 @@
         Placement {
             request: request_key,
             server: key,
+            server_tag: tag,
             name,
             started_at_ms,
             software,
--- a/crates/dogwoodway_routing/src/direct/fleet/software.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/software.rs
@@ -5,7 +5,7 @@
 use crate::direct::{
     fleet::{BackendKey, Fleet},
     software::{DEFAULT_STREAM_LIFETIME, OBSERVATION_INTERVAL},
-    stream_origin::ServiceSoftware,
+    stream_origin::{ServiceSoftware, StreamOrigin},
 };
 
 impl Fleet {
@@ -31,6 +31,15 @@
         }
     }
 
+    /// Checks the origin of a stream against the process that is listed at its server now. `None` if
+    /// the stream may have begun at a process before.
+    pub fn check_origin(&self, origin: StreamOrigin) -> Option<StreamOrigin> {
+        let key = origin.began.and_then(|began| self.find_by_tag(began.server));
+        let Some(server) = key.and_then(|key| self.servers.get(key)) else { return Some(origin) };
+        let started_at = Timestamp::from_millis(server.listing.started_at_ms);
+        origin.checked(server.software, started_at)
+    }
+
     /// Returns the software of a service.
     pub fn service_software(&self, now: Timestamp, service: &ServiceName) -> ServiceSoftware {
         let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
--- a/crates/dogwoodway_routing/src/direct/stream_origin.rs
+++ b/crates/dogwoodway_routing/src/direct/stream_origin.rs
@@ -17,6 +17,7 @@
     collections::{HashMap, VecDeque},
     fmt,
     net::SocketAddr,
+    time::Duration,
 };
 
 use dogwoodway_types::{TeamName, Timestamp, WeightsVersion};
@@ -25,6 +26,7 @@
 
 use crate::{
     direct::{
+        fleet::ServerTag,
         peers::{RouterInfo, rank},
         software::SoftwareTag,
     },
@@ -85,6 +87,40 @@
     pub software: SoftwareTag,
     /// Version of the weights; absent if it is not known.
     pub weights: Option<WeightsVersion>,
+    /// The server and when the stream began; absent if they are not known.
+    pub began: Option<StreamBeginning>,
+}
+
+/// Server at which a stream began, and when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamBeginning {
+    /// The server. Its process may have been replaced since.
+    pub server: ServerTag,
+    /// When the first event arrived, by the clock of the router that passed it on.
+    pub at: Timestamp,
+}
+
+/// Longest difference between the clocks of a router and a server, and the time from the start of a
+/// process until it is listed.
+const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_secs(2);
+
+impl StreamOrigin {
+    /// Returns the origin as it is in view of the process that is listed at the stream's server: one
+    /// with `software`, which started at `started_at`. `None` if the stream may have begun at either
+    /// process.
+    ///
+    /// A server may start again under its name with other software, and requests reach the new
+    /// process before its entry is read.
+    pub fn checked(self, software: SoftwareTag, started_at: Timestamp) -> Option<StreamOrigin> {
+        let Some(began) = self.began.filter(|_| self.software != software) else {
+            return Some(self);
+        };
+        if began.at + MAX_CLOCK_DIFFERENCE <= started_at {
+            return Some(self);
+        }
+        let is_of_listed = started_at + MAX_CLOCK_DIFFERENCE <= began.at;
+        is_of_listed.then_some(StreamOrigin { software, ..self })
+    }
 }
 
 /// The origin of one stream, as routers tell it to each other.
@@ -110,7 +146,7 @@
 ///
 /// let service = ServiceName::try_from("llm").unwrap();
 /// let software = SoftwareTag::new(&service, &SoftwareVersion::from("v1"));
-/// let origin = StreamOrigin { software, weights: None };
+/// let origin = StreamOrigin { software, weights: None, began: None };
 /// let (key, now) = (StreamKey::new(None, "r1"), Timestamp::from_millis(1));
 /// let mut origins = StreamOrigins::default();
 /// origins.record(now, key, origin, now + Duration::from_secs(3));
@@ -304,7 +340,7 @@
     if let Some(origin) = answers.iter().find_map(|answer| answer.origin) {
         return Some((origin, OriginSource::Home));
     }
-    let at_sole = |software| StreamOrigin { software, weights: None };
+    let at_sole = |software| StreamOrigin { software, weights: None, began: None };
     if let Some(sole) = software.sole {
         return Some((at_sole(sole), OriginSource::SoleSoftware));
     }
--- a/crates/dogwoodway_routing/tests/stream_origins.rs
+++ b/crates/dogwoodway_routing/tests/stream_origins.rs
@@ -3,11 +3,12 @@
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use dogwoodway_routing::direct::{
+    fleet::ServerTag,
     peers::{RouterInfo, ZoneTag},
     software::{SoftwareHistory, SoftwareTag},
     stream_origin::{
-        HOME_ZONES, HomeAnswer, OriginSource, ServiceSoftware, StreamKey, StreamOrigin,
-        StreamOrigins, TOLD_PER_ZONE, homes, resolve, routers_to_ask,
+        HOME_ZONES, HomeAnswer, OriginSource, ServiceSoftware, StreamBeginning, StreamKey,
+        StreamOrigin, StreamOrigins, TOLD_PER_ZONE, homes, resolve, routers_to_ask,
     },
 };
 use dogwoodway_types::{ServiceName, SoftwareVersion, TeamName, Timestamp, WeightsVersion};
@@ -19,7 +20,7 @@
 }
 
 fn origin(version: &str) -> StreamOrigin {
-    StreamOrigin { software: software(version), weights: Some(WeightsVersion(1)) }
+    StreamOrigin { software: software(version), weights: Some(WeightsVersion(1)), began: None }
 }
 
 fn key(n: usize) -> StreamKey {
@@ -137,7 +138,7 @@
         sole: None,
     };
     let at = |version, source| {
-        Some((StreamOrigin { software: software(version), weights: None }, source))
+        Some((StreamOrigin { software: software(version), weights: None, began: None }, source))
     };
     let reported = OriginSource::ReportedSoleSoftware;
     // A home that remembers the origin decides, whatever serves now.
@@ -157,6 +158,26 @@
     assert_eq!(resolve(&[], &listed(&["v1"])), None);
 }
 
+#[test]
+fn stream_at_a_server_that_restarts_with_other_software_is_of_the_process_that_ran_it() {
+    let began = Some(StreamBeginning { server: ServerTag(7), at: seconds(10) });
+    let origin = StreamOrigin { began, ..origin("v1") };
+    let other = software("v1.1");
+    for (started_at, expected) in [
+        (seconds(0), Some(other)),
+        (seconds(8), Some(other)),
+        (seconds(9), None),
+        (seconds(10), None),
+        (seconds(11), None),
+        (seconds(12), Some(origin.software)),
+        (seconds(60), Some(origin.software)),
+    ] {
+        let checked = origin.checked(other, started_at).map(|origin| origin.software);
+        assert_eq!(checked, expected, "{started_at}");
+        assert_eq!(origin.checked(origin.software, started_at), Some(origin));
+    }
+}
+
 #[test]
 fn software_counts_as_the_only_one_after_streams_of_others_have_ended() {
     let mut history = SoftwareHistory::default();
--- a/crates/dogwoodway_standin/src/stream_origins.rs
+++ b/crates/dogwoodway_standin/src/stream_origins.rs
@@ -46,7 +46,7 @@
 const LOG_APPENDS_PER_S: f64 = 400.0;
 
 /// Encoded size of a record, in bytes.
-const RECORD_BYTES: f64 = 20.0;
+const RECORD_BYTES: f64 = 34.0;
 
 /// Further bytes of a datagram: headers, and what the sender tells about itself.
 const DATAGRAM_BYTES: f64 = 44.0;
