--- a/review/standin/kit.rs
+++ b/review/standin/kit.rs
@@ -142,10 +142,10 @@
         }
     }
     match message.header("content-length").and_then(|value| value.parse::<usize>().ok()) {
-        Some(length) => {
-            message.body = vec![0; length];
-            reader.read_exact(&mut message.body)
-        }
+        Some(length) => match reader.take(length as u64).read_to_end(&mut message.body)? == length {
+            true => Ok(()),
+            false => Err(io::ErrorKind::UnexpectedEof.into()),
+        },
         None if is_answer => reader.read_to_end(&mut message.body).map(|_| ()),
         None => Ok(()),
     }
