--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -1,7 +1,7 @@
 //! A leader that was killed right after its orders starts again and is stopped soon after. See
 //! `claim.txt`.
 
-#[path = "../standin/kit.rs"]
+#[path = "../kit.rs"]
 mod kit;
 
 use std::{
