Ignore entries of servers with numbers that no server has

Callers saw: after another writer had left one entry with a sequence number or a start time of 2^64 - 1 under a server's name, that server got no request any more, whatever it wrote afterwards; a build with overflow checks refused everything, since the fleet's actor had ended.

Cause: numbers of entries were taken as they came. Entries are ordered by start time and sequence number, so that the largest hides all true ones, and slots, sequence numbers and start times were multiplied and added without a bound. Class: a value that another writer sets takes part in an order, or in arithmetic, before it is checked.

--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -263,6 +263,13 @@
                 let age = if is_new { Duration::ZERO } else { Fleet::assumed_version_age() };
                 self.fleet.record_published_version(now, model, version, age);
             }
+            DirectoryChange::ServerUpdated(listing) if !listing.has_possible_start(now) => {
+                let (name, start) = (&listing.name, listing.started_at_ms);
+                log::warn!(
+                    "directory entry ignored: \"{name}\": it starts at {start}, in the future"
+                );
+                self.apply(now, DirectoryChange::ServerRemoved(listing.name));
+            }
             DirectoryChange::ServerUpdated(listing) => {
                 let name = listing.name.clone();
                 // `true` means that the server is new or has restarted. Attempts, connections and
--- a/crates/dogwoodway_routing/src/direct/fleet/membership.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/membership.rs
@@ -1,6 +1,6 @@
 //! Membership of the fleet: the servers that the platform lists.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use dogwoodway_types::{
     AvailabilityZone, BackendServerName, ModelName, ServiceName, SoftwareVersion, Timestamp,
@@ -25,6 +25,10 @@
 /// One more clears the list.
 pub(super) const MAX_REMEMBERED: usize = 4_096;
 
+/// Longest time by which the start of a server may lie ahead of the router's clock. A listing with a later
+/// one is wrong, and would count as newer than all true ones.
+const MAX_START_AHEAD: Duration = Duration::from_secs(24 * 3_600);
+
 /// Whether a backend server accepts new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -62,6 +66,12 @@
 }
 
 impl ServerListing {
+    /// Returns whether a server can have started at the time that the listing states, to judge by the
+    /// router's clock.
+    pub fn has_possible_start(&self, now: Timestamp) -> bool {
+        self.started_at_ms <= (now + MAX_START_AHEAD).as_millis()
+    }
+
     /// Returns whether the listing is older than the one with the given start time and revision of
     /// the same server.
     fn is_older_than(&self, other: (u64, u64)) -> bool {
@@ -78,7 +88,7 @@
         listing: ServerListing,
     ) -> Option<(BackendKey, bool)> {
         if let Some((started_at_ms, revision)) = self.removed.get(&listing.name).copied() {
-            if listing.is_older_than((started_at_ms, revision + 1)) {
+            if listing.is_older_than((started_at_ms, revision.saturating_add(1))) {
                 return None;
             }
             self.removed.remove(&listing.name);
--- a/crates/dogwoodway_routing/src/direct/fleet/placement.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/placement.rs
@@ -362,9 +362,8 @@
         server: &Server,
         request: &PlacementRequest,
     ) -> bool {
-        let slots = server.listing.slots.max(1);
-        let is_full =
-            request.prompt.is_none() && server.load().running >= slots * (1 + MAX_QUEUED_PER_SLOT);
+        let places = server.listing.slots.max(1).saturating_mul(1 + MAX_QUEUED_PER_SLOT);
+        let is_full = request.prompt.is_none() && server.load().running >= places;
         server.health.is_up()
             && request.required_software.is_none_or(|software| software == server.software)
             && server.listing.availability == Availability::Ready
--- a/crates/dogwoodway_types/src/time.rs
+++ b/crates/dogwoodway_types/src/time.rs
@@ -40,9 +40,17 @@
         Timestamp(u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX))
     }
 
-    /// Returns the time `millis` milliseconds after the Unix epoch.
+    /// Returns the time `millis` milliseconds after the Unix epoch, or [`Timestamp::MAX`] if that is
+    /// later.
+    ///
+    /// ```
+    /// use dogwoodway_types::Timestamp;
+    ///
+    /// assert_eq!(Timestamp::from_millis(5).as_millis(), 5);
+    /// assert_eq!(Timestamp::from_millis(u64::MAX), Timestamp::MAX);
+    /// ```
     pub const fn from_millis(millis: u64) -> Timestamp {
-        Timestamp(millis * 1_000)
+        Timestamp(millis.saturating_mul(1_000))
     }
 
     /// Returns the time earlier by `duration`, or the Unix epoch if that is later.
