Read the list of VMs entry by entry

Entries and agents saw: one entry of another writer that could not be read made the whole list unreadable, so that they followed it no more. The same cause as in the list of servers on the platform, which is read record by record.

Evidence: odd_entry_hides_no_other_vm failed with 'invalid type: sequence, expected socket address'.

Fix: each entry is parsed by itself, and one that cannot be read is logged and left out.

--- a/crates/dogwoodway_vms/src/lib.rs
+++ b/crates/dogwoodway_vms/src/lib.rs
@@ -16,10 +16,14 @@
 use futures::{FutureExt, future::BoxFuture};
 use hyper::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 /// Time limit for reading the list, in milliseconds.
 const RESPONSE_TIMEOUT_MS: u64 = 2_000;
 
+/// Length up to which the reason for which an entry is ignored is logged, in characters.
+const MAX_REASON_CHARS: usize = 200;
+
 /// The role of the process that runs on a VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -111,8 +115,7 @@
         match (resp.status, cached) {
             (StatusCode::NOT_MODIFIED, Some(cached)) => Ok(cached.vms),
             (StatusCode::OK, _) => {
-                let vms: Vec<Vm> =
-                    serde_json::from_slice(&resp.body).map_err(|e| VmListError(e.to_string()))?;
+                let vms = parse_list(&resp.body)?;
                 let cached = CachedList { etag: resp.etag, vms: vms.clone() };
                 let cached = Some(cached).filter(|cached| !cached.etag.is_empty());
                 *self.cached.lock().unwrap_or_else(PoisonError::into_inner) = cached;
@@ -123,6 +126,21 @@
     }
 }
 
+/// Parses the list. An entry that cannot be read is left out, since another writer may have added it.
+fn parse_list(json: &[u8]) -> Result<Vec<Vm>, VmListError> {
+    let entries: Vec<&RawValue> =
+        serde_json::from_slice(json).map_err(|e| VmListError(e.to_string()))?;
+    let vms = entries.into_iter().filter_map(|entry| match serde_json::from_str(entry.get()) {
+        Ok(vm) => Some(vm),
+        Err(e) => {
+            let reason: String = e.to_string().chars().take(MAX_REASON_CHARS).collect();
+            log::warn!("entry in the list of VMs ignored: {reason}");
+            None
+        }
+    });
+    Ok(vms.collect())
+}
+
 impl VmList for HttpVmList {
     fn list(&self) -> BoxFuture<'_, Result<Vec<Vm>, VmListError>> {
         self.read().boxed()
--- a/crates/dogwoodway_vms/tests/list.rs
+++ b/crates/dogwoodway_vms/tests/list.rs
@@ -1,11 +1,14 @@
 //! An unchanged list of VMs is not transferred again, a changed one is noticed, and a list that
 //! cannot be read is an error rather than an empty list.
 
-use dogwoodway_http::{HttpClient, ServerLimits, serve};
+use std::sync::Arc;
+
+use dogwoodway_http::{Handler, HttpClient, ServerLimits, full_body, serve};
 use dogwoodway_standin::vm_list_handler;
 use dogwoodway_types::AvailabilityZone;
 use dogwoodway_vms::{HttpVmList, Vm, VmList, VmRole, VmState};
-use hyper::Method;
+use futures::FutureExt;
+use hyper::{Method, Response};
 use tokio::net::TcpListener;
 
 fn vm(port: u16, state: VmState) -> Vm {
@@ -46,3 +49,34 @@
     let list = HttpVmList::new("http://127.0.0.1:1".to_owned());
     assert!(list.list().await.is_err());
 }
+
+#[tokio::test]
+async fn odd_entry_hides_no_other_vm() {
+    let nested = "[".repeat(40_000) + &"]".repeat(40_000);
+    let odd = [
+        &nested,
+        &format!(r#"{{"address":"127.0.0.1:3","zone":{nested},"role":"agent","state":"live"}}"#),
+        r#"{"address":"127.0.0.1:99999","zone":"a","role":"agent","state":"live"}"#,
+        r#"{"address":1e999,"zone":"a","role":"agent","state":"live"}"#,
+        r#"{"address":"127.0.0.1:3","zone":"a","role":"scribe","state":"live"}"#,
+        r#"{"zone":"a"}"#,
+        "18446744073709551616",
+        "null",
+    ];
+    let [first, second] = [vm(1, VmState::Live), vm(2, VmState::Live)];
+    for entry in odd {
+        let [first_json, second_json] =
+            [&first, &second].map(|vm| serde_json::to_string(vm).unwrap());
+        let body = format!("[{first_json},{entry},{second_json}]");
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let url = format!("http://{}", listener.local_addr().unwrap());
+        let handler: Handler = Arc::new(move |_| {
+            let resp = Response::new(full_body(body.clone()));
+            async move { resp }.boxed()
+        });
+        tokio::spawn(serve(listener, ServerLimits::default(), handler, std::future::pending()));
+        let entry = &entry[..entry.len().min(70)];
+        let vms = HttpVmList::new(url).list().await;
+        assert_eq!(vms, Ok(vec![first.clone(), second.clone()]), "{entry}");
+    }
+}
