Withdraw requests that are given up, instead of letting them arrive later

Callers saw nothing, but servers were handed requests seconds after another server had answered them or their clients had left, with the deadline as it was when they were written.

A router closed the connection of an attempt in good order when it gave it up. The kernel then goes on delivering what was written until its user timeout of 6 s, so that a cut that heals before brings it all to the server.

A connection that is closed while its request is unanswered is now reset: the kernel drops what it has not delivered, and a server that already works on the request hears of the reset as it did of the close. Once the head of a response has arrived, the request has too, and the connection is closed as before. A reset is sent only once: a server that had received the request before a cut, and is cut off when the request is given up, learns that only when it writes to the connection.

--- a/crates/dogwoodway_gateway/src/connection.rs
+++ b/crates/dogwoodway_gateway/src/connection.rs
@@ -1,14 +1,36 @@
-//! HTTP/1 connections to backend servers, and how long an idle one may be reused.
+//! HTTP/1 connections to backend servers, how long an idle one may be reused, and how requests are
+//! withdrawn that are given up.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    task::{Context, Poll},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use dogwoodway_http::set_silence_timeout;
 use dogwoodway_types::Timestamp;
 use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    client::conn::{
+        TrySendError,
+        http1::{self, SendRequest},
+    },
+};
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpStream, task::JoinHandle};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+    task::JoinHandle,
+};
 
 use crate::clock;
 
@@ -31,10 +53,12 @@
 /// while the server closes the connection, it is unknown whether it ran.
 const IDLE_MARGIN_MS: u64 = 400;
 
-/// A connection to a backend server; closed when dropped.
+/// A connection to a backend server; closed when dropped. A request that is unanswered then is
+/// withdrawn: what the server's machine has not received of it does not arrive later.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    pub(crate) sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Full<Bytes>>,
+    is_unanswered: Arc<AtomicBool>,
     idle_deadline: Timestamp,
     driver: JoinHandle<()>,
 }
@@ -46,9 +70,11 @@
         let stream = tokio::time::timeout(limit, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
         set_silence_timeout(&stream, Duration::from_millis(SILENCE_TIMEOUT_MS))?;
+        let is_unanswered = Arc::new(AtomicBool::new(false));
+        let socket = Socket { stream, is_unanswered: is_unanswered.clone() };
         let (sender, conn) = http1::Builder::new()
             .max_buf_size(MAX_RESPONSE_HEAD_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(socket))
             .await
             .map_err(io::Error::other)?;
         let driver = tokio::spawn(async move {
@@ -57,7 +83,21 @@
             }
         });
         let idle_deadline = clock::now() + Duration::from_millis(DEFAULT_IDLE_MS);
-        Ok(Connection { sender, idle_deadline, driver })
+        Ok(Connection { sender, is_unanswered, idle_deadline, driver })
+    }
+
+    /// Sends a request and waits for the head of the response. The request comes back with the error
+    /// if nothing of it was sent.
+    pub(crate) async fn send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.is_unanswered.store(true, Ordering::Relaxed);
+        let result = self.sender.try_send_request(req).await;
+        if result.is_ok() {
+            self.is_unanswered.store(false, Ordering::Relaxed);
+        }
+        result
     }
 
     /// Marks the connection as idle from now on; `keep_alive_ms` is the time for which the server
@@ -85,3 +125,62 @@
         self.driver.abort();
     }
 }
+
+/// Socket of a connection, reset if it is closed while a request is unanswered.
+///
+/// After an orderly close, the kernel goes on delivering what was sent for [`SILENCE_TIMEOUT_MS`].
+#[derive(Debug)]
+struct Socket {
+    stream: TcpStream,
+    is_unanswered: Arc<AtomicBool>,
+}
+
+impl Drop for Socket {
+    fn drop(&mut self) {
+        if self.is_unanswered.load(Ordering::Relaxed)
+            && let Err(e) = self.stream.set_zero_linger()
+        {
+            log::debug!("could not withdraw a request from a backend server: {e}");
+        }
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/dogwoodway_gateway/src/exchange.rs
+++ b/crates/dogwoodway_gateway/src/exchange.rs
@@ -52,7 +52,7 @@
 ) -> Result<BackendResponse, ExchangeError> {
     let mut req = Request::from_parts(head, Full::new(body));
     if let Some(mut connection) = idle {
-        match connection.sender.try_send_request(req).await {
+        match connection.send(req).await {
             Ok(resp) => return Ok(backend_response(resp, connection)),
             // The request comes back only if the connection was closed before anything was written
             // to it; it can then be sent again on a new one.
@@ -64,7 +64,7 @@
     }
     let mut connection =
         Connection::open(address).await.map_err(|e| ExchangeError::Unreachable(e.to_string()))?;
-    match connection.sender.try_send_request(req).await {
+    match connection.send(req).await {
         Ok(resp) => Ok(backend_response(resp, connection)),
         Err(mut e) => match e.take_message() {
             Some(_) => Err(ExchangeError::Unreachable(e.into_error().to_string())),
