Show that routers forget each other for good after a cut of a minute

Two routers that cannot reach each other for 61 s each count one router, so that each takes the whole retry budget and the whole limit of connections, and they do not hear of each other after the cut: a router that was removed is greeted no more, and the log announces it only at its start.

--- a/crates/dogwoodway_routing/tests/direct_peers.rs
+++ b/crates/dogwoodway_routing/tests/direct_peers.rs
@@ -89,6 +89,45 @@
     assert_eq!(peers.router_count(), 1);
 }
 
+/// Lets two routers know each other, cuts them off from each other for `cut_ms`, and returns how many
+/// routers each counts at the end of the cut and 11 s later.
+fn counts_after_cut(cut_ms: u64) -> [[u32; 2]; 2] {
+    let infos = [info(1, 1), info(1, 2)];
+    let mut routers = [peers(1, 2, &infos[0]), peers(1, 2, &infos[1])];
+    let count = |routers: &[Peers; 2]| [routers[0].router_count(), routers[1].router_count()];
+    let mut at_heal = [0, 0];
+    for ms in (0..cut_ms + 11_000).step_by(100) {
+        if ms == cut_ms {
+            at_heal = count(&routers);
+        }
+        for own in 0..2 {
+            routers[own].remove_expired(at(ms));
+            let is_heard = !routers[own].routers_to_greet(at(ms)).is_empty() && ms >= cut_ms;
+            if is_heard {
+                // The greeting and the reply to it.
+                routers[1 - own].record_info(at(ms), infos[own]);
+                routers[own].record_info(at(ms), infos[1 - own]);
+            }
+        }
+    }
+    [at_heal, count(&routers)]
+}
+
+// After a cut of more than a minute, each part took the whole of the common limits.
+#[test]
+fn routers_count_each_other_during_a_cut_of_minutes() {
+    assert_eq!(counts_after_cut(61_000)[0], [2, 2]);
+    assert_eq!(counts_after_cut(300_000)[0], [2, 2]);
+}
+
+// After a cut of more than a minute, routers did not hear of each other until one of them restarted.
+#[test]
+fn routers_meet_again_after_a_cut_of_any_length() {
+    for cut_ms in [5_000, 61_000, 700_000, 3_600_000] {
+        assert_eq!(counts_after_cut(cut_ms)[1], [2, 2], "after {cut_ms} ms");
+    }
+}
+
 #[test]
 fn two_routers_are_watchers_and_others_replace_silent_ones() {
     let routers: Vec<_> = (1..=6).map(|n| info(1, n)).collect();
