Pass on only events whose ids increase

What callers saw: events that came twice, and events of two runs joined, in streams that looked complete.

Cause: nothing looked at the ids of events. A server that was asked to go on after an event and started at another one, or that repeated events within a run, was believed.

The scanner of events now remembers the id of the last event, over all runs of a stream and from the Last-Event-Id with which a client takes one up. An event whose id does not come after it is handled like a lost connection: the stream is resumed where its kind allows that, and broken off otherwise. Events without ids stay allowed, and ids may skip: an event may stand for several tokens, so that a gap proves nothing.

Two tests of the scanner used streams whose ids repeat or go back. They now use increasing ids and demand the same otherwise. A property test compares the splitter with a reader of the whole stream, for arbitrary pieces, line ends and ids.

--- a/crates/dogwoodway_gateway/src/relay/deliver.rs
+++ b/crates/dogwoodway_gateway/src/relay/deliver.rs
@@ -59,7 +59,10 @@
         *resp.headers_mut() = self.protocol.client_headers(&upstream.head.headers);
         metrics::histogram!(metric::FIRST_BYTE_SECONDS)
             .record((clock::now() - request.arrived_at).as_secs_f64());
-        let content = BodyContent::of_response(request.kind, status);
+        let resumption = request.head.resumption.as_ref();
+        let last_id = resumption.and_then(|resumption| resumption.after.clone());
+        let last_id = last_id.filter(|id| !id.is_empty());
+        let content = BodyContent::of_response(request.kind, status, last_id);
         let mut body = ResponseBody::new(upstream.body, framing, content);
         let is_long = body.length().is_some_and(|bytes| bytes > MAX_BUFFERED_RESPONSE_BYTES as u64);
         let can_break_off = can_break_off(&request, framing);
--- a/crates/dogwoodway_gateway/src/response_body.rs
+++ b/crates/dogwoodway_gateway/src/response_body.rs
@@ -23,11 +23,18 @@
 }
 
 impl BodyContent {
-    /// Returns the content of a response with `status` to a request of a route of this kind.
-    pub(crate) fn of_response(kind: RouteKind, status: StatusCode) -> BodyContent {
+    /// Returns the content of a response with `status` to a request of a route of this kind. The
+    /// client that takes up a stream has its events up to `last_id`.
+    pub(crate) fn of_response(
+        kind: RouteKind,
+        status: StatusCode,
+        last_id: Option<String>,
+    ) -> BodyContent {
         match kind {
             _ if !status.is_success() => BodyContent::Opaque,
-            RouteKind::ResumableStream => BodyContent::ResumableEvents(EventSplitter::default()),
+            RouteKind::ResumableStream => {
+                BodyContent::ResumableEvents(EventSplitter::after(last_id))
+            }
             RouteKind::Stream => BodyContent::Events(EventScanner::default()),
             RouteKind::Idempotent | RouteKind::AtMostOnce => BodyContent::Opaque,
         }
--- a/crates/dogwoodway_http/src/sse/scanner.rs
+++ b/crates/dogwoodway_http/src/sse/scanner.rs
@@ -7,8 +7,14 @@
 /// Largest event that is accepted, in bytes. Servers that fail may send bytes without end.
 const MAX_EVENT_BYTES: usize = 64 << 10;
 
+/// Bytes that are kept of a line that is no id, enough to recognise its field.
+const LINE_PREFIX_BYTES: usize = 8;
+
+/// Begins the line with the id of an event.
+const ID_FIELD: &[u8] = b"id:";
+
 /// Why the bytes of a response are not a complete stream of events.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum EventStreamError {
     /// The stream ended after this many bytes of an event.
     EndedInsideEvent(usize),
@@ -16,6 +22,14 @@
     EndedBeforeFirstEvent,
     /// An event is larger than 64 KiB.
     EventTooLarge,
+    /// The id of an event does not follow the last one, so that the event is not the next one of the
+    /// stream.
+    IdNotIncreasing {
+        /// Id of the last event that has one.
+        last: String,
+        /// Id of the event.
+        next: String,
+    },
 }
 
 impl fmt::Display for EventStreamError {
@@ -30,13 +44,17 @@
             EventStreamError::EventTooLarge => {
                 write!(f, "an event is larger than {MAX_EVENT_BYTES} bytes")
             }
+            EventStreamError::IdNotIncreasing { last, next } => {
+                write!(f, "the event {next:?} came after the event {last:?}")
+            }
         }
     }
 }
 
 impl std::error::Error for EventStreamError {}
 
-/// Finds the ends of server-sent events in a byte stream that arrives in pieces.
+/// Finds the ends of server-sent events in a byte stream that arrives in pieces, and checks that their
+/// ids increase.
 ///
 /// An event ends with a blank line. Lines end with CR, LF or CRLF, as the [specification] of event
 /// streams allows.
@@ -51,8 +69,11 @@
 /// assert_eq!(scanner.incomplete_bytes(), 0);
 /// ```
 ///
+/// Events may lack an id. Numbers increase if each is greater than the last one; of other ids only
+/// those that equal the last one are known not to.
+///
 /// [specification]: https://html.spec.whatwg.org/multipage/server-sent-events.html#parsing-an-event-stream
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EventScanner {
     /// Bytes of the incomplete event.
     incomplete_bytes: usize,
@@ -62,15 +83,34 @@
     is_after_cr: bool,
     /// Whether an event has ended.
     has_events: bool,
+    /// Start of the current line; the whole line if it holds an id.
+    line: Vec<u8>,
+    /// Id of the incomplete event.
+    id: Option<String>,
+    /// Id of the last event that has one, in this stream or the one that it continues.
+    last_id: Option<String>,
 }
 
 impl EventScanner {
+    /// Creates a scanner of a stream that goes on after the event `last_id`, or of one that begins.
+    ///
+    /// ```
+    /// use dogwoodway_http::EventScanner;
+    ///
+    /// let mut scanner = EventScanner::after(Some("7".to_owned()));
+    /// assert!(scanner.scan(b"id: 7\ndata: a\n\n").is_err());
+    /// ```
+    pub fn after(last_id: Option<String>) -> EventScanner {
+        EventScanner { last_id, ..EventScanner::default() }
+    }
+
     /// Reads the next bytes of the stream. Returns the offset in `bytes` after the last event that
     /// they complete, or `None` if they complete none.
     ///
     /// # Errors
     ///
-    /// Fails with [`EventStreamError::EventTooLarge`] if an event is larger than 64 KiB.
+    /// Fails with [`EventStreamError::EventTooLarge`] if an event is larger than 64 KiB, and with
+    /// [`EventStreamError::IdNotIncreasing`] if the id of an event does not follow the last one.
     pub fn scan(&mut self, bytes: &[u8]) -> Result<Option<usize>, EventStreamError> {
         let mut end = None;
         for (i, byte) in bytes.iter().enumerate() {
@@ -80,15 +120,20 @@
                 b'\n' if is_second_half_of_crlf && self.incomplete_bytes == 0 => end = Some(i + 1),
                 b'\n' if is_second_half_of_crlf => self.incomplete_bytes += 1,
                 b'\n' | b'\r' if !self.is_in_line => {
+                    self.end_event()?;
                     self.has_events |= self.incomplete_bytes > 0;
                     self.incomplete_bytes = 0;
                     end = Some(i + 1);
                 }
                 b'\n' | b'\r' => {
+                    self.end_line();
                     self.is_in_line = false;
                     self.incomplete_bytes += 1;
                 }
                 _ => {
+                    if self.line.len() < LINE_PREFIX_BYTES || self.line.starts_with(ID_FIELD) {
+                        self.line.push(*byte);
+                    }
                     self.is_in_line = true;
                     self.incomplete_bytes += 1;
                 }
@@ -129,8 +174,37 @@
         }
     }
 
+    /// Returns the id of the last event that has one.
+    pub fn last_id(&self) -> Option<&str> {
+        self.last_id.as_deref()
+    }
+
     /// Returns the number of bytes read since the end of the last event.
     pub fn incomplete_bytes(&self) -> usize {
         self.incomplete_bytes
     }
+
+    fn end_line(&mut self) {
+        if let Some(id) = self.line.strip_prefix(ID_FIELD) {
+            self.id = Some(String::from_utf8_lossy(id).trim().to_owned());
+        }
+        self.line.clear();
+    }
+
+    fn end_event(&mut self) -> Result<(), EventStreamError> {
+        let Some(next) = self.id.take() else { return Ok(()) };
+        if let Some(last) = self.last_id.as_ref().filter(|last| !follows(&next, last)) {
+            return Err(EventStreamError::IdNotIncreasing { last: last.clone(), next });
+        }
+        self.last_id = Some(next);
+        Ok(())
+    }
+}
+
+/// Returns whether the event `next` may come after the event `last`.
+fn follows(next: &str, last: &str) -> bool {
+    match (next.parse::<u128>(), last.parse::<u128>()) {
+        (Ok(next), Ok(last)) => next > last,
+        _ => next != last,
+    }
 }
--- a/crates/dogwoodway_http/src/sse/splitter.rs
+++ b/crates/dogwoodway_http/src/sse/splitter.rs
@@ -19,15 +19,22 @@
 pub struct EventSplitter {
     partial: BytesMut,
     scanner: EventScanner,
-    last_id: Option<String>,
+    /// Id of the last event that was returned and has one, or that the stream goes on after.
+    passed_on_id: Option<String>,
 }
 
 impl EventSplitter {
+    /// Creates a splitter of a stream that goes on after the event `last_id`, or of one that begins.
+    pub fn after(last_id: Option<String>) -> EventSplitter {
+        let scanner = EventScanner::after(last_id.clone());
+        EventSplitter { partial: BytesMut::new(), scanner, passed_on_id: last_id }
+    }
+
     /// Adds received bytes and returns all events that are now complete.
     ///
     /// # Errors
     ///
-    /// Fails with [`EventStreamError::EventTooLarge`] if an event is larger than 64 KiB.
+    /// Fails in the same cases as [`EventScanner::scan`]. None of the bytes can be passed on then.
     pub fn push(&mut self, bytes: Bytes) -> Result<Bytes, EventStreamError> {
         let Some(end) = self.scanner.scan(&bytes)? else {
             self.partial.extend_from_slice(&bytes);
@@ -41,9 +48,7 @@
             }
         };
         self.partial.extend_from_slice(&bytes[end..]);
-        if let Some(id) = last_id(&events) {
-            self.last_id = Some(id);
-        }
+        self.passed_on_id = self.scanner.last_id().map(str::to_owned);
         Ok(events)
     }
 
@@ -53,17 +58,10 @@
     }
 
     /// Prepares for another stream that continues this one: drops the incomplete event, which the
-    /// other stream contains in full, and returns the id of the last complete one.
+    /// other stream contains in full, and returns the id of the event that it must go on after.
     pub fn restart(&mut self) -> Option<String> {
         self.partial.clear();
-        self.scanner = EventScanner::default();
-        self.last_id.clone()
+        self.scanner = EventScanner::after(self.passed_on_id.clone());
+        self.passed_on_id.clone()
     }
 }
-
-/// Returns the value of the last `id:` field.
-fn last_id(events: &[u8]) -> Option<String> {
-    let lines = events.split(|byte| matches!(byte, b'\n' | b'\r')).rev();
-    let id = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
-    Some(String::from_utf8_lossy(id).trim().to_owned())
-}
--- a/crates/dogwoodway_http/tests/event_scanner.rs
+++ b/crates/dogwoodway_http/tests/event_scanner.rs
@@ -18,7 +18,7 @@
 fn an_event_ends_with_a_blank_line_whatever_ends_its_lines() {
     for line_end in ["\n", "\r\n", "\r"] {
         let event = format!("id: 1{line_end}data: a{line_end}{line_end}");
-        let (ends, scanner) = event_ends(&format!("{event}{event}"), 1);
+        let (ends, scanner) = event_ends(&format!("{event}{}", event.replace('1', "2")), 1);
         let expected = match line_end {
             // The event has ended with the CR; the LF belongs to the same line end.
             "\r\n" => vec![event.len() - 1, event.len(), 2 * event.len() - 1, 2 * event.len()],
@@ -71,12 +71,128 @@
     assert!(received <= 64 << 10);
 }
 
+#[test]
+fn an_event_whose_id_does_not_increase_is_refused() {
+    let events = |ids: &[&str]| {
+        let events = ids.iter().map(|id| format!("id: {id}\ndata: a\n\n"));
+        events.collect::<String>()
+    };
+    for (last_id, ids, refused) in [
+        (None, &["1", "2", "9"][..], None),
+        (None, &["9", "10"], None),
+        (None, &["b", "a"], None),
+        (None, &["1", "1"], Some(("1", "1"))),
+        (None, &["10", "9"], Some(("10", "9"))),
+        (None, &["a", "a"], Some(("a", "a"))),
+        (Some("3"), &["4"], None),
+        (Some("3"), &["3"], Some(("3", "3"))),
+        (Some("3"), &["1"], Some(("3", "1"))),
+    ] {
+        let mut scanner = EventScanner::after(last_id.map(str::to_owned));
+        let expected = refused.map(|(last, next)| EventStreamError::IdNotIncreasing {
+            last: last.to_owned(),
+            next: next.to_owned(),
+        });
+        assert_eq!(scanner.scan(events(ids).as_bytes()).err(), expected, "{last_id:?} {ids:?}");
+    }
+}
+
+#[test]
+fn a_continued_stream_starts_after_the_last_event_that_was_returned() {
+    let mut splitter = EventSplitter::after(Some("2".to_owned()));
+    assert_eq!(
+        splitter.push("id: 3\ndata: a\n\nid: 4\nda".into()),
+        Ok("id: 3\ndata: a\n\n".into())
+    );
+    assert_eq!(splitter.restart().as_deref(), Some("3"));
+    assert_eq!(splitter.push("id: 4\ndata: b\n\n".into()), Ok("id: 4\ndata: b\n\n".into()));
+    assert!(splitter.push("id: 5\ndata: c\n\nid: 4\ndata: b\n\n".into()).is_err());
+    // Nothing of the refused bytes was returned.
+    assert_eq!(splitter.restart().as_deref(), Some("4"));
+}
+
+/// What a reader of the whole stream finds.
+struct Reference {
+    /// Offset after the last event before the first that is refused.
+    end: usize,
+    last_id: Option<String>,
+    is_refused: bool,
+}
+
+/// Reads a stream at once, line by line.
+fn read_at_once(stream: &str) -> Reference {
+    let mut reference = Reference { end: 0, last_id: None, is_refused: false };
+    let (mut id, mut start) = (None, 0);
+    while let Some(length) = stream[start..].find(['\r', '\n']) {
+        let (line, rest) = stream[start..].split_at(length);
+        let end_length = if rest.starts_with("\r\n") { 2 } else { 1 };
+        start += length + end_length;
+        if let Some(value) = line.strip_prefix("id:") {
+            id = Some(value.trim().to_owned());
+        }
+        if !line.is_empty() {
+            continue;
+        }
+        if let Some(next) = id.take() {
+            let numbers = reference.last_id.as_ref().map(|last| (last.parse(), next.parse()));
+            let is_refused = match numbers {
+                Some((Ok::<u64, _>(last), Ok::<u64, _>(next))) => next <= last,
+                Some(_) => reference.last_id.as_ref() == Some(&next),
+                None => false,
+            };
+            if is_refused {
+                reference.is_refused = true;
+                return reference;
+            }
+            reference.last_id = Some(next);
+        }
+        reference.end = start;
+    }
+    reference
+}
+
 proptest! {
+    #[test]
+    fn a_stream_in_pieces_has_the_events_of_the_whole_stream(
+        stream in "(id: ?[0-9a]{0,2}(\n|\r|\r\n)|data: [a-z]{0,3}(\n|\r|\r\n)|:x\n|i|(\n|\r|\r\n)){0,24}",
+        cuts in prop::collection::vec(1_usize..9, 1..40),
+    ) {
+        let reference = read_at_once(&stream);
+        let mut splitter = EventSplitter::default();
+        let (mut out, mut rest, mut is_refused) = (Vec::new(), stream.as_bytes(), false);
+        for cut in cuts.iter().cycle() {
+            if rest.is_empty() {
+                break;
+            }
+            let (piece, tail) = rest.split_at((*cut).min(rest.len()));
+            match splitter.push(piece.to_vec().into()) {
+                Ok(events) => out.extend_from_slice(&events),
+                Err(_) => {
+                    is_refused = true;
+                    break;
+                }
+            }
+            rest = tail;
+        }
+        prop_assert_eq!(is_refused, reference.is_refused);
+        match is_refused {
+            // Events that arrived in one piece with the refused one are not returned.
+            true => prop_assert!(stream.as_bytes()[..reference.end].starts_with(&out)),
+            false => prop_assert_eq!(&out, &stream.as_bytes()[..reference.end]),
+        }
+        if out.len() == reference.end {
+            prop_assert_eq!(splitter.restart(), reference.last_id);
+        }
+    }
+
     #[test]
     fn the_pieces_of_a_stream_do_not_change_its_events(
-        stream in "(id: [0-9]{1,3}(\n|\r\n)data: [a-z]{0,9}(\n|\r\n){2}){0,6}(data: [a-z]{1,9})?",
+        events in prop::collection::vec("data: [a-z]{0,9}(\n|\r\n){2}", 0..6),
+        tail in "(data: [a-z]{1,9})?",
         cuts in prop::collection::vec(1_usize..12, 1..40),
     ) {
+        let events = events.iter().enumerate();
+        let stream = events.map(|(n, event)| format!("id: {n}\n{event}")).collect::<String>() + &tail;
         let mut splitter = EventSplitter::default();
         let mut out = Vec::new();
         let mut rest = stream.as_bytes();
