Do not resume a stream after an event that has no id

What callers saw: events that came twice in streams that looked complete.

Cause: a stream was resumed after the last id that any of its events had, whatever followed that event. Without any id it began anew.

The position after the events that were passed on is now one of three: the start, after an id, or unknown. At an unknown position a stream is broken off, as no server can be told where to go on. Comments and retry times are no events; an empty id, or one with a NUL, is none.

--- a/crates/dogwoodway_gateway/src/response_body.rs
+++ b/crates/dogwoodway_gateway/src/response_body.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use bytes::Bytes;
-use dogwoodway_http::{BodyFraming, EventScanner, EventSplitter, EventStreamError};
+use dogwoodway_http::{BodyFraming, EventScanner, EventSplitter, EventStreamError, StreamPosition};
 use dogwoodway_routing::direct::table::RouteKind;
 use http_body_util::BodyExt;
 use hyper::{
@@ -138,9 +138,9 @@
         Some(self.content.push(bytes).map_err(BodyError::Incomplete))
     }
 
-    /// Prepares for the body of another server that continues the stream, and returns the id of the
-    /// last event that was passed on. `None` if the stream cannot be continued.
-    pub(crate) fn prepare_resumption(&mut self) -> Option<Option<String>> {
+    /// Prepares for the body of another server that continues the stream, and returns where it must
+    /// go on. `None` if the stream is of a kind that cannot be continued.
+    pub(crate) fn prepare_resumption(&mut self) -> Option<StreamPosition> {
         match &mut self.content {
             BodyContent::ResumableEvents(splitter) => Some(splitter.restart()),
             BodyContent::Events(_) | BodyContent::Opaque => None,
--- a/crates/dogwoodway_gateway/src/stream.rs
+++ b/crates/dogwoodway_gateway/src/stream.rs
@@ -7,7 +7,7 @@
 use std::{mem, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use dogwoodway_http::{Body, BodyAborted};
+use dogwoodway_http::{Body, BodyAborted, StreamPosition};
 use dogwoodway_routing::direct::{
     fleet::{BackendKey, Placement, RequestKey, ServerTag},
     health::HealthSignal,
@@ -299,9 +299,25 @@
         }
     }
 
+    /// Prepares the body for a resumption, and returns the id of the event to go on after: none if the
+    /// request itself says where to begin. `None` if the stream cannot be continued.
+    fn prepare_resumption(&mut self, why: &str) -> Option<Option<String>> {
+        match self.body.prepare_resumption()? {
+            StreamPosition::Start => Some(None),
+            StreamPosition::After(id) => Some(Some(id)),
+            StreamPosition::Unknown => {
+                log::info!(
+                    request = self.request.head.id, why = why;
+                    "stream cannot be continued: its last event has no id"
+                );
+                None
+            }
+        }
+    }
+
     /// Resumes a broken stream on another server; returns whether that succeeded.
     async fn resume(&mut self, why: &str) -> bool {
-        let Some(resume_after) = self.body.prepare_resumption() else { return false };
+        let Some(resume_after) = self.prepare_resumption(why) else { return false };
         let version = self.guard.as_ref().and_then(|guard| guard.version);
         // A stream begins with its first event; until then, any software may begin it.
         let origin = match self.origin {
--- a/crates/dogwoodway_http/src/lib.rs
+++ b/crates/dogwoodway_http/src/lib.rs
@@ -17,5 +17,5 @@
     client::{ClientLimits, HttpClient, HttpError, HttpResponse},
     framing::BodyFraming,
     server::{Handler, ServerLimits, serve, serve_with_dynamic_limits, set_silence_timeout},
-    sse::{EventScanner, EventSplitter, EventStreamError, SseReader, sse_event},
+    sse::{EventScanner, EventSplitter, EventStreamError, SseReader, StreamPosition, sse_event},
 };
--- a/crates/dogwoodway_http/src/sse.rs
+++ b/crates/dogwoodway_http/src/sse.rs
@@ -8,7 +8,7 @@
 
 pub use self::{
     reader::SseReader,
-    scanner::{EventScanner, EventStreamError},
+    scanner::{EventScanner, EventStreamError, StreamPosition},
     splitter::EventSplitter,
 };
 
--- a/crates/dogwoodway_http/src/sse/scanner.rs
+++ b/crates/dogwoodway_http/src/sse/scanner.rs
@@ -1,6 +1,6 @@
 //! Boundaries of server-sent events in a byte stream, and whether its end is that of the stream.
 
-use std::fmt;
+use std::{fmt, mem};
 
 use crate::BodyFraming;
 
@@ -13,6 +13,18 @@
 /// Begins the line with the id of an event.
 const ID_FIELD: &[u8] = b"id:";
 
+/// Where a stream goes on that has broken off.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum StreamPosition {
+    /// No event has ended yet.
+    #[default]
+    Start,
+    /// After the event with this id.
+    After(String),
+    /// After an event without an id. No server can be told where to go on.
+    Unknown,
+}
+
 /// Why the bytes of a response are not a complete stream of events.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum EventStreamError {
@@ -85,10 +97,13 @@
     has_events: bool,
     /// Start of the current line; the whole line if it holds an id.
     line: Vec<u8>,
-    /// Id of the incomplete event.
+    /// Id of the incomplete event. An empty one ends the validity of earlier ids.
     id: Option<String>,
+    /// Whether the incomplete event has fields other than `id` and `retry`.
+    has_content: bool,
     /// Id of the last event that has one, in this stream or the one that it continues.
     last_id: Option<String>,
+    position: StreamPosition,
 }
 
 impl EventScanner {
@@ -174,9 +189,25 @@
         }
     }
 
-    /// Returns the id of the last event that has one.
-    pub fn last_id(&self) -> Option<&str> {
-        self.last_id.as_deref()
+    /// Creates a scanner of a stream that continues the one that this scanner has read.
+    ///
+    /// ```
+    /// use dogwoodway_http::{EventScanner, StreamPosition};
+    ///
+    /// let mut scanner = EventScanner::default();
+    /// assert!(scanner.scan(b"id: 1\ndata: a\n\nid: 2\ndata").is_ok());
+    /// let mut scanner = scanner.restarted();
+    /// assert_eq!(scanner.position(), &StreamPosition::After("1".to_owned()));
+    /// assert!(scanner.scan(b"id: 1\ndata: a\n\n").is_err());
+    /// ```
+    pub fn restarted(&self) -> EventScanner {
+        let (last_id, position) = (self.last_id.clone(), self.position.clone());
+        EventScanner { last_id, position, ..EventScanner::default() }
+    }
+
+    /// Returns the position after the last event that has ended. Comments are no events.
+    pub fn position(&self) -> &StreamPosition {
+        &self.position
     }
 
     /// Returns the number of bytes read since the end of the last event.
@@ -185,17 +216,30 @@
     }
 
     fn end_line(&mut self) {
-        if let Some(id) = self.line.strip_prefix(ID_FIELD) {
-            self.id = Some(String::from_utf8_lossy(id).trim().to_owned());
+        let line = mem::take(&mut self.line);
+        let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
+        match line.strip_prefix(ID_FIELD) {
+            // The specification ignores such ids.
+            Some(id) if id.contains(&0) => {}
+            Some(id) => self.id = Some(String::from_utf8_lossy(id).trim().to_owned()),
+            None if name == b"id" => self.id = Some(String::new()),
+            None => self.has_content |= !matches!(name, b"" | b"retry"),
         }
-        self.line.clear();
     }
 
     fn end_event(&mut self) -> Result<(), EventStreamError> {
-        let Some(next) = self.id.take() else { return Ok(()) };
+        let id = self.id.take().filter(|id| !id.is_empty());
+        let has_content = mem::take(&mut self.has_content);
+        let Some(next) = id else {
+            if has_content {
+                self.position = StreamPosition::Unknown;
+            }
+            return Ok(());
+        };
         if let Some(last) = self.last_id.as_ref().filter(|last| !follows(&next, last)) {
             return Err(EventStreamError::IdNotIncreasing { last: last.clone(), next });
         }
+        self.position = StreamPosition::After(next.clone());
         self.last_id = Some(next);
         Ok(())
     }
--- a/crates/dogwoodway_http/src/sse/splitter.rs
+++ b/crates/dogwoodway_http/src/sse/splitter.rs
@@ -2,32 +2,32 @@
 
 use bytes::{Bytes, BytesMut};
 
-use crate::{EventScanner, EventStreamError};
+use crate::{EventScanner, EventStreamError, StreamPosition};
 
-/// Splits a byte stream into complete server-sent events and remembers the id of the last one, so
-/// that another server can continue the stream after it.
+/// Splits a byte stream into complete server-sent events and remembers the position after the last
+/// one, so that another server can continue the stream there.
 ///
 /// ```
-/// use dogwoodway_http::EventSplitter;
+/// use dogwoodway_http::{EventSplitter, StreamPosition};
 ///
 /// let mut splitter = EventSplitter::default();
 /// let events = splitter.push("id: 1\ndata: a\n\nid: 2\nda".into());
 /// assert_eq!(events, Ok("id: 1\ndata: a\n\n".into()));
-/// assert_eq!(splitter.restart().as_deref(), Some("1"));
+/// assert_eq!(splitter.restart(), StreamPosition::After("1".to_owned()));
 /// ```
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     partial: BytesMut,
     scanner: EventScanner,
-    /// Id of the last event that was returned and has one, or that the stream goes on after.
-    passed_on_id: Option<String>,
+    /// Scanner of a stream that continues this one after the events that were returned.
+    continuation: EventScanner,
 }
 
 impl EventSplitter {
     /// Creates a splitter of a stream that goes on after the event `last_id`, or of one that begins.
     pub fn after(last_id: Option<String>) -> EventSplitter {
-        let scanner = EventScanner::after(last_id.clone());
-        EventSplitter { partial: BytesMut::new(), scanner, passed_on_id: last_id }
+        let scanner = EventScanner::after(last_id);
+        EventSplitter { partial: BytesMut::new(), continuation: scanner.clone(), scanner }
     }
 
     /// Adds received bytes and returns all events that are now complete.
@@ -48,7 +48,7 @@
             }
         };
         self.partial.extend_from_slice(&bytes[end..]);
-        self.passed_on_id = self.scanner.last_id().map(str::to_owned);
+        self.continuation = self.scanner.restarted();
         Ok(events)
     }
 
@@ -58,10 +58,10 @@
     }
 
     /// Prepares for another stream that continues this one: drops the incomplete event, which the
-    /// other stream contains in full, and returns the id of the event that it must go on after.
-    pub fn restart(&mut self) -> Option<String> {
+    /// other stream contains in full, and returns the position after the last event that was returned.
+    pub fn restart(&mut self) -> StreamPosition {
         self.partial.clear();
-        self.scanner = EventScanner::after(self.passed_on_id.clone());
-        self.passed_on_id.clone()
+        self.scanner = self.continuation.clone();
+        self.scanner.position().clone()
     }
 }
--- a/crates/dogwoodway_http/tests/event_scanner.rs
+++ b/crates/dogwoodway_http/tests/event_scanner.rs
@@ -1,6 +1,6 @@
 //! Boundaries of events, in streams that arrive in pieces of any size.
 
-use dogwoodway_http::{BodyFraming, EventScanner, EventSplitter, EventStreamError};
+use dogwoodway_http::{BodyFraming, EventScanner, EventSplitter, EventStreamError, StreamPosition};
 use proptest::prelude::*;
 
 /// Reads a stream in pieces of the given size and returns the offsets after each event.
@@ -97,6 +97,29 @@
     }
 }
 
+#[test]
+fn the_position_after_an_event_without_an_id_is_unknown() {
+    let after = |id: &str| StreamPosition::After(id.to_owned());
+    for (stream, expected) in [
+        ("", StreamPosition::Start),
+        (": comment\n\nretry: 10\n\n", StreamPosition::Start),
+        ("data: a\n\n", StreamPosition::Unknown),
+        ("id: 1\ndata: a\n\n", after("1")),
+        ("id: 1\nid: 2\ndata: a\n\n", after("2")),
+        ("id: 1\ndata: a\n\n: comment\n\n", after("1")),
+        ("id: 1\ndata: a\n\nid: 2\ndata", after("1")),
+        ("id: 1\ndata: a\n\ndata: b\n\n", StreamPosition::Unknown),
+        ("id: 1\ndata: a\n\nid\ndata: b\n\n", StreamPosition::Unknown),
+        ("id: 1\ndata: a\n\nid:\ndata: b\n\n", StreamPosition::Unknown),
+        ("id: 1\ndata: a\n\nid: \0\ndata: b\n\n", StreamPosition::Unknown),
+        ("data: a\n\nid: 1\ndata: b\n\n", after("1")),
+    ] {
+        let mut scanner = EventScanner::default();
+        scanner.scan(stream.as_bytes()).expect("the ids increase");
+        assert_eq!(scanner.position(), &expected, "{stream:?}");
+    }
+}
+
 #[test]
 fn a_continued_stream_starts_after_the_last_event_that_was_returned() {
     let mut splitter = EventSplitter::after(Some("2".to_owned()));
@@ -104,11 +127,11 @@
         splitter.push("id: 3\ndata: a\n\nid: 4\nda".into()),
         Ok("id: 3\ndata: a\n\n".into())
     );
-    assert_eq!(splitter.restart().as_deref(), Some("3"));
+    assert_eq!(splitter.restart(), StreamPosition::After("3".to_owned()));
     assert_eq!(splitter.push("id: 4\ndata: b\n\n".into()), Ok("id: 4\ndata: b\n\n".into()));
     assert!(splitter.push("id: 5\ndata: c\n\nid: 4\ndata: b\n\n".into()).is_err());
     // Nothing of the refused bytes was returned.
-    assert_eq!(splitter.restart().as_deref(), Some("4"));
+    assert_eq!(splitter.restart(), StreamPosition::After("4".to_owned()));
 }
 
 /// What a reader of the whole stream finds.
@@ -116,24 +139,31 @@
     /// Offset after the last event before the first that is refused.
     end: usize,
     last_id: Option<String>,
+    position: StreamPosition,
     is_refused: bool,
 }
 
 /// Reads a stream at once, line by line.
 fn read_at_once(stream: &str) -> Reference {
-    let mut reference = Reference { end: 0, last_id: None, is_refused: false };
-    let (mut id, mut start) = (None, 0);
+    let position = StreamPosition::Start;
+    let mut reference = Reference { end: 0, last_id: None, position, is_refused: false };
+    let (mut id, mut has_content, mut start) = (String::new(), false, 0);
     while let Some(length) = stream[start..].find(['\r', '\n']) {
         let (line, rest) = stream[start..].split_at(length);
         let end_length = if rest.starts_with("\r\n") { 2 } else { 1 };
         start += length + end_length;
         if let Some(value) = line.strip_prefix("id:") {
-            id = Some(value.trim().to_owned());
+            id = value.trim().to_owned();
         }
+        has_content |= line.starts_with("data") || line.starts_with('i') && !line.starts_with("id");
         if !line.is_empty() {
             continue;
         }
-        if let Some(next) = id.take() {
+        let (next, has_content) = (std::mem::take(&mut id), std::mem::take(&mut has_content));
+        if next.is_empty() && has_content {
+            reference.position = StreamPosition::Unknown;
+        }
+        if !next.is_empty() {
             let numbers = reference.last_id.as_ref().map(|last| (last.parse(), next.parse()));
             let is_refused = match numbers {
                 Some((Ok::<u64, _>(last), Ok::<u64, _>(next))) => next <= last,
@@ -144,6 +174,7 @@
                 reference.is_refused = true;
                 return reference;
             }
+            reference.position = StreamPosition::After(next.clone());
             reference.last_id = Some(next);
         }
         reference.end = start;
@@ -181,7 +212,7 @@
             false => prop_assert_eq!(&out, &stream.as_bytes()[..reference.end]),
         }
         if out.len() == reference.end {
-            prop_assert_eq!(splitter.restart(), reference.last_id);
+            prop_assert_eq!(splitter.restart(), reference.position);
         }
     }
 
