Take the head of a second response for no event

What callers saw: the head of another response, and after it its events, at the end of a stream that looked complete.

Cause: a response without length or chunks goes on until its connection ends, so that a second response on the same connection is part of its body. Fields that an event stream does not know were passed on as they came.

A status line where an event should begin is now handled like a lost connection. The first response may have been cut short before it, so it is not taken for complete.

--- a/crates/dogwoodway_http/src/sse/scanner.rs
+++ b/crates/dogwoodway_http/src/sse/scanner.rs
@@ -10,6 +10,9 @@
 /// Bytes that are kept of a line that is no id, enough to recognise its field.
 const LINE_PREFIX_BYTES: usize = 8;
 
+/// Begins the head of an HTTP/1 response.
+const STATUS_LINE_PREFIX: &[u8] = b"HTTP/1.";
+
 /// Begins the line with the id of an event.
 const ID_FIELD: &[u8] = b"id:";
 
@@ -34,6 +37,8 @@
     EndedBeforeFirstEvent,
     /// An event is larger than 64 KiB.
     EventTooLarge,
+    /// The head of a response came where an event should begin.
+    SecondResponse,
     /// The id of an event does not follow the last one, so that the event is not the next one of the
     /// stream.
     IdNotIncreasing {
@@ -56,6 +61,9 @@
             EventStreamError::EventTooLarge => {
                 write!(f, "an event is larger than {MAX_EVENT_BYTES} bytes")
             }
+            EventStreamError::SecondResponse => {
+                write!(f, "the head of another response came after the last event")
+            }
             EventStreamError::IdNotIncreasing { last, next } => {
                 write!(f, "the event {next:?} came after the event {last:?}")
             }
@@ -124,7 +132,8 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`EventStreamError::EventTooLarge`] if an event is larger than 64 KiB, and with
+    /// Fails with [`EventStreamError::EventTooLarge`] if an event is larger than 64 KiB, with
+    /// [`EventStreamError::SecondResponse`] if the head of a response begins like an event, and with
     /// [`EventStreamError::IdNotIncreasing`] if the id of an event does not follow the last one.
     pub fn scan(&mut self, bytes: &[u8]) -> Result<Option<usize>, EventStreamError> {
         let mut end = None;
@@ -151,6 +160,11 @@
                     }
                     self.is_in_line = true;
                     self.incomplete_bytes += 1;
+                    if self.incomplete_bytes == STATUS_LINE_PREFIX.len()
+                        && self.line == STATUS_LINE_PREFIX
+                    {
+                        return Err(EventStreamError::SecondResponse);
+                    }
                 }
             }
             if self.incomplete_bytes > MAX_EVENT_BYTES {
--- a/crates/dogwoodway_http/tests/event_scanner.rs
+++ b/crates/dogwoodway_http/tests/event_scanner.rs
@@ -97,6 +97,20 @@
     }
 }
 
+#[test]
+fn the_head_of_a_second_response_is_no_event() {
+    let events = "id: 1\ndata: HTTP/1.1 200 OK\nHTTP/1.1 200\n\n";
+    for piece_bytes in [1, 5, 64] {
+        let stream = format!("{events}HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n");
+        let mut scanner = EventScanner::default();
+        let mut pieces = stream.as_bytes().chunks(piece_bytes).map(|piece| scanner.scan(piece));
+        let error = pieces.find_map(Result::err);
+        assert_eq!(error, Some(EventStreamError::SecondResponse));
+        let (ends, _) = event_ends(events, piece_bytes);
+        assert_eq!(ends.last(), Some(&events.len()));
+    }
+}
+
 #[test]
 fn the_position_after_an_event_without_an_id_is_unknown() {
     let after = |id: &str| StreamPosition::After(id.to_owned());
