Do not state the length of a run as that of a resumable stream

What callers saw: a resumed stream that was cut inside an event and looked complete, or that never looked complete though all of its events came.

Cause: a server may state the length of its stream. The client got that length in the head of the response, and it went on to hold for the events of the run that continued the stream elsewhere. A longer run was cut, a shorter one counted as broken off.

Evidence: length_of_the_first_run_does_not_cut_the_resumed_stream failed before:

lookup-longer, 2 runs: events [1, 2, 3, 4, 5], complete: true

A stream that may be resumed now reaches clients in chunks.

--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -125,6 +125,12 @@
         Some(RequestFingerprint::new(&team, &parts))
     }
 
+    /// Returns the id of the last event that the client has of a stream that it takes up.
+    pub(crate) fn last_event_id(&self) -> Option<String> {
+        let after = self.head.resumption.as_ref()?.after.clone();
+        after.filter(|id| !id.is_empty())
+    }
+
     /// Builds the placement request, which allows any version of the weights.
     ///
     /// A client's response names its weights itself, so that a stream that the client takes up may go
--- a/crates/dogwoodway_gateway/src/relay/deliver.rs
+++ b/crates/dogwoodway_gateway/src/relay/deliver.rs
@@ -9,7 +9,7 @@
     retry::{AttemptOutcome, NextStep, next_step},
 };
 use dogwoodway_types::Timestamp;
-use hyper::{Response, StatusCode, Version};
+use hyper::{Response, StatusCode, Version, header};
 
 use crate::{
     clock, metric,
@@ -59,13 +59,15 @@
         *resp.headers_mut() = self.protocol.client_headers(&upstream.head.headers);
         metrics::histogram!(metric::FIRST_BYTE_SECONDS)
             .record((clock::now() - request.arrived_at).as_secs_f64());
-        let resumption = request.head.resumption.as_ref();
-        let last_id = resumption.and_then(|resumption| resumption.after.clone());
-        let last_id = last_id.filter(|id| !id.is_empty());
-        let content = BodyContent::of_response(request.kind, status, last_id);
+        let content = BodyContent::of_response(request.kind, status, request.last_event_id());
         let mut body = ResponseBody::new(upstream.body, framing, content);
         let is_long = body.length().is_some_and(|bytes| bytes > MAX_BUFFERED_RESPONSE_BYTES as u64);
-        let can_break_off = can_break_off(&request, framing);
+        // The run that continues a stream may differ in length from the rest of the first one.
+        let states_length = framing == BodyFraming::Length && !body.can_be_resumed();
+        if !states_length {
+            resp.headers_mut().remove(header::CONTENT_LENGTH);
+        }
+        let can_break_off = can_break_off(&request, states_length);
         let buffered = match can_break_off && (body.is_events() || is_long) {
             true => Buffered::Prefix(Bytes::new()),
             false => buffer_body(&mut body, &request).await,
@@ -141,8 +143,8 @@
 
 /// Returns whether the client of a response notices that its body broke off. Clients of HTTP/1.0
 /// take the end of the connection for the end of a body without a length.
-fn can_break_off(request: &ClientRequest, framing: BodyFraming) -> bool {
-    framing == BodyFraming::Length || request.http_head.version >= Version::HTTP_11
+fn can_break_off(request: &ClientRequest, states_length: bool) -> bool {
+    states_length || request.http_head.version >= Version::HTTP_11
 }
 
 /// Returns whether at least as much time is left until the deadline as was already spent, so that
