--- a/crates/dogwoodway_gateway/src/response_body.rs
+++ b/crates/dogwoodway_gateway/src/response_body.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use bytes::Bytes;
-use dogwoodway_http::{BodyFraming, EventScanner, EventSplitter, EventStreamError};
+use dogwoodway_http::{BodyFraming, EventScanner, EventSplitter, EventStreamError, StreamPosition};
 use dogwoodway_routing::direct::table::RouteKind;
 use http_body_util::BodyExt;
 use hyper::{
@@ -23,11 +23,18 @@
 }
 
 impl BodyContent {
-    /// Returns the content of a response with `status` to a request of a route of this kind.
-    pub(crate) fn of_response(kind: RouteKind, status: StatusCode) -> BodyContent {
+    /// Returns the content of a response with `status` to a request of a route of this kind. The
+    /// client that takes up a stream has its events up to `last_id`.
+    pub(crate) fn of_response(
+        kind: RouteKind,
+        status: StatusCode,
+        last_id: Option<String>,
+    ) -> BodyContent {
         match kind {
             _ if !status.is_success() => BodyContent::Opaque,
-            RouteKind::ResumableStream => BodyContent::ResumableEvents(EventSplitter::default()),
+            RouteKind::ResumableStream => {
+                BodyContent::ResumableEvents(EventSplitter::after(last_id))
+            }
             RouteKind::Stream => BodyContent::Events(EventScanner::default()),
             RouteKind::Idempotent | RouteKind::AtMostOnce => BodyContent::Opaque,
         }
@@ -131,9 +138,9 @@
         Some(self.content.push(bytes).map_err(BodyError::Incomplete))
     }
 
-    /// Prepares for the body of another server that continues the stream, and returns the id of the
-    /// last event that was passed on. `None` if the stream cannot be continued.
-    pub(crate) fn prepare_resumption(&mut self) -> Option<Option<String>> {
+    /// Prepares for the body of another server that continues the stream, and returns where it must
+    /// go on. `None` if the stream is of a kind that cannot be continued.
+    pub(crate) fn prepare_resumption(&mut self) -> Option<StreamPosition> {
         match &mut self.content {
             BodyContent::ResumableEvents(splitter) => Some(splitter.restart()),
             BodyContent::Events(_) | BodyContent::Opaque => None,
--- a/crates/dogwoodway_http/src/sse/splitter.rs
+++ b/crates/dogwoodway_http/src/sse/splitter.rs
@@ -2,32 +2,39 @@
 
 use bytes::{Bytes, BytesMut};
 
-use crate::{EventScanner, EventStreamError};
+use crate::{EventScanner, EventStreamError, StreamPosition};
 
-/// Splits a byte stream into complete server-sent events and remembers the id of the last one, so
-/// that another server can continue the stream after it.
+/// Splits a byte stream into complete server-sent events and remembers the position after the last
+/// one, so that another server can continue the stream there.
 ///
 /// ```
-/// use dogwoodway_http::EventSplitter;
+/// use dogwoodway_http::{EventSplitter, StreamPosition};
 ///
 /// let mut splitter = EventSplitter::default();
 /// let events = splitter.push("id: 1\ndata: a\n\nid: 2\nda".into());
 /// assert_eq!(events, Ok("id: 1\ndata: a\n\n".into()));
-/// assert_eq!(splitter.restart().as_deref(), Some("1"));
+/// assert_eq!(splitter.restart(), StreamPosition::After("1".to_owned()));
 /// ```
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     partial: BytesMut,
     scanner: EventScanner,
-    last_id: Option<String>,
+    /// Scanner of a stream that continues this one after the events that were returned.
+    continuation: EventScanner,
 }
 
 impl EventSplitter {
+    /// Creates a splitter of a stream that goes on after the event `last_id`, or of one that begins.
+    pub fn after(last_id: Option<String>) -> EventSplitter {
+        let scanner = EventScanner::after(last_id);
+        EventSplitter { partial: BytesMut::new(), continuation: scanner.clone(), scanner }
+    }
+
     /// Adds received bytes and returns all events that are now complete.
     ///
     /// # Errors
     ///
-    /// Fails with [`EventStreamError::EventTooLarge`] if an event is larger than 64 KiB.
+    /// Fails in the same cases as [`EventScanner::scan`]. None of the bytes can be passed on then.
     pub fn push(&mut self, bytes: Bytes) -> Result<Bytes, EventStreamError> {
         let Some(end) = self.scanner.scan(&bytes)? else {
             self.partial.extend_from_slice(&bytes);
@@ -41,9 +48,7 @@
             }
         };
         self.partial.extend_from_slice(&bytes[end..]);
-        if let Some(id) = last_id(&events) {
-            self.last_id = Some(id);
-        }
+        self.continuation = self.scanner.restarted();
         Ok(events)
     }
 
@@ -53,17 +58,10 @@
     }
 
     /// Prepares for another stream that continues this one: drops the incomplete event, which the
-    /// other stream contains in full, and returns the id of the last complete one.
-    pub fn restart(&mut self) -> Option<String> {
+    /// other stream contains in full, and returns the position after the last event that was returned.
+    pub fn restart(&mut self) -> StreamPosition {
         self.partial.clear();
-        self.scanner = EventScanner::default();
-        self.last_id.clone()
+        self.scanner = self.continuation.clone();
+        self.scanner.position().clone()
     }
 }
-
-/// Returns the value of the last `id:` field.
-fn last_id(events: &[u8]) -> Option<String> {
-    let lines = events.split(|byte| matches!(byte, b'\n' | b'\r')).rev();
-    let id = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
-    Some(String::from_utf8_lossy(id).trim().to_owned())
-}
