Count a sole software only if the list of servers is newer than the stream

Callers saw streams go on at another software version than they began at: a stream of unknown origin was placed at the only software that the router listed, though the list may be older than the stream. Normal operation was enough (two watchers read the list 0.6 s apart); a router that stood still or was cut off from the store did it for seconds. Class: knowledge without the time at which it was true.

A sole software decides only if the router's list was current at some moment after the client came: the stream began before that, and a server is listed before any router sends it a request. The router reads the changes of the list at once, one read for all requests that wait, and it counts from when it was sent. Where the origin is known there is no read; reads are 20 ms or 1 ms a router apart, so that 380 routers cause at most 1,000 a second. While the store is lost the origin is unknown, and refused as before.

The same holds for the ages of feeds: a read counts from when it was sent, an empty long poll from the end of its wait. What other routers report of a sole software counts only if it reaches up to where this router's own knowledge begins.

The log line of a stream taken up and two histograms name the source, the age of the list and the time that it took.

--- a/crates/dogwoodway_gateway/src/directory.rs
+++ b/crates/dogwoodway_gateway/src/directory.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use dogwoodway_routing::direct::{fleet::ServerListing, table::RoutingTable};
+use dogwoodway_routing::direct::{feed::current_at, fleet::ServerListing, table::RoutingTable};
 use dogwoodway_types::{BackendServerName, LogPosition, Timestamp};
 use kameo::actor::ActorRef;
 use tokio::sync::watch;
@@ -19,7 +19,10 @@
     checked_store::CheckedStore,
     clock,
     feeds::{Feeds, SharedFeeds, wait_until_due},
-    fleet_actor::{ApplyDirectoryChanges, FleetActor, GetServerNames, MarkServersMissing},
+    fleet_actor::{
+        ApplyDirectoryChanges, FleetActor, GetServerNames, InterruptSoftwareHistories,
+        MarkServersMissing,
+    },
     metric,
     platform_api::{DirectoryChange, DirectoryPage, DirectoryPart, StoreError},
 };
@@ -122,6 +125,12 @@
     feeds: watch::Receiver<Feeds>,
     fleet: ActorRef<FleetActor>,
     part: DirectoryPart,
+    /// Latest time from which on a request needs the list of servers.
+    needed_at: watch::Receiver<Timestamp>,
+    /// When a request may next cause a read.
+    next_needed_read_at: Timestamp,
+    /// When the last read that was answered was sent.
+    read_sent_at: Timestamp,
     /// Position of the next poll; absent if a snapshot must be read first.
     next: Option<LogPosition>,
     /// Consecutive failed reads.
@@ -139,13 +148,16 @@
         fleet: ActorRef<FleetActor>,
         part: DirectoryPart,
     ) -> Follower {
-        let feeds = shared_feeds.subscribe();
+        let (feeds, needed_at) = (shared_feeds.subscribe(), shared_feeds.subscribe_needed());
         Follower {
             store,
             shared_feeds,
             feeds,
             fleet,
             part,
+            needed_at,
+            next_needed_read_at: Timestamp::default(),
+            read_sent_at: Timestamp::default(),
             next: None,
             failures: 0,
             grace_until: Timestamp::default(),
@@ -156,17 +168,14 @@
     async fn run(mut self, sink: Sink) {
         loop {
             match self.read().await {
-                Ok((page, is_snapshot)) => {
+                Ok(Read { page, is_snapshot, sent_at, current_at }) => {
                     self.record_success();
                     self.next = Some(page.next);
                     let revision = self.current_revision(&page, is_snapshot);
                     self.publish(page, is_snapshot, &sink).await;
-                    self.shared_feeds.mark_read(self.part, revision);
-                    if self.part == DirectoryPart::Servers {
-                        tokio::time::sleep(Duration::from_millis(SERVERS_PAUSE_MS)).await;
-                    }
-                    let part = self.part;
-                    wait_until_due(&mut self.feeds, |feeds| feeds.of(part)).await;
+                    self.read_sent_at = sent_at;
+                    self.shared_feeds.mark_read(self.part, revision, sent_at, current_at);
+                    self.pause().await;
                 }
                 Err(StoreError::Expired(first)) => {
                     log::info!(part:? = self.part, from:? = self.next, first = first.0;
@@ -193,15 +202,56 @@
         }
     }
 
-    /// Polls for changes, or reads a snapshot; the flag tells which it was.
-    async fn read(&self) -> Result<(DirectoryPage, bool), StoreError> {
+    /// Polls for changes, or reads a snapshot. A request that needs the list of servers ends a poll
+    /// early, since its answer counts only from when it was sent.
+    async fn read(&mut self) -> Result<Read, StoreError> {
+        let sent_at = clock::now();
+        let Some(next) = self.next else {
+            let page = self.store.snapshot(self.part).await?;
+            return Ok(Read { page, is_snapshot: true, sent_at, current_at: sent_at });
+        };
         let wait_ms = match self.part {
             DirectoryPart::Operator => OPERATOR_POLL_MS,
             DirectoryPart::Servers => SERVERS_POLL_MS,
         };
-        match self.next {
-            Some(next) => Ok((self.store.changes(self.part, next, wait_ms).await?, false)),
-            None => Ok((self.store.snapshot(self.part).await?, true)),
+        let (store, part) = (self.store.clone(), self.part);
+        tokio::select! {
+            biased;
+            () = self.wait_until_needed() => {}
+            page = poll(&store, part, next, wait_ms) => return page,
+        }
+        let interval = self.shared_feeds.needed_read_interval();
+        self.next_needed_read_at = clock::now() + interval;
+        metrics::counter!(metric::NEEDED_READS).increment(1);
+        poll(&self.store, self.part, next, 0).await
+    }
+
+    /// Waits until the next read is due, or a request needs it.
+    async fn pause(&mut self) {
+        let (mut feeds, part) = (self.feeds.clone(), self.part);
+        let is_due = async {
+            if part == DirectoryPart::Servers {
+                tokio::time::sleep(Duration::from_millis(SERVERS_PAUSE_MS)).await;
+            }
+            wait_until_due(&mut feeds, |feeds| feeds.of(part)).await;
+        };
+        tokio::select! {
+            () = is_due => {}
+            () = self.wait_until_needed() => {}
+        }
+    }
+
+    /// Waits until a request needs a newer list of servers than was read last.
+    async fn wait_until_needed(&mut self) {
+        if self.part != DirectoryPart::Servers {
+            return std::future::pending().await;
+        }
+        let read_sent_at = self.read_sent_at;
+        if self.needed_at.wait_for(|needed_at| *needed_at > read_sent_at).await.is_err() {
+            return std::future::pending().await;
+        }
+        if clock::now() < self.next_needed_read_at {
+            clock::sleep_until(self.next_needed_read_at).await;
         }
     }
 
@@ -259,6 +309,9 @@
             let mut missing = Vec::new();
             if is_snapshot {
                 missing = self.missing_servers(&changes).await;
+                if let Err(e) = self.fleet.tell(InterruptSoftwareHistories).await {
+                    log::error!("could not interrupt the histories of software: {e}");
+                }
             }
             if clock::now() < self.grace_until {
                 let gone =
@@ -312,6 +365,29 @@
     }
 }
 
+/// What one call to the store has read.
+struct Read {
+    page: DirectoryPage,
+    is_snapshot: bool,
+    sent_at: Timestamp,
+    /// When the page is known to have been the newest state.
+    current_at: Timestamp,
+}
+
+/// Reads the changes of a part of the directory; a long poll that waits up to `wait_ms` milliseconds.
+async fn poll(
+    store: &CheckedStore,
+    part: DirectoryPart,
+    from: LogPosition,
+    wait_ms: u64,
+) -> Result<Read, StoreError> {
+    let sent_at = clock::now();
+    let page = store.changes(part, from, wait_ms).await?;
+    let (wait, has_changes) = (Duration::from_millis(wait_ms), page.next != from);
+    let current_at = current_at(sent_at, wait, has_changes, clock::now());
+    Ok(Read { page, is_snapshot: false, sent_at, current_at })
+}
+
 /// Hashes the fields of an entry that decide whether a server gets requests. The weights are left
 /// out: they change often, and routers report them to each other.
 fn entry_hash(listing: &ServerListing) -> u64 {
--- a/crates/dogwoodway_gateway/src/feeds.rs
+++ b/crates/dogwoodway_gateway/src/feeds.rs
@@ -6,7 +6,13 @@
 //! seen a newer state, when the reports of others are too old, or when its own last read is too
 //! old.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
 
 use dogwoodway_routing::direct::feed::{Feed, FeedLimits, FeedReport, RevisionOrder};
 use dogwoodway_types::Timestamp;
@@ -32,6 +38,14 @@
 const EVENTS_LIMITS: FeedLimits =
     FeedLimits { max_report_age_ms: 2_200, max_read_interval_ms: 60_000 };
 
+/// Least time between two reads of the list of servers that requests cause, in milliseconds, so that
+/// requests that come together share one.
+const MIN_NEEDED_READ_INTERVAL_MS: u64 = 20;
+
+/// Part of that time for each router, in milliseconds: all routers together cause at most 1,000 such
+/// reads a second, half of what the store bears.
+const NEEDED_READ_MS_PER_ROUTER: u64 = 1;
+
 /// What a router has last read from the store, as it reports it to other routers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct FeedReports {
@@ -108,10 +122,23 @@
     }
 }
 
+/// This router's own reads of the list of servers.
+#[derive(Clone, Copy, Debug, Default)]
+struct ServerListReads {
+    /// When the last one that was answered was sent, or the start of the process.
+    sent_at: Timestamp,
+    failures: u64,
+}
+
 /// The state of the feeds, shared between tasks.
 #[derive(Clone, Debug)]
 pub(crate) struct SharedFeeds {
     feeds: Arc<watch::Sender<Feeds>>,
+    server_list_reads: Arc<watch::Sender<ServerListReads>>,
+    /// Latest time from which on a request needs the list of servers.
+    server_list_needed_at: Arc<watch::Sender<Timestamp>>,
+    /// Number of routers that share the store.
+    router_count: Arc<AtomicU32>,
     /// Notified when there is a new read to report to other routers.
     changed: Arc<Notify>,
 }
@@ -127,7 +154,13 @@
             events: Feed::new(RevisionOrder::Ascending, EVENTS_LIMITS),
             failed: [false; 2],
         }));
-        SharedFeeds { feeds, changed }
+        SharedFeeds {
+            feeds,
+            server_list_reads: Arc::default(),
+            server_list_needed_at: Arc::default(),
+            router_count: Arc::new(AtomicU32::new(1)),
+            changed,
+        }
     }
 
     /// Returns a receiver that is notified when a feed should be read earlier than scheduled.
@@ -135,13 +168,23 @@
         self.feeds.subscribe()
     }
 
-    /// Records that this router has read a feed up to `revision`.
-    pub(crate) fn mark_read(&self, part: DirectoryPart, revision: u64) {
+    /// Records that this router has read a feed up to `revision`, and has applied it, with a call sent
+    /// at `sent_at`. `current_at` is when the answer is known to have been the newest state.
+    pub(crate) fn mark_read(
+        &self,
+        part: DirectoryPart,
+        revision: u64,
+        sent_at: Timestamp,
+        current_at: Timestamp,
+    ) {
         self.feeds.send_if_modified(|feeds| {
             feeds.failed[part as usize] = false;
-            feeds.of_mut(part).record_read(clock::now(), revision);
+            feeds.of_mut(part).record_read(current_at, revision);
             false
         });
+        if part == DirectoryPart::Servers {
+            self.server_list_reads.send_modify(|reads| reads.sent_at = sent_at);
+        }
         self.changed.notify_one();
     }
 
@@ -151,17 +194,65 @@
             feeds.failed[part as usize] = true;
             false
         });
+        if part == DirectoryPart::Servers {
+            self.server_list_reads.send_modify(|reads| reads.failures += 1);
+        }
     }
 
     /// Records that this router has read the routers' log to its end; `revision` is the offset
-    /// after the last event.
-    pub(crate) fn mark_events_read(&self, revision: u64) {
+    /// after the last event, and `current_at` as for [`SharedFeeds::mark_read`].
+    pub(crate) fn mark_events_read(&self, revision: u64, current_at: Timestamp) {
         self.feeds.send_if_modified(|feeds| {
-            feeds.events.record_read(clock::now(), revision);
+            feeds.events.record_read(current_at, revision);
             false
         });
     }
 
+    /// Waits until this router has itself read the list of servers with a call sent at `needed_at` or
+    /// later, but no longer than until `give_up_at`, and returns when the last such call was sent.
+    ///
+    /// The call is made at once, for all requests that wait together, and not while the store is
+    /// lost: its follower then tries as often as the store bears.
+    pub(crate) async fn read_servers(
+        &self,
+        needed_at: Timestamp,
+        give_up_at: Timestamp,
+    ) -> Timestamp {
+        let mut reads = self.server_list_reads.subscribe();
+        let failures = reads.borrow().failures;
+        let is_lost = self.feeds.borrow().failed[DirectoryPart::Servers as usize];
+        if !is_lost && reads.borrow().sent_at < needed_at {
+            self.server_list_needed_at.send_if_modified(|at| {
+                let is_later = needed_at > *at;
+                *at = needed_at.max(*at);
+                is_later
+            });
+            let is_done = reads.wait_for(|r| r.sent_at >= needed_at || r.failures != failures);
+            match tokio::time::timeout_at(clock::timer_instant(give_up_at), is_done).await {
+                Ok(Ok(_)) => {}
+                Ok(Err(e)) => log::error!("the list of servers is not read any more: {e}"),
+                Err(_) => log::debug!("the store did not answer in time for a stream taken up"),
+            }
+        }
+        self.server_list_reads.borrow().sent_at
+    }
+
+    /// Returns a receiver of the latest time from which on a request needs the list of servers.
+    pub(crate) fn subscribe_needed(&self) -> watch::Receiver<Timestamp> {
+        self.server_list_needed_at.subscribe()
+    }
+
+    /// Sets the number of routers that share the store, this one included.
+    pub(crate) fn set_router_count(&self, count: u32) {
+        self.router_count.store(count.max(1), Ordering::Relaxed);
+    }
+
+    /// Returns the least time between two reads of the list of servers that requests cause.
+    pub(crate) fn needed_read_interval(&self) -> Duration {
+        let routers = u64::from(self.router_count.load(Ordering::Relaxed));
+        Duration::from_millis(MIN_NEEDED_READ_INTERVAL_MS.max(routers * NEEDED_READ_MS_PER_ROUTER))
+    }
+
     /// Sets whether this router is a watcher.
     pub(crate) fn set_watcher(&self, is_watcher: bool) {
         self.feeds.send_if_modified(|feeds| {
--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -40,7 +40,6 @@
 use crate::{
     clock,
     connection::Connection,
-    feeds::SharedFeeds,
     metric,
     platform_api::{DirectoryChange, EngineControl},
     router::RouterSettings,
@@ -58,7 +57,7 @@
         ApplyFingerprintEvent, ApplyPartNotices, ApplyPeerUpdate, ApplyWeightsNotices,
         ClearPeerLoads, CollectRouterUpdate, SetRouters,
     },
-    software::{CheckOrigin, GetServiceSoftware},
+    software::{CheckOrigin, GetServiceSoftware, InterruptSoftwareHistories},
     weights::{EngineTarget, GetRolloutState, UpdateWeightsState, WeightsState},
 };
 use self::{crash_tracker::CrashTracker, limit_reports::LimitReports, part_evidence::PartEvidence};
@@ -80,9 +79,6 @@
 /// routers count requests at slightly different times.
 const RETRY_BUDGET_USE_PERMILLE: u32 = 750;
 
-/// Age of the list of servers, in milliseconds, up to which it shows which software serves.
-const MAX_SERVER_LIST_AGE_MS: u64 = 3_000;
-
 /// Number of routers that are assumed to share the retry budget until the actual number is known.
 const ASSUMED_ROUTERS: u32 = 24;
 
@@ -129,7 +125,6 @@
     part_evidence: PartEvidence,
     limit_reports: LimitReports,
     control: Arc<dyn EngineControl>,
-    feeds: SharedFeeds,
     /// Changes to report to other routers, each until the time given.
     weights_updates: Vec<(WeightsUpdate, Timestamp)>,
     /// Servers that are shutting down, to report to other routers, each until the time given.
@@ -146,7 +141,6 @@
     /// Receives the events that are shared with other routers.
     pub(crate) fingerprint_events: mpsc::Sender<FingerprintEvent>,
     pub(crate) control: Arc<dyn EngineControl>,
-    pub(crate) feeds: SharedFeeds,
     /// Set by the actor once any request has been linked to a crash.
     pub(crate) quarantine_in_use: Arc<AtomicBool>,
     /// Notified when there are new loads to report to other routers.
@@ -172,7 +166,6 @@
             part_evidence: PartEvidence::new(seed, ASSUMED_ROUTERS),
             limit_reports: LimitReports::default(),
             control: channels.control,
-            feeds: channels.feeds,
             weights_updates: Vec::new(),
             leaving_notices: Vec::new(),
             next_version_ages_at: Timestamp::default(),
@@ -356,10 +349,7 @@
     async fn handle(&mut self, _: Tick, cx: &mut Context<Self, Self::Reply>) {
         let now = clock::now();
         self.fleet.expire_peer_loads(now);
-        let list_age = now - self.feeds.servers_verified_at();
-        if list_age <= Duration::from_millis(MAX_SERVER_LIST_AGE_MS) {
-            self.fleet.observe_software(now);
-        }
+        self.fleet.observe_software(now);
         for (name, key) in self.fleet.remove_unlisted(now) {
             self.remove_connections(key);
             log::info!(server:% = name; "backend server gone: not listed again in time");
--- a/crates/dogwoodway_gateway/src/fleet_actor/software.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/software.rs
@@ -28,6 +28,18 @@
     }
 }
 
+/// Begins the history of all services' software anew, because changes of the list of servers were
+/// missed.
+pub(crate) struct InterruptSoftwareHistories;
+
+impl Message<InterruptSoftwareHistories> for FleetActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: InterruptSoftwareHistories, _: &mut Context<Self, Self::Reply>) {
+        self.fleet.interrupt_software_histories();
+    }
+}
+
 /// Checks the origin of a stream against the process that is listed at its server now. The reply is
 /// empty if the stream may have begun at another process.
 pub(crate) struct CheckOrigin(pub(crate) StreamOrigin);
--- a/crates/dogwoodway_gateway/src/gossip.rs
+++ b/crates/dogwoodway_gateway/src/gossip.rs
@@ -463,6 +463,7 @@
         if count != self.router_count {
             metrics::gauge!(metric::ROUTERS).set(f64::from(count));
             log::info!(routers = count; "routers known");
+            self.config.feeds.set_router_count(count);
         }
         (self.router_count, self.routers_alive) = (count, alive.clone());
         if let Err(e) = self.config.fleet.tell(SetRouters { count, own, alive }).await {
--- a/crates/dogwoodway_gateway/src/gossip/origin_messages.rs
+++ b/crates/dogwoodway_gateway/src/gossip/origin_messages.rs
@@ -3,11 +3,12 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use dogwoodway_routing::direct::stream_origin::{
-    HomeAnswer, OriginRecord, TOLD_PER_ZONE, homes, routers_to_ask,
+    HomeAnswer, MAX_REPORTED_LIST_AGE, OriginRecord, TOLD_PER_ZONE, homes, routers_to_ask,
 };
 use dogwoodway_types::Timestamp;
 
 use crate::{
+    clock,
     fleet_actor::GetServiceSoftware,
     gossip::{
         Gossip,
@@ -66,9 +67,12 @@
         if origin.is_some() {
             return HomeAnswer { origin, sole_software: None };
         }
+        // The clock is read again: the question may have waited while the process stood still.
+        let list_age = clock::now() - self.config.feeds.servers_verified_at();
+        let is_current = list_age <= MAX_REPORTED_LIST_AGE;
         let sole_software = match self.config.fleet.ask(GetServiceSoftware(question.service)).await
         {
-            Ok(reply) => reply.0.sole,
+            Ok(reply) => reply.0.sole.filter(|_| is_current),
             Err(e) => {
                 log::error!("fleet actor did not name the software of a service: {e}");
                 None
--- a/crates/dogwoodway_gateway/src/leader/log_reader.rs
+++ b/crates/dogwoodway_gateway/src/leader/log_reader.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use dogwoodway_routing::direct::feed::current_at;
 use dogwoodway_types::LogPosition;
 use tokio::sync::{mpsc, watch};
 
@@ -37,13 +38,17 @@
         let mut events_end = LogPosition::default();
         loop {
             let wait_ms = if self.reads_continuously() { READ_WAIT_MS } else { 0 };
+            let sent_at = clock::now();
             match self.store.read_log(from, wait_ms).await {
                 Ok(page) => {
                     from = page.base.after(page.records.len());
                     let no_events_end = LogPosition { era: from.era, ..events_end };
                     events_end = end_of_events(&page).unwrap_or(no_events_end);
                     if from.offset >= page.end_offset {
-                        self.shared_feeds.mark_events_read(events_end.ordinal());
+                        let (wait, has_records) =
+                            (Duration::from_millis(wait_ms), !page.records.is_empty());
+                        let current_at = current_at(sent_at, wait, has_records, clock::now());
+                        self.shared_feeds.mark_events_read(events_end.ordinal(), current_at);
                     }
                     if events.send(Event::Page(page)).await.is_err() {
                         return;
--- a/crates/dogwoodway_gateway/src/metric.rs
+++ b/crates/dogwoodway_gateway/src/metric.rs
@@ -13,6 +13,19 @@
 /// Streams that clients have taken up again, by how their origin was found (label `origin`).
 pub(crate) const RESUMPTIONS: &str = "dogwoodway_router_resumptions_total";
 
+/// Reads of the list of servers that were made because a client took up a stream.
+pub(crate) const NEEDED_READS: &str = "dogwoodway_router_needed_server_list_reads_total";
+
+/// Seconds from when the list of servers was last known to be current until a client came that takes
+/// up a stream of unknown origin, by how its origin was found (label `origin`). 0 if the list was read
+/// later.
+pub(crate) const RESUMPTION_LIST_AGE_SECONDS: &str =
+    "dogwoodway_router_resumption_server_list_age_seconds";
+
+/// Seconds from the arrival of a client that takes up a stream until its origin was decided on, by how
+/// it was found (label `origin`).
+pub(crate) const RESUMPTION_SECONDS: &str = "dogwoodway_router_resumption_seconds";
+
 /// Seconds from a request's arrival to the head of its response.
 pub(crate) const FIRST_BYTE_SECONDS: &str = "dogwoodway_router_first_byte_seconds";
 
--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -53,7 +53,7 @@
         outcome::{log_attempt_end, log_placement, log_resumption},
     },
     stream::AttemptGuard,
-    stream_origins::OriginResolver,
+    stream_origins::{OriginResolver, TakenUpStream},
 };
 
 /// Delay after which a client may take up a stream of unknown origin again, in milliseconds. Another
@@ -250,10 +250,17 @@
         let Some(resumption) = request.head.resumption.clone() else { return Ok(()) };
         let team = request.team.as_ref().map(|team| &team.name);
         let key = resumption.first_attempt.as_deref().map(|id| StreamKey::new(team, id));
-        let (service, is_only_service) = (&request.service, request.services.len() == 1);
-        let found = self.origins.resolve(key, service, is_only_service, request.deadline).await;
-        log_resumption(request, &resumption, key, found);
-        let Some((origin, _)) = found else {
+        let is_only_service = request.services.len() == 1;
+        let stream = TakenUpStream {
+            key,
+            service: &request.service,
+            is_only_service,
+            arrived_at: request.arrived_at,
+            deadline: request.deadline,
+        };
+        let resolution = self.origins.resolve(&stream).await;
+        log_resumption(request, &resumption, key, &resolution);
+        let Some((origin, _)) = resolution.found else {
             let reason = NotRunReason::UnknownStreamOrigin;
             let retry_at = clock::now() + Duration::from_millis(UNKNOWN_ORIGIN_RETRY_MS);
             let refusal = Refusal { reason, retry_at, is_retry_at_known: false, wait_ms: 0 };
--- a/crates/dogwoodway_gateway/src/relay/outcome.rs
+++ b/crates/dogwoodway_gateway/src/relay/outcome.rs
@@ -1,14 +1,11 @@
 //! Log lines and metrics of placements, attempts and requests.
 
-use dogwoodway_routing::direct::{
-    retry::AttemptOutcome,
-    stream_origin::{OriginSource, StreamKey, StreamOrigin},
-};
+use dogwoodway_routing::direct::{retry::AttemptOutcome, stream_origin::StreamKey};
 use hyper::StatusCode;
 
 use crate::{
     clock, fleet_actor::AssignedServer, metric, platform_api::StreamResumption,
-    relay::ClientRequest, response_body::BodyEnd,
+    relay::ClientRequest, response_body::BodyEnd, stream_origins::Resolution,
 };
 
 fn attempt_outcome_label(outcome: AttemptOutcome) -> &'static str {
@@ -40,18 +37,26 @@
     request: &ClientRequest,
     resumption: &StreamResumption,
     key: Option<StreamKey>,
-    found: Option<(StreamOrigin, OriginSource)>,
+    resolution: &Resolution,
 ) {
-    let source = found.map_or("unknown", |(_, source)| source.as_str());
+    let source = resolution.found.map_or("unknown", |(_, source)| source.as_str());
     metrics::counter!(metric::RESUMPTIONS, "origin" => source).increment(1);
-    let origin = found.map(|(origin, _)| origin);
+    let took = clock::now() - request.arrived_at;
+    metrics::histogram!(metric::RESUMPTION_SECONDS, "origin" => source).record(took.as_secs_f64());
+    let list_age = resolution.list.map(|list| list.needed_at - list.current_at);
+    if let Some(age) = list_age {
+        let ages = metrics::histogram!(metric::RESUMPTION_LIST_AGE_SECONDS, "origin" => source);
+        ages.record(age.as_secs_f64());
+    }
+    let origin = resolution.found.map(|(origin, _)| origin);
     log::info!(
         request = request.head.id, resumes:? = resumption.first_attempt,
         stream = key.map_or_else(String::new, |key| key.to_string()),
         after:? = resumption.after, origin = source,
         software:? = origin.map(|origin| origin.software),
         weights:? = origin.and_then(|origin| origin.weights),
-        ms = (clock::now() - request.arrived_at).as_millis() as u64;
+        list_age_ms:? = list_age.map(|age| age.as_millis() as u64),
+        ms = took.as_millis() as u64;
         "stream taken up again by its client"
     );
 }
--- a/crates/dogwoodway_gateway/src/router.rs
+++ b/crates/dogwoodway_gateway/src/router.rs
@@ -141,7 +141,6 @@
     let fleet_channels = FleetChannels {
         fingerprint_events: fingerprint_tx,
         control: dependencies.control.clone(),
-        feeds: feeds.clone(),
         quarantine_in_use: quarantine_in_use.clone(),
         loads_changed: loads_changed.clone(),
     };
@@ -160,6 +159,7 @@
         origins: origins.clone(),
         origin_questions,
     }));
+    let resolver = OriginResolver::new(origins, &feeds, &fleet);
     let leader = tokio::spawn(leader::run(LeaderConfig {
         router: settings.name.clone(),
         address: settings.gossip_listen,
@@ -174,7 +174,7 @@
     }));
     let relay = Arc::new(Relay {
         protocol: dependencies.protocol,
-        origins: OriginResolver::new(origins, &fleet),
+        origins: resolver,
         fleet,
         tables,
         key_pepper: dependencies.key_pepper,
--- a/crates/dogwoodway_gateway/src/stream_origins.rs
+++ b/crates/dogwoodway_gateway/src/stream_origins.rs
@@ -14,8 +14,8 @@
 use dogwoodway_routing::direct::{
     software::SoftwareTag,
     stream_origin::{
-        HomeAnswer, OriginRecord, OriginSource, ServiceSoftware, StreamKey, StreamOrigin,
-        StreamOrigins, resolve,
+        HomeAnswer, ListState, OriginRecord, OriginSource, ServiceSoftware, StreamKey,
+        StreamOrigin, StreamOrigins, resolve,
     },
 };
 use dogwoodway_types::{ServiceName, Timestamp};
@@ -24,6 +24,7 @@
 
 use crate::{
     clock,
+    feeds::SharedFeeds,
     fleet_actor::{CheckOrigin, FleetActor, GetServiceSoftware},
 };
 
@@ -31,6 +32,10 @@
 /// origin counts as unknown. A record travels for up to some 30 ms, and a client may come earlier.
 const ASK_ROUNDS_MS: [u64; 3] = [30, 40, 80];
 
+/// Longest time for which a request waits until the list of servers is read, in milliseconds. The store
+/// answers within half a second when it is slow.
+const LIST_TIMEOUT_MS: u64 = 500;
+
 /// Answers of other routers that wait to be read.
 const ANSWER_QUEUE: usize = 16;
 
@@ -182,16 +187,44 @@
     }
 }
 
+/// A stream that a client takes up.
+pub(crate) struct TakenUpStream<'a> {
+    /// Absent if the client does not name the attempt.
+    pub(crate) key: Option<StreamKey>,
+    /// One of the services that may have begun the stream.
+    pub(crate) service: &'a ServiceName,
+    /// Whether no other service may have begun it.
+    pub(crate) is_only_service: bool,
+    /// When the client came.
+    pub(crate) arrived_at: Timestamp,
+    /// When the client wants its response.
+    pub(crate) deadline: Timestamp,
+}
+
+/// What was found out about a stream that a client takes up.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Resolution {
+    /// Where the stream began; absent if nobody knows.
+    pub(crate) found: Option<(StreamOrigin, OriginSource)>,
+    /// The list of servers; absent if it was not needed.
+    pub(crate) list: Option<ListState>,
+}
+
 /// Finds out where streams began.
 #[derive(Clone)]
 pub(crate) struct OriginResolver {
     origins: SharedOrigins,
+    feeds: SharedFeeds,
     fleet: ActorRef<FleetActor>,
 }
 
 impl OriginResolver {
-    pub(crate) fn new(origins: SharedOrigins, fleet: &ActorRef<FleetActor>) -> OriginResolver {
-        OriginResolver { origins, fleet: fleet.clone() }
+    pub(crate) fn new(
+        origins: SharedOrigins,
+        feeds: &SharedFeeds,
+        fleet: &ActorRef<FleetActor>,
+    ) -> OriginResolver {
+        OriginResolver { origins, feeds: feeds.clone(), fleet: fleet.clone() }
     }
 
     /// Records where a stream of this router began. Its client may take it up until `until`.
@@ -199,33 +232,36 @@
         self.origins.record(key, origin, until);
     }
 
-    /// Returns where the stream began that a client takes up, or `None` if nobody knows. `key` is
-    /// absent if the client does not name the attempt; `service` is one of those that may have begun
-    /// the stream.
-    pub(crate) async fn resolve(
-        &self,
-        key: Option<StreamKey>,
-        service: &ServiceName,
-        is_only_service: bool,
-        deadline: Timestamp,
-    ) -> Option<(StreamOrigin, OriginSource)> {
+    /// Finds out where a stream began that a client takes up.
+    pub(crate) async fn resolve(&self, stream: &TakenUpStream<'_>) -> Resolution {
+        let key = stream.key;
         if let Some(origin) = key.and_then(|key| self.origins.find(clock::now(), key)) {
-            return Some((self.check(origin).await?, OriginSource::Own));
+            let origin = self.check(origin).await;
+            let found = origin.map(|origin| (origin, OriginSource::Own));
+            return Resolution { found, list: None };
         }
         let answers = match key {
             Some(key) => {
-                let question = OriginQuestion { key, service: service.clone() };
-                self.origins.ask(question, deadline).await
+                let question = OriginQuestion { key, service: stream.service.clone() };
+                self.origins.ask(question, stream.deadline).await
             }
             None => Vec::new(),
         };
+        let is_known = answers.iter().any(|answer| answer.origin.is_some());
+        let mut list = ListState { needed_at: stream.arrived_at, current_at: Timestamp::default() };
+        let mut software = ServiceSoftware::default();
         // The software of one service says nothing if another one may have begun the stream.
-        let software = match is_only_service {
-            true => self.software(service).await,
-            false => ServiceSoftware::default(),
+        if !is_known && stream.is_only_service {
+            let give_up_at = clock::now() + Duration::from_millis(LIST_TIMEOUT_MS);
+            let give_up_at = give_up_at.min(stream.deadline);
+            list.current_at = self.feeds.read_servers(list.needed_at, give_up_at).await;
+            software = self.software(stream.service).await;
+        }
+        let found = match resolve(&answers, &software, list) {
+            Some((origin, source)) => self.check(origin).await.map(|origin| (origin, source)),
+            None => None,
         };
-        let (origin, source) = resolve(&answers, &software)?;
-        Some((self.check(origin).await?, source))
+        Resolution { found, list: (!is_known).then_some(list) }
     }
 
     /// Checks an origin against the process that is listed at its server now; `None` if the stream may
--- a/crates/dogwoodway_routing/src/direct/feed.rs
+++ b/crates/dogwoodway_routing/src/direct/feed.rs
@@ -30,7 +30,7 @@
     /// Revision of the feed that the router read.
     #[serde(rename = "mark")]
     pub revision: u64,
-    /// Milliseconds since the router read it.
+    /// Milliseconds since that was known to be the newest one.
     pub age_ms: u32,
 }
 
@@ -63,7 +63,7 @@
     order: RevisionOrder,
     limits: FeedLimits,
     revision: Option<u64>,
-    /// When the router last read the feed itself.
+    /// When the router's own last read was known to be the newest state.
     read_at: Timestamp,
     /// When the known revision was last confirmed to be the newest.
     verified_at: Timestamp,
@@ -84,11 +84,12 @@
         }
     }
 
-    /// Records that the router has read the feed, and the revision that it found.
-    pub fn record_read(&mut self, now: Timestamp, revision: u64) {
+    /// Records that the router has read the feed, and the revision that it found. `current_at` is when
+    /// that was the newest one, see [`current_at`].
+    pub fn record_read(&mut self, current_at: Timestamp, revision: u64) {
         self.revision = Some(revision);
-        self.read_at = now;
-        self.verified_at = now;
+        self.read_at = current_at;
+        self.verified_at = current_at;
         self.is_behind = false;
     }
 
@@ -134,3 +135,31 @@
         self.verified_at
     }
 }
+
+/// Returns the last time at which the answer to a read is known to have been the newest state.
+///
+/// An answer may wait in the socket of a process that stands still, so that the time of its arrival
+/// proves nothing. It is not older than the call, and a long poll that found nothing was answered at
+/// the end of its wait at the earliest.
+///
+/// ```
+/// use std::time::Duration;
+/// use dogwoodway_routing::direct::feed::current_at;
+/// use dogwoodway_types::Timestamp;
+///
+/// let (sent_at, wait) = (Timestamp::from_millis(1_000), Duration::from_millis(300));
+/// let received_at = Timestamp::from_millis(9_000);
+/// assert_eq!(current_at(sent_at, wait, true, received_at), sent_at);
+/// assert_eq!(current_at(sent_at, wait, false, received_at), sent_at + wait);
+/// ```
+pub fn current_at(
+    sent_at: Timestamp,
+    wait: Duration,
+    has_changes: bool,
+    received_at: Timestamp,
+) -> Timestamp {
+    match has_changes {
+        true => sent_at,
+        false => (sent_at + wait).min(received_at),
+    }
+}
--- a/crates/dogwoodway_routing/src/direct/fleet/software.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/software.rs
@@ -4,7 +4,7 @@
 
 use crate::direct::{
     fleet::{BackendKey, Fleet},
-    software::{DEFAULT_STREAM_LIFETIME, OBSERVATION_INTERVAL},
+    software::{DEFAULT_STREAM_LIFETIME, OBSERVATION_INTERVAL, SoftwareHistory},
     stream_origin::{ServiceSoftware, StreamOrigin},
 };
 
@@ -19,6 +19,12 @@
         keys.into_iter().for_each(|key| self.record_software(now, key));
     }
 
+    /// Begins the history of all services' software anew, because changes of the list of servers were
+    /// missed.
+    pub fn interrupt_software_histories(&mut self) {
+        self.software_histories.values_mut().for_each(SoftwareHistory::interrupt);
+    }
+
     pub(super) fn record_software(&mut self, now: Timestamp, key: BackendKey) {
         let Some(server) = self.servers.get(key) else { return };
         let service = &server.listing.service;
@@ -49,6 +55,10 @@
         listed.dedup();
         let lifetime = self.stream_lifetime.unwrap_or(DEFAULT_STREAM_LIFETIME);
         let history = self.software_histories.get(service);
-        ServiceSoftware { listed, sole: history.and_then(|history| history.sole(now, lifetime)) }
+        ServiceSoftware {
+            listed,
+            sole: history.and_then(|history| history.sole(now, lifetime)),
+            since: history.and_then(SoftwareHistory::since),
+        }
     }
 }
--- a/crates/dogwoodway_routing/src/direct/software.rs
+++ b/crates/dogwoodway_routing/src/direct/software.rs
@@ -40,8 +40,7 @@
 /// Time between two observations of the list of servers.
 pub const OBSERVATION_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time without an observation after which the history begins anew, since a version may have come
-/// and gone unseen.
+/// Time without an observation after which the history begins anew, since the process stood still.
 const MAX_OBSERVATION_GAP: Duration = Duration::from_secs(4);
 
 /// Time for which the last observation of a version is kept.
@@ -67,8 +66,8 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct SoftwareHistory {
-    /// When the uninterrupted observation began.
-    since: Timestamp,
+    /// When the uninterrupted observation began; absent if it begins with the next one.
+    since: Option<Timestamp>,
     /// When any version was last observed; absent if none was.
     observed_at: Option<Timestamp>,
     /// When each version was last observed.
@@ -79,13 +78,25 @@
     /// Records that a server of this version is listed now.
     pub fn observe(&mut self, now: Timestamp, software: SoftwareTag) {
         if self.observed_at.is_none_or(|at| now - at > MAX_OBSERVATION_GAP) {
-            self.since = now;
+            self.interrupt();
         }
+        self.since.get_or_insert(now);
         self.observed_at = Some(now);
         self.last_seen.insert(software, now);
         self.last_seen.retain(|_, seen_at| now - *seen_at <= KEPT);
     }
 
+    /// Begins the history anew with the next observation: changes of the list of servers were missed,
+    /// so that a version may have come and gone unseen.
+    pub fn interrupt(&mut self) {
+        self.since = None;
+    }
+
+    /// Returns when the uninterrupted observation began, if there is one.
+    pub fn since(&self) -> Option<Timestamp> {
+        self.since
+    }
+
     /// Returns the version that was the only one for `stream_lifetime`, without a gap in which another
     /// one could have come and gone, if there is one.
     pub fn sole(&self, now: Timestamp, stream_lifetime: Duration) -> Option<SoftwareTag> {
@@ -93,7 +104,9 @@
         let is_followed = self.observed_at.is_some_and(|at| now - at <= MAX_OBSERVATION_GAP);
         let mut recent = self.last_seen.iter().filter(|(_, seen_at)| now - **seen_at <= counted);
         match (recent.next(), recent.next()) {
-            (Some((sole, _)), None) if is_followed && now - self.since >= counted => Some(*sole),
+            (Some((sole, _)), None) if is_followed => {
+                self.since.is_some_and(|since| now - since >= counted).then_some(*sole)
+            }
             _ => None,
         }
     }
--- a/crates/dogwoodway_routing/src/direct/stream_origin.rs
+++ b/crates/dogwoodway_routing/src/direct/stream_origin.rs
@@ -280,13 +280,17 @@
     }
 }
 
+/// Age of a router's list of servers up to which the router tells others the sole software of a
+/// service. Their own lists must have been followed for longer, so that nothing is missed in between.
+pub const MAX_REPORTED_LIST_AGE: Duration = Duration::from_secs(3);
+
 /// What a home router answers when it is asked for the origin of a stream.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HomeAnswer {
     /// Where the stream began; absent if the router does not know.
     pub origin: Option<StreamOrigin>,
-    /// The only software of the service for longer than any stream may last, as far as the router
-    /// has seen.
+    /// The only software of the service for longer than any stream may last, if the router's list of
+    /// servers is at most [`MAX_REPORTED_LIST_AGE`] old.
     pub sole_software: Option<SoftwareTag>,
 }
 
@@ -323,28 +327,73 @@
     /// The only version for longer than any stream may last; absent if there were several, or if the
     /// list of servers was not followed for so long.
     pub sole: Option<SoftwareTag>,
+    /// Since when the list has been followed without missing a change.
+    pub since: Option<Timestamp>,
+}
+
+/// The list of servers of a router, in view of a client that takes up a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListState {
+    /// When the client came, before which the stream began.
+    pub needed_at: Timestamp,
+    /// Last time at which the list is known to have been current.
+    pub current_at: Timestamp,
+}
+
+impl ListState {
+    /// Returns whether the list names each server at which the stream may have begun. A server is
+    /// listed before a router sends requests to it.
+    pub fn is_newer_than_stream(&self) -> bool {
+        self.current_at >= self.needed_at
+    }
 }
 
 /// Decides where a stream began, from what the homes answer and from the software of the service.
 /// `None` means that the stream must not be continued: any server might be of another version.
 ///
+/// The software of the service says nothing about a stream that may be newer than the list of servers:
+/// another router may have begun it at a server that this one does not know yet.
+///
 /// ```
-/// use dogwoodway_routing::direct::stream_origin::{HomeAnswer, ServiceSoftware, resolve};
+/// use std::time::Duration;
+/// use dogwoodway_routing::direct::{
+///     software::SoftwareTag,
+///     stream_origin::{ListState, OriginSource, ServiceSoftware, resolve},
+/// };
+/// use dogwoodway_types::{ServiceName, SoftwareVersion, Timestamp};
 ///
-/// assert_eq!(resolve(&[HomeAnswer::default()], &ServiceSoftware::default()), None);
+/// let service = ServiceName::try_from("llm").unwrap();
+/// let v1 = SoftwareTag::new(&service, &SoftwareVersion::from("v1"));
+/// let software = ServiceSoftware { listed: vec![v1], sole: Some(v1), since: None };
+/// let needed_at = Timestamp::from_millis(5_000);
+/// let current = ListState { needed_at, current_at: needed_at };
+/// let source = resolve(&[], &software, current).map(|(_, source)| source);
+/// assert_eq!(source, Some(OriginSource::SoleSoftware));
+/// let late = ListState { needed_at, current_at: Timestamp::from_millis(4_999) };
+/// assert_eq!(resolve(&[], &software, late), None);
 /// ```
 pub fn resolve(
     answers: &[HomeAnswer],
     software: &ServiceSoftware,
+    list: ListState,
 ) -> Option<(StreamOrigin, OriginSource)> {
     if let Some(origin) = answers.iter().find_map(|answer| answer.origin) {
         return Some((origin, OriginSource::Home));
     }
+    if !list.is_newer_than_stream() {
+        return None;
+    }
     let at_sole = |software| StreamOrigin { software, weights: None, began: None };
     if let Some(sole) = software.sole {
         return Some((at_sole(sole), OriginSource::SoleSoftware));
     }
     let &[listed] = software.listed.as_slice() else { return None };
+    // The others' lists reach up to the time from which on this router's list tells everything.
+    let reaches_back =
+        software.since.is_some_and(|since| since + MAX_REPORTED_LIST_AGE <= list.needed_at);
+    if !reaches_back {
+        return None;
+    }
     // One router that has seen other software is enough to make the origin uncertain.
     let is_sole =
         !answers.is_empty() && answers.iter().all(|answer| answer.sole_software == Some(listed));
--- a/crates/dogwoodway_routing/tests/stream_origins.rs
+++ b/crates/dogwoodway_routing/tests/stream_origins.rs
@@ -7,8 +7,9 @@
     peers::{RouterInfo, ZoneTag},
     software::{SoftwareHistory, SoftwareTag},
     stream_origin::{
-        HOME_ZONES, HomeAnswer, OriginSource, ServiceSoftware, StreamBeginning, StreamKey,
-        StreamOrigin, StreamOrigins, TOLD_PER_ZONE, homes, resolve, routers_to_ask,
+        HOME_ZONES, HomeAnswer, ListState, MAX_REPORTED_LIST_AGE, OriginSource, ServiceSoftware,
+        StreamBeginning, StreamKey, StreamOrigin, StreamOrigins, TOLD_PER_ZONE, homes, resolve,
+        routers_to_ask,
     },
 };
 use dogwoodway_types::{ServiceName, SoftwareVersion, TeamName, Timestamp, WeightsVersion};
@@ -132,30 +133,86 @@
     let sole = |version| ServiceSoftware {
         listed: vec![software(version)],
         sole: Some(software(version)),
+        since: Some(START),
     };
     let listed = |versions: &[&str]| ServiceSoftware {
         listed: versions.iter().copied().map(software).collect(),
         sole: None,
+        since: Some(START),
     };
+    let current = ListState { needed_at: seconds(60), current_at: seconds(60) };
+    let resolve = |answers: &[HomeAnswer], software| resolve(answers, &software, current);
     let at = |version, source| {
         Some((StreamOrigin { software: software(version), weights: None, began: None }, source))
     };
     let reported = OriginSource::ReportedSoleSoftware;
     // A home that remembers the origin decides, whatever serves now.
     let known = Some((origin("v1"), OriginSource::Home));
-    assert_eq!(resolve(&[unknown, home(Some(origin("v1")))], &sole("v1.1")), known);
-    assert_eq!(resolve(&[home(Some(origin("v1")))], &listed(&[])), known);
+    assert_eq!(resolve(&[unknown, home(Some(origin("v1")))], sole("v1.1")), known);
+    assert_eq!(resolve(&[home(Some(origin("v1")))], listed(&[])), known);
     // Only one version has served for longer than streams last.
-    assert_eq!(resolve(&[unknown], &sole("v1")), at("v1", OriginSource::SoleSoftware));
-    assert_eq!(resolve(&[], &sole("v1")), at("v1", OriginSource::SoleSoftware));
+    assert_eq!(resolve(&[unknown], sole("v1")), at("v1", OriginSource::SoleSoftware));
+    assert_eq!(resolve(&[], sole("v1")), at("v1", OriginSource::SoleSoftware));
     // This router has started lately and relies on the others.
-    assert_eq!(resolve(&[reports("v1")], &listed(&["v1"])), at("v1", reported));
-    assert_eq!(resolve(&[reports("v1"), unknown], &listed(&["v1"])), None);
-    assert_eq!(resolve(&[reports("v1")], &listed(&["v1", "v1.1"])), None);
-    assert_eq!(resolve(&[reports("v1")], &listed(&["v1.1"])), None);
+    assert_eq!(resolve(&[reports("v1")], listed(&["v1"])), at("v1", reported));
+    assert_eq!(resolve(&[reports("v1"), unknown], listed(&["v1"])), None);
+    assert_eq!(resolve(&[reports("v1")], listed(&["v1", "v1.1"])), None);
+    assert_eq!(resolve(&[reports("v1")], listed(&["v1.1"])), None);
     // Several versions, or nobody knows.
-    assert_eq!(resolve(&[unknown, unknown], &listed(&["v1", "v1.1"])), None);
-    assert_eq!(resolve(&[], &listed(&["v1"])), None);
+    assert_eq!(resolve(&[unknown, unknown], listed(&["v1", "v1.1"])), None);
+    assert_eq!(resolve(&[], listed(&["v1"])), None);
+}
+
+#[test]
+fn sole_software_counts_only_if_the_list_of_servers_is_newer_than_the_stream() {
+    let v1 = software("v1");
+    let (needed_at, late) = (seconds(60), Duration::from_millis(1));
+    let reports = HomeAnswer { origin: None, sole_software: Some(v1) };
+    let remembers = HomeAnswer { origin: Some(origin("v1.1")), sole_software: None };
+    let followed = |since| ServiceSoftware { listed: vec![v1], sole: Some(v1), since };
+    let begun = |since| ServiceSoftware { listed: vec![v1], sole: None, since };
+    let (long, reported) = (Some(START), OriginSource::ReportedSoleSoftware);
+    let margin = Some(needed_at.earlier_by(MAX_REPORTED_LIST_AGE));
+    let short = margin.map(|since| since + late);
+    let (current, old) = (needed_at, needed_at.earlier_by(late));
+    for (answers, software, current_at, expected) in [
+        // This router has followed the list for long enough.
+        (&[][..], followed(long), current, Some(OriginSource::SoleSoftware)),
+        (&[], followed(long), current + late, Some(OriginSource::SoleSoftware)),
+        (&[], followed(long), old, None),
+        (&[], followed(long), Timestamp::default(), None),
+        // Other routers that may be out of step as well do not help an old list.
+        (&[reports, reports], followed(long), old, None),
+        (&[remembers], followed(long), old, Some(OriginSource::Home)),
+        // It has not, and what the others know must reach up to where its own knowledge begins.
+        (&[reports], begun(margin), current, Some(reported)),
+        (&[reports], begun(margin), old, None),
+        (&[reports], begun(short), current, None),
+        (&[reports], begun(None), current, None),
+        (&[], begun(margin), current, None),
+    ] {
+        let list = ListState { needed_at, current_at };
+        let source = resolve(answers, &software, list).map(|(_, source)| source);
+        assert_eq!(source, expected, "{answers:?} {software:?} {list:?}");
+    }
+}
+
+#[test]
+fn software_that_came_and_went_while_changes_were_missed_may_have_begun_a_stream() {
+    let mut history = SoftwareHistory::default();
+    let lifetime = Duration::from_secs(30);
+    let seconds_until = |end| (0..end).map(seconds);
+    seconds_until(60).for_each(|now| history.observe(now, software("v1")));
+    assert_eq!(history.sole(seconds(60), lifetime), Some(software("v1")));
+    history.interrupt();
+    assert_eq!(history.sole(seconds(60), lifetime), None);
+    assert_eq!(history.since(), None);
+    for n in 60..120 {
+        history.observe(seconds(n), software("v1"));
+        assert_eq!(history.since(), Some(seconds(60)));
+        let expected = (n >= 60 + 34).then_some(software("v1"));
+        assert_eq!(history.sole(seconds(n), lifetime), expected, "second {n}");
+    }
 }
 
 #[test]
