Believe a response only if it answers the request

Callers got 503, 'not run', for a request that a server had run, or the request ran at a second server; others got the body or the error of a response that answered nobody. Engines were avoided for weights that such a response stated.

Cause: HTTP/1.1 matches responses to requests by their order, and a response counted as the answer unless its first id was another one. No id, an unreadable one or a second one were not looked at, and the weights were used before the id. A response that was left over on a kept connection was so taken for the next answer.

The protocol now says which request a response names, and one pure decision says whether it is the answer: one without a name only as the first on its connection. Nothing else is read from the others. A server whose responses do not name their request gets a new connection for each one, so that its refusals lead to another server; the first of them, on a kept connection, fails one request.

--- a/crates/dogwoodway_gateway/src/exchange.rs
+++ b/crates/dogwoodway_gateway/src/exchange.rs
@@ -15,6 +15,8 @@
     pub(crate) head: http::response::Parts,
     pub(crate) body: Incoming,
     pub(crate) connection: Connection,
+    /// Whether the request was the first one on the connection.
+    pub(crate) is_first_on_connection: bool,
 }
 
 impl BackendResponse {
@@ -53,7 +55,7 @@
     let mut req = Request::from_parts(head, Full::new(body));
     if let Some(mut connection) = idle {
         match connection.sender.try_send_request(req).await {
-            Ok(resp) => return Ok(backend_response(resp, connection)),
+            Ok(resp) => return Ok(backend_response(resp, connection, false)),
             // The request comes back only if the connection was closed before anything was written
             // to it; it can then be sent again on a new one.
             Err(mut e) => match e.take_message() {
@@ -65,7 +67,7 @@
     let mut connection =
         Connection::open(address).await.map_err(|e| ExchangeError::Unreachable(e.to_string()))?;
     match connection.sender.try_send_request(req).await {
-        Ok(resp) => Ok(backend_response(resp, connection)),
+        Ok(resp) => Ok(backend_response(resp, connection, true)),
         Err(mut e) => match e.take_message() {
             Some(_) => Err(ExchangeError::Unreachable(e.into_error().to_string())),
             None => Err(ExchangeError::ResponseLost(e.into_error().to_string())),
@@ -73,7 +75,11 @@
     }
 }
 
-fn backend_response(resp: http::Response<Incoming>, connection: Connection) -> BackendResponse {
+fn backend_response(
+    resp: http::Response<Incoming>,
+    connection: Connection,
+    is_first_on_connection: bool,
+) -> BackendResponse {
     let (head, body) = resp.into_parts();
-    BackendResponse { head, body, connection }
+    BackendResponse { head, body, connection, is_first_on_connection }
 }
--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -11,6 +11,7 @@
 mod probes;
 mod routers;
 mod software;
+mod unnamed_responses;
 mod weights;
 
 use std::{
@@ -59,6 +60,7 @@
         ClearPeerLoads, CollectRouterUpdate, SetRouters,
     },
     software::{CheckOrigin, GetServiceSoftware},
+    unnamed_responses::RecordUnnamedResponse,
     weights::{EngineTarget, GetRolloutState, UpdateWeightsState, WeightsState},
 };
 use self::{crash_tracker::CrashTracker, limit_reports::LimitReports, part_evidence::PartEvidence};
@@ -118,6 +120,8 @@
     fleet: Fleet,
     /// The most recently used connection is last.
     idle_connections: SecondaryMap<BackendKey, Vec<Connection>>,
+    /// Servers that have sent a response that names no request. Their connections are not reused.
+    unnamed_responses: SecondaryMap<BackendKey, ()>,
     /// Signals the loss of a server to the attempts at it. Removed once the server is up again, so
     /// that later attempts start with a new signal.
     lost_signals: SecondaryMap<BackendKey, watch::Sender<bool>>,
@@ -164,6 +168,7 @@
         FleetActor {
             fleet,
             idle_connections: SecondaryMap::new(),
+            unnamed_responses: SecondaryMap::new(),
             lost_signals: SecondaryMap::new(),
             retry_bounds: RetryBounds { ratio: settings.retry_ratio, slack: settings.retry_slack },
             retry_budgets: HashMap::new(),
@@ -208,10 +213,9 @@
     }
 
     fn store_idle(&mut self, now: Timestamp, key: BackendKey, connection: Connection) {
-        let max_idle = match self.fleet.leaving_server(key) {
-            Some(_) => 0,
-            None => self.max_idle(key),
-        };
+        let is_reusable =
+            self.fleet.leaving_server(key).is_none() && !self.unnamed_responses.contains_key(key);
+        let max_idle = if is_reusable { self.max_idle(key) } else { 0 };
         let Some(idle) = self.idle_connections.get_mut(key) else { return };
         if idle.len() < max_idle && connection.is_reusable(now) {
             idle.push(connection);
@@ -269,6 +273,7 @@
                 // suspects of an earlier process are then settled as after a crash.
                 if let Some((key, true)) = self.fleet.apply_listing(now, listing) {
                     self.idle_connections.insert(key, Vec::new());
+                    self.unnamed_responses.remove(key);
                     self.mark_lost(key);
                     self.lost_signals.remove(key);
                     self.confirm_crash(now, key);
@@ -295,6 +300,7 @@
 
     fn remove_connections(&mut self, key: BackendKey) {
         self.idle_connections.remove(key);
+        self.unnamed_responses.remove(key);
         self.lost_signals.remove(key);
     }
 }
--- a/crates/dogwoodway_gateway/src/metric.rs
+++ b/crates/dogwoodway_gateway/src/metric.rs
@@ -6,6 +6,9 @@
 /// Attempts at backend servers, by how they ended (label `end`).
 pub(crate) const ATTEMPTS: &str = "dogwoodway_router_attempts_total";
 
+/// Responses of backend servers that name no request.
+pub(crate) const UNNAMED_RESPONSES: &str = "dogwoodway_router_unnamed_responses_total";
+
 /// Bodies of backend servers' responses, by how their end is marked (label `framing`) and by the
 /// outcome of the request.
 pub(crate) const RESPONSE_BODIES: &str = "dogwoodway_router_response_bodies_total";
--- a/crates/dogwoodway_gateway/src/platform_api.rs
+++ b/crates/dogwoodway_gateway/src/platform_api.rs
@@ -8,8 +8,8 @@
 use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
 use dogwoodway_routing::direct::{
-    fleet::ServerListing, kv_stores::KvChange, prompt::Prompt, server_notice::ServerNotice,
-    table::RoutingTable,
+    attribution::NamedRequest, fleet::ServerListing, kv_stores::KvChange, prompt::Prompt,
+    server_notice::ServerNotice, table::RoutingTable,
 };
 use dogwoodway_types::{
     BackendServerName, LogOffset, LogPosition, ModelName, StoreEra, TeamName, Timestamp,
@@ -138,19 +138,19 @@
         params: &ForwardParams,
     ) -> Result<http::request::Parts, HeadError>;
 
-    /// Classifies the head of a response to the request `id`, which was sent to `target`.
+    /// Returns which request a response names; `id` is that of the request that was sent.
+    fn named_request(&self, id: &str, headers: &HeaderMap) -> NamedRequest;
+
+    /// Classifies the head of a response to a request that was sent to `target`.
     fn classify_response(
         &self,
-        id: &str,
         target: &BackendServerName,
         head: &http::response::Parts,
     ) -> ResponseClass;
 
-    /// Decodes the notice of `target` in its response to the request `id`; empty if the response is
-    /// from another server or to another request.
+    /// Decodes the notice of `target` in a response; empty if the response is from another server.
     fn server_notice(
         &self,
-        id: &str,
         target: &BackendServerName,
         head: &http::response::Parts,
     ) -> ServerNotice;
--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -19,6 +19,7 @@
 use bytes::Bytes;
 use dogwoodway_http::Body;
 use dogwoodway_routing::direct::{
+    attribution::{NamedRequest, is_answer},
     fleet::{Placement, PlacementRequest, Refusal},
     health::HealthSignal,
     prompt::Prompt,
@@ -42,7 +43,7 @@
     exchange::{BackendResponse, ExchangeError, exchange},
     fleet_actor::{
         ApplyDirectoryChanges, ApplyServerNotice, AssignedServer, FleetActor, PlaceRequest,
-        PlacementReply, UpdateWeightsState, WeightsState,
+        PlacementReply, RecordUnnamedResponse, UpdateWeightsState, WeightsState,
     },
     metric,
     platform_api::{
@@ -373,7 +374,8 @@
     }
 
     /// Classifies a response by its head. `Ok(true)` is a valid response that reports a failure of
-    /// the server; `Err` means that the response must not be sent to the client.
+    /// the server; `Err` means that the response must not be sent to the client. Nothing that a response
+    /// states is used unless it answers the request.
     ///
     /// Also reports to the fleet which weights the server serves, if that differs from what the
     /// placement assumed.
@@ -383,14 +385,23 @@
         target: &AssignedServer,
         upstream: &BackendResponse,
     ) -> Result<bool, (AttemptOutcome, HealthSignal, String)> {
+        let named = self.protocol.named_request(&request.head.id, &upstream.head.headers);
+        if named == NamedRequest::Unnamed {
+            self.report_unnamed_response(target);
+        }
+        if !is_answer(named, upstream.is_first_on_connection) {
+            let (status, is_first) = (upstream.head.status, upstream.is_first_on_connection);
+            let why = format!("not an answer to it: {named:?}, {status}, first: {is_first}");
+            return Err((AttemptOutcome::Lost, HealthSignal::Failed, why));
+        }
         if let Some(version) = self.protocol.weights_version(&upstream.head.headers)
             && target.placement.version != Some(version)
         {
             self.report_weights(request, target, WeightsState::Serving(version));
         }
-        let (id, name) = (&request.head.id, &target.placement.name);
-        let notice = self.protocol.server_notice(id, name, &upstream.head);
-        let class = self.protocol.classify_response(id, name, &upstream.head);
+        let name = &target.placement.name;
+        let notice = self.protocol.server_notice(name, &upstream.head);
+        let class = self.protocol.classify_response(name, &upstream.head);
         let is_of_target = !matches!(
             class,
             ResponseClass::Invalid(_) | ResponseClass::NotExecuted(NotExecuted::OtherServer)
@@ -428,6 +439,14 @@
         }
     }
 
+    fn report_unnamed_response(&self, target: &AssignedServer) {
+        let Placement { server, started_at_ms, .. } = target.placement;
+        if let Err(e) = self.fleet.tell(RecordUnnamedResponse { server, started_at_ms }).try_send()
+        {
+            log::warn!("could not report a response that names no request: {e}");
+        }
+    }
+
     fn report_notice(&self, target: &AssignedServer, notice: ServerNotice, may_end_limit: bool) {
         let Placement { server, started_at_ms, sent_at, .. } = target.placement;
         let sent_at = may_end_limit.then_some(sent_at);
