--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -11,6 +11,7 @@
 #![allow(dead_code)]
 
 pub(crate) mod proxy;
+pub(crate) mod stray_proxy;
 pub(crate) mod stream;
 
 use std::{
@@ -28,7 +29,7 @@
 use hyper::Method;
 use serde_json::{Value, json};
 
-use crate::fleet::proxy::Proxy;
+use crate::fleet::{proxy::Proxy, stray_proxy::StrayProxy};
 
 /// API key of the team `demo`, sent as a bearer token.
 pub(crate) const API_KEY: &str = "sk-demo";
@@ -158,6 +159,8 @@
     pub(crate) kv_store: bool,
     /// Whether entries reach agents through proxies that a test can freeze or close.
     pub(crate) proxies: bool,
+    /// Whether agents reach their backend servers through proxies that can write stray responses.
+    pub(crate) stray_proxies: bool,
     /// Value of the agents' setting `checks_fencing`: whether they rely on their engines to refuse
     /// orders with an outdated fencing token. It does not change what the engines do.
     pub(crate) checks_fencing: bool,
@@ -172,6 +175,7 @@
             decode_us: 2_000,
             kv_store: false,
             proxies: false,
+            stray_proxies: false,
             checks_fencing: true,
         }
     }
@@ -190,6 +194,9 @@
     /// Proxies between all entries and the agents, in the order of `agents`; empty unless
     /// [`FleetOptions::proxies`] is set.
     pub(crate) proxies: Vec<Proxy>,
+    /// Proxies between the agents and their backend servers, in the order of `agents`; empty unless
+    /// [`FleetOptions::stray_proxies`] is set.
+    pub(crate) stray_proxies: Vec<StrayProxy>,
     pub(crate) http: HttpClient,
     dir: PathBuf,
 }
@@ -207,33 +214,29 @@
         let dir = std::env::temp_dir().join(format!("dogwoodway-{:016x}", rand::random::<u64>()));
         std::fs::create_dir_all(&dir).expect("a temporary directory can be created");
         let log = spawn_standin(&["log"]);
-        let decode = options.decode_us.to_string();
         let kv_store = options.kv_store.then(|| spawn_standin(&["kv-store"]));
         let kv_url = kv_store.as_ref().map(Process::url);
-        let mut engine_args =
-            vec!["engine", "--model", "demo-model", "--decode-us", &decode, "--load-lag-ms", "0"];
-        engine_args.extend(["--poison", POISON]);
         let mut agent_settings = String::new();
         if let Some(url) = &kv_url {
-            engine_args.extend(["--kv-store-url", url]);
             let _ = writeln!(agent_settings, "kv_store_url: {url}");
         }
-        let engines: Vec<_> = (0..options.engines).map(|_| spawn_standin(&engine_args)).collect();
+        let engines = start_engines(options, kv_url.as_deref());
         let services: Vec<_> = (0..options.services).map(|_| spawn_standin(&["service"])).collect();
         let backends = engines.iter().map(|e| ("engine", e)).enumerate();
         let backends = backends.chain(services.iter().map(|s| ("service", s)).enumerate());
-        let (mut agents, mut proxies) = (Vec::new(), Vec::new());
+        let (mut agents, mut proxies, mut stray_proxies) = (Vec::new(), Vec::new(), Vec::new());
         let mut vm_list = String::new();
         for (i, (kind, backend)) in backends {
+            let backend_url = match options.stray_proxies {
+                true => start_stray_proxy(backend, &mut stray_proxies).await,
+                false => backend.url(),
+            };
             let text = format!(
-                "listen: 127.0.0.1:0\nzone: zone-{i}\nname: {kind}-{i}\nkind: {kind}\n\
-                 backend_url: {}\nlog_url: {}\nlabels: {{pool: {kind}}}\n\
-                 checks_fencing: {}\n{agent_settings}",
-                backend.url(),
-                log.url(),
+                "zone: zone-{i}\nname: {kind}-{i}\nkind: {kind}\nbackend_url: {backend_url}\n\
+                 labels: {{pool: {kind}}}\nchecks_fencing: {}\n{agent_settings}",
                 options.checks_fencing
             );
-            let agent = spawn_role("agent", dir.join(format!("{kind}-{i}.yaml")), text);
+            let agent = start_agent(&dir.join(format!("{kind}-{i}.yaml")), &log, &text);
             let mut address = agent.address;
             if options.proxies {
                 let proxy = Proxy::start(address).await;
@@ -247,13 +250,22 @@
             agents.push(agent);
         }
         wait_until_agents_ready(&agents).await;
-        let vms_file = dir.join("vms.yaml");
-        std::fs::write(&vms_file, vm_list).expect("the list of VMs can be written");
-        let vms = spawn_standin(&["vms", "--file", &vms_file.display().to_string()]);
+        let vms = start_vms(&dir, vm_list);
         let entries = (0..options.entries).map(|i| start_entry(i, &dir, &log, &vms)).collect();
         let http = HttpClient::new();
-        let fleet =
-            Fleet { log, vms, kv_store, engines, services, agents, entries, proxies, http, dir };
+        let fleet = Fleet {
+            log,
+            vms,
+            kv_store,
+            engines,
+            services,
+            agents,
+            entries,
+            proxies,
+            stray_proxies,
+            http,
+            dir,
+        };
         fleet.publish(&default_config()).await;
         fleet.wait_until_serving(options).await;
         fleet
@@ -391,6 +403,37 @@
     }
 }
 
+fn start_engines(options: FleetOptions, kv_store_url: Option<&str>) -> Vec<Process> {
+    let decode = options.decode_us.to_string();
+    let mut args = vec!["engine", "--model", "demo-model", "--decode-us", &decode];
+    args.extend(["--load-lag-ms", "0", "--poison", POISON]);
+    if let Some(url) = kv_store_url {
+        args.extend(["--kv-store-url", url]);
+    }
+    (0..options.engines).map(|_| spawn_standin(&args)).collect()
+}
+
+/// Starts an agent with these settings and those that all agents have.
+fn start_agent(path: &Path, log: &Process, settings: &str) -> Process {
+    let text = format!("listen: 127.0.0.1:0\nlog_url: {}\n{settings}", log.url());
+    spawn_role("agent", path.to_owned(), text)
+}
+
+/// Starts the list of VMs.
+fn start_vms(dir: &Path, list: String) -> Process {
+    let file = dir.join("vms.yaml");
+    std::fs::write(&file, list).expect("the list of VMs can be written");
+    spawn_standin(&["vms", "--file", &file.display().to_string()])
+}
+
+/// Starts a proxy in front of a backend server and returns its base URL.
+async fn start_stray_proxy(backend: &Process, proxies: &mut Vec<StrayProxy>) -> String {
+    let proxy = StrayProxy::start(backend.address).await;
+    let url = format!("http://{}", proxy.address);
+    proxies.push(proxy);
+    url
+}
+
 /// Builds the body of a chat-completion request.
 pub(crate) fn chat_body(prompt: &str, max_tokens: u32) -> Value {
     json!({
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -23,6 +23,7 @@
     decode_us: 15_000,
     kv_store: false,
     proxies: false,
+    stray_proxies: false,
     checks_fencing: true,
 };
 
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -25,6 +25,7 @@
     decode_us: 40_000,
     kv_store: false,
     proxies: true,
+    stray_proxies: false,
     checks_fencing: true,
 };
 
