Let routers count each other during a long cut and meet again after it

A router forgot another one that it had not heard of for a minute. In a cut, each part then took the whole retry budget, the whole connection limit of a server and so on; and nobody greeted a forgotten router, so that the parts stayed apart after the cut, each with its own view of all loads, until a router restarted.

A silent router now keeps its part for ten minutes, is greeted once a second for the first minute and each 10 s after that, and is still greeted when it is no longer counted.

routers_count_each_other_during_a_cut_of_minutes and routers_meet_again_after_a_cut_of_any_length failed before with "left: [1, 1] right: [2, 2]". a_silent_router_is_greeted_once_per_second_until_it_is_removed asserted the fault: that a router is removed after 61 s. It is replaced by a test with the same checks at the new times, which also counts the greetings after the removal.

--- a/crates/dogwoodway_routing/src/direct/peers.rs
+++ b/crates/dogwoodway_routing/src/direct/peers.rs
@@ -7,7 +7,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, btree_map::Entry},
+    collections::{BTreeMap, VecDeque, btree_map::Entry},
     net::SocketAddr,
     time::Duration,
 };
@@ -26,6 +26,16 @@
 /// after a network partition.
 const SILENT_GREETING_INTERVAL_MS: u64 = 1_000;
 
+/// Time without a datagram from a router after which it is greeted rarely, in milliseconds. It has
+/// probably been stopped.
+const LOST_AFTER_MS: u64 = 60_000;
+
+/// Interval between greetings to a router that is probably stopped, in milliseconds.
+const LOST_GREETING_INTERVAL_MS: u64 = 10_000;
+
+/// Number of routers that are still greeted after they were removed; the oldest are forgotten first.
+const MAX_REMOVED: usize = 1_024;
+
 /// Interval between greetings to a router that has not answered yet, in milliseconds.
 const NEW_GREETING_INTERVAL_MS: u64 = 200;
 
@@ -39,8 +49,9 @@
 /// aggregate, and the one that would replace it.
 const AGGREGATORS_PER_ZONE: usize = 2;
 
-/// Time without a datagram from a router after which it is removed, in milliseconds.
-const EXPIRE_AFTER_MS: u64 = 60_000;
+/// Time without a datagram from a router after which it is removed, in milliseconds. Until then it
+/// keeps its part of the limits that all routers share, since it may be cut off and go on serving.
+const EXPIRE_AFTER_MS: u64 = 600_000;
 
 /// Number of routers that read the store continuously: two, so that one may be cut off.
 const WATCHER_COUNT: usize = 2;
@@ -87,6 +98,10 @@
         now - self.last_heard_at > Duration::from_millis(SILENT_AFTER_MS)
     }
 
+    fn is_lost(&self, now: Timestamp) -> bool {
+        now - self.last_heard_at > Duration::from_millis(LOST_AFTER_MS)
+    }
+
     fn reaches_store(&self) -> bool {
         self.info.is_none_or(|info| info.reaches_store)
     }
@@ -117,6 +132,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Peers {
     peers: BTreeMap<SocketAddr, Peer>,
+    /// Routers that were removed and when each was last greeted, the oldest first.
+    removed: VecDeque<(SocketAddr, Timestamp)>,
 }
 
 impl Peers {
@@ -131,6 +148,7 @@
             avoided_until: Timestamp::default(),
             rank: rank(address),
         });
+        self.removed.retain(|(removed, _)| *removed != address);
         true
     }
 
@@ -158,11 +176,16 @@
         }
     }
 
-    /// Removes routers that have been silent for too long; returns whether there were any.
+    /// Removes routers that have been silent for too long; returns whether there were any. They are
+    /// still greeted, since a network partition may last longer.
     pub fn remove_expired(&mut self, now: Timestamp) -> bool {
         let count = self.peers.len();
-        self.peers
-            .retain(|_, peer| now - peer.last_heard_at < Duration::from_millis(EXPIRE_AFTER_MS));
+        let is_expired =
+            |peer: &Peer| now - peer.last_heard_at >= Duration::from_millis(EXPIRE_AFTER_MS);
+        let expired = self.peers.extract_if(.., |_, peer| is_expired(peer));
+        self.removed.extend(expired.map(|(address, peer)| (address, peer.last_greeted_at)));
+        let excess = self.removed.len().saturating_sub(MAX_REMOVED);
+        self.removed.drain(..excess);
         self.peers.len() != count
     }
 
@@ -223,11 +246,12 @@
     }
 
     /// Returns the routers to greet now: those that have not told anything about themselves, and
-    /// those that have become silent, since they may come back.
+    /// those that have become silent or were removed, since they may come back.
     pub fn routers_to_greet(&mut self, now: Timestamp) -> Vec<SocketAddr> {
         let mut addresses = Vec::new();
         for (address, peer) in &mut self.peers {
             let interval_ms = match (peer.info, peer.is_silent(now)) {
+                _ if peer.is_lost(now) => LOST_GREETING_INTERVAL_MS,
                 (None, false) => NEW_GREETING_INTERVAL_MS,
                 (_, true) => SILENT_GREETING_INTERVAL_MS,
                 (Some(_), false) => continue,
@@ -237,6 +261,12 @@
                 addresses.push(*address);
             }
         }
+        for (address, last_greeted_at) in &mut self.removed {
+            if now - *last_greeted_at >= Duration::from_millis(LOST_GREETING_INTERVAL_MS) {
+                *last_greeted_at = now;
+                addresses.push(*address);
+            }
+        }
         addresses
     }
 
--- a/crates/dogwoodway_routing/tests/direct_peers.rs
+++ b/crates/dogwoodway_routing/tests/direct_peers.rs
@@ -79,14 +79,21 @@
 }
 
 #[test]
-fn a_silent_router_is_greeted_once_per_second_until_it_is_removed() {
+fn a_silent_router_is_greeted_each_second_and_each_ten_seconds_after_a_minute() {
     let mut peers = peers(1, 2, &info(1, 1));
-    let greetings =
-        (0..60_000).step_by(100).filter(|ms| !peers.routers_to_greet(at(*ms)).is_empty());
-    assert_eq!(greetings.count(), 58);
-    assert!(!peers.remove_expired(at(50_000)));
-    assert!(peers.remove_expired(at(61_000)));
+    let mut count_greetings = |from: u64, to: u64| {
+        let times = (from..to).step_by(100);
+        times.filter(|ms| !peers.routers_to_greet(at(*ms)).is_empty()).count()
+    };
+    assert_eq!(count_greetings(0, 60_000), 58);
+    assert_eq!(count_greetings(60_000, 600_000), 54);
+    assert!(!peers.remove_expired(at(599_000)));
+    assert_eq!(peers.router_count(), 2);
+    assert!(peers.remove_expired(at(601_000)));
     assert_eq!(peers.router_count(), 1);
+    let times = (601_000..701_000).step_by(100);
+    let greetings = times.filter(|ms| !peers.routers_to_greet(at(*ms)).is_empty());
+    assert_eq!(greetings.count(), 10, "it is greeted after it was removed");
 }
 
 /// Lets two routers know each other, cuts them off from each other for `cut_ms`, and returns how many
