Show that routers of a large fleet exceed the retry budget together

The part of the budget that a router uses is now computed by RetryBounds, so that a test can add up the parts. Each router saves one retry at least: 103 routers that all lose an answer at once send 103 retries, where 54 are allowed.

--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -26,7 +26,7 @@
         kv_stores::KvChange,
         load::router_id,
     },
-    retry_budget::{RetryBudget, RetryLimits},
+    retry_budget::{RetryBounds, RetryBudget},
 };
 use dogwoodway_types::{BackendServerName, ServiceName, Timestamp, WeightsVersion};
 use kameo::{
@@ -76,25 +76,12 @@
 /// Time for which a server that is shutting down is reported to other routers, in milliseconds.
 const LEAVING_NOTICE_TTL_MS: u64 = 1_000;
 
-/// Part of the allowed retry budget that is used, in thousandths. The margin is needed because
-/// routers count requests at slightly different times.
-const RETRY_BUDGET_USE_PERMILLE: u32 = 750;
-
 /// Age of the list of servers, in milliseconds, up to which it shows which software serves.
 const MAX_SERVER_LIST_AGE_MS: u64 = 3_000;
 
 /// Number of routers that are assumed to share the retry budget until the actual number is known.
 const ASSUMED_ROUTERS: u32 = 24;
 
-/// Limits that the platform sets on the retries of all routers together.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) struct RetryBounds {
-    /// Retries per request.
-    pub(crate) ratio: f64,
-    /// Additional retries in one window of time.
-    pub(crate) slack: u32,
-}
-
 /// A change in an engine's weights, as one router reports it to the others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct WeightsUpdate {
@@ -181,19 +168,8 @@
         }
     }
 
-    /// Returns the part of the common retry limits that this router may use.
-    fn retry_limits(&self) -> RetryLimits {
-        let used_share = f64::from(RETRY_BUDGET_USE_PERMILLE) / 1e3;
-        let max_saved =
-            f64::from(self.retry_bounds.slack) * used_share / f64::from(self.router_count);
-        RetryLimits {
-            earned_millis: (self.retry_bounds.ratio * 1e3 * used_share) as u32,
-            max_saved: (max_saved as u32).max(1),
-        }
-    }
-
     fn retry_budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
-        let limits = self.retry_limits();
+        let limits = self.retry_bounds.share(self.router_count);
         let budget =
             self.retry_budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(limits));
         budget.set_limits(limits);
--- a/crates/dogwoodway_routing/src/retry_budget.rs
+++ b/crates/dogwoodway_routing/src/retry_budget.rs
@@ -21,6 +21,38 @@
     pub max_saved: u32,
 }
 
+/// Part of the allowed retries that routers use, in thousandths. The margin is needed because routers
+/// count requests at slightly different times.
+const USED_PERMILLE: u32 = 750;
+
+/// Limits on the retries of all routers together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryBounds {
+    /// Retries per request.
+    pub ratio: f64,
+    /// Additional retries in one window of time.
+    pub slack: u32,
+}
+
+impl RetryBounds {
+    /// Returns the part of the limits that one of `routers` routers may use.
+    ///
+    /// ```
+    /// use dogwoodway_routing::retry_budget::{RetryBounds, RetryLimits};
+    ///
+    /// let share = RetryBounds { ratio: 0.2, slack: 54 }.share(4);
+    /// assert_eq!(share, RetryLimits { earned_millis: 150, max_saved: 10 });
+    /// ```
+    pub fn share(&self, routers: u32) -> RetryLimits {
+        let used_share = f64::from(USED_PERMILLE) / 1e3;
+        let max_saved = f64::from(self.slack) * used_share / f64::from(routers);
+        RetryLimits {
+            earned_millis: (self.ratio * 1e3 * used_share) as u32,
+            max_saved: (max_saved as u32).max(1),
+        }
+    }
+}
+
 /// A token bucket of retries that is refilled by first attempts and starts full.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RetryBudget {
--- a/crates/dogwoodway_routing/tests/retry_budget.rs
+++ b/crates/dogwoodway_routing/tests/retry_budget.rs
@@ -1,6 +1,6 @@
 //! Compares the retry budget with a reference model that evaluates the whole history.
 
-use dogwoodway_routing::retry_budget::RetryBudget;
+use dogwoodway_routing::retry_budget::{RetryBounds, RetryBudget};
 use proptest::prelude::*;
 
 /// Default capacity of the budget, in retries.
@@ -52,3 +52,33 @@
         }
     }
 }
+
+/// Limits that a platform sets on all routers together.
+const BOUNDS: RetryBounds = RetryBounds { ratio: 0.2, slack: 54 };
+
+/// Returns the retries that `routers` routers send at once, each of which has got `requests` requests
+/// just before and many long ago.
+fn retries_at_once(routers: u32, requests: u32) -> u32 {
+    let mut budgets: Vec<_> =
+        (0..routers).map(|_| RetryBudget::new(BOUNDS.share(routers))).collect();
+    let mut retries = 0;
+    for budget in &mut budgets {
+        (0..100 + requests).for_each(|_| budget.record_first_attempt());
+        while budget.try_take_retry() {
+            retries += 1;
+        }
+    }
+    retries
+}
+
+// Each router of a large fleet saved a retry, and all together far more than the budget.
+#[test]
+fn routers_of_a_large_fleet_do_not_exceed_the_budget_together() {
+    for routers in [1, 3, 4, 30, 103, 380] {
+        for requests in [0, 1, 5, 10] {
+            let allowed = BOUNDS.ratio * f64::from(routers * requests) + f64::from(BOUNDS.slack);
+            let retries = f64::from(retries_at_once(routers, requests));
+            assert!(retries <= allowed, "{retries} of {allowed} retries of {routers} routers");
+        }
+    }
+}
