Share out the saved retries so that they add up to the budget in large fleets

Where more routers share the budget than it has saved retries, each still saved one, so that 103 routers might send 103 retries at once of the 54 that are allowed, and 380 routers 380.

Saved retries are now shared out by the positions of the routers among those alive, so that the parts add up to the budget. A router without one sends the retries that its requests of the last ten seconds earn, but none that it earned before. Where each router has a whole retry, nothing changes but that an odd one is given out too: share_of_whole_retries_allows_what_a_bucket_of_the_same_limits_allows compares both.

routers_of_a_large_fleet_do_not_exceed_the_budget_together failed before with "103 of 54 retries of 103 routers". It now also tells when requests were made, and checks that the retries that are left are not refused.

--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -26,7 +26,7 @@
         kv_stores::KvChange,
         load::router_id,
     },
-    retry_budget::{RetryBounds, RetryBudget},
+    retry_budget::{RetryBounds, RetryShare},
 };
 use dogwoodway_types::{BackendServerName, ServiceName, Timestamp, WeightsVersion};
 use kameo::{
@@ -109,9 +109,11 @@
     /// that later attempts start with a new signal.
     lost_signals: SecondaryMap<BackendKey, watch::Sender<bool>>,
     retry_bounds: RetryBounds,
-    retry_budgets: HashMap<ServiceName, RetryBudget>,
+    retry_shares: HashMap<ServiceName, RetryShare>,
     /// Number of routers that share the retry budget and the connection limits.
     router_count: u32,
+    /// Position of this router among those that are alive.
+    router_position: u32,
     crash_tracker: CrashTracker,
     part_evidence: PartEvidence,
     limit_reports: LimitReports,
@@ -153,8 +155,9 @@
             idle_connections: SecondaryMap::new(),
             lost_signals: SecondaryMap::new(),
             retry_bounds: RetryBounds { ratio: settings.retry_ratio, slack: settings.retry_slack },
-            retry_budgets: HashMap::new(),
+            retry_shares: HashMap::new(),
             router_count: ASSUMED_ROUTERS,
+            router_position: 0,
             crash_tracker,
             part_evidence: PartEvidence::new(seed, ASSUMED_ROUTERS),
             limit_reports: LimitReports::default(),
@@ -168,12 +171,12 @@
         }
     }
 
-    fn retry_budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
-        let limits = self.retry_bounds.share(self.router_count);
-        let budget =
-            self.retry_budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(limits));
-        budget.set_limits(limits);
-        budget
+    fn retry_share(&mut self, service: &ServiceName) -> &mut RetryShare {
+        let limits = self.retry_bounds.share(self.router_count, self.router_position);
+        let share =
+            self.retry_shares.entry(service.clone()).or_insert_with(|| RetryShare::new(limits));
+        share.set_limits(limits);
+        share
     }
 
     fn take_idle(&mut self, now: Timestamp, key: BackendKey) -> Option<Connection> {
--- a/crates/dogwoodway_gateway/src/fleet_actor/attempts.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/attempts.rs
@@ -84,10 +84,10 @@
             }
             PartStatus::Clear | PartStatus::Suspect | PartStatus::Trial(_) => {}
         }
-        let budget = self.retry_budget(&msg.placement_request.service);
+        let share = self.retry_share(&msg.placement_request.service);
         if !msg.is_retry {
-            budget.record_first_attempt();
-        } else if !budget.try_take_retry() {
+            share.record_first_attempt(now);
+        } else if !share.try_take_retry(now) {
             metrics::counter!(metric::RETRIES_DENIED).increment(1);
             let retry_at = now + Duration::from_secs(1);
             return PlacementReply::Refused(Refusal {
--- a/crates/dogwoodway_gateway/src/fleet_actor/routers.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/routers.rs
@@ -149,7 +149,7 @@
     pub(crate) count: u32,
     /// Rank of this router.
     pub(crate) own: u64,
-    /// Ranks of those that are alive, this one included.
+    /// Ranks of those that are alive, this one included, in ascending order.
     pub(crate) alive: Vec<u64>,
 }
 
@@ -158,6 +158,8 @@
 
     async fn handle(&mut self, msg: SetRouters, _: &mut Context<Self, Self::Reply>) {
         self.router_count = msg.count.max(1);
+        let position = msg.alive.iter().position(|rank| *rank == msg.own);
+        self.router_position = position.unwrap_or_default() as u32;
         self.fleet.set_router_count(msg.count);
         self.fleet.set_routers(clock::now(), msg.own, msg.alive);
         self.part_evidence.set_router_count(msg.count);
--- a/crates/dogwoodway_routing/src/retry_budget.rs
+++ b/crates/dogwoodway_routing/src/retry_budget.rs
@@ -2,6 +2,8 @@
 //!
 //! Without such a limit, retries would multiply the load on servers that already fail under load.
 
+use dogwoodway_types::Timestamp;
+
 /// Default for [`RetryLimits::earned_millis`]: one retry for five first attempts.
 const DEFAULT_EARNED_MILLIS: u32 = 200;
 
@@ -25,6 +27,9 @@
 /// count requests at slightly different times.
 const USED_PERMILLE: u32 = 750;
 
+/// Span of time in which the retries of all routers are bounded, in seconds.
+const WINDOW_SECONDS: usize = 10;
+
 /// Limits on the retries of all routers together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryBounds {
@@ -35,20 +40,24 @@
 }
 
 impl RetryBounds {
-    /// Returns the part of the limits that one of `routers` routers may use.
+    /// Returns the part of the limits that the router at `position`, from 0, among `routers` routers may
+    /// use. The parts add up to no more than the limits.
     ///
     /// ```
     /// use dogwoodway_routing::retry_budget::{RetryBounds, RetryLimits};
     ///
-    /// let share = RetryBounds { ratio: 0.2, slack: 54 }.share(4);
-    /// assert_eq!(share, RetryLimits { earned_millis: 150, max_saved: 10 });
+    /// let bounds = RetryBounds { ratio: 0.2, slack: 54 };
+    /// assert_eq!(bounds.share(4, 0), RetryLimits { earned_millis: 150, max_saved: 10 });
+    /// let saved: u32 = (0..103).map(|position| bounds.share(103, position).max_saved).sum();
+    /// assert_eq!(saved, 40);
     /// ```
-    pub fn share(&self, routers: u32) -> RetryLimits {
+    pub fn share(&self, routers: u32, position: u32) -> RetryLimits {
         let used_share = f64::from(USED_PERMILLE) / 1e3;
-        let max_saved = f64::from(self.slack) * used_share / f64::from(routers);
+        let saved = (f64::from(self.slack) * used_share) as u64;
+        let saved_before = |position: u32| saved * u64::from(position) / u64::from(routers.max(1));
         RetryLimits {
             earned_millis: (self.ratio * 1e3 * used_share) as u32,
-            max_saved: (max_saved as u32).max(1),
+            max_saved: (saved_before(position + 1) - saved_before(position)) as u32,
         }
     }
 }
@@ -111,3 +120,101 @@
         }
     }
 }
+
+/// The part that one router uses of a retry budget of many routers.
+///
+/// A router whose part is less than one retry still sends the retries that its requests earn. It must
+/// not save one, since all such routers may send theirs at once.
+///
+/// ```
+/// use dogwoodway_routing::retry_budget::{RetryBounds, RetryShare};
+/// use dogwoodway_types::Timestamp;
+///
+/// let now = Timestamp::from_millis(1);
+/// let mut share = RetryShare::new(RetryBounds { ratio: 0.2, slack: 54 }.share(380, 0));
+/// assert!(!share.try_take_retry(now));
+/// (0..7).for_each(|_| share.record_first_attempt(now));
+/// assert!(share.try_take_retry(now));
+/// ```
+#[derive(Clone, Debug)]
+pub struct RetryShare {
+    limits: RetryLimits,
+    budget: RetryBudget,
+    recent: RecentAttempts,
+}
+
+impl RetryShare {
+    /// Creates a share with all saved retries.
+    pub fn new(limits: RetryLimits) -> RetryShare {
+        let budget = RetryBudget::new(bucket_limits(limits));
+        RetryShare { limits, budget, recent: RecentAttempts::default() }
+    }
+
+    /// Changes the limits; saved retries beyond the new capacity are dropped.
+    pub fn set_limits(&mut self, limits: RetryLimits) {
+        self.limits = limits;
+        self.budget.set_limits(bucket_limits(limits));
+    }
+
+    /// Adds to the share what the first attempt of a request earns.
+    pub fn record_first_attempt(&mut self, now: Timestamp) {
+        self.budget.record_first_attempt();
+        self.recent.slot(now).first_attempts += 1;
+    }
+
+    /// Takes one retry; returns false, without taking any, if none is left.
+    pub fn try_take_retry(&mut self, now: Timestamp) -> bool {
+        let AttemptCount { first_attempts, retries, .. } = self.recent.sum(now);
+        let RetryLimits { earned_millis, max_saved } = self.limits;
+        let allowed_millis = u64::from(earned_millis) * u64::from(first_attempts)
+            + u64::from(max_saved * RETRY_COST_MILLIS);
+        let taken_millis = (u64::from(retries) + 1) * u64::from(RETRY_COST_MILLIS);
+        let is_allowed = taken_millis <= allowed_millis && self.budget.try_take_retry();
+        if is_allowed {
+            self.recent.slot(now).retries += 1;
+        }
+        is_allowed
+    }
+}
+
+/// Returns the limits of the bucket of a share, which must hold one retry for any to be taken.
+fn bucket_limits(share: RetryLimits) -> RetryLimits {
+    RetryLimits { max_saved: share.max_saved.max(1), ..share }
+}
+
+/// Counts of attempts in one second.
+#[derive(Clone, Copy, Debug, Default)]
+struct AttemptCount {
+    /// Seconds of the clock.
+    second: u64,
+    first_attempts: u32,
+    retries: u32,
+}
+
+/// Counts of the attempts in the last [`WINDOW_SECONDS`].
+#[derive(Clone, Debug, Default)]
+struct RecentAttempts {
+    /// The second that is running and those of the window before it, in turn.
+    slots: [AttemptCount; WINDOW_SECONDS + 1],
+}
+
+impl RecentAttempts {
+    fn slot(&mut self, now: Timestamp) -> &mut AttemptCount {
+        let second = now.as_millis() / 1_000;
+        let slot = &mut self.slots[second as usize % (WINDOW_SECONDS + 1)];
+        if slot.second != second {
+            *slot = AttemptCount { second, ..AttemptCount::default() };
+        }
+        slot
+    }
+
+    fn sum(&self, now: Timestamp) -> AttemptCount {
+        let second = now.as_millis() / 1_000;
+        let recent = self.slots.iter().filter(|slot| slot.second + WINDOW_SECONDS as u64 >= second);
+        recent.fold(AttemptCount { second, ..AttemptCount::default() }, |sum, slot| AttemptCount {
+            second,
+            first_attempts: sum.first_attempts + slot.first_attempts,
+            retries: sum.retries + slot.retries,
+        })
+    }
+}
--- a/crates/dogwoodway_routing/tests/retry_budget.rs
+++ b/crates/dogwoodway_routing/tests/retry_budget.rs
@@ -1,6 +1,7 @@
 //! Compares the retry budget with a reference model that evaluates the whole history.
 
-use dogwoodway_routing::retry_budget::{RetryBounds, RetryBudget};
+use dogwoodway_routing::retry_budget::{RetryBounds, RetryBudget, RetryShare};
+use dogwoodway_types::Timestamp;
 use proptest::prelude::*;
 
 /// Default capacity of the budget, in retries.
@@ -56,15 +57,19 @@
 /// Limits that a platform sets on all routers together.
 const BOUNDS: RetryBounds = RetryBounds { ratio: 0.2, slack: 54 };
 
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(1_000_000 + ms)
+}
+
 /// Returns the retries that `routers` routers send at once, each of which has got `requests` requests
 /// just before and many long ago.
 fn retries_at_once(routers: u32, requests: u32) -> u32 {
-    let mut budgets: Vec<_> =
-        (0..routers).map(|_| RetryBudget::new(BOUNDS.share(routers))).collect();
+    let shares = (0..routers).map(|position| RetryShare::new(BOUNDS.share(routers, position)));
     let mut retries = 0;
-    for budget in &mut budgets {
-        (0..100 + requests).for_each(|_| budget.record_first_attempt());
-        while budget.try_take_retry() {
+    for mut share in shares {
+        (0..100).for_each(|_| share.record_first_attempt(at(0)));
+        (0..requests).for_each(|_| share.record_first_attempt(at(60_000)));
+        while share.try_take_retry(at(60_500)) {
             retries += 1;
         }
     }
@@ -79,6 +84,29 @@
             let allowed = BOUNDS.ratio * f64::from(routers * requests) + f64::from(BOUNDS.slack);
             let retries = f64::from(retries_at_once(routers, requests));
             assert!(retries <= allowed, "{retries} of {allowed} retries of {routers} routers");
+            let earned = 0.15 * f64::from(routers * requests) - f64::from(routers);
+            assert!(retries >= earned.max(40.0), "only {retries} retries of {routers} routers");
+        }
+    }
+}
+
+proptest! {
+    #[test]
+    fn share_of_whole_retries_allows_what_a_bucket_of_the_same_limits_allows(
+        steps in proptest::collection::vec((proptest::bool::weighted(0.3), 0..2_000_u64), 1..400),
+    ) {
+        let limits = BOUNDS.share(4, 1);
+        let (mut share, mut budget) = (RetryShare::new(limits), RetryBudget::new(limits));
+        let mut ms = 0;
+        for (is_retry, pause_ms) in steps {
+            ms += pause_ms / 10;
+            match is_retry {
+                true => prop_assert_eq!(share.try_take_retry(at(ms)), budget.try_take_retry()),
+                false => {
+                    share.record_first_attempt(at(ms));
+                    budget.record_first_attempt();
+                }
+            }
         }
     }
 }
