Show that retries are placed on a server that answers nothing

A server that stands still accepts connections, so that the probe of a silent server succeeds and counts as activity. Retries are placed there too, and the server reads them when it wakes, seconds later, with the deadline as it was when they were sent.

--- a/crates/dogwoodway_routing/tests/direct_fleet.rs
+++ b/crates/dogwoodway_routing/tests/direct_fleet.rs
@@ -324,6 +324,32 @@
     assert!(fleet.unresponsive_servers(at(1_000)).is_empty());
 }
 
+// A retry was sent to a server that stood still, which read it seconds later with too much time.
+#[test]
+fn retry_is_not_placed_on_a_server_that_accepts_connections_and_answers_nothing() {
+    let (mut fleet, keys) = fleet(3);
+    let first = place(&mut fleet, at(0), 7, 1);
+    finish(&mut fleet, at(200), first.request);
+    let overdue = place(&mut fleet, at(300), 7, 2);
+    assert_eq!(overdue.server, first.server);
+    assert_eq!(fleet.unresponsive_servers(at(1_200)), [first.server]);
+    fleet.record_probe(at(1_200), first.server, true);
+    let mut others = keys.iter().filter(|key| **key != first.server);
+    let (tried, other) = (others.next().unwrap(), others.next().unwrap());
+    let tried = fleet.listing(*tried).unwrap().name.clone();
+    let mut retry = placement_request(at(1_300), prompt(7, 5_000, 1_000, 3), 1, 800, 3);
+    retry.tried = vec![tried];
+    assert_eq!(fleet.place(at(1_300), &retry).unwrap().server, *other);
+    // It is still better than none, and first attempts show whether it answers.
+    retry.tried.push(fleet.listing(*other).unwrap().name.clone());
+    assert_eq!(fleet.place(at(1_300), &retry).unwrap().server, first.server);
+    assert_eq!(place(&mut fleet, at(1_300), 7, 4).server, first.server);
+    // Once it answers, it gets retries again.
+    fleet.record_activity(at(1_400), first.server);
+    retry.tried.pop();
+    assert_eq!(fleet.place(at(1_500), &retry).unwrap().server, first.server);
+}
+
 #[test]
 fn an_unreachable_store_is_neither_fetched_from_nor_saved_to() {
     let mut fleet = Fleet::new(zone("a"));
