--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -27,7 +27,7 @@
         kv_stores::KvChange,
         load::router_id,
     },
-    retry_budget::{RetryBudget, RetryLimits},
+    retry_budget::{RetryBounds, RetryShare},
 };
 use dogwoodway_types::{BackendServerName, ServiceName, Timestamp, WeightsVersion};
 use kameo::{
@@ -77,22 +77,9 @@
 /// Time for which a server that is shutting down is reported to other routers, in milliseconds.
 const LEAVING_NOTICE_TTL_MS: u64 = 1_000;
 
-/// Part of the allowed retry budget that is used, in thousandths. The margin is needed because
-/// routers count requests at slightly different times.
-const RETRY_BUDGET_USE_PERMILLE: u32 = 750;
-
 /// Number of routers that are assumed to share the retry budget until the actual number is known.
 const ASSUMED_ROUTERS: u32 = 24;
 
-/// Limits that the platform sets on the retries of all routers together.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) struct RetryBounds {
-    /// Retries per request.
-    pub(crate) ratio: f64,
-    /// Additional retries in one window of time.
-    pub(crate) slack: u32,
-}
-
 /// A change in an engine's weights, as one router reports it to the others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct WeightsUpdate {
@@ -122,9 +109,11 @@
     /// that later attempts start with a new signal.
     lost_signals: SecondaryMap<BackendKey, watch::Sender<bool>>,
     retry_bounds: RetryBounds,
-    retry_budgets: HashMap<ServiceName, RetryBudget>,
+    retry_shares: HashMap<ServiceName, RetryShare>,
     /// Number of routers that share the retry budget and the connection limits.
     router_count: u32,
+    /// Position of this router among those that are alive.
+    router_position: u32,
     crash_tracker: CrashTracker,
     part_evidence: PartEvidence,
     limit_reports: LimitReports,
@@ -165,8 +154,9 @@
             unnamed_responses: SecondaryMap::new(),
             lost_signals: SecondaryMap::new(),
             retry_bounds: RetryBounds { ratio: settings.retry_ratio, slack: settings.retry_slack },
-            retry_budgets: HashMap::new(),
+            retry_shares: HashMap::new(),
             router_count: ASSUMED_ROUTERS,
+            router_position: 0,
             crash_tracker,
             part_evidence: PartEvidence::new(seed, ASSUMED_ROUTERS),
             limit_reports: LimitReports::default(),
@@ -179,23 +169,12 @@
         }
     }
 
-    /// Returns the part of the common retry limits that this router may use.
-    fn retry_limits(&self) -> RetryLimits {
-        let used_share = f64::from(RETRY_BUDGET_USE_PERMILLE) / 1e3;
-        let max_saved =
-            f64::from(self.retry_bounds.slack) * used_share / f64::from(self.router_count);
-        RetryLimits {
-            earned_millis: (self.retry_bounds.ratio * 1e3 * used_share) as u32,
-            max_saved: (max_saved as u32).max(1),
-        }
-    }
-
-    fn retry_budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
-        let limits = self.retry_limits();
-        let budget =
-            self.retry_budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(limits));
-        budget.set_limits(limits);
-        budget
+    fn retry_share(&mut self, service: &ServiceName) -> &mut RetryShare {
+        let limits = self.retry_bounds.share(self.router_count, self.router_position);
+        let share =
+            self.retry_shares.entry(service.clone()).or_insert_with(|| RetryShare::new(limits));
+        share.set_limits(limits);
+        share
     }
 
     fn take_idle(&mut self, now: Timestamp, key: BackendKey) -> Option<Connection> {
