Take no response for complete whose server was killed

What callers saw: a stream that ended as complete before its last event, on machines where servers are processes.

Cause: a response that has neither a length nor chunks ends with its connection, and an orderly end counted as the server's word that it is complete. It may be the kernel's: it closes the connections of a killed process in good order, unless they have unread data.

At the orderly end of such a response the router now connects to the server once more. If nobody listens there, and the server was not expected to stop, the response is handled like a lost connection. It serves the next request, as the one that ended would have. This holds for all responses without a length, not only for streams.

What stays unknown: a server that closes the connection itself between two events and runs on, and a process that listens again within the moment.

--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -54,6 +54,7 @@
     crash_tracker::FingerprintEvent,
     limit_reports::ApplyLimitNotices,
     notices::{ApplyLeavingServers, ApplyServerNotice},
+    probes::{IsExpectedToStop, ProbeCompleted},
     routers::{
         ApplyFingerprintEvent, ApplyPartNotices, ApplyPeerUpdate, ApplyWeightsNotices,
         ClearPeerLoads, CollectRouterUpdate, SetRouters,
--- a/crates/dogwoodway_gateway/src/fleet_actor/probes.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/probes.rs
@@ -28,7 +28,7 @@
 }
 
 /// Result of a probe.
-struct ProbeCompleted {
+pub(crate) struct ProbeCompleted {
     key: BackendKey,
     /// Absent if the probe failed.
     connection: Option<Connection>,
@@ -37,6 +37,24 @@
     is_refused: bool,
 }
 
+impl ProbeCompleted {
+    /// Creates the result of a probe that reached its server.
+    pub(crate) fn reached(key: BackendKey, connection: Connection) -> ProbeCompleted {
+        ProbeCompleted { key, connection: Some(connection), is_refused: false }
+    }
+}
+
+/// Returns whether a server that is gone has stopped as planned.
+pub(crate) struct IsExpectedToStop(pub(crate) BackendKey);
+
+impl Message<IsExpectedToStop> for FleetActor {
+    type Reply = bool;
+
+    async fn handle(&mut self, msg: IsExpectedToStop, _: &mut Context<Self, Self::Reply>) -> bool {
+        self.fleet.is_expected_to_stop(msg.0)
+    }
+}
+
 impl Message<ProbeCompleted> for FleetActor {
     type Reply = ();
 
--- a/crates/dogwoodway_gateway/src/lib.rs
+++ b/crates/dogwoodway_gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod relay;
 mod response_body;
 mod router;
+mod server_check;
 mod feeds;
 mod stream;
 mod stream_origins;
--- a/crates/dogwoodway_gateway/src/relay/deliver.rs
+++ b/crates/dogwoodway_gateway/src/relay/deliver.rs
@@ -60,7 +60,7 @@
         metrics::histogram!(metric::FIRST_BYTE_SECONDS)
             .record((clock::now() - request.arrived_at).as_secs_f64());
         let content = BodyContent::of_response(request.kind, status, request.last_event_id());
-        let mut body = ResponseBody::new(upstream.body, framing, content);
+        let mut body = ResponseBody::new(upstream.body, framing, content, guard.server_check());
         let is_long = body.length().is_some_and(|bytes| bytes > MAX_BUFFERED_RESPONSE_BYTES as u64);
         // The run that continues a stream may differ in length from the rest of the first one.
         let states_length = framing == BodyFraming::Length && !body.can_be_resumed();
--- a/crates/dogwoodway_gateway/src/response_body.rs
+++ b/crates/dogwoodway_gateway/src/response_body.rs
@@ -11,6 +11,8 @@
     body::{Body as _, Incoming},
 };
 
+use crate::server_check::ServerCheck;
+
 /// What the router knows of the content of a body.
 #[derive(Debug)]
 pub(crate) enum BodyContent {
@@ -67,6 +69,8 @@
 pub(crate) enum BodyError {
     ConnectionLost(hyper::Error),
     Incomplete(EventStreamError),
+    /// The connection ended in good order, but the process at its other end is gone.
+    ServerCrashed,
 }
 
 impl fmt::Display for BodyError {
@@ -75,6 +79,7 @@
         match self {
             BodyError::ConnectionLost(e) => write!(f, "{e}"),
             BodyError::Incomplete(e) => write!(f, "{e}"),
+            BodyError::ServerCrashed => write!(f, "the server crashed"),
         }
     }
 }
@@ -93,6 +98,7 @@
     incoming: Incoming,
     framing: BodyFraming,
     content: BodyContent,
+    server: ServerCheck,
 }
 
 impl ResponseBody {
@@ -100,8 +106,9 @@
         incoming: Incoming,
         framing: BodyFraming,
         content: BodyContent,
+        server: ServerCheck,
     ) -> ResponseBody {
-        ResponseBody { incoming, framing, content }
+        ResponseBody { incoming, framing, content, server }
     }
 
     pub(crate) fn framing(&self) -> BodyFraming {
@@ -128,16 +135,24 @@
         let frame = match self.incoming.frame().await {
             Some(Ok(frame)) => frame,
             Some(Err(e)) => return Some(Err(BodyError::ConnectionLost(e))),
-            None => {
-                let end = self.content.scanner().map(|scanner| scanner.check_end(self.framing));
-                return end?.err().map(|e| Err(BodyError::Incomplete(e)));
-            }
+            None => return self.check_end().await.err().map(Err),
         };
         // Trailers are not passed on.
         let bytes = frame.into_data().unwrap_or_default();
         Some(self.content.push(bytes).map_err(BodyError::Incomplete))
     }
 
+    /// Checks that a body is complete whose end has arrived.
+    async fn check_end(&self) -> Result<(), BodyError> {
+        if let Some(scanner) = self.content.scanner() {
+            scanner.check_end(self.framing).map_err(BodyError::Incomplete)?;
+        }
+        match self.framing == BodyFraming::CloseDelimited && self.server.has_crashed().await {
+            true => Err(BodyError::ServerCrashed),
+            false => Ok(()),
+        }
+    }
+
     /// Prepares for the body of another server that continues the stream, and returns where it must
     /// go on. `None` if the stream is of a kind that cannot be continued.
     pub(crate) fn prepare_resumption(&mut self) -> Option<StreamPosition> {
@@ -148,8 +163,13 @@
     }
 
     /// Continues with the body of another server.
-    pub(crate) fn resume_with(&mut self, incoming: Incoming, framing: BodyFraming) {
-        (self.incoming, self.framing) = (incoming, framing);
+    pub(crate) fn resume_with(
+        &mut self,
+        incoming: Incoming,
+        framing: BodyFraming,
+        server: ServerCheck,
+    ) {
+        (self.incoming, self.framing, self.server) = (incoming, framing, server);
     }
 
     /// Returns how the body has ended.
--- /dev/null
+++ b/crates/dogwoodway_gateway/src/server_check.rs
@@ -0,0 +1,68 @@
+//! Whether the end of a connection is that of the response that it delimits.
+//!
+//! The kernel closes the connections of a killed process in good order. A response that has neither
+//! a length nor chunks then ends like a complete one, but nobody listens at its server any more.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use dogwoodway_routing::direct::fleet::BackendKey;
+use kameo::actor::ActorRef;
+
+use crate::{
+    clock,
+    connection::Connection,
+    fleet_actor::{FleetActor, IsExpectedToStop, ProbeCompleted},
+};
+
+/// Time for which a connection must last, in milliseconds. While the kernel tears a process down, its
+/// listener may accept connections for a moment after the others were closed.
+const TEARDOWN_MS: u64 = 20;
+
+/// Checks whether the server of a response still runs.
+#[derive(Clone, Debug)]
+pub(crate) struct ServerCheck {
+    pub(crate) fleet: ActorRef<FleetActor>,
+    pub(crate) server: BackendKey,
+    pub(crate) address: SocketAddr,
+}
+
+impl ServerCheck {
+    /// Returns whether the server has crashed: it refuses connections, and was not expected to stop.
+    ///
+    /// A connection that the server accepts is kept for the next request.
+    pub(crate) async fn has_crashed(&self) -> bool {
+        match self.connect().await {
+            Ok(connection) => {
+                let result = ProbeCompleted::reached(self.server, connection);
+                if let Err(e) = self.fleet.tell(result).await {
+                    log::debug!("could not keep the connection to a checked server: {e}");
+                }
+                false
+            }
+            Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
+                match self.fleet.ask(IsExpectedToStop(self.server)).await {
+                    Ok(is_expected) => !is_expected,
+                    Err(e) => {
+                        log::error!("fleet actor did not say whether a server was to stop: {e}");
+                        true
+                    }
+                }
+            }
+            Err(e) => {
+                log::debug!("could not check a server whose response ended: {e}");
+                false
+            }
+        }
+    }
+
+    /// Connects to the server, again if the connection does not last. A server that has too many
+    /// connections resets new ones, but it accepts them.
+    async fn connect(&self) -> io::Result<Connection> {
+        let connection = Connection::open(self.address).await?;
+        clock::sleep_until(clock::now() + Duration::from_millis(TEARDOWN_MS)).await;
+        match connection.is_reusable(clock::now()) {
+            true => Ok(connection),
+            false => Connection::open(self.address).await,
+        }
+    }
+}
--- a/crates/dogwoodway_gateway/src/stream.rs
+++ b/crates/dogwoodway_gateway/src/stream.rs
@@ -4,7 +4,7 @@
 //! sent to another one together with the id of the last complete event, and the client sees one
 //! uninterrupted stream.
 
-use std::{mem, sync::Arc, time::Duration};
+use std::{mem, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use dogwoodway_http::{Body, BodyAborted, StreamPosition};
@@ -29,6 +29,7 @@
     },
     relay::{Attempt, ClientRequest, Relay, log_outcome},
     response_body::ResponseBody,
+    server_check::ServerCheck,
 };
 
 /// Least time between two reports of received bytes for one response, in milliseconds.
@@ -46,6 +47,7 @@
     fleet: ActorRef<FleetActor>,
     request_key: RequestKey,
     pub(crate) server: BackendKey,
+    address: SocketAddr,
     /// Version of the weights that the server was asked to use.
     pub(crate) version: Option<WeightsVersion>,
     /// Identifies the server to other routers.
@@ -73,6 +75,7 @@
             fleet: fleet.clone(),
             request_key: placement.request,
             server: placement.server,
+            address: placement.address,
             version: placement.version,
             server_tag: placement.server_tag,
             software: placement.software_tag,
@@ -89,6 +92,11 @@
         }
     }
 
+    /// Returns the check of the server at the end of its response.
+    pub(crate) fn server_check(&self) -> ServerCheck {
+        ServerCheck { fleet: self.fleet.clone(), server: self.server, address: self.address }
+    }
+
     /// Records that the head of a valid answer has arrived.
     pub(crate) fn record_answer_start(&mut self) {
         self.request.answer_started_at = Some(clock::now());
@@ -359,7 +367,8 @@
                     let headers = &response.upstream.head.headers;
                     self.keep_alive_ms = self.relay.protocol.keep_alive_ms(headers);
                     let framing = response.upstream.framing();
-                    self.body.resume_with(response.upstream.body, framing);
+                    let check = response.guard.server_check();
+                    self.body.resume_with(response.upstream.body, framing, check);
                     self.connection = Some(response.upstream.connection);
                     self.guard = Some(response.guard);
                     return true;
--- a/crates/dogwoodway_routing/src/direct/fleet/notices.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/notices.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::direct::{
-    fleet::{BackendKey, Fleet, ServerTag, membership::MAX_REMEMBERED},
+    fleet::{Availability, BackendKey, Fleet, ServerTag, membership::MAX_REMEMBERED},
     server_notice::ServerNotice,
 };
 
@@ -63,6 +63,14 @@
         Some(LeavingServer { server: server.hash.into(), started_at_ms })
     }
 
+    /// Returns whether a server may stop at any time without a crash: it said so, or it is not listed
+    /// any more.
+    pub fn is_expected_to_stop(&self, key: BackendKey) -> bool {
+        self.servers.get(key).is_none_or(|server| {
+            server.is_leaving || server.listing.availability == Availability::Draining
+        })
+    }
+
     /// Returns whether a server is neither shutting down nor paused.
     pub fn wants_requests(&self, now: Timestamp, key: BackendKey) -> bool {
         self.servers.get(key).is_some_and(|server| server.wants_requests(now))
--- a/crates/dogwoodway_routing/tests/direct_notices.rs
+++ b/crates/dogwoodway_routing/tests/direct_notices.rs
@@ -36,6 +36,18 @@
     (fleet, keys)
 }
 
+#[test]
+fn a_server_is_expected_to_stop_once_it_said_so_or_is_not_listed() {
+    let (mut fleet, keys) = fleet(4);
+    assert!(keys.iter().all(|key| !fleet.is_expected_to_stop(*key)));
+    let draining = ServerListing { availability: Availability::Draining, ..listing(0, 1, 2) };
+    fleet.apply_listing(at(1), draining);
+    fleet.mark_leaving(keys[1], 1);
+    fleet.remove(&listing(2, 1, 1).name);
+    let expected: Vec<_> = keys.iter().map(|key| fleet.is_expected_to_stop(*key)).collect();
+    assert_eq!(expected, [true, true, true, false]);
+}
+
 /// Returns the servers that get requests at `now`.
 fn servers_in_use(fleet: &mut Fleet, now: Timestamp) -> Vec<BackendKey> {
     let mut servers = Vec::new();
