Ask all routers for the software of a stream while the store is lost

Callers that took up streams without the name of their attempt were refused for the whole of an outage of the store, though one version had served all along: the origin is unknown while the list of servers cannot be confirmed.

Only a router that has listed a server sends it requests. So a router that cannot confirm its list asks all others that it knows, those that are silent for up to 60 s included, and itself. If all have listed one version alone, for longer than streams last, the stream began there, however old their lists are. A router that knows no other does too: it cannot tell an outage from being cut off from everybody.

Questions bear a number of their own, so that no late answer to an earlier one counts. Builds before drop the new messages, which come last, and then the origin is unknown.

--- a/crates/dogwoodway_gateway/src/feeds.rs
+++ b/crates/dogwoodway_gateway/src/feeds.rs
@@ -247,9 +247,14 @@
         self.router_count.store(count.max(1), Ordering::Relaxed);
     }
 
+    /// Returns the number of routers that share the store, this one included.
+    pub(crate) fn router_count(&self) -> u32 {
+        self.router_count.load(Ordering::Relaxed)
+    }
+
     /// Returns the least time between two reads of the list of servers that requests cause.
     pub(crate) fn needed_read_interval(&self) -> Duration {
-        let routers = u64::from(self.router_count.load(Ordering::Relaxed));
+        let routers = u64::from(self.router_count());
         Duration::from_millis(MIN_NEEDED_READ_INTERVAL_MS.max(routers * NEEDED_READ_MS_PER_ROUTER))
     }
 
--- a/crates/dogwoodway_gateway/src/gossip.rs
+++ b/crates/dogwoodway_gateway/src/gossip.rs
@@ -37,6 +37,7 @@
         ApplyWeightsNotices, ClearPeerLoads, CollectRouterUpdate, FleetActor, SetRouters,
     },
     metric,
+    software_surveys::{SharedSurveys, SoftwareQuestion},
     stream_origins::{OriginQuestion, SharedOrigins},
 };
 
@@ -87,6 +88,9 @@
     pub(crate) origins: SharedOrigins,
     /// Questions about the origins of streams, to be sent to other routers.
     pub(crate) origin_questions: mpsc::Receiver<OriginQuestion>,
+    pub(crate) surveys: SharedSurveys,
+    /// Questions about the software of services, to be sent to all other routers.
+    pub(crate) software_questions: mpsc::Receiver<SoftwareQuestion>,
 }
 
 /// Sends and receives until the process ends.
@@ -170,6 +174,9 @@
                 Some(question) = self.config.origin_questions.recv() => {
                     self.send_origin_question(clock::now(), question);
                 }
+                Some(question) = self.config.software_questions.recv() => {
+                    self.send_software_question(question);
+                }
                 () = loads_changed.notified(), if !self.has_changes => self.has_changes = true,
                 () = clock::sleep_until(due) => {
                     let now = clock::now();
--- a/crates/dogwoodway_gateway/src/gossip/datagram.rs
+++ b/crates/dogwoodway_gateway/src/gossip/datagram.rs
@@ -8,6 +8,7 @@
         aggregation::Digest,
         fleet::{LeavingServer, LimitNotice, OriginPrompt, ServerLoad, VersionAge},
         peers::RouterInfo,
+        software::SoftwareTag,
         stream_origin::{HomeAnswer, OriginRecord, StreamKey},
     },
     part_blame::PartNotice,
@@ -43,7 +44,7 @@
     StreamOrigins(OriginMessage),
 }
 
-/// A message between a router and the home router of a stream.
+/// A message between two routers. Further variants come last, as in [`Content`].
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) enum OriginMessage {
     /// Where new streams of the sender began.
@@ -52,6 +53,11 @@
     Question { key: StreamKey, service: ServiceName },
     /// Answers such a question.
     Answer { key: StreamKey, answer: HomeAnswer },
+    /// Asks which software of a service the receiver has listed.
+    SoftwareQuestion { nonce: u64, service: ServiceName },
+    /// Answers such a question; empty unless it was one version alone, for longer than any stream may
+    /// last.
+    SoftwareAnswer { nonce: u64, sole: Option<SoftwareTag> },
 }
 
 /// State that each router needs as it is, so that aggregators pass it on unchanged.
--- a/crates/dogwoodway_gateway/src/gossip/origin_messages.rs
+++ b/crates/dogwoodway_gateway/src/gossip/origin_messages.rs
@@ -3,9 +3,10 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use dogwoodway_routing::direct::stream_origin::{
-    HomeAnswer, MAX_REPORTED_LIST_AGE, OriginRecord, TOLD_PER_ZONE, homes, routers_to_ask,
+    HomeAnswer, MAX_REPORTED_LIST_AGE, OriginRecord, ServiceSoftware, TOLD_PER_ZONE, homes,
+    routers_to_ask,
 };
-use dogwoodway_types::Timestamp;
+use dogwoodway_types::{ServiceName, Timestamp};
 
 use crate::{
     clock,
@@ -14,6 +15,7 @@
         Gossip,
         datagram::{Content, OriginMessage},
     },
+    software_surveys::SoftwareQuestion,
     stream_origins::OriginQuestion,
 };
 
@@ -59,6 +61,32 @@
                 let message = OriginMessage::Answer { key, answer };
                 self.send(Content::StreamOrigins(message), &[from]);
             }
+            OriginMessage::SoftwareQuestion { nonce, service } => {
+                let sole = self.software(service).await.sole;
+                let message = OriginMessage::SoftwareAnswer { nonce, sole };
+                self.send(Content::StreamOrigins(message), &[from]);
+            }
+            OriginMessage::SoftwareAnswer { nonce, sole } => {
+                self.config.surveys.record(nonce, from, sole);
+            }
+        }
+    }
+
+    /// Asks all other routers that are known which software of a service they have listed.
+    pub(super) fn send_software_question(&self, question: SoftwareQuestion) {
+        let SoftwareQuestion { nonce, service } = question;
+        let asked = self.config.surveys.begin(nonce, self.peers.addresses());
+        let message = OriginMessage::SoftwareQuestion { nonce, service };
+        self.send(Content::StreamOrigins(message), &asked);
+    }
+
+    async fn software(&self, service: ServiceName) -> ServiceSoftware {
+        match self.config.fleet.ask(GetServiceSoftware(service)).await {
+            Ok(reply) => reply.0,
+            Err(e) => {
+                log::error!("fleet actor did not name the software of a service: {e}");
+                ServiceSoftware::default()
+            }
         }
     }
 
@@ -70,14 +98,7 @@
         // The clock is read again: the question may have waited while the process stood still.
         let list_age = clock::now() - self.config.feeds.servers_verified_at();
         let is_current = list_age <= MAX_REPORTED_LIST_AGE;
-        let sole_software = match self.config.fleet.ask(GetServiceSoftware(question.service)).await
-        {
-            Ok(reply) => reply.0.sole.filter(|_| is_current),
-            Err(e) => {
-                log::error!("fleet actor did not name the software of a service: {e}");
-                None
-            }
-        };
-        HomeAnswer { origin: None, sole_software }
+        let software = self.software(question.service).await;
+        HomeAnswer { origin: None, sole_software: software.sole.filter(|_| is_current) }
     }
 }
--- a/crates/dogwoodway_gateway/src/lib.rs
+++ b/crates/dogwoodway_gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod relay;
 mod response_body;
 mod router;
+mod software_surveys;
 mod feeds;
 mod stream;
 mod stream_origins;
--- a/crates/dogwoodway_gateway/src/metric.rs
+++ b/crates/dogwoodway_gateway/src/metric.rs
@@ -13,6 +13,9 @@
 /// Streams that clients have taken up again, by how their origin was found (label `origin`).
 pub(crate) const RESUMPTIONS: &str = "dogwoodway_router_resumptions_total";
 
+/// Surveys among all routers which software they have listed, by result (label `result`).
+pub(crate) const SOFTWARE_SURVEYS: &str = "dogwoodway_router_software_surveys_total";
+
 /// Reads of the list of servers that were made because a client took up a stream.
 pub(crate) const NEEDED_READS: &str = "dogwoodway_router_needed_server_list_reads_total";
 
--- a/crates/dogwoodway_gateway/src/router.rs
+++ b/crates/dogwoodway_gateway/src/router.rs
@@ -33,6 +33,7 @@
     leader::LeaderConfig,
     platform_api::{Directory, EngineControl, KvEventSource, RequestProtocol, RouterLog},
     relay::Relay,
+    software_surveys::SharedSurveys,
     stream_origins::{OriginResolver, SharedOrigins},
 };
 
@@ -129,8 +130,7 @@
     dependencies: RouterDependencies,
     shutdown: ShutdownSignals,
 ) -> Result<(), RouterError> {
-    let (clients, health_checks) =
-        (bind(settings.listen).await?, bind(settings.ready_listen).await?);
+    let (clients, health_checks) = bind_listeners(&settings).await?;
     let (fingerprint_tx, fingerprint_events) = mpsc::channel(FINGERPRINT_EVENT_QUEUE);
     let (discovered_tx, discovered) = mpsc::channel(DISCOVERED_QUEUE);
     let (leader_shutdown_tx, leader_shutdown) = watch::channel(false);
@@ -138,6 +138,7 @@
     let loads_changed = Arc::new(Notify::new());
     let feeds = SharedFeeds::new(loads_changed.clone());
     let (origins, origin_questions) = SharedOrigins::new(loads_changed.clone());
+    let (surveys, software_questions) = SharedSurveys::new(&feeds);
     let fleet_channels = FleetChannels {
         fingerprint_events: fingerprint_tx,
         control: dependencies.control.clone(),
@@ -158,15 +159,16 @@
         discovered,
         origins: origins.clone(),
         origin_questions,
+        surveys: surveys.clone(),
+        software_questions,
     }));
-    let resolver = OriginResolver::new(origins, &feeds, &fleet);
     let leader = tokio::spawn(leader::run(LeaderConfig {
         router: settings.name.clone(),
         address: settings.gossip_listen,
         lease_ms: u64::from(settings.lease_ms),
         store,
         control: dependencies.control,
-        feeds,
+        feeds: feeds.clone(),
         fleet: fleet.clone(),
         fingerprint_events,
         discovered: discovered_tx,
@@ -174,7 +176,7 @@
     }));
     let relay = Arc::new(Relay {
         protocol: dependencies.protocol,
-        origins: resolver,
+        origins: OriginResolver::new(origins, surveys, &feeds, &fleet),
         fleet,
         tables,
         key_pepper: dependencies.key_pepper,
@@ -241,6 +243,13 @@
     }
 }
 
+/// Binds the addresses of the clients and of the health check.
+async fn bind_listeners(
+    settings: &RouterSettings,
+) -> Result<(TcpListener, TcpListener), RouterError> {
+    Ok((bind(settings.listen).await?, bind(settings.ready_listen).await?))
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, RouterError> {
     TcpListener::bind(address).await.map_err(|e| RouterError::Bind(address, e))
 }
--- a/crates/dogwoodway_gateway/src/stream_origins.rs
+++ b/crates/dogwoodway_gateway/src/stream_origins.rs
@@ -26,6 +26,7 @@
     clock,
     feeds::SharedFeeds,
     fleet_actor::{CheckOrigin, FleetActor, GetServiceSoftware},
+    software_surveys::SharedSurveys,
 };
 
 /// Times after which other routers are asked again, in milliseconds, and at the end of which the
@@ -214,6 +215,7 @@
 #[derive(Clone)]
 pub(crate) struct OriginResolver {
     origins: SharedOrigins,
+    surveys: SharedSurveys,
     feeds: SharedFeeds,
     fleet: ActorRef<FleetActor>,
 }
@@ -221,10 +223,11 @@
 impl OriginResolver {
     pub(crate) fn new(
         origins: SharedOrigins,
+        surveys: SharedSurveys,
         feeds: &SharedFeeds,
         fleet: &ActorRef<FleetActor>,
     ) -> OriginResolver {
-        OriginResolver { origins, feeds: feeds.clone(), fleet: fleet.clone() }
+        OriginResolver { origins, surveys, feeds: feeds.clone(), fleet: fleet.clone() }
     }
 
     /// Records where a stream of this router began. Its client may take it up until `until`.
@@ -257,7 +260,13 @@
             list.current_at = self.feeds.read_servers(list.needed_at, give_up_at).await;
             software = self.software(stream.service).await;
         }
-        let found = match resolve(&answers, &software, list) {
+        let others = match software.sole {
+            Some(_) if !list.is_newer_than_stream() => {
+                self.surveys.sole_software(stream.service, stream.arrived_at).await
+            }
+            _ => None,
+        };
+        let found = match resolve(&answers, &software, list, others) {
             Some((origin, source)) => self.check(origin).await.map(|origin| (origin, source)),
             None => None,
         };
--- a/crates/dogwoodway_routing/src/direct.rs
+++ b/crates/dogwoodway_routing/src/direct.rs
@@ -26,6 +26,7 @@
 pub mod server_limit;
 pub mod server_notice;
 pub mod software;
+pub mod software_survey;
 pub mod store_era;
 pub mod stream_origin;
 pub mod table;
--- a/crates/dogwoodway_routing/src/direct/peers.rs
+++ b/crates/dogwoodway_routing/src/direct/peers.rs
@@ -39,7 +39,8 @@
 /// aggregate, and the one that would replace it.
 const AGGREGATORS_PER_ZONE: usize = 2;
 
-/// Time without a datagram from a router after which it is removed, in milliseconds.
+/// Time without a datagram from a router after which it is removed, in milliseconds. No stream that it
+/// began can be taken up any more then.
 const EXPIRE_AFTER_MS: u64 = 60_000;
 
 /// Number of routers that read the store continuously: two, so that one may be cut off.
@@ -257,6 +258,11 @@
         ranks
     }
 
+    /// Returns the addresses of all other routers that are known, also of those that are silent.
+    pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.peers.keys().copied()
+    }
+
     /// Returns what the routers that are not silent have told about themselves.
     pub fn infos(&self, now: Timestamp) -> impl Iterator<Item = RouterInfo> + '_ {
         self.peers.values().filter(move |peer| !peer.is_silent(now)).filter_map(|peer| peer.info)
--- a/crates/dogwoodway_routing/src/direct/stream_origin.rs
+++ b/crates/dogwoodway_routing/src/direct/stream_origin.rs
@@ -305,6 +305,8 @@
     SoleSoftware,
     /// Like `SoleSoftware`, but only other routers have seen that for long enough.
     ReportedSoleSoftware,
+    /// All routers have listed no other software for longer than any stream may last.
+    AllRouters,
 }
 
 impl OriginSource {
@@ -315,6 +317,7 @@
             OriginSource::Home => "home",
             OriginSource::SoleSoftware => "sole-software",
             OriginSource::ReportedSoleSoftware => "reported-sole-software",
+            OriginSource::AllRouters => "all-routers",
         }
     }
 }
@@ -348,10 +351,10 @@
     }
 }
 
-/// Decides where a stream began, from what the homes answer and from the software of the service.
-/// `None` means that the stream must not be continued: any server might be of another version.
+/// Decides where a stream began, from what the homes answer, from the software of the service, and
+/// from the only software that all other routers have listed, if they were asked and agree. `None` means that the stream must not be continued: any server might be of another version.
 ///
-/// The software of the service says nothing about a stream that may be newer than the list of servers:
+/// The list of servers alone says nothing about a stream that may be newer than the list:
 /// another router may have begun it at a server that this one does not know yet.
 ///
 /// ```
@@ -367,23 +370,26 @@
 /// let software = ServiceSoftware { listed: vec![v1], sole: Some(v1), since: None };
 /// let needed_at = Timestamp::from_millis(5_000);
 /// let current = ListState { needed_at, current_at: needed_at };
-/// let source = resolve(&[], &software, current).map(|(_, source)| source);
-/// assert_eq!(source, Some(OriginSource::SoleSoftware));
+/// let source = |list, others| resolve(&[], &software, list, others).map(|(_, source)| source);
+/// assert_eq!(source(current, None), Some(OriginSource::SoleSoftware));
 /// let late = ListState { needed_at, current_at: Timestamp::from_millis(4_999) };
-/// assert_eq!(resolve(&[], &software, late), None);
+/// assert_eq!(source(late, None), None);
+/// assert_eq!(source(late, Some(v1)), Some(OriginSource::AllRouters));
 /// ```
 pub fn resolve(
     answers: &[HomeAnswer],
     software: &ServiceSoftware,
     list: ListState,
+    others: Option<SoftwareTag>,
 ) -> Option<(StreamOrigin, OriginSource)> {
     if let Some(origin) = answers.iter().find_map(|answer| answer.origin) {
         return Some((origin, OriginSource::Home));
     }
+    let at_sole = |software| StreamOrigin { software, weights: None, began: None };
     if !list.is_newer_than_stream() {
-        return None;
+        let agreed = software.sole.filter(|sole| others == Some(*sole));
+        return agreed.map(|software| (at_sole(software), OriginSource::AllRouters));
     }
-    let at_sole = |software| StreamOrigin { software, weights: None, began: None };
     if let Some(sole) = software.sole {
         return Some((at_sole(sole), OriginSource::SoleSoftware));
     }
--- a/crates/dogwoodway_routing/tests/stream_origins.rs
+++ b/crates/dogwoodway_routing/tests/stream_origins.rs
@@ -6,6 +6,7 @@
     fleet::ServerTag,
     peers::{RouterInfo, ZoneTag},
     software::{SoftwareHistory, SoftwareTag},
+    software_survey::SoftwareSurvey,
     stream_origin::{
         HOME_ZONES, HomeAnswer, ListState, MAX_REPORTED_LIST_AGE, OriginSource, ServiceSoftware,
         StreamBeginning, StreamKey, StreamOrigin, StreamOrigins, TOLD_PER_ZONE, homes, resolve,
@@ -141,7 +142,7 @@
         since: Some(START),
     };
     let current = ListState { needed_at: seconds(60), current_at: seconds(60) };
-    let resolve = |answers: &[HomeAnswer], software| resolve(answers, &software, current);
+    let resolve = |answers: &[HomeAnswer], software| resolve(answers, &software, current, None);
     let at = |version, source| {
         Some((StreamOrigin { software: software(version), weights: None, began: None }, source))
     };
@@ -192,11 +193,50 @@
         (&[], begun(margin), current, None),
     ] {
         let list = ListState { needed_at, current_at };
-        let source = resolve(answers, &software, list).map(|(_, source)| source);
+        let source = resolve(answers, &software, list, None).map(|(_, source)| source);
         assert_eq!(source, expected, "{answers:?} {software:?} {list:?}");
     }
 }
 
+#[test]
+fn sole_software_counts_without_the_store_if_all_routers_have_listed_no_other() {
+    let (v1, v2) = (software("v1"), software("v1.1"));
+    let list = ListState { needed_at: seconds(60), current_at: START };
+    let followed =
+        ServiceSoftware { listed: vec![v1], sole: Some(v1), since: Some(Timestamp::default()) };
+    let begun = ServiceSoftware { sole: None, ..followed.clone() };
+    let source = |software, others| resolve(&[], software, list, others).map(|(_, source)| source);
+    assert_eq!(source(&followed, Some(v1)), Some(OriginSource::AllRouters));
+    assert_eq!(source(&followed, Some(v2)), None);
+    assert_eq!(source(&followed, None), None);
+    assert_eq!(source(&begun, Some(v1)), None, "it may have begun streams in a process before");
+    let routers = |count: u8| {
+        (1..=count).map(|n| format!("10.0.0.{n}:7340").parse().unwrap()).collect::<Vec<_>>()
+    };
+    for (known, answers, sole, is_decided) in [
+        (2, &[Some(v1), Some(v1)][..], Some(v1), true),
+        (2, &[Some(v1)], None, false),
+        (2, &[Some(v1), Some(v2)], None, true),
+        (2, &[None], None, true),
+        (2, &[Some(v1), None], None, true),
+        (2, &[], None, false),
+        (1, &[Some(v1)], Some(v1), true),
+        // A router that hears nobody may be cut off from all.
+        (0, &[], None, true),
+        // An answer of a router that was not asked.
+        (1, &[Some(v1), Some(v1)], Some(v1), true),
+    ] {
+        let mut survey = SoftwareSurvey::default();
+        assert!(!survey.is_decided() && survey.sole().is_none(), "it has not begun");
+        survey.begin(routers(known));
+        for (router, answer) in routers(9).into_iter().zip(answers) {
+            survey.record(router, *answer);
+        }
+        assert_eq!(survey.sole(), sole, "{known} routers: {answers:?}");
+        assert_eq!(survey.is_decided(), is_decided, "{known} routers: {answers:?}");
+    }
+}
+
 #[test]
 fn software_that_came_and_went_while_changes_were_missed_may_have_begun_a_stream() {
     let mut history = SoftwareHistory::default();
