--- a/crates/dogwoodway_gateway/src/lib.rs
+++ b/crates/dogwoodway_gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod response_body;
 mod router;
 mod server_check;
+mod software_surveys;
 mod feeds;
 mod stream;
 mod stream_origins;
--- a/crates/dogwoodway_routing/src/direct/peers.rs
+++ b/crates/dogwoodway_routing/src/direct/peers.rs
@@ -50,7 +50,8 @@
 const AGGREGATORS_PER_ZONE: usize = 2;
 
 /// Time without a datagram from a router after which it is removed, in milliseconds. Until then it
-/// keeps its part of the limits that all routers share, since it may be cut off and go on serving.
+/// keeps its part of the limits that all routers share, and may have begun the streams that clients take
+/// up, since it may be cut off and go on serving.
 const EXPIRE_AFTER_MS: u64 = 600_000;
 
 /// Number of routers that read the store continuously: two, so that one may be cut off.
@@ -287,6 +288,11 @@
         ranks
     }
 
+    /// Returns the addresses of all other routers that are known, also of those that are silent.
+    pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.peers.keys().copied()
+    }
+
     /// Returns what the routers that are not silent have told about themselves.
     pub fn infos(&self, now: Timestamp) -> impl Iterator<Item = RouterInfo> + '_ {
         self.peers.values().filter(move |peer| !peer.is_silent(now)).filter_map(|peer| peer.info)
