Open a connection for each call with an effect to a backend server

Callers got a response that answers no request as that of their reservation, and a chat of a class that is not repeatable ran at three engines.

Agents keep connections to their engine or service, and match responses by their order. Any 4xx of an engine means 'not run', so that the entry sends the request elsewhere; a service's response is passed on whatever it is.

An engine's or service's responses name no request, and their protocol is not ours to change. Chats, orders, cancels, transfers and service calls now get a connection each, on which nothing can be left over. The backend server is on the VM of its agent. Polls of status and cache events keep their connections.

--- a/crates/dogwoodway_engine/src/client.rs
+++ b/crates/dogwoodway_engine/src/client.rs
@@ -22,7 +22,11 @@
 /// HTTP client of one engine.
 #[derive(Clone, Debug)]
 pub struct HttpEngine {
+    /// Reads the state of the engine.
     http: HttpClient,
+    /// Makes calls that have an effect. An answer left over from another call would be taken for
+    /// theirs, and a refusal for the promise that a request does not run.
+    effects: HttpClient,
     base_url: String,
 }
 
@@ -33,7 +37,7 @@
     /// let _engine = dogwoodway_engine::HttpEngine::new("http://127.0.0.1:8000".to_owned());
     /// ```
     pub fn new(base_url: String) -> HttpEngine {
-        HttpEngine { http: HttpClient::new(), base_url }
+        HttpEngine { http: HttpClient::new(), effects: HttpClient::without_reuse(), base_url }
     }
 }
 
@@ -45,7 +49,7 @@
     ) -> Result<KvTransferResponse, EngineError> {
         let url = format!("{}/kv/{direction}", self.base_url);
         let timeout = Duration::from_millis(KV_TRANSFER_TIMEOUT_MS);
-        self.http.json(Method::POST, &url, &req, timeout).await.map_err(engine_error)
+        self.effects.json(Method::POST, &url, &req, timeout).await.map_err(engine_error)
     }
 }
 
@@ -58,7 +62,7 @@
             let url = format!("{}/v1/chat/completions", self.base_url);
             let body = serde_json::to_vec(&req).map_err(|e| EngineError::Refused(e.to_string()))?;
             let resp = self
-                .http
+                .effects
                 .send(Method::POST, &url, "application/json", Bytes::from(body), &[])
                 .await
                 .map_err(engine_error)?;
@@ -81,7 +85,7 @@
         async move {
             let url = format!("{}/v1/requests/{request_id}", self.base_url);
             let timeout = Duration::from_millis(CONTROL_TIMEOUT_MS);
-            let resp = self.http.call(Method::DELETE, &url, "", Bytes::new(), timeout).await;
+            let resp = self.effects.call(Method::DELETE, &url, "", Bytes::new(), timeout).await;
             resp.map(|_| ()).map_err(engine_error)
         }
         .boxed()
@@ -94,7 +98,8 @@
             let body =
                 serde_json::to_vec(&order).map_err(|e| EngineError::Refused(e.to_string()))?;
             let body = Bytes::from(body);
-            let resp = self.http.call(Method::POST, &url, "application/json", body, timeout).await;
+            let resp =
+                self.effects.call(Method::POST, &url, "application/json", body, timeout).await;
             match resp.map_err(engine_error)?.status {
                 status if status.is_success() => Ok(()),
                 status if status.is_client_error() => {
--- a/crates/dogwoodway_http/src/client.rs
+++ b/crates/dogwoodway_http/src/client.rs
@@ -28,7 +28,8 @@
 pub struct ClientLimits {
     /// Time limit for establishing a connection, in milliseconds.
     pub connect_timeout_ms: u64,
-    /// Maximum number of idle connections to one server that stay open for reuse.
+    /// Maximum number of idle connections to one server that stay open for reuse; with 0, each
+    /// request gets a new connection.
     pub max_idle_connections: usize,
     /// Time without any packet from the server after which a connection is closed, in
     /// milliseconds; `None` for no limit.
@@ -117,6 +118,19 @@
         HttpClient::with_limits(ClientLimits::default())
     }
 
+    /// Creates a client with default limits that opens a connection for each request.
+    ///
+    /// HTTP/1.1 matches responses to requests by their order on a connection. If a response could be
+    /// taken for one that an earlier request has left over, and that must not happen, the connection
+    /// must not have carried an earlier request.
+    ///
+    /// ```
+    /// let _client = dogwoodway_http::HttpClient::without_reuse();
+    /// ```
+    pub fn without_reuse() -> HttpClient {
+        HttpClient::with_limits(ClientLimits { max_idle_connections: 0, ..ClientLimits::default() })
+    }
+
     /// Creates a client with the given limits.
     pub fn with_limits(limits: ClientLimits) -> HttpClient {
         let mut connector = HttpConnector::new();
--- a/crates/dogwoodway_service/src/lib.rs
+++ b/crates/dogwoodway_service/src/lib.rs
@@ -22,7 +22,8 @@
     ) -> BoxFuture<'_, Result<HttpResponse, HttpError>>;
 }
 
-/// HTTP client of one plain service.
+/// HTTP client of one plain service. It opens a connection for each call: responses of a plain service
+/// name no call, and one that is left over from another call must not be passed on.
 #[derive(Clone, Debug)]
 pub struct HttpService {
     http: HttpClient,
@@ -36,7 +37,7 @@
     /// let _service = dogwoodway_service::HttpService::new("http://127.0.0.1:9000".to_owned());
     /// ```
     pub fn new(base_url: String) -> HttpService {
-        HttpService { http: HttpClient::new(), base_url }
+        HttpService { http: HttpClient::without_reuse(), base_url }
     }
 }
 
