Place no retry on a server that owes an answer and sends nothing

Servers that stood still read retries seconds later, of requests that other servers had answered, with the deadline as it was when they were sent. Their machines had acknowledged the bytes, so that they can't be withdrawn.

A server that is silent with an overdue answer is probed by a connection. The machine of a process that stands still accepts it, and that counted as a sign of life; and once the overdue request had ended, nothing told any more that it had got no answer. The time of the last bytes is now kept apart from that of the last probe, and an overdue request that ends without any output is remembered until the server sends something. Retries go to such a server only if no other takes them. First attempts are placed as before.

retry_is_not_placed_on_a_server_that_accepts_connections_and_answers_nothing failed before with "left: BackendKey(3v1) right: BackendKey(2v1)".

--- a/crates/dogwoodway_routing/src/direct/fleet/placement.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/placement.rs
@@ -147,14 +147,12 @@
         request: &PlacementRequest,
     ) -> Result<Placement, Refusal> {
         let sample_share = self.update_sample_share(now, request);
-        // The engines of the sample may all be loading weights or have other versions.
-        let versions = request.preferred_version.map(Some).into_iter();
-        let mut versions = versions.chain([request.required_version]);
-        let choice = versions
-            .find_map(|version| {
-                self.choose(now, request, version, sample_share)
-                    .or_else(|| self.choose(now, request, version, EVERY_ENGINE))
-            })
+        // A server that stands still would read a retry later, when another one has answered it.
+        let is_retry = !request.tried.is_empty();
+        let choice = is_retry
+            .then(|| self.choose_by_version(now, request, sample_share, true))
+            .flatten()
+            .or_else(|| self.choose_by_version(now, request, sample_share, false))
             .ok_or_else(|| self.refusal_without_server(now, request))?;
         let predicted_ms = self.check_wait_and_deadline(now, request, &choice.candidate)?;
         Ok(self.record_placement(now, choice, predicted_ms))
@@ -174,6 +172,24 @@
         }
     }
 
+    /// Returns the cheapest of the servers that accept a request, among those of the preferred version
+    /// if there are any.
+    fn choose_by_version(
+        &self,
+        now: Timestamp,
+        request: &PlacementRequest,
+        sample_share: f64,
+        avoids_mute: bool,
+    ) -> Option<Choice> {
+        let versions = request.preferred_version.map(Some).into_iter();
+        let mut versions = versions.chain([request.required_version]);
+        versions.find_map(|version| {
+            // The engines of the sample may all be loading weights or have other versions.
+            self.choose(now, request, version, sample_share, avoids_mute)
+                .or_else(|| self.choose(now, request, version, EVERY_ENGINE, avoids_mute))
+        })
+    }
+
     /// Returns the cheapest of the servers that accept a request, among those that the prompt is
     /// attached to and a sample of the others; `None` if there is none.
     fn choose(
@@ -182,6 +198,7 @@
         request: &PlacementRequest,
         required_version: Option<WeightsVersion>,
         share: f64,
+        avoids_mute: bool,
     ) -> Option<Choice> {
         let keys = self.by_service.get(&request.service)?.as_slice();
         let spec = self.engine_specs.get(&request.service);
@@ -195,7 +212,9 @@
         let mut best: Option<(f64, BackendKey, Candidate, Option<usize>, FetchSource)> = None;
         for &key in keys {
             let Some(server) = self.servers.get(key) else { continue };
-            if !self.accepts_requests(now, server, request) {
+            if !self.accepts_requests(now, server, request)
+                || (avoids_mute && self.is_mute(now, server))
+            {
                 continue;
             }
             let (prefill, scope, fetch) = match (&request.prompt, spec) {
--- a/crates/dogwoodway_routing/src/direct/fleet/requests.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/requests.rs
@@ -119,6 +119,8 @@
         }
         if let Some(signal) = signal {
             server.health.record(now, signal);
+        } else if !request.has_output {
+            server.health.record_unanswered(now, request.sent_at + request.predicted_latency);
         }
         if !request.has_output {
             server.prefix_cache.discard_unfinished(&request.segments, now);
@@ -128,12 +130,8 @@
     /// Returns the servers that have sent nothing for too long while an output is overdue.
     pub fn unresponsive_servers(&self, now: Timestamp) -> Vec<BackendKey> {
         let is_unresponsive = |server: &Server| {
-            let due_times = server.awaiting_output.iter().filter_map(|(request_key, sent_at)| {
-                Some(*sent_at + self.in_flight.get(*request_key)?.predicted_latency)
-            });
-            let due_since = due_times.min();
             server.health.is_up()
-                && due_since.is_some_and(|since| server.health.is_unresponsive(now, since))
+                && self.due_since(server).is_some_and(|at| server.health.is_unresponsive(now, at))
         };
         self.servers
             .iter()
@@ -142,6 +140,20 @@
             .collect()
     }
 
+    /// Returns whether a server owes an output, or owed one to a request that has ended, and has sent
+    /// nothing for too long. It may accept connections.
+    pub(super) fn is_mute(&self, now: Timestamp, server: &Server) -> bool {
+        server.health.is_mute(now, self.due_since(server))
+    }
+
+    /// Returns when the first output of a server was due that has not arrived.
+    fn due_since(&self, server: &Server) -> Option<Timestamp> {
+        let due_times = server.awaiting_output.iter().filter_map(|(request_key, sent_at)| {
+            Some(*sent_at + self.in_flight.get(*request_key)?.predicted_latency)
+        });
+        due_times.min()
+    }
+
     /// Returns the servers that are down and due for a probe connection, and records the probes as
     /// started.
     pub fn start_probes(&mut self, now: Timestamp) -> Vec<BackendKey> {
--- a/crates/dogwoodway_routing/src/direct/health.rs
+++ b/crates/dogwoodway_routing/src/direct/health.rs
@@ -70,7 +70,12 @@
     failure_share: f64,
     refusal_share: f64,
     slowdown: Option<f64>,
+    /// When the server last sent some bytes or accepted a probe connection.
     last_activity_at: Timestamp,
+    /// When the server last sent some bytes.
+    last_output_at: Timestamp,
+    /// When an output was due of a request that ended without any, if nothing was sent since.
+    unanswered_since: Option<Timestamp>,
 }
 
 impl Health {
@@ -82,6 +87,8 @@
             refusal_share: 0.0,
             slowdown: None,
             last_activity_at: now,
+            last_output_at: now,
+            unanswered_since: None,
         }
     }
 
@@ -107,6 +114,15 @@
     /// Records that the server sent some bytes.
     pub fn record_activity(&mut self, now: Timestamp) {
         self.last_activity_at = self.last_activity_at.max(now);
+        self.last_output_at = self.last_output_at.max(now);
+        self.unanswered_since = None;
+    }
+
+    /// Records that a request ended without any output, which was due at `due_at`.
+    pub fn record_unanswered(&mut self, now: Timestamp, due_at: Timestamp) {
+        if due_at < now {
+            self.unanswered_since = Some(self.unanswered_since.map_or(due_at, |at| at.min(due_at)));
+        }
     }
 
     /// Updates the slowdown factor from the time that a first output took and the prediction for
@@ -124,7 +140,7 @@
         match is_reachable {
             true => {
                 self.reachability = Reachability::Up;
-                self.record_activity(now);
+                self.last_activity_at = self.last_activity_at.max(now);
             }
             false => self.mark_unreachable(now),
         }
@@ -165,6 +181,17 @@
         now - self.last_activity_at.max(due_since) >= Duration::from_millis(SILENCE_TIMEOUT_MS)
     }
 
+    /// Returns whether the server has sent nothing for too long, although an output has been due since
+    /// `due_since` or a request ended without any. Its machine may go on accepting connections while
+    /// the process stands still.
+    pub fn is_mute(&self, now: Timestamp, due_since: Option<Timestamp>) -> bool {
+        let due_since = due_since.into_iter().chain(self.unanswered_since).min();
+        due_since.is_some_and(|due_since| {
+            let silent_since = self.last_output_at.max(due_since);
+            now - silent_since >= Duration::from_millis(SILENCE_TIMEOUT_MS)
+        })
+    }
+
     /// Returns the moving average of the share of requests that failed.
     pub fn failure_share(&self) -> f64 {
         self.failure_share
--- a/crates/dogwoodway_routing/tests/direct_fleet.rs
+++ b/crates/dogwoodway_routing/tests/direct_fleet.rs
@@ -324,9 +324,10 @@
     assert!(fleet.unresponsive_servers(at(1_000)).is_empty());
 }
 
-// A retry was sent to a server that stood still, which read it seconds later with too much time.
-#[test]
-fn retry_is_not_placed_on_a_server_that_accepts_connections_and_answers_nothing() {
+/// Returns a fleet of three servers, of which the first one holds a prefix, owes an answer that is
+/// overdue, and accepts connections; a retry of a request that the second one was sent; and the overdue
+/// request.
+fn fleet_with_mute_server() -> (Fleet, [BackendKey; 3], PlacementRequest, RequestKey) {
     let (mut fleet, keys) = fleet(3);
     let first = place(&mut fleet, at(0), 7, 1);
     finish(&mut fleet, at(200), first.request);
@@ -334,20 +335,39 @@
     assert_eq!(overdue.server, first.server);
     assert_eq!(fleet.unresponsive_servers(at(1_200)), [first.server]);
     fleet.record_probe(at(1_200), first.server, true);
-    let mut others = keys.iter().filter(|key| **key != first.server);
-    let (tried, other) = (others.next().unwrap(), others.next().unwrap());
-    let tried = fleet.listing(*tried).unwrap().name.clone();
+    let others: Vec<_> = keys.into_iter().filter(|key| *key != first.server).collect();
     let mut retry = placement_request(at(1_300), prompt(7, 5_000, 1_000, 3), 1, 800, 3);
-    retry.tried = vec![tried];
-    assert_eq!(fleet.place(at(1_300), &retry).unwrap().server, *other);
-    // It is still better than none, and first attempts show whether it answers.
-    retry.tried.push(fleet.listing(*other).unwrap().name.clone());
-    assert_eq!(fleet.place(at(1_300), &retry).unwrap().server, first.server);
-    assert_eq!(place(&mut fleet, at(1_300), 7, 4).server, first.server);
-    // Once it answers, it gets retries again.
-    fleet.record_activity(at(1_400), first.server);
-    retry.tried.pop();
-    assert_eq!(fleet.place(at(1_500), &retry).unwrap().server, first.server);
+    retry.tried = vec![fleet.listing(others[0]).unwrap().name.clone()];
+    (fleet, [first.server, others[0], others[1]], retry, overdue.request)
+}
+
+// A retry was sent to a server that stood still, which read it seconds later with too much time.
+#[test]
+fn retry_is_not_placed_on_a_server_that_accepts_connections_and_answers_nothing() {
+    let (mut fleet, [_, _, other], retry, _) = fleet_with_mute_server();
+    assert_eq!(fleet.place(at(1_300), &retry).unwrap().server, other);
+}
+
+#[test]
+fn retry_is_not_placed_on_a_server_whose_overdue_request_has_ended() {
+    let (mut fleet, [_, _, other], retry, overdue) = fleet_with_mute_server();
+    fleet.end_request(at(3_200), overdue, None);
+    assert_eq!(fleet.place(at(3_300), &retry).unwrap().server, other);
+}
+
+#[test]
+fn server_that_answers_nothing_gets_first_attempts_and_retries_that_no_other_takes() {
+    let (mut fleet, [mute, _, other], mut retry, _) = fleet_with_mute_server();
+    assert_eq!(place(&mut fleet, at(1_300), 7, 4).server, mute);
+    retry.tried.push(fleet.listing(other).unwrap().name.clone());
+    assert_eq!(fleet.place(at(1_300), &retry).unwrap().server, mute);
+}
+
+#[test]
+fn server_gets_retries_again_once_it_has_answered() {
+    let (mut fleet, [awake, ..], retry, _) = fleet_with_mute_server();
+    fleet.record_activity(at(1_250), awake);
+    assert_eq!(fleet.place(at(1_300), &retry).unwrap().server, awake);
 }
 
 #[test]
