Read events whatever ends their lines

What callers saw: nothing of an engine whose events have lines that end with CR or CRLF, as the specification of event streams allows; the answer broke off at its end.

Cause: the reader of the own path looked for two LF in a row, while the scanner of the gateway knows all line ends.

Evidence: events_are_read_whatever_ends_their_lines failed before:

"\r\n" by 1: connection lost: the stream ended inside an event

--- a/crates/dogwoodway_http/src/sse/reader.rs
+++ b/crates/dogwoodway_http/src/sse/reader.rs
@@ -8,7 +8,7 @@
 /// Maximum size of one event, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
-/// Reads server-sent events from the body of a response.
+/// Reads server-sent events from the body of a response. Lines end with CR, LF or CRLF.
 #[derive(Debug)]
 pub struct SseReader {
     body: Incoming,
@@ -51,13 +51,40 @@
     }
 
     fn take_event(&mut self) -> Result<Option<String>, HttpError> {
-        let Some(end) = self.buf.windows(2).position(|w| w == b"\n\n") else {
-            return Ok(None);
-        };
-        let event: Vec<u8> = self.buf.drain(..end + 2).collect();
-        let event =
-            String::from_utf8(event).map_err(|e| HttpError::InvalidResponse(e.to_string()))?;
-        let data = event.lines().filter_map(|line| line.strip_prefix("data:"));
-        Ok(Some(data.map(str::trim_start).collect::<Vec<_>>().join("\n")))
+        loop {
+            let Some(end) = event_end(&self.buf) else { return Ok(None) };
+            let event: Vec<u8> = self.buf.drain(..end).collect();
+            // A blank line alone is no event, such as the second half of a CRLF that came later.
+            if event.iter().all(|byte| is_line_end(*byte)) {
+                continue;
+            }
+            let event =
+                String::from_utf8(event).map_err(|e| HttpError::InvalidResponse(e.to_string()))?;
+            let lines = event.split(['\r', '\n']);
+            let data = lines.filter_map(|line| line.strip_prefix("data:"));
+            return Ok(Some(data.map(str::trim_start).collect::<Vec<_>>().join("\n")));
+        }
+    }
+}
+
+/// Returns the offset after the blank line that ends the first event.
+fn event_end(buf: &[u8]) -> Option<usize> {
+    let mut is_line_blank = true;
+    let mut rest = buf.iter().enumerate().peekable();
+    while let Some((i, byte)) = rest.next() {
+        if !is_line_end(*byte) {
+            is_line_blank = false;
+            continue;
+        }
+        let is_crlf = *byte == b'\r' && rest.next_if(|(_, next)| **next == b'\n').is_some();
+        if is_line_blank {
+            return Some(i + 1 + usize::from(is_crlf));
+        }
+        is_line_blank = true;
     }
+    None
+}
+
+fn is_line_end(byte: u8) -> bool {
+    matches!(byte, b'\r' | b'\n')
 }
