Complete a line end that a broken-off run left half sent

What callers saw: two events as one, at a caller that takes only two CRLF for the end of an event.

Cause: an event ends with the CR of its blank line, and its LF comes with the next bytes. A stream that broke off between the two was resumed without the LF.

Evidence: a_line_end_that_breaks_off_after_its_cr_is_completed failed before:

left: "id: 1\r\ndata: a\r\n\rid: 2\r\ndata: b\r\n\r\n"

The LF is now put before the events of the next run. To a caller that takes a CR alone for a line end it changes nothing.

--- a/crates/dogwoodway_http/src/sse/splitter.rs
+++ b/crates/dogwoodway_http/src/sse/splitter.rs
@@ -1,5 +1,7 @@
 //! Splitting of a byte stream into complete events.
 
+use std::mem;
+
 use bytes::{Bytes, BytesMut};
 
 use crate::{EventScanner, EventStreamError, StreamPosition};
@@ -21,13 +23,19 @@
     scanner: EventScanner,
     /// Scanner of a stream that continues this one after the events that were returned.
     continuation: EventScanner,
+    /// Whether the last byte that was returned is a CR.
+    ends_with_cr: bool,
+    /// Whether the stream that was continued broke off after a CR. Receivers that know only CRLF wait
+    /// for its LF.
+    owes_lf: bool,
 }
 
 impl EventSplitter {
     /// Creates a splitter of a stream that goes on after the event `last_id`, or of one that begins.
     pub fn after(last_id: Option<String>) -> EventSplitter {
         let scanner = EventScanner::after(last_id);
-        EventSplitter { partial: BytesMut::new(), continuation: scanner.clone(), scanner }
+        let continuation = scanner.clone();
+        EventSplitter { scanner, continuation, ..EventSplitter::default() }
     }
 
     /// Adds received bytes and returns all events that are now complete.
@@ -40,6 +48,9 @@
             self.partial.extend_from_slice(&bytes);
             return Ok(Bytes::new());
         };
+        if mem::take(&mut self.owes_lf) {
+            self.partial = [b"\n", &self.partial[..]].concat().as_slice().into();
+        }
         let events = match self.partial.is_empty() {
             true => bytes.slice(..end),
             false => {
@@ -49,6 +60,7 @@
         };
         self.partial.extend_from_slice(&bytes[end..]);
         self.continuation = self.scanner.restarted();
+        self.ends_with_cr = events.ends_with(b"\r");
         Ok(events)
     }
 
@@ -61,6 +73,7 @@
     /// other stream contains in full, and returns the position after the last event that was returned.
     pub fn restart(&mut self) -> StreamPosition {
         self.partial.clear();
+        self.owes_lf = self.ends_with_cr;
         self.scanner = self.continuation.clone();
         self.scanner.position().clone()
     }
--- a/crates/dogwoodway_http/tests/event_scanner.rs
+++ b/crates/dogwoodway_http/tests/event_scanner.rs
@@ -148,6 +148,18 @@
     assert_eq!(splitter.restart(), StreamPosition::After("4".to_owned()));
 }
 
+#[test]
+fn a_line_end_that_breaks_off_after_its_cr_is_completed() {
+    let (first, second) = ("id: 1\r\ndata: a\r\n\r", "id: 2\r\ndata: b\r\n\r\n");
+    let mut splitter = EventSplitter::default();
+    let mut out = splitter.push(first.into()).expect("an event").to_vec();
+    splitter.restart();
+    for piece in second.as_bytes().chunks(4) {
+        out.extend_from_slice(&splitter.push(piece.to_vec().into()).expect("an event"));
+    }
+    assert_eq!(String::from_utf8_lossy(&out), format!("{first}\n{second}"));
+}
+
 /// What a reader of the whole stream finds.
 struct Reference {
     /// Offset after the last event before the first that is refused.
