Count what waited in the gossip socket from when it may have arrived

Callers of a router that had stood still for 3 s got a final 404 on a route that had been acknowledged 3 s before, though a stale configuration is answered with 503: datagrams that had waited in its socket name the ages of other routers' reads as of when they were sent, and the router counted them from when it read them. So an old configuration, and an old list of servers, counted as confirmed a moment ago.

The receiving task notes when the process stood still for more than 0.5 s. Until the socket was found empty, or for a second, datagrams count as arrived before that: reports of reads and ages of versions grow by that time, times in notices of prompt parts and limits are shifted to it, and records of streams expire earlier. The task reads what waits before it does its periodic work, put off by 50 ms at most. Whether another router is alive still counts from when its datagram is read: a router that woke up alone would take all rights of the limits that servers state.

--- a/crates/dogwoodway_gateway/src/gossip.rs
+++ b/crates/dogwoodway_gateway/src/gossip.rs
@@ -14,6 +14,7 @@
 
 use dogwoodway_routing::direct::{
     aggregation::{Aggregator, Digest, ReportHistory},
+    arrival::ArrivalClock,
     fleet::{OriginPrompt, ServerLoad},
     load::router_id,
     peers::{Peers, RouterInfo, ZoneTag, rank},
@@ -51,6 +52,9 @@
 /// report, in milliseconds.
 const HEARTBEAT_DELAY_MS: u64 = 250;
 
+/// Time for which the periodic work may be put off by datagrams that wait, in milliseconds.
+const MAX_TURN_DELAY_MS: u64 = 50;
+
 /// Time without a digest after which another aggregator is chosen, in milliseconds; two heartbeats
 /// and some delay.
 const DIGEST_TIMEOUT_MS: u64 = 600;
@@ -107,6 +111,8 @@
 struct Gossip {
     config: GossipConfig,
     socket: UdpSocket,
+    /// Tells when datagrams have arrived.
+    arrivals: ArrivalClock,
     peers: Peers,
     aggregator: Aggregator,
     /// Router that this one reports to; its own address if it aggregates itself.
@@ -134,6 +140,7 @@
         Gossip {
             config,
             socket,
+            arrivals: ArrivalClock::new(clock::now()),
             peers: Peers::default(),
             aggregator: Aggregator::default(),
             chosen,
@@ -160,7 +167,15 @@
             let heartbeat_at = send_at + Duration::from_millis(HEARTBEAT_DELAY_MS);
             let due = if self.has_changes { send_at } else { heartbeat_at };
             let loads_changed = self.config.loads_changed.clone();
+            let entered_at = clock::now();
+            self.arrivals.record_turn(entered_at);
+            // Datagrams that never end keep the router from nothing.
+            if entered_at > due + Duration::from_millis(MAX_TURN_DELAY_MS) {
+                send_at = self.take_turn(role_from, count_from).await;
+                continue;
+            }
             tokio::select! {
+                biased;
                 received = self.socket.recv_from(&mut buf) => match received {
                     Ok((length, _)) => self.receive(&buf[..length]).await,
                     Err(e) => log::debug!("could not receive a gossip datagram: {e}"),
@@ -179,21 +194,28 @@
                 }
                 () = loads_changed.notified(), if !self.has_changes => self.has_changes = true,
                 () = clock::sleep_until(due) => {
-                    let now = clock::now();
-                    if now >= role_from {
-                        self.update_role(now);
-                    }
-                    self.peers.remove_expired(now);
-                    self.publish_routers(now, now >= count_from).await;
-                    self.choose_aggregator(now).await;
-                    self.has_changes = false;
-                    self.send_all(now).await;
-                    send_at = clock::now() + self.interval(now);
+                    // Whatever waited in the socket would have come first.
+                    self.arrivals.record_empty(entered_at);
+                    send_at = self.take_turn(role_from, count_from).await;
                 }
             }
         }
     }
 
+    /// Does the periodic work, and returns when it is due again at the earliest.
+    async fn take_turn(&mut self, role_from: Timestamp, count_from: Timestamp) -> Timestamp {
+        let now = clock::now();
+        if now >= role_from {
+            self.update_role(now);
+        }
+        self.peers.remove_expired(now);
+        self.publish_routers(now, now >= count_from).await;
+        self.choose_aggregator(now).await;
+        self.has_changes = false;
+        self.send_all(now).await;
+        clock::now() + self.interval(now)
+    }
+
     fn info(&self) -> RouterInfo {
         RouterInfo {
             address: self.config.address,
@@ -327,13 +349,13 @@
         if sender.address == self.config.address {
             return;
         }
-        self.peers.record_info(now, sender);
+        let arrived_at = self.record_sender(now, sender);
         match datagram.content {
             Content::Greeting { wants_reply, introduced } => {
                 self.answer_greeting(now, sender.address, wants_reply, introduced);
             }
             Content::Report { seq, loads, prompts, notices } => {
-                let notices = notices.received(now);
+                let notices = notices.received(arrived_at, now);
                 self.has_changes |= !loads.is_empty() || !prompts.is_empty() || notices.is_urgent();
                 self.notices_for_others.add(now, &notices);
                 self.apply_notices(now, notices).await;
@@ -347,7 +369,7 @@
                 self.apply_as_aggregator(sender.address, loads, prompts).await;
             }
             Content::ZoneDigest { digest, notices, alive } => {
-                let notices = notices.received(now);
+                let notices = notices.received(arrived_at, now);
                 self.has_changes |=
                     self.is_aggregating(now) && (!digest.loads.is_empty() || notices.is_urgent());
                 self.peers.record_digest(now, sender.address);
@@ -358,10 +380,10 @@
                 self.apply_as_aggregator(sender.address, loads, prompts).await;
             }
             Content::StreamOrigins(message) => {
-                self.receive_origin_message(now, sender.address, message).await;
+                self.receive_origin_message(arrived_at, sender.address, message).await;
             }
             Content::FleetDigest { digest, notices, alive } => {
-                let notices = notices.received(now);
+                let notices = notices.received(arrived_at, now);
                 self.peers.record_digest(now, sender.address);
                 self.record_alive(now, alive);
                 self.apply_notices(now, notices).await;
@@ -377,6 +399,19 @@
         }
     }
 
+    /// Records the sender of a datagram, and returns when the datagram arrived.
+    fn record_sender(&mut self, now: Timestamp, sender: RouterInfo) -> Timestamp {
+        self.peers.record_info(now, sender);
+        self.arrivals.record_turn(now);
+        let arrived_at = self.arrivals.arrived_at(now);
+        if arrived_at < now {
+            log::debug!(from:% = sender.address, waited_ms = (now - arrived_at).as_millis() as u64;
+                "a datagram may have waited while the process stood still");
+            metrics::counter!(metric::LATE_DATAGRAMS).increment(1);
+        }
+        arrived_at
+    }
+
     fn answer_greeting(
         &mut self,
         now: Timestamp,
--- a/crates/dogwoodway_gateway/src/gossip/datagram.rs
+++ b/crates/dogwoodway_gateway/src/gossip/datagram.rs
@@ -89,12 +89,20 @@
             || self.feed_reports.iter().any(FeedReports::is_useful)
     }
 
-    /// Converts the times to the clock of this router, which has received the notices at `now`.
-    pub(super) fn received(mut self, now: Timestamp) -> Notices {
+    /// Converts times and ages to those of this router at `now`. The notices have arrived at
+    /// `arrived_at`.
+    pub(super) fn received(mut self, arrived_at: Timestamp, now: Timestamp) -> Notices {
         let parts = std::mem::take(&mut self.parts).into_iter();
-        self.parts = parts.map(|notice| notice.shifted(self.sent_at, now)).collect();
+        self.parts = parts.map(|notice| notice.shifted(self.sent_at, arrived_at)).collect();
         for notice in &mut self.limits {
-            *notice = notice.shifted(self.sent_at, now);
+            *notice = notice.shifted(self.sent_at, arrived_at);
+        }
+        let waited = now - arrived_at;
+        for reports in &mut self.feed_reports {
+            *reports = reports.aged(waited);
+        }
+        for version in &mut self.versions {
+            version.age_ms += waited.as_millis() as u64;
         }
         self.sent_at = now;
         self
--- a/crates/dogwoodway_gateway/src/gossip/origin_messages.rs
+++ b/crates/dogwoodway_gateway/src/gossip/origin_messages.rs
@@ -47,17 +47,19 @@
 
     pub(super) async fn receive_origin_message(
         &self,
-        now: Timestamp,
+        arrived_at: Timestamp,
         from: SocketAddr,
         message: OriginMessage,
     ) {
         match message {
-            OriginMessage::Records(records) => self.config.origins.apply_records(now, &records),
+            OriginMessage::Records(records) => {
+                self.config.origins.apply_records(arrived_at, &records);
+            }
             OriginMessage::Answer { key, answer } => {
-                self.config.origins.apply_answer(now, key, answer);
+                self.config.origins.apply_answer(arrived_at, key, answer);
             }
             OriginMessage::Question { key, service } => {
-                let answer = self.origin_answer(now, OriginQuestion { key, service }).await;
+                let answer = self.origin_answer(OriginQuestion { key, service }).await;
                 let message = OriginMessage::Answer { key, answer };
                 self.send(Content::StreamOrigins(message), &[from]);
             }
@@ -90,13 +92,13 @@
         }
     }
 
-    async fn origin_answer(&self, now: Timestamp, question: OriginQuestion) -> HomeAnswer {
+    async fn origin_answer(&self, question: OriginQuestion) -> HomeAnswer {
+        let now = clock::now();
         let origin = self.config.origins.find(now, question.key);
         if origin.is_some() {
             return HomeAnswer { origin, sole_software: None };
         }
-        // The clock is read again: the question may have waited while the process stood still.
-        let list_age = clock::now() - self.config.feeds.servers_verified_at();
+        let list_age = now - self.config.feeds.servers_verified_at();
         let is_current = list_age <= MAX_REPORTED_LIST_AGE;
         let software = self.software(question.service).await;
         HomeAnswer { origin: None, sole_software: software.sole.filter(|_| is_current) }
--- a/crates/dogwoodway_gateway/src/metric.rs
+++ b/crates/dogwoodway_gateway/src/metric.rs
@@ -75,5 +75,8 @@
 /// Known routers, this one included.
 pub(crate) const ROUTERS: &str = "dogwoodway_router_routers";
 
+/// Datagrams of other routers that may have waited while the process stood still.
+pub(crate) const LATE_DATAGRAMS: &str = "dogwoodway_router_late_datagrams_total";
+
 /// Bytes of gossip datagrams sent to other routers.
 pub(crate) const GOSSIP_BYTES: &str = "dogwoodway_router_gossip_bytes_total";
--- a/crates/dogwoodway_routing/src/direct.rs
+++ b/crates/dogwoodway_routing/src/direct.rs
@@ -8,6 +8,7 @@
 
 pub mod admission;
 pub mod aggregation;
+pub mod arrival;
 pub mod cost;
 pub mod distance;
 pub mod feed;
