--- a/crates/dogwoodway_routing/src/direct.rs
+++ b/crates/dogwoodway_routing/src/direct.rs
@@ -9,6 +9,7 @@
 pub mod admission;
 pub mod aggregation;
 pub mod attribution;
+pub mod arrival;
 pub mod cost;
 pub mod distance;
 pub mod feed;
