--- a/crates/dogwoodway_gateway/src/server_check.rs
+++ b/crates/dogwoodway_gateway/src/server_check.rs
@@ -23,6 +23,8 @@
 pub(crate) struct ServerCheck {
     pub(crate) fleet: ActorRef<FleetActor>,
     pub(crate) server: BackendKey,
+    /// Start time of the process that the request was sent to.
+    pub(crate) started_at_ms: u64,
     pub(crate) address: SocketAddr,
 }
 
@@ -33,7 +35,7 @@
     pub(crate) async fn has_crashed(&self) -> bool {
         match self.connect().await {
             Ok(connection) => {
-                let result = ProbeCompleted::reached(self.server, connection);
+                let result = ProbeCompleted::reached(self.server, self.started_at_ms, connection);
                 if let Err(e) = self.fleet.tell(result).await {
                     log::debug!("could not keep the connection to a checked server: {e}");
                 }
--- a/crates/dogwoodway_gateway/src/stream.rs
+++ b/crates/dogwoodway_gateway/src/stream.rs
@@ -25,7 +25,7 @@
     connection::Connection,
     fleet_actor::{
         AttemptedRequest, BytesReceived, EndAttempt, FirstOutputReceived, FleetActor,
-        PlacementReply,
+        PlacementReply, ServerProcess,
     },
     relay::{Attempt, ClientRequest, Relay, log_outcome},
     response_body::ResponseBody,
@@ -48,6 +48,7 @@
     request_key: RequestKey,
     pub(crate) server: BackendKey,
     address: SocketAddr,
+    process: ServerProcess,
     /// Version of the weights that the server was asked to use.
     pub(crate) version: Option<WeightsVersion>,
     /// Identifies the server to other routers.
@@ -76,6 +77,10 @@
             request_key: placement.request,
             server: placement.server,
             address: placement.address,
+            process: ServerProcess {
+                name: placement.name.clone(),
+                started_at_ms: placement.started_at_ms,
+            },
             version: placement.version,
             server_tag: placement.server_tag,
             software: placement.software_tag,
@@ -85,6 +90,7 @@
             request: AttemptedRequest {
                 id: request.head.id.clone(),
                 shared_parts: request.shared_parts.clone(),
+                sent_at: clock::now(),
                 answer_started_at: None,
             },
             has_output: false,
@@ -94,7 +100,12 @@
 
     /// Returns the check of the server at the end of its response.
     pub(crate) fn server_check(&self) -> ServerCheck {
-        ServerCheck { fleet: self.fleet.clone(), server: self.server, address: self.address }
+        ServerCheck {
+            fleet: self.fleet.clone(),
+            server: self.server,
+            started_at_ms: self.process.started_at_ms,
+            address: self.address,
+        }
     }
 
     /// Records that the head of a valid answer has arrived.
@@ -166,6 +177,7 @@
         let end = EndAttempt {
             request_key: self.request_key,
             server: self.server,
+            process: self.process.clone(),
             signal: self.signal,
             connection: self.connection.take(),
             fingerprint: self.fingerprint,
