Repeat what a router that has just started does not know, whoever aggregates

Callers saw: a prompt part that crashes engines, refused everywhere, ran again at a router that had just started, and crashed further engines.

Cause: only the aggregator of a zone repeats the evidence against parts in quarantine and the limits that servers state. A router that starts and comes first in the order of aggregators takes that role from the one that did, so that nobody repeats them. In a fleet of one zone it learnt of the part from the next crash only; where there are other zones, their aggregators tell it. Class: a duty that ends with a role, for those who take over the role.

Fix: each router repeats both for 3 s after another one has appeared.

--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -116,6 +116,10 @@
     router_count: u32,
     /// Position of this router among those that are alive.
     router_position: u32,
+    /// Ranks of the routers that are alive.
+    routers_alive: Vec<u64>,
+    /// Until when this router repeats what routers that have just started do not know.
+    repeats_until: Timestamp,
     crash_tracker: CrashTracker,
     part_evidence: PartEvidence,
     limit_reports: LimitReports,
@@ -159,6 +163,8 @@
             retry_shares: HashMap::new(),
             router_count: ASSUMED_ROUTERS,
             router_position: 0,
+            routers_alive: Vec::new(),
+            repeats_until: Timestamp::default(),
             crash_tracker,
             part_evidence: PartEvidence::new(seed, ASSUMED_ROUTERS),
             limit_reports: LimitReports::default(),
--- a/crates/dogwoodway_gateway/src/fleet_actor/limit_reports.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/limit_reports.rs
@@ -14,8 +14,7 @@
 /// Time for which a new limit, or the end of one, is sent in each update, in milliseconds.
 const NOTICE_TTL_MS: u64 = 300;
 
-/// Interval at which an aggregator sends all limits again, for routers that have just started, in
-/// milliseconds.
+/// Interval at which all limits are sent again, for routers that have just started, in milliseconds.
 const SUMMARY_INTERVAL_MS: u64 = 500;
 
 /// Limits to report to the other routers.
@@ -32,16 +31,16 @@
         self.notices.push((notice, now + Duration::from_millis(NOTICE_TTL_MS)));
     }
 
-    /// Returns the notices to send now.
+    /// Returns the notices to send now. If `repeats` is set, all limits are among them at intervals.
     pub(super) fn take_notices(
         &mut self,
         now: Timestamp,
         fleet: &Fleet,
-        is_aggregator: bool,
+        repeats: bool,
     ) -> Vec<LimitNotice> {
         self.notices.retain(|(_, until)| *until > now);
         let new = self.notices.iter().map(|(notice, _)| *notice);
-        if !is_aggregator || now < self.next_summary_at {
+        if !repeats || now < self.next_summary_at {
             return new.collect();
         }
         self.next_summary_at = now + Duration::from_millis(SUMMARY_INTERVAL_MS);
--- a/crates/dogwoodway_gateway/src/fleet_actor/part_evidence.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/part_evidence.rs
@@ -83,9 +83,9 @@
         self.log_changes(now);
     }
 
-    /// Returns the notices to send now. An aggregator repeats the evidence against parts in
-    /// quarantine at intervals.
-    pub(super) fn take_notices(&mut self, now: Timestamp, is_aggregator: bool) -> Vec<PartNotice> {
+    /// Returns the notices to send now. If `repeats` is set, those with the evidence against parts in
+    /// quarantine are among them at intervals.
+    pub(super) fn take_notices(&mut self, now: Timestamp, repeats: bool) -> Vec<PartNotice> {
         self.log_changes(now);
         let new = self.blame.take_notices();
         self.notices.extend(new.into_iter().map(|notice| (notice, NOTICE_SENDS)));
@@ -99,7 +99,7 @@
         }
         let mut notices: Vec<_> = self.notices.iter().map(|(notice, _)| notice.clone()).collect();
         self.notices.retain(|(_, sends)| *sends > 0);
-        if is_aggregator && now >= self.next_summary_at {
+        if repeats && now >= self.next_summary_at {
             self.next_summary_at = now + Duration::from_millis(SUMMARY_INTERVAL_MS);
             notices.extend(self.blame.summary(now));
         }
--- a/crates/dogwoodway_gateway/src/fleet_actor/routers.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/routers.rs
@@ -22,6 +22,11 @@
 /// router needs them only shortly after its start.
 const VERSION_AGES_INTERVAL_MS: u64 = 300;
 
+/// Time after a router has appeared for which all others repeat what it may not know, in milliseconds.
+/// It may become the aggregator of its zone, and then the one before, which repeats it at all times, is
+/// none any more.
+const REPETITION_MS: u64 = 3_000;
+
 /// State of this router to send to the others.
 #[derive(Clone, Debug, Default, Reply)]
 pub(crate) struct RouterUpdate {
@@ -68,8 +73,9 @@
         }
         self.leaving_notices.retain(|(_, until)| *until > now);
         let leaving = self.leaving_notices.iter().map(|(leaving, _)| *leaving).collect();
-        let parts = self.part_evidence.take_notices(now, msg.is_aggregator);
-        let limits = self.limit_reports.take_notices(now, &self.fleet, msg.is_aggregator);
+        let repeats = msg.is_aggregator || now < self.repeats_until;
+        let parts = self.part_evidence.take_notices(now, repeats);
+        let limits = self.limit_reports.take_notices(now, &self.fleet, repeats);
         let loads = self.fleet.own_loads();
         RouterUpdate { loads, weights, prompts, versions, leaving, parts, limits }
     }
@@ -157,11 +163,16 @@
     type Reply = ();
 
     async fn handle(&mut self, msg: SetRouters, _: &mut Context<Self, Self::Reply>) {
+        let now = clock::now();
+        if msg.alive.iter().any(|rank| !self.routers_alive.contains(rank)) {
+            self.repeats_until = now + Duration::from_millis(REPETITION_MS);
+        }
+        self.routers_alive.clone_from(&msg.alive);
         self.router_count = msg.count.max(1);
         let position = msg.alive.iter().position(|rank| *rank == msg.own);
         self.router_position = position.unwrap_or_default() as u32;
         self.fleet.set_router_count(msg.count);
-        self.fleet.set_routers(clock::now(), msg.own, msg.alive);
+        self.fleet.set_routers(now, msg.own, msg.alive);
         self.part_evidence.set_router_count(msg.count);
     }
 }
