Confirm crashes by other signs than a refused connection

Callers saw a request that crashes its servers run again and again, and sound requests refused meanwhile. A router took a lost connection for a crash only if the next one was refused, or if the same name was listed with another start. A relay or a new process accepts it, and then the crash was forgotten and the server used on.

process_end.rs holds the signs. A process has ended as well if connections are accepted and closed at once twice in a row, if another server that started later is listed at its address, or if another server answers there. A loss that is noticed late counts for the process that the request was sent to, and a process that follows under the same listing is told apart.

Behind a relay, a router cannot tell the request that ended the process from one that was sent later. Such crashes are uncertain: three are needed instead of two, those within 500 ms count once, and none counts within 5 s of an answer to the request. Routers of the release before skip the event that reports them. A cut link, or an entry that is gone, confirms nothing.

--- a/crates/dogwoodway_gateway/src/connection.rs
+++ b/crates/dogwoodway_gateway/src/connection.rs
@@ -60,6 +60,11 @@
         Ok(Connection { sender, idle_deadline, driver })
     }
 
+    /// Waits for up to `limit`; returns whether the peer closes the connection meanwhile.
+    pub(crate) async fn is_closed_within(&mut self, limit: Duration) -> bool {
+        tokio::time::timeout(limit, &mut self.driver).await.is_ok()
+    }
+
     /// Marks the connection as idle from now on; `keep_alive_ms` is the time for which the server
     /// keeps it open, if it said so.
     pub(crate) fn mark_idle(&mut self, keep_alive_ms: Option<u64>) {
--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -25,6 +25,7 @@
         fleet::{BackendKey, Fleet, LeavingServer, ServerTag},
         kv_stores::KvChange,
         load::router_id,
+        process_end::EndSign,
     },
     retry_budget::{RetryBudget, RetryLimits},
 };
@@ -49,9 +50,9 @@
 pub(crate) use self::{
     attempts::{
         AssignedServer, AttemptedRequest, BytesReceived, EndAttempt, FirstOutputReceived,
-        PlaceRequest, PlacementReply,
+        PlaceRequest, PlacementReply, ServerReplaced,
     },
-    crash_tracker::FingerprintEvent,
+    crash_tracker::{FingerprintEvent, ServerProcess},
     limit_reports::ApplyLimitNotices,
     notices::{ApplyLeavingServers, ApplyServerNotice},
     routers::{
@@ -264,14 +265,30 @@
                 self.fleet.record_published_version(now, model, version, age);
             }
             DirectoryChange::ServerUpdated(listing) => {
-                let name = listing.name.clone();
+                let (name, address) = (listing.name.clone(), listing.address);
+                let new_start = listing.started_at_ms;
+                let known = self.fleet.find(&name).and_then(|key| self.fleet.listing(key));
+                let known_start = known.map(|known| known.started_at_ms);
                 // `true` means that the server is new or has restarted. Attempts, connections and
                 // suspects of an earlier process are then settled as after a crash.
                 if let Some((key, true)) = self.fleet.apply_listing(now, listing) {
                     self.idle_connections.insert(key, Vec::new());
                     self.mark_lost(key);
                     self.lost_signals.remove(key);
-                    self.confirm_crash(now, key);
+                    if let Some(started_at_ms) = known_start
+                        && self.crash_tracker.record_restart(key, started_at_ms, new_start)
+                    {
+                        self.confirm_crash(now, key, started_at_ms, EndSign::Restarted);
+                    }
+                    for (key, started_at_ms) in self.fleet.processes_replaced_at(address) {
+                        self.mark_lost(key);
+                        self.confirm_crash(now, key, started_at_ms, EndSign::OtherServerListed);
+                        // Its address leads to the other server.
+                        let name = self.fleet.listing(key).map(|listing| listing.name.clone());
+                        if let Some(name) = name {
+                            self.apply(now, DirectoryChange::ServerRemoved(name));
+                        }
+                    }
                     log::info!(server:% = name; "backend server listed");
                 }
             }
@@ -285,9 +302,17 @@
         }
     }
 
-    /// Records a crash against the requests and the prompt parts that the server was running.
-    fn confirm_crash(&mut self, now: Timestamp, key: BackendKey) {
-        if let Some(crash) = self.crash_tracker.confirm_crash(now, key) {
+    /// Records that a process of a server has ended, as `sign` shows, against the requests and the
+    /// prompt parts that it was running.
+    fn confirm_crash(
+        &mut self,
+        now: Timestamp,
+        key: BackendKey,
+        started_at_ms: u64,
+        sign: EndSign,
+    ) {
+        if let Some(crash) = self.crash_tracker.confirm_crash(now, key, started_at_ms, sign) {
+            log::info!(engine = crash.engine.0, sign:? = sign; "backend server crashed");
             self.part_evidence.record_crash(now, crash);
             self.loads_changed.notify_one();
         }
@@ -365,7 +390,8 @@
             log::info!(server:% = name; "backend server gone: not listed again in time");
         }
         let silent = self.fleet.unresponsive_servers(now);
-        for key in silent.into_iter().chain(self.fleet.start_probes(now)) {
+        let doubtful = self.crash_tracker.start_probes(now);
+        for key in silent.into_iter().chain(self.fleet.start_probes(now)).chain(doubtful) {
             self.probe(key, cx.actor_ref());
         }
     }
--- a/crates/dogwoodway_gateway/src/fleet_actor/attempts.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/attempts.rs
@@ -3,8 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use dogwoodway_routing::direct::{
-    fleet::{BackendKey, Placement, PlacementRequest, Refusal, RequestKey},
+    fleet::{BackendKey, Placement, PlacementRequest, Refusal, RequestKey, ServerListing},
     health::HealthSignal,
+    process_end::EndSign,
 };
 use dogwoodway_routing::part_blame::{PartKey, PartStatus};
 use dogwoodway_types::{NotRunReason, RequestFingerprint, Timestamp};
@@ -14,7 +15,13 @@
 };
 use tokio::sync::watch;
 
-use crate::{clock, connection::Connection, fleet_actor::FleetActor, metric};
+use crate::{
+    clock,
+    connection::Connection,
+    fleet_actor::{FleetActor, ServerProcess},
+    metric,
+    platform_api::DirectoryChange,
+};
 
 /// Chooses a server for a request and registers the attempt in the fleet.
 pub(crate) struct PlaceRequest {
@@ -141,6 +148,7 @@
     async fn handle(&mut self, msg: BytesReceived, _: &mut Context<Self, Self::Reply>) {
         let now = clock::now();
         self.fleet.record_activity(now, msg.server);
+        self.crash_tracker.record_service(msg.server);
         if let Some(started_at) = msg.answer_started_at {
             self.part_evidence.record_progress(now, &msg.shared_parts, started_at);
         }
@@ -154,6 +162,8 @@
     pub(crate) id: String,
     /// Parts of the prompt that other requests may share, in order.
     pub(crate) shared_parts: Arc<[PartKey]>,
+    /// When it was sent to the server.
+    pub(crate) sent_at: Timestamp,
     /// When the server began to answer; absent if it did not.
     pub(crate) answer_started_at: Option<Timestamp>,
 }
@@ -163,6 +173,8 @@
     /// Identifies the request in the fleet.
     pub(crate) request_key: RequestKey,
     pub(crate) server: BackendKey,
+    /// Process of the server that the request was sent to.
+    pub(crate) process: ServerProcess,
     /// How it ended; absent if that says nothing about the server's health, such as when the client
     /// disconnected.
     pub(crate) signal: Option<HealthSignal>,
@@ -189,14 +201,19 @@
                 self.probe(msg.server, cx.actor_ref());
             }
             Some(HealthSignal::ConnectionLost) => {
-                let listing = self.fleet.listing(msg.server);
-                if let (Some(listing), Some(fingerprint)) = (listing, msg.fingerprint) {
+                if let Some(fingerprint) = msg.fingerprint {
+                    let (key, started_at_ms) = (msg.server, msg.process.started_at_ms);
                     let request = msg.request;
-                    self.crash_tracker.add_suspect(now, msg.server, listing, fingerprint, request);
+                    let is_known_ended =
+                        self.crash_tracker.add_suspect(now, key, msg.process, fingerprint, request);
+                    if is_known_ended || self.fleet.has_process_ended(key, started_at_ms) {
+                        self.confirm_crash(now, key, started_at_ms, EndSign::KnownBefore);
+                    }
                 }
                 self.probe(msg.server, cx.actor_ref());
             }
             Some(signal @ (HealthSignal::Answered | HealthSignal::Failed)) => {
+                self.crash_tracker.record_service(msg.server);
                 let AttemptedRequest { shared_parts, answer_started_at, .. } = msg.request;
                 if let (HealthSignal::Answered, Some(started_at)) = (signal, answer_started_at) {
                     let mut parts = shared_parts.to_vec();
@@ -205,10 +222,31 @@
                     self.part_evidence.record_answer(now, &parts, started_at);
                 }
                 if let Some(fingerprint) = msg.fingerprint {
-                    self.crash_tracker.record_response(fingerprint);
+                    self.crash_tracker.record_response(now, fingerprint);
                 }
             }
             _ => {}
         }
     }
 }
+
+/// Records that another server has answered at the address of a server, and removes that one.
+pub(crate) struct ServerReplaced {
+    pub(crate) server: BackendKey,
+    /// Process that was expected to answer.
+    pub(crate) process: ServerProcess,
+}
+
+impl Message<ServerReplaced> for FleetActor {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: ServerReplaced, _: &mut Context<Self, Self::Reply>) {
+        let now = clock::now();
+        let ServerProcess { name, started_at_ms } = msg.process;
+        self.confirm_crash(now, msg.server, started_at_ms, EndSign::OtherServerAnswered);
+        let is_listed = |listing: &ServerListing| listing.started_at_ms == started_at_ms;
+        if self.fleet.listing(msg.server).is_some_and(is_listed) {
+            self.apply(now, DirectoryChange::ServerRemoved(name));
+        }
+    }
+}
--- a/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
@@ -5,6 +5,7 @@
 //! that a request cannot crash one server after another.
 
 use std::{
+    collections::VecDeque,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -13,13 +14,17 @@
 };
 
 use dogwoodway_routing::{
-    direct::fleet::{BackendKey, ServerListing},
+    direct::{
+        fleet::BackendKey,
+        process_end::{EndSign, ProbeHistory, ProbeResult},
+    },
     part_blame::{EngineCrash, PartKey, PartRun},
     quarantine::{Quarantine, QuarantineStatus},
     rendezvous::ServerKey,
 };
 use dogwoodway_types::{BackendServerName, EngineIncarnation, RequestFingerprint, Timestamp};
 use serde::{Deserialize, Serialize};
+use slotmap::SecondaryMap;
 use tokio::sync::mpsc;
 
 use crate::{fleet_actor::AttemptedRequest, metric};
@@ -34,6 +39,10 @@
 /// Maximum number of suspects; the oldest is dropped for a new one.
 const MAX_SUSPECTS: usize = 512;
 
+/// Time after the loss of a connection in which a kernel may accept new ones for a process that has
+/// ended, in milliseconds.
+const TEARDOWN_MS: u64 = 250;
+
 /// A crash of a server while it ran a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct CrashReport {
@@ -49,6 +58,13 @@
     }
 }
 
+/// A process of a server.
+#[derive(Clone, Debug)]
+pub(crate) struct ServerProcess {
+    pub(crate) name: BackendServerName,
+    pub(crate) started_at_ms: u64,
+}
+
 /// An event about one request fingerprint that routers share through their log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum FingerprintEvent {
@@ -56,6 +72,8 @@
     Crashed(CrashReport),
     /// A server responded to a request that had been suspected.
     Answered(RequestFingerprint),
+    /// A server crashed before or after it was sent the request. Older routers skip this event.
+    PossiblyCrashed(CrashReport),
 }
 
 /// A request whose connection was lost, and the report to publish if its server has crashed.
@@ -65,6 +83,25 @@
     /// When the connection was lost.
     lost_at: Timestamp,
     key: BackendKey,
+    /// Start time in the listing by which the request was sent.
+    listed_start_ms: u64,
+    until: Timestamp,
+}
+
+/// Processes that have served under one listing, one after the other. A server that has come back is
+/// listed late, and never if a request crashes it before.
+#[derive(Clone, Copy)]
+struct Generation {
+    listed_start_ms: u64,
+    /// Processes that have ended and were followed by another one.
+    number: u64,
+    has_ended: bool,
+}
+
+/// A process that has ended, for attempts at it whose loss is noticed later.
+struct EndedProcess {
+    key: BackendKey,
+    started_at_ms: u64,
     until: Timestamp,
 }
 
@@ -95,6 +132,13 @@
     /// asking the actor.
     is_in_use: Arc<AtomicBool>,
     suspects: Vec<Suspect>,
+    /// What probes have shown since the first suspect of each server.
+    probes: SecondaryMap<BackendKey, ProbeHistory>,
+    /// When a connection to each server was first lost since it was last known to serve.
+    first_lost: SecondaryMap<BackendKey, Timestamp>,
+    generations: SecondaryMap<BackendKey, Generation>,
+    /// Oldest first.
+    ended: VecDeque<EndedProcess>,
     /// Events to share with other routers.
     outgoing: mpsc::Sender<FingerprintEvent>,
 }
@@ -105,7 +149,16 @@
         is_in_use: Arc<AtomicBool>,
     ) -> CrashTracker {
         let quarantine = Quarantine::new(MAX_QUARANTINED);
-        CrashTracker { quarantine, is_in_use, suspects: Vec::new(), outgoing }
+        CrashTracker {
+            quarantine,
+            is_in_use,
+            suspects: Vec::new(),
+            probes: SecondaryMap::new(),
+            first_lost: SecondaryMap::new(),
+            generations: SecondaryMap::new(),
+            ended: VecDeque::new(),
+            outgoing,
+        }
     }
 
     /// Returns until when a request must not run, or `None` if it may run now. A suspected request
@@ -121,30 +174,146 @@
         }
     }
 
-    /// Adds a request whose connection was lost, in case its server has crashed.
+    /// Adds a request whose connection was lost, in case its server has crashed, unless the process had
+    /// ended before the request was sent. Returns whether the process is known to have ended.
     pub(super) fn add_suspect(
         &mut self,
         now: Timestamp,
         key: BackendKey,
-        listing: &ServerListing,
+        process: ServerProcess,
         fingerprint: RequestFingerprint,
         request: AttemptedRequest,
-    ) {
+    ) -> bool {
         if self.suspects.len() >= MAX_SUSPECTS {
             self.suspects.remove(0);
         }
-        let (server, started_at_ms) = (listing.name.clone(), listing.started_at_ms);
-        let report = CrashReport { fingerprint, server, started_at_ms };
+        match self.probes.get_mut(key) {
+            Some(history) => history.record_loss(now),
+            None => {
+                self.probes.insert(key, ProbeHistory::new(now));
+            }
+        }
+        let ServerProcess { name: server, started_at_ms } = process;
+        match self.first_lost.get(key) {
+            Some(lost_at) if request.sent_at > *lost_at => {
+                log::info!(request = request.id, server:% = server;
+                    "request was sent after other connections to its server had been lost");
+                return false;
+            }
+            Some(_) => {}
+            None => {
+                self.first_lost.insert(key, now);
+            }
+        }
+        let generation = self.generation(key, started_at_ms);
+        let started_at = started_at_ms + generation.map_or(0, |generation| generation.number);
+        let report = CrashReport { fingerprint, server, started_at_ms: started_at };
         let until = now + Duration::from_millis(SUSPECT_TTL_MS);
-        self.suspects.push(Suspect { report, request, lost_at: now, key, until });
+        let (lost_at, listed_start_ms) = (now, started_at_ms);
+        self.suspects.push(Suspect { report, request, lost_at, key, listed_start_ms, until });
+        self.ended.iter().any(|ended| {
+            ended.key == key && ended.started_at_ms == started_at_ms && ended.until > now
+        })
+    }
+
+    fn generation(&self, key: BackendKey, listed_start_ms: u64) -> Option<Generation> {
+        let generation = self.generations.get(key).copied();
+        generation.filter(|generation| generation.listed_start_ms == listed_start_ms)
+    }
+
+    /// Records that a server is listed with another start. Returns whether that shows that its process
+    /// has ended, and not that the process which already followed is listed at last. In that case the
+    /// suspects of that process are now suspected under its own listing.
+    pub(super) fn record_restart(&mut self, key: BackendKey, from_ms: u64, to_ms: u64) -> bool {
+        let generation = self.generation(key, from_ms);
+        if !generation.is_some_and(|generation| generation.number > 0 && !generation.has_ended) {
+            return true;
+        }
+        self.generations.remove(key);
+        let suspects = self.suspects.iter_mut();
+        for suspect in suspects.filter(|s| s.key == key && s.listed_start_ms == from_ms) {
+            (suspect.listed_start_ms, suspect.report.started_at_ms) = (to_ms, to_ms);
+        }
+        false
+    }
+
+    /// Records that a server serves, so that connections lost earlier say nothing about later ones.
+    pub(super) fn record_service(&mut self, key: BackendKey) {
+        self.first_lost.remove(key);
     }
 
-    /// Records a confirmed crash of a server for all requests that it may have been running. Returns
-    /// the crash with the answers that it had begun, or `None` if it had no request of this router.
-    pub(super) fn confirm_crash(&mut self, now: Timestamp, key: BackendKey) -> Option<EngineCrash> {
+    /// Returns whether requests are suspected of having crashed a server.
+    pub(super) fn has_suspects(&self, key: BackendKey) -> bool {
+        self.suspects.iter().any(|suspect| suspect.key == key)
+    }
+
+    /// Records a probe. Returns whether it shows that the process has ended that was probed.
+    pub(super) fn record_probe(
+        &mut self,
+        now: Timestamp,
+        key: BackendKey,
+        result: ProbeResult,
+    ) -> bool {
+        if result == ProbeResult::Open {
+            let teardown = Duration::from_millis(TEARDOWN_MS);
+            if self.first_lost.get(key).is_some_and(|lost_at| now - *lost_at >= teardown) {
+                self.record_service(key);
+            }
+            self.ended.retain(|ended| ended.key != key);
+            if let Some(generation) = self.generations.get_mut(key)
+                && std::mem::take(&mut generation.has_ended)
+            {
+                generation.number += 1;
+            }
+        }
+        match self.probes.get_mut(key) {
+            Some(history) => history.record(result),
+            None => result == ProbeResult::Refused,
+        }
+    }
+
+    /// Returns the servers to probe now because requests are suspected of having crashed them.
+    pub(super) fn start_probes(&mut self, now: Timestamp) -> Vec<BackendKey> {
+        self.suspects.retain(|suspect| suspect.until > now);
+        let suspects = &self.suspects;
+        self.probes.retain(|key, _| suspects.iter().any(|suspect| suspect.key == key));
+        let probes = self.probes.iter_mut();
+        probes.filter_map(|(key, history)| history.start_probe(now).then_some(key)).collect()
+    }
+
+    /// Records that a process has ended, which is a crash for all requests that it may have been
+    /// running. Unless connections were refused from its end on, some of them may have been sent later,
+    /// and the crash is uncertain. Returns the crash with the answers that it had begun, or `None` if it had no request
+    /// of this router.
+    pub(super) fn confirm_crash(
+        &mut self,
+        now: Timestamp,
+        key: BackendKey,
+        started_at_ms: u64,
+        sign: EndSign,
+    ) -> Option<EngineCrash> {
+        let was_accepted = self.probes.get(key).is_some_and(|history| history.was_accepted());
+        let is_certain = sign.excludes_later_requests() && !was_accepted;
+        self.ended.retain(|ended| ended.until > now);
+        if self.ended.len() >= MAX_SUSPECTS {
+            self.ended.pop_front();
+        }
+        let until = now + Duration::from_millis(SUSPECT_TTL_MS);
+        self.ended.push_back(EndedProcess { key, started_at_ms, until });
+        match self.generation(key, started_at_ms) {
+            Some(generation) => {
+                self.generations.insert(key, Generation { has_ended: true, ..generation });
+            }
+            None => {
+                let generation =
+                    Generation { listed_start_ms: started_at_ms, number: 0, has_ended: true };
+                self.generations.insert(key, generation);
+            }
+        }
         self.suspects.retain(|suspect| suspect.until > now);
-        let confirmed: Vec<_> =
-            self.suspects.extract_if(.., |suspect| suspect.key == key).collect();
+        let is_confirmed =
+            |suspect: &mut Suspect| suspect.key == key && suspect.listed_start_ms == started_at_ms;
+        let confirmed: Vec<_> = self.suspects.extract_if(.., is_confirmed).collect();
         let first = confirmed.iter().min_by_key(|suspect| suspect.lost_at)?;
         let (engine, crashed_at) = (first.report.incarnation(), first.lost_at);
         let mut crash = EngineCrash { engine, crashed_at, runs: Vec::new() };
@@ -152,15 +321,23 @@
         for suspect in confirmed {
             suspect.log();
             crash.merge(&EngineCrash { engine, crashed_at, runs: suspect.runs(crashed_at) });
-            self.record_crash(now, &suspect.report);
-            self.publish(FingerprintEvent::Crashed(suspect.report));
+            // It was more likely beside the request that crashed the server, or came after that.
+            let is_certain =
+                is_certain && !self.quarantine.was_answered(now, &suspect.report.fingerprint);
+            let event = match is_certain {
+                true => FingerprintEvent::Crashed(suspect.report),
+                false => FingerprintEvent::PossiblyCrashed(suspect.report),
+            };
+            self.apply(now, &event);
+            self.publish(event);
         }
         Some(crash)
     }
 
     /// Clears a request after a server has responded to it and survived: the earlier crashes must
     /// have had another cause.
-    pub(super) fn record_response(&mut self, fingerprint: RequestFingerprint) {
+    pub(super) fn record_response(&mut self, now: Timestamp, fingerprint: RequestFingerprint) {
+        self.quarantine.remember_answer(now, fingerprint);
         if self.quarantine.record_answer(&fingerprint) {
             self.publish(FingerprintEvent::Answered(fingerprint));
         }
@@ -169,18 +346,25 @@
     /// Applies an event of any router, in the order of the routers' log.
     pub(super) fn apply(&mut self, now: Timestamp, event: &FingerprintEvent) {
         match event {
-            FingerprintEvent::Crashed(report) => self.record_crash(now, report),
+            FingerprintEvent::Crashed(report) => {
+                self.quarantine.record_crash(now, report.fingerprint, report.incarnation());
+                self.log_crash(now, report, true);
+            }
+            FingerprintEvent::PossiblyCrashed(report) => {
+                let (fingerprint, engine) = (report.fingerprint, report.incarnation());
+                self.quarantine.record_uncertain_crash(now, fingerprint, engine);
+                self.log_crash(now, report, false);
+            }
             FingerprintEvent::Answered(fingerprint) => {
                 self.quarantine.record_answer(fingerprint);
             }
         }
     }
 
-    fn record_crash(&mut self, now: Timestamp, report: &CrashReport) {
-        self.quarantine.record_crash(now, report.fingerprint, report.incarnation());
+    fn log_crash(&self, now: Timestamp, report: &CrashReport, is_certain: bool) {
         self.is_in_use.store(true, Ordering::Relaxed);
         log::info!(
-            fingerprint:? = report.fingerprint, server:% = report.server,
+            fingerprint:? = report.fingerprint, server:% = report.server, is_certain = is_certain,
             outcome:? = self.quarantine.status(now, &report.fingerprint);
             "a backend server crashed while it ran a request"
         );
--- a/crates/dogwoodway_gateway/src/fleet_actor/probes.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/probes.rs
@@ -1,6 +1,11 @@
 //! Probe connections to servers whose health is in doubt.
 
-use dogwoodway_routing::direct::fleet::BackendKey;
+use std::{io, net::SocketAddr, time::Duration};
+
+use dogwoodway_routing::direct::{
+    fleet::BackendKey,
+    process_end::{EndSign, ProbeResult},
+};
 use kameo::{
     actor::ActorRef,
     message::{Context, Message},
@@ -8,18 +13,21 @@
 
 use crate::{clock, connection::Connection, fleet_actor::FleetActor};
 
+/// Time for which a probe connection to a server that has lost one must stay open, in milliseconds.
+/// A relay without a server closes it within some milliseconds.
+const OPEN_TIME_MS: u64 = 40;
+
 impl FleetActor {
     /// Opens a connection to a server whose health is in doubt; the result arrives as
     /// [`ProbeCompleted`].
     pub(super) fn probe(&self, key: BackendKey, actor: &ActorRef<FleetActor>) {
         let Some(listing) = self.fleet.listing(key) else { return };
-        let (address, actor) = (listing.address, actor.clone());
+        let (address, started_at_ms) = (listing.address, listing.started_at_ms);
+        let must_stay_open = !self.fleet.is_up(key) || self.crash_tracker.has_suspects(key);
+        let actor = actor.clone();
         tokio::spawn(async move {
-            let connection = Connection::open(address).await;
-            let is_refused = connection
-                .as_ref()
-                .is_err_and(|e| e.kind() == std::io::ErrorKind::ConnectionRefused);
-            let result = ProbeCompleted { key, connection: connection.ok(), is_refused };
+            let (result, connection) = probe(address, must_stay_open).await;
+            let result = ProbeCompleted { key, started_at_ms, connection, result };
             if let Err(e) = actor.tell(result).await {
                 log::debug!("could not deliver the result of a probe: {e}");
             }
@@ -27,14 +35,28 @@
     }
 }
 
+async fn probe(address: SocketAddr, must_stay_open: bool) -> (ProbeResult, Option<Connection>) {
+    match Connection::open(address).await {
+        Ok(mut connection) => {
+            let limit = Duration::from_millis(OPEN_TIME_MS);
+            match must_stay_open && connection.is_closed_within(limit).await {
+                true => (ProbeResult::Closed, None),
+                false => (ProbeResult::Open, Some(connection)),
+            }
+        }
+        Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => (ProbeResult::Refused, None),
+        Err(_) => (ProbeResult::Unanswered, None),
+    }
+}
+
 /// Result of a probe.
 struct ProbeCompleted {
     key: BackendKey,
-    /// Absent if the probe failed.
+    /// Start time of the process that was listed when the probe began.
+    started_at_ms: u64,
+    /// Absent unless the connection stayed open.
     connection: Option<Connection>,
-    /// Whether the connection was refused: no process listens at the address, so the server has
-    /// crashed or stopped.
-    is_refused: bool,
+    result: ProbeResult,
 }
 
 impl Message<ProbeCompleted> for FleetActor {
@@ -45,6 +67,7 @@
         let was_up = self.fleet.is_up(msg.key);
         self.fleet.record_probe(now, msg.key, msg.connection.is_some());
         let server = self.fleet.listing(msg.key).map(|listing| listing.name.clone());
+        let has_ended = self.crash_tracker.record_probe(now, msg.key, msg.result);
         match msg.connection {
             Some(connection) => {
                 if !was_up {
@@ -56,11 +79,14 @@
             None => {
                 self.mark_lost(msg.key);
                 if was_up {
-                    log::warn!(server:? = server, refused = msg.is_refused;
-                        "backend server lost");
+                    log::warn!(server:? = server, probe:? = msg.result; "backend server lost");
                 }
-                if msg.is_refused {
-                    self.confirm_crash(now, msg.key);
+                if has_ended {
+                    let sign = match msg.result {
+                        ProbeResult::Refused => EndSign::Refused,
+                        _ => EndSign::Closed,
+                    };
+                    self.confirm_crash(now, msg.key, msg.started_at_ms, sign);
                 }
             }
         }
--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -41,13 +41,11 @@
     directory::TableWatch,
     exchange::{BackendResponse, ExchangeError, exchange},
     fleet_actor::{
-        ApplyDirectoryChanges, ApplyServerNotice, AssignedServer, FleetActor, PlaceRequest,
-        PlacementReply, UpdateWeightsState, WeightsState,
+        ApplyServerNotice, AssignedServer, FleetActor, PlaceRequest, PlacementReply, ServerProcess,
+        ServerReplaced, UpdateWeightsState, WeightsState,
     },
     metric,
-    platform_api::{
-        DirectoryChange, ForwardParams, NotExecuted, RequestHead, RequestProtocol, ResponseClass,
-    },
+    platform_api::{ForwardParams, NotExecuted, RequestHead, RequestProtocol, ResponseClass},
     relay::{
         deliver::Delivery,
         outcome::{log_attempt_end, log_placement, log_resumption},
@@ -408,7 +406,7 @@
                     NotExecuted::OtherWeights => {
                         self.report_weights(request, target, WeightsState::Mismatch);
                     }
-                    NotExecuted::OtherServer => self.remove_server(target.placement.name.clone()),
+                    NotExecuted::OtherServer => self.report_replaced(target),
                 }
                 Err((AttemptOutcome::NotExecuted, HealthSignal::Refused, format!("{why:?}")))
             }
@@ -416,15 +414,13 @@
         }
     }
 
-    /// Removes a server whose address is now used by another server. If it is still running, the
-    /// directory lists it again.
-    fn remove_server(&self, name: BackendServerName) {
-        if let Err(e) = self
-            .fleet
-            .tell(ApplyDirectoryChanges(vec![DirectoryChange::ServerRemoved(name)]))
-            .try_send()
-        {
-            log::warn!("could not remove a server from the fleet: {e}");
+    /// Reports that the address of a server is now used by another one. If the server is still running,
+    /// the directory lists it again.
+    fn report_replaced(&self, target: &AssignedServer) {
+        let Placement { server, name, started_at_ms, .. } = &target.placement;
+        let process = ServerProcess { name: name.clone(), started_at_ms: *started_at_ms };
+        if let Err(e) = self.fleet.tell(ServerReplaced { server: *server, process }).try_send() {
+            log::warn!("could not report that a server was replaced: {e}");
         }
     }
 
--- a/crates/dogwoodway_gateway/src/stream.rs
+++ b/crates/dogwoodway_gateway/src/stream.rs
@@ -25,7 +25,7 @@
     connection::Connection,
     fleet_actor::{
         AttemptedRequest, BytesReceived, EndAttempt, FirstOutputReceived, FleetActor,
-        PlacementReply,
+        PlacementReply, ServerProcess,
     },
     relay::{Attempt, ClientRequest, Relay, log_outcome},
     response_body::ResponseBody,
@@ -46,6 +46,7 @@
     fleet: ActorRef<FleetActor>,
     request_key: RequestKey,
     pub(crate) server: BackendKey,
+    process: ServerProcess,
     /// Version of the weights that the server was asked to use.
     pub(crate) version: Option<WeightsVersion>,
     /// Identifies the server to other routers.
@@ -73,6 +74,10 @@
             fleet: fleet.clone(),
             request_key: placement.request,
             server: placement.server,
+            process: ServerProcess {
+                name: placement.name.clone(),
+                started_at_ms: placement.started_at_ms,
+            },
             version: placement.version,
             server_tag: placement.server_tag,
             software: placement.software_tag,
@@ -82,6 +87,7 @@
             request: AttemptedRequest {
                 id: request.head.id.clone(),
                 shared_parts: request.shared_parts.clone(),
+                sent_at: clock::now(),
                 answer_started_at: None,
             },
             has_output: false,
@@ -158,6 +164,7 @@
         let end = EndAttempt {
             request_key: self.request_key,
             server: self.server,
+            process: self.process.clone(),
             signal: self.signal,
             connection: self.connection.take(),
             fingerprint: self.fingerprint,
--- a/crates/dogwoodway_routing/src/direct.rs
+++ b/crates/dogwoodway_routing/src/direct.rs
@@ -19,6 +19,7 @@
 pub mod load;
 pub mod own_records;
 pub mod peers;
+pub mod process_end;
 pub mod prompt;
 pub mod retry;
 pub mod rollout;
--- a/crates/dogwoodway_routing/src/direct/fleet/membership.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/membership.rs
@@ -14,6 +14,7 @@
         health::Health,
         link_slowdown::LinkSlowdown,
         load::Load,
+        process_end::{ListingSign, shows_end},
         server_limit::ServerLimit,
         software::SoftwareTag,
         token_lru::TokenLru,
@@ -131,6 +132,28 @@
         Some((key, true))
     }
 
+    /// Returns whether the process of a server that started at `started_at_ms` has ended, as far as the
+    /// list shows it.
+    pub fn has_process_ended(&self, key: BackendKey, started_at_ms: u64) -> bool {
+        let Some(server) = self.servers.get(key) else { return false };
+        let listing = &server.listing;
+        let mut others =
+            self.servers.iter().filter(|(k, s)| *k != key && s.listing.address == listing.address);
+        shows_end(started_at_ms, ListingSign::Itself(listing.started_at_ms))
+            || others.any(|(_, other)| {
+                let sign = ListingSign::OtherAtAddress(other.listing.started_at_ms);
+                shows_end(started_at_ms, sign)
+            })
+    }
+
+    /// Returns the servers at an address, with their start times, whose processes have ended because
+    /// another server that started later is listed there.
+    pub fn processes_replaced_at(&self, address: SocketAddr) -> Vec<(BackendKey, u64)> {
+        let at_address = self.servers.iter().filter(|(_, s)| s.listing.address == address);
+        let processes = at_address.map(|(key, server)| (key, server.listing.started_at_ms));
+        processes.filter(|(key, started)| self.has_process_ended(*key, *started)).collect()
+    }
+
     /// Records that a server is missing from the list. It is still used until `until`, because a
     /// list that was unavailable for a while may lack servers that are running.
     pub fn mark_missing(&mut self, name: &BackendServerName, until: Timestamp) {
--- a/crates/dogwoodway_routing/src/quarantine.rs
+++ b/crates/dogwoodway_routing/src/quarantine.rs
@@ -3,7 +3,11 @@
 //! When an engine crashes, every request that it was running becomes a suspect, identified by the
 //! fingerprint of its content. An engine runs at most one suspect at a time, so a second crash
 //! tells the cause from the unrelated requests of the first batch: a request that was running both
-//! times is quarantined. An answer clears a suspect. Suspicion and quarantine also expire, because
+//! times is quarantined. Where it is uncertain whether the request was sent before the engine had
+//! ended, as behind a relay that accepts connections for it, a further crash is needed, and crashes
+//! that follow each other closely count as one: sound requests are then sent from one such engine to
+//! the next. Neither does an uncertain crash count against a request that was answered shortly before.
+//! An answer clears a suspect. Suspicion and quarantine also expire, because
 //! engines crash for other reasons too.
 
 use std::{collections::HashMap, time::Duration};
@@ -22,6 +26,16 @@
 /// Number of crashed engines from which on a request is quarantined.
 pub const CRASH_THRESHOLD: usize = 2;
 
+/// Number of crashed engines from which on a request is quarantined although some of them may have
+/// ended before it was sent.
+pub const UNCERTAIN_CRASH_THRESHOLD: usize = 3;
+
+/// Time after a crash in which an uncertain one does not count.
+const UNCERTAIN_SPACING: Duration = Duration::from_millis(500);
+
+/// Time after an answer to a request in which an uncertain crash does not count against it.
+const ANSWER_VALIDITY: Duration = Duration::from_secs(5);
+
 /// Whether a request may run, and under which restriction.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum QuarantineStatus {
@@ -40,24 +54,53 @@
 struct Record {
     /// Engines that crashed while they ran the request, since its last answer.
     crashed_engines: Vec<EngineIncarnation>,
-    /// Engines that crashed before the request was last answered. Crashes are reported more than
+    /// Engines that crashed and may have done so before the request was sent, since its last answer.
+    uncertain_engines: Vec<EngineIncarnation>,
+    /// Engines whose crash does not count: they crashed closely after another one, or before the
+    /// request was last answered. Crashes are reported more than
     /// once and with a delay, so a crash may be reported again after the answer that cleared it.
     cleared_engines: Vec<EngineIncarnation>,
+    crashed_at: Timestamp,
     quarantined_until: Timestamp,
     expires_at: Timestamp,
 }
 
+impl Record {
+    fn is_suspect(&self) -> bool {
+        !self.crashed_engines.is_empty() || !self.uncertain_engines.is_empty()
+    }
+
+    /// Updates the quarantine after a further crash at `at`.
+    fn update(&mut self, at: Timestamp) {
+        self.crashed_at = at;
+        self.expires_at = self.expires_at.max(at + SUSPICION_PERIOD);
+        let certain = self.crashed_engines.len();
+        let threshold = match certain >= CRASH_THRESHOLD {
+            true => CRASH_THRESHOLD,
+            false => UNCERTAIN_CRASH_THRESHOLD,
+        };
+        let Some(excess) = (certain + self.uncertain_engines.len()).checked_sub(threshold) else {
+            return;
+        };
+        let doublings = u32::try_from(excess).unwrap_or(u32::MAX).min(MAX_DOUBLINGS);
+        self.quarantined_until = at + INITIAL_QUARANTINE * (1 << doublings);
+        self.expires_at = self.quarantined_until + SUSPICION_PERIOD;
+    }
+}
+
 /// Suspected and quarantined requests by fingerprint, bounded in number.
 #[derive(Clone, Debug)]
 pub struct Quarantine {
     records: HashMap<RequestFingerprint, Record>,
+    /// When requests were last answered.
+    answered: HashMap<RequestFingerprint, Timestamp>,
     capacity: usize,
 }
 
 impl Quarantine {
     /// Creates an empty table for at most `capacity` requests.
     pub fn new(capacity: usize) -> Quarantine {
-        Quarantine { records: HashMap::new(), capacity }
+        Quarantine { records: HashMap::new(), answered: HashMap::new(), capacity }
     }
 
     /// Records that an engine crashed at `at` while it ran a request.
@@ -84,23 +127,60 @@
         request: RequestFingerprint,
         engine: EngineIncarnation,
     ) {
-        self.evict_for(at, &request);
-        let record = self.records.entry(request).or_default();
-        if record.expires_at <= at {
-            *record = Record::default();
-        }
+        let record = self.live_record(at, request);
         if record.crashed_engines.contains(&engine) || record.cleared_engines.contains(&engine) {
             return;
         }
+        record.uncertain_engines.retain(|uncertain| *uncertain != engine);
         record.crashed_engines.push(engine);
-        record.expires_at = record.expires_at.max(at + SUSPICION_PERIOD);
-        if record.crashed_engines.len() >= CRASH_THRESHOLD {
-            let doublings =
-                u32::try_from(record.crashed_engines.len() - CRASH_THRESHOLD).unwrap_or(u32::MAX);
-            record.quarantined_until =
-                at + INITIAL_QUARANTINE * (1 << doublings.min(MAX_DOUBLINGS));
-            record.expires_at = record.quarantined_until + SUSPICION_PERIOD;
+        record.update(at);
+    }
+
+    /// Records that an engine crashed at `at` that had been sent a request before or after its end.
+    ///
+    /// ```
+    /// use dogwoodway_routing::quarantine::{Quarantine, QuarantineStatus};
+    /// use dogwoodway_types::{EngineIncarnation, RequestFingerprint, TeamName, Timestamp};
+    ///
+    /// let team = TeamName::try_from("demo").unwrap();
+    /// let request = RequestFingerprint::new(&team, &[b"compare"]);
+    /// let mut quarantine = Quarantine::new(100);
+    /// for n in 1..=3 {
+    ///     let at = Timestamp::from_millis(2_000 * n);
+    ///     assert_eq!(quarantine.quarantined(at), 0);
+    ///     quarantine.record_uncertain_crash(at, request, EngineIncarnation(n));
+    /// }
+    /// assert_eq!(quarantine.quarantined(Timestamp::from_millis(6_000)), 1);
+    /// ```
+    pub fn record_uncertain_crash(
+        &mut self,
+        at: Timestamp,
+        request: RequestFingerprint,
+        engine: EngineIncarnation,
+    ) {
+        let is_sound = self.was_answered(at, &request);
+        let record = self.live_record(at, request);
+        let known = [&record.crashed_engines, &record.uncertain_engines, &record.cleared_engines];
+        if known.into_iter().any(|engines| engines.contains(&engine)) {
+            return;
+        }
+        let is_close = record.is_suspect() && at - record.crashed_at < UNCERTAIN_SPACING;
+        if is_sound || is_close {
+            record.cleared_engines.push(engine);
+            return;
+        }
+        record.uncertain_engines.push(engine);
+        record.update(at);
+    }
+
+    /// Returns the record of a request; an empty one if there is none or it has expired.
+    fn live_record(&mut self, at: Timestamp, request: RequestFingerprint) -> &mut Record {
+        self.evict_for(at, &request);
+        let record = self.records.entry(request).or_default();
+        if record.expires_at <= at {
+            *record = Record::default();
         }
+        record
     }
 
     /// Records that a backend server has answered a request; returns whether the request was
@@ -121,19 +201,52 @@
     /// ```
     pub fn record_answer(&mut self, request: &RequestFingerprint) -> bool {
         let Some(record) = self.records.get_mut(request) else { return false };
-        let was_suspect = !record.crashed_engines.is_empty();
+        let was_suspect = record.is_suspect();
         record.cleared_engines.append(&mut record.crashed_engines);
+        record.cleared_engines.append(&mut record.uncertain_engines);
         record.quarantined_until = Timestamp::default();
         was_suspect
     }
 
+    /// Remembers that a backend server has answered a request at `at`, whether it was suspect or not.
+    ///
+    /// ```
+    /// use dogwoodway_routing::quarantine::{Quarantine, QuarantineStatus};
+    /// use dogwoodway_types::{EngineIncarnation, RequestFingerprint, TeamName, Timestamp};
+    ///
+    /// let team = TeamName::try_from("demo").unwrap();
+    /// let request = RequestFingerprint::new(&team, &[b"compare"]);
+    /// let mut quarantine = Quarantine::new(100);
+    /// quarantine.remember_answer(Timestamp::from_millis(0), request);
+    /// for n in 1..=3 {
+    ///     let at = Timestamp::from_millis(1_000 * n);
+    ///     quarantine.record_uncertain_crash(at, request, EngineIncarnation(n));
+    /// }
+    /// assert_eq!(quarantine.status(Timestamp::from_millis(3_000), &request), QuarantineStatus::Clear);
+    /// ```
+    pub fn remember_answer(&mut self, at: Timestamp, request: RequestFingerprint) {
+        if self.answered.len() >= self.capacity && !self.answered.contains_key(&request) {
+            self.answered.retain(|_, answered| at - *answered < ANSWER_VALIDITY);
+            if self.answered.len() >= self.capacity {
+                self.answered.clear();
+            }
+        }
+        self.answered.insert(request, at);
+    }
+
+    /// Returns whether a request was answered shortly before `now`, as far as it was remembered.
+    pub fn was_answered(&self, now: Timestamp, request: &RequestFingerprint) -> bool {
+        let answered_at = self.answered.get(request);
+        answered_at.is_some_and(|answered| now - *answered < ANSWER_VALIDITY)
+    }
+
     /// Returns whether a request may run at `now`.
     pub fn status(&self, now: Timestamp, request: &RequestFingerprint) -> QuarantineStatus {
         match self.records.get(request) {
             Some(record) if record.quarantined_until > now => {
                 QuarantineStatus::Quarantined { until: record.quarantined_until }
             }
-            Some(record) if record.expires_at > now && !record.crashed_engines.is_empty() => {
+            Some(record) if record.expires_at > now && record.is_suspect() => {
                 QuarantineStatus::Suspect
             }
             Some(_) | None => QuarantineStatus::Clear,
