Count a refused connection as a certain crash again

Such a crash is certain again; requests that were sent after the first loss are left out, and those that were answered within 5 s count as uncertain.

--- a/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
@@ -292,8 +292,7 @@
         started_at_ms: u64,
         sign: EndSign,
     ) -> Option<EngineCrash> {
-        let was_accepted = self.probes.get(key).is_some_and(|history| history.was_accepted());
-        let is_certain = sign.excludes_later_requests() && !was_accepted;
+        let is_certain = sign.excludes_later_requests();
         self.ended.retain(|ended| ended.until > now);
         if self.ended.len() >= MAX_SUSPECTS {
             self.ended.pop_front();
--- a/crates/dogwoodway_routing/src/direct/process_end.rs
+++ b/crates/dogwoodway_routing/src/direct/process_end.rs
@@ -99,13 +99,12 @@
     lost_at: Timestamp,
     closed_in_a_row: u32,
     started_probes: usize,
-    was_accepted: bool,
 }
 
 impl ProbeHistory {
     /// Creates the history of a process to which a connection was lost at `lost_at`.
     pub fn new(lost_at: Timestamp) -> ProbeHistory {
-        ProbeHistory { lost_at, closed_in_a_row: 0, started_probes: 0, was_accepted: false }
+        ProbeHistory { lost_at, closed_in_a_row: 0, started_probes: 0 }
     }
 
     /// Records that another connection was lost, after which the server is probed for longer.
@@ -117,7 +116,6 @@
 
     /// Records a probe. Returns whether the process has ended.
     pub fn record(&mut self, result: ProbeResult) -> bool {
-        self.was_accepted |= matches!(result, ProbeResult::Open | ProbeResult::Closed);
         self.closed_in_a_row = match result {
             ProbeResult::Closed => self.closed_in_a_row + 1,
             ProbeResult::Open | ProbeResult::Refused | ProbeResult::Unanswered => 0,
@@ -125,12 +123,6 @@
         result == ProbeResult::Refused || self.closed_in_a_row >= MIN_CLOSED_PROBES
     }
 
-    /// Returns whether the kernel or a relay has accepted a probe, and perhaps requests, since the
-    /// connection was lost.
-    pub fn was_accepted(&self) -> bool {
-        self.was_accepted
-    }
-
     /// Returns whether a further probe is due. If so, it counts as started.
     pub fn start_probe(&mut self, now: Timestamp) -> bool {
         let Some(delay_ms) = PROBE_DELAYS_MS.get(self.started_probes) else { return false };
