--- a/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
@@ -283,8 +283,8 @@
 
     /// Records that a process has ended, which is a crash for all requests that it may have been
     /// running. Unless connections were refused from its end on, some of them may have been sent later,
-    /// and the crash is uncertain. Returns the crash with the answers that it had begun, or `None` if it had no request
-    /// of this router.
+    /// and the crash is uncertain. Returns the crash with the answers that it had begun, or `None` if it
+    /// had no request of this router.
     pub(super) fn confirm_crash(
         &mut self,
         now: Timestamp,
