Keep servers in use beside a later entry at their address, and uncertain crashes apart by when they happened

Callers saw: an entry of another writer with the address of a living server and a later start took that server out of use for good ('the server gets no request'); and a router that started later ran a request on two more servers that others had refused for three uncertain crashes ('left: 8, right: 6').

Cause: since crashes are known by other entries at an address, such an entry counted as proof and the server was removed, each time it wrote its own.

Fix: the entry is an uncertain sign of a crash and removes nothing; a server that was replaced is removed when the other one answers for it. The event names when the connection was lost, and only the time between two of them counts.

--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -271,14 +271,10 @@
                     {
                         self.confirm_crash(now, key, started_at_ms, EndSign::Restarted);
                     }
+                    // Another writer may have left the entry, so that the servers stay in use. One that
+                    // has been replaced is removed once the other server answers for it.
                     for (key, started_at_ms) in self.fleet.processes_replaced_at(address) {
-                        self.mark_lost(key);
                         self.confirm_crash(now, key, started_at_ms, EndSign::OtherServerListed);
-                        // Its address leads to the other server.
-                        let name = self.fleet.listing(key).map(|listing| listing.name.clone());
-                        if let Some(name) = name {
-                            self.apply(now, DirectoryChange::ServerRemoved(name));
-                        }
                     }
                     log::info!(server:% = name; "backend server listed");
                 }
--- a/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
@@ -73,7 +73,12 @@
     /// A server responded to a request that had been suspected.
     Answered(RequestFingerprint),
     /// A server crashed before or after it was sent the request. Older routers skip this event.
-    PossiblyCrashed(CrashReport),
+    PossiblyCrashed {
+        report: CrashReport,
+        /// When the connection was lost, by the clock of the router that reports it. Routers that
+        /// start later read many events at once.
+        lost_at: Timestamp,
+    },
 }
 
 /// A request whose connection was lost, and the report to publish if its server has crashed.
@@ -325,7 +330,10 @@
                 is_certain && !self.quarantine.was_answered(now, &suspect.report.fingerprint);
             let event = match is_certain {
                 true => FingerprintEvent::Crashed(suspect.report),
-                false => FingerprintEvent::PossiblyCrashed(suspect.report),
+                false => FingerprintEvent::PossiblyCrashed {
+                    report: suspect.report,
+                    lost_at: suspect.lost_at,
+                },
             };
             self.apply(now, &event);
             self.publish(event);
@@ -349,9 +357,9 @@
                 self.quarantine.record_crash(now, report.fingerprint, report.incarnation());
                 self.log_crash(now, report, true);
             }
-            FingerprintEvent::PossiblyCrashed(report) => {
+            FingerprintEvent::PossiblyCrashed { report, lost_at } => {
                 let (fingerprint, engine) = (report.fingerprint, report.incarnation());
-                self.quarantine.record_uncertain_crash(now, fingerprint, engine);
+                self.quarantine.record_uncertain_crash(now, *lost_at, fingerprint, engine);
                 self.log_crash(now, report, false);
             }
             FingerprintEvent::Answered(fingerprint) => {
--- a/crates/dogwoodway_routing/src/direct/fleet/membership.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/membership.rs
@@ -142,26 +142,23 @@
         Some((key, true))
     }
 
-    /// Returns whether the process of a server that started at `started_at_ms` has ended, as far as the
-    /// list shows it.
+    /// Returns whether a process of a server has ended because the server is listed with another start.
     pub fn has_process_ended(&self, key: BackendKey, started_at_ms: u64) -> bool {
-        let Some(server) = self.servers.get(key) else { return false };
-        let listing = &server.listing;
-        let mut others =
-            self.servers.iter().filter(|(k, s)| *k != key && s.listing.address == listing.address);
-        shows_end(started_at_ms, ListingSign::Itself(listing.started_at_ms))
-            || others.any(|(_, other)| {
-                let sign = ListingSign::OtherAtAddress(other.listing.started_at_ms);
-                shows_end(started_at_ms, sign)
-            })
+        self.servers.get(key).is_some_and(|server| {
+            shows_end(started_at_ms, ListingSign::Itself(server.listing.started_at_ms))
+        })
     }
 
-    /// Returns the servers at an address, with their start times, whose processes have ended because
-    /// another server that started later is listed there.
+    /// Returns the servers at an address, with their start times, whose processes have ended if it is
+    /// true that another server, which started later, is at that address.
     pub fn processes_replaced_at(&self, address: SocketAddr) -> Vec<(BackendKey, u64)> {
         let at_address = self.servers.iter().filter(|(_, s)| s.listing.address == address);
-        let processes = at_address.map(|(key, server)| (key, server.listing.started_at_ms));
-        processes.filter(|(key, started)| self.has_process_ended(*key, *started)).collect()
+        let starts: Vec<_> = at_address.map(|(key, s)| (key, s.listing.started_at_ms)).collect();
+        let is_replaced = |(key, started_at_ms): &(BackendKey, u64)| {
+            let mut others = starts.iter().filter(|(other, _)| other != key);
+            others.any(|(_, other)| shows_end(*started_at_ms, ListingSign::OtherAtAddress(*other)))
+        };
+        starts.iter().copied().filter(is_replaced).collect()
     }
 
     /// Records that a server is missing from the list. It is still used until `until`, because a
--- a/crates/dogwoodway_routing/src/direct/process_end.rs
+++ b/crates/dogwoodway_routing/src/direct/process_end.rs
@@ -9,7 +9,7 @@
 //! | a connection is refused | ended | nothing listens at its address |
 //! | connections are accepted and closed at once, [`MIN_CLOSED_PROBES`] in a row | ended | a relay accepts them for nobody; one alone may have been reset on the way |
 //! | it is listed with another start time | ended | the entry is of the process that followed |
-//! | another server that started later is listed at its address | ended | an address has one server at a time |
+//! | another server that started later is listed at its address | ended, but stays in use | an address has one server at a time, but another writer may have left the entry |
 //! | another server answers at its address | ended | the same |
 //! | connections are neither accepted nor refused | unknown | its link may be cut |
 //! | its entry is gone | unknown | it may be cut off, or leave and still serve |
--- a/crates/dogwoodway_routing/src/quarantine.rs
+++ b/crates/dogwoodway_routing/src/quarantine.rs
@@ -7,8 +7,8 @@
 //! ended, as behind a relay that accepts connections for it, a further crash is needed, and crashes
 //! that follow each other closely count as one: sound requests are then sent from one such engine to
 //! the next. Neither does an uncertain crash count against a request that was answered shortly before.
-//! An answer clears a suspect. Suspicion and quarantine also expire, because
-//! engines crash for other reasons too.
+//! An answer clears a suspect. Suspicion and quarantine also expire, because engines crash for other
+//! reasons too.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -57,10 +57,13 @@
     /// Engines that crashed and may have done so before the request was sent, since its last answer.
     uncertain_engines: Vec<EngineIncarnation>,
     /// Engines whose crash does not count: they crashed closely after another one, or before the
-    /// request was last answered. Crashes are reported more than
-    /// once and with a delay, so a crash may be reported again after the answer that cleared it.
+    /// request was last answered. Crashes are reported more than once and with a delay, so a crash may
+    /// be reported again after the answer that cleared it.
     cleared_engines: Vec<EngineIncarnation>,
+    /// When the last certain crash was recorded.
     crashed_at: Timestamp,
+    /// When the last uncertain crash happened, by the clock of the router that reported it.
+    uncertain_at: Timestamp,
     quarantined_until: Timestamp,
     expires_at: Timestamp,
 }
@@ -72,7 +75,6 @@
 
     /// Updates the quarantine after a further crash at `at`.
     fn update(&mut self, at: Timestamp) {
-        self.crashed_at = at;
         self.expires_at = self.expires_at.max(at + SUSPICION_PERIOD);
         let certain = self.crashed_engines.len();
         let threshold = match certain >= CRASH_THRESHOLD {
@@ -133,10 +135,13 @@
         }
         record.uncertain_engines.retain(|uncertain| *uncertain != engine);
         record.crashed_engines.push(engine);
+        record.crashed_at = at;
         record.update(at);
     }
 
-    /// Records that an engine crashed at `at` that had been sent a request before or after its end.
+    /// Records that an engine crashed that had been sent a request before or after its end. `crashed_at`
+    /// is when it did, by the clock of the router that reports it; only the time between two reports
+    /// counts.
     ///
     /// ```
     /// use dogwoodway_routing::quarantine::{Quarantine, QuarantineStatus};
@@ -148,29 +153,34 @@
     /// for n in 1..=3 {
     ///     let at = Timestamp::from_millis(2_000 * n);
     ///     assert_eq!(quarantine.quarantined(at), 0);
-    ///     quarantine.record_uncertain_crash(at, request, EngineIncarnation(n));
+    ///     quarantine.record_uncertain_crash(at, at, request, EngineIncarnation(n));
     /// }
     /// assert_eq!(quarantine.quarantined(Timestamp::from_millis(6_000)), 1);
     /// ```
     pub fn record_uncertain_crash(
         &mut self,
-        at: Timestamp,
+        now: Timestamp,
+        crashed_at: Timestamp,
         request: RequestFingerprint,
         engine: EngineIncarnation,
     ) {
-        let is_sound = self.was_answered(at, &request);
-        let record = self.live_record(at, request);
+        let is_sound = self.was_answered(now, &request);
+        let record = self.live_record(now, request);
         let known = [&record.crashed_engines, &record.uncertain_engines, &record.cleared_engines];
         if known.into_iter().any(|engines| engines.contains(&engine)) {
             return;
         }
-        let is_close = record.is_suspect() && at - record.crashed_at < UNCERTAIN_SPACING;
+        // One of the differences is zero.
+        let spacing = (crashed_at - record.uncertain_at) + (record.uncertain_at - crashed_at);
+        let is_close = (!record.uncertain_engines.is_empty() && spacing < UNCERTAIN_SPACING)
+            || (!record.crashed_engines.is_empty() && now - record.crashed_at < UNCERTAIN_SPACING);
         if is_sound || is_close {
             record.cleared_engines.push(engine);
             return;
         }
         record.uncertain_engines.push(engine);
-        record.update(at);
+        record.uncertain_at = crashed_at;
+        record.update(now);
     }
 
     /// Returns the record of a request; an empty one if there is none or it has expired.
@@ -220,7 +230,7 @@
     /// quarantine.remember_answer(Timestamp::from_millis(0), request);
     /// for n in 1..=3 {
     ///     let at = Timestamp::from_millis(1_000 * n);
-    ///     quarantine.record_uncertain_crash(at, request, EngineIncarnation(n));
+    ///     quarantine.record_uncertain_crash(at, at, request, EngineIncarnation(n));
     /// }
     /// assert_eq!(quarantine.status(Timestamp::from_millis(3_000), &request), QuarantineStatus::Clear);
     /// ```
