Let requests go on at a server that takes no further connection

Callers saw: 502 for requests that a server was running, and retries of others elsewhere, as soon as it reset one connection too many.

Cause: a new connection that was accepted and reset counted as a server that cannot be reached, and then all attempts that wait for it are given up. Class: what holds for new connections is taken for the ones that are open.

Fix: such a server gets no new request until a probe stays open, as before, but its attempts go on: if its process has ended, their own connections tell it. A probe that is reset while it is opened counts as closed.

--- a/crates/dogwoodway_gateway/src/connection.rs
+++ b/crates/dogwoodway_gateway/src/connection.rs
@@ -131,6 +131,13 @@
     }
 }
 
+/// Returns whether a connection that could not be opened was accepted and closed at once, as by a server
+/// that has as many as it takes.
+pub(crate) fn was_accepted(e: &io::Error) -> bool {
+    use io::ErrorKind::{BrokenPipe, ConnectionAborted, ConnectionReset, NotConnected};
+    matches!(e.kind(), BrokenPipe | ConnectionAborted | ConnectionReset | NotConnected)
+}
+
 /// Socket of a connection, reset if it is closed while a request is unanswered.
 ///
 /// After an orderly close, the kernel goes on delivering what was sent for [`SILENCE_TIMEOUT_MS`].
--- a/crates/dogwoodway_gateway/src/exchange.rs
+++ b/crates/dogwoodway_gateway/src/exchange.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use hyper::{Request, body::Incoming, http};
 
-use crate::connection::Connection;
+use crate::connection::{Connection, was_accepted};
 
 /// A response whose body has not been read yet.
 #[derive(Debug)]
@@ -29,8 +29,11 @@
 /// Why there is no response. The difference decides whether the request may be retried.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum ExchangeError {
-    /// No part of the request was sent; the server cannot have run it.
+    /// No connection could be made; the server cannot have run the request.
     Unreachable(String),
+    /// A new connection was closed before any part of the request was sent; the server cannot have run
+    /// it.
+    TurnedAway(String),
     /// The request was sent, at least in part; the server may have run it.
     ResponseLost(String),
 }
@@ -39,6 +42,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             ExchangeError::Unreachable(e) => write!(f, "backend server could not be reached: {e}"),
+            ExchangeError::TurnedAway(e) => write!(f, "backend server took no connection: {e}"),
             ExchangeError::ResponseLost(e) => write!(f, "connection lost before the response: {e}"),
         }
     }
@@ -64,12 +68,14 @@
             },
         }
     }
-    let mut connection =
-        Connection::open(address).await.map_err(|e| ExchangeError::Unreachable(e.to_string()))?;
+    let mut connection = Connection::open(address).await.map_err(|e| match was_accepted(&e) {
+        true => ExchangeError::TurnedAway(e.to_string()),
+        false => ExchangeError::Unreachable(e.to_string()),
+    })?;
     match connection.send(req).await {
         Ok(resp) => Ok(backend_response(resp, connection, true)),
         Err(mut e) => match e.take_message() {
-            Some(_) => Err(ExchangeError::Unreachable(e.into_error().to_string())),
+            Some(_) => Err(ExchangeError::TurnedAway(e.into_error().to_string())),
             None => Err(ExchangeError::ResponseLost(e.into_error().to_string())),
         },
     }
--- a/crates/dogwoodway_gateway/src/fleet_actor/probes.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/probes.rs
@@ -11,7 +11,11 @@
     message::{Context, Message},
 };
 
-use crate::{clock, connection::Connection, fleet_actor::FleetActor};
+use crate::{
+    clock,
+    connection::{Connection, was_accepted},
+    fleet_actor::FleetActor,
+};
 
 /// Time for which a probe connection to a server that has lost one must stay open, in milliseconds.
 /// A relay without a server closes it within some milliseconds.
@@ -45,6 +49,7 @@
             }
         }
         Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => (ProbeResult::Refused, None),
+        Err(e) if was_accepted(&e) => (ProbeResult::Closed, None),
         Err(_) => (ProbeResult::Unanswered, None),
     }
 }
@@ -100,7 +105,10 @@
                 self.store_idle(now, msg.key, connection);
             }
             None => {
-                self.mark_lost(msg.key);
+                // A server that has as many connections as it takes closes new ones, and runs on.
+                if msg.result != ProbeResult::Closed {
+                    self.mark_lost(msg.key);
+                }
                 if was_up {
                     log::warn!(server:? = server, probe:? = msg.result; "backend server lost");
                 }
--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -374,6 +374,10 @@
                 guard.end(Some(HealthSignal::Unreachable));
                 (AttemptOutcome::Unreachable, why)
             }
+            Err(ExchangeError::TurnedAway(why)) => {
+                guard.end(Some(HealthSignal::TurnedAway));
+                (AttemptOutcome::Unreachable, why)
+            }
             Err(ExchangeError::ResponseLost(why)) => {
                 guard.connection_lost(request.fingerprint());
                 (AttemptOutcome::Lost, why)
--- a/crates/dogwoodway_routing/src/direct/health.rs
+++ b/crates/dogwoodway_routing/src/direct/health.rs
@@ -43,6 +43,9 @@
     ConnectionLost,
     /// No connection could be made.
     Unreachable,
+    /// A new connection was closed before a request was sent on it. The requests that the server runs go
+    /// on.
+    TurnedAway,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -107,7 +110,7 @@
                 self.record_activity(now);
                 self.refusal_share += (1.0 - self.refusal_share) * SAMPLE_WEIGHT;
             }
-            HealthSignal::Unreachable => self.mark_unreachable(now),
+            HealthSignal::Unreachable | HealthSignal::TurnedAway => self.mark_unreachable(now),
         }
     }
 
