--- a/crates/dogwoodway_routing/src/direct/stream_origin.rs
+++ b/crates/dogwoodway_routing/src/direct/stream_origin.rs
@@ -352,7 +352,8 @@
 }
 
 /// Decides where a stream began, from what the homes answer, from the software of the service, and
-/// from the only software that all other routers have listed, if they were asked and agree. `None` means that the stream must not be continued: any server might be of another version.
+/// from the only software that all other routers have listed, if they were asked and agree. `None`
+/// means that the stream must not be continued: any server might be of another version.
 ///
 /// The list of servers alone says nothing about a stream that may be newer than the list:
 /// another router may have begun it at a server that this one does not know yet.
