--- a/crates/dogwoodway_gateway/src/feeds.rs
+++ b/crates/dogwoodway_gateway/src/feeds.rs
@@ -209,7 +209,7 @@
     }
 
     /// Waits until this router has itself read the list of servers with a call sent at `needed_at` or
-    /// later, but no longer than until `give_up_at`, and returns when the last such call was sent.
+    /// later, or until `give_up_at` at the latest, and returns when the last such call was sent.
     ///
     /// The call is made at once, for all requests that wait together, and not while the store is
     /// lost: its follower then tries as often as the store bears.
