Use the field's terms, and decide apart from I/O whether a server crashed

Names: ConnectionRejected, is_stalled, on-demand reads, wakeups; two constants of one name and different values are told apart. What a failed connection shows of a server is read in one place, and the decision whether a response ended because its server crashed is a function of the result of a probe.

--- a/crates/dogwoodway_gateway/src/connection.rs
+++ b/crates/dogwoodway_gateway/src/connection.rs
@@ -15,6 +15,7 @@
 
 use bytes::Bytes;
 use dogwoodway_http::set_silence_timeout;
+use dogwoodway_routing::direct::process_end::ProbeResult;
 use dogwoodway_types::Timestamp;
 use http_body_util::Full;
 use hyper::{
@@ -138,6 +139,15 @@
     matches!(e.kind(), BrokenPipe | ConnectionAborted | ConnectionReset | NotConnected)
 }
 
+/// Returns what it shows of a server that a connection to it could not be opened.
+pub(crate) fn probe_result(e: &io::Error) -> ProbeResult {
+    match e.kind() {
+        io::ErrorKind::ConnectionRefused => ProbeResult::Refused,
+        _ if was_accepted(e) => ProbeResult::Closed,
+        _ => ProbeResult::Unanswered,
+    }
+}
+
 /// Socket of a connection, reset if it is closed while a request is unanswered.
 ///
 /// After an orderly close, the kernel goes on delivering what was sent for [`SILENCE_TIMEOUT_MS`].
--- a/crates/dogwoodway_gateway/src/directory.rs
+++ b/crates/dogwoodway_gateway/src/directory.rs
@@ -128,7 +128,7 @@
     /// Latest time from which on a request needs the list of servers.
     needed_at: watch::Receiver<Timestamp>,
     /// When a request may next cause a read.
-    next_needed_read_at: Timestamp,
+    next_on_demand_read_at: Timestamp,
     /// When the last read that was answered was sent.
     read_sent_at: Timestamp,
     /// Position of the next poll; absent if a snapshot must be read first.
@@ -156,7 +156,7 @@
             fleet,
             part,
             needed_at,
-            next_needed_read_at: Timestamp::default(),
+            next_on_demand_read_at: Timestamp::default(),
             read_sent_at: Timestamp::default(),
             next: None,
             failures: 0,
@@ -220,9 +220,9 @@
             () = self.wait_until_needed() => {}
             page = poll(&store, part, next, wait_ms) => return page,
         }
-        let interval = self.shared_feeds.needed_read_interval();
-        self.next_needed_read_at = clock::now() + interval;
-        metrics::counter!(metric::NEEDED_READS).increment(1);
+        let interval = self.shared_feeds.on_demand_read_interval();
+        self.next_on_demand_read_at = clock::now() + interval;
+        metrics::counter!(metric::ON_DEMAND_READS).increment(1);
         poll(&self.store, self.part, next, 0).await
     }
 
@@ -250,8 +250,8 @@
         if self.needed_at.wait_for(|needed_at| *needed_at > read_sent_at).await.is_err() {
             return std::future::pending().await;
         }
-        if clock::now() < self.next_needed_read_at {
-            clock::sleep_until(self.next_needed_read_at).await;
+        if clock::now() < self.next_on_demand_read_at {
+            clock::sleep_until(self.next_on_demand_read_at).await;
         }
     }
 
--- a/crates/dogwoodway_gateway/src/exchange.rs
+++ b/crates/dogwoodway_gateway/src/exchange.rs
@@ -33,7 +33,7 @@
     Unreachable(String),
     /// A new connection was closed before any part of the request was sent; the server cannot have run
     /// it.
-    TurnedAway(String),
+    ConnectionRejected(String),
     /// The request was sent, at least in part; the server may have run it.
     ResponseLost(String),
 }
@@ -42,7 +42,9 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             ExchangeError::Unreachable(e) => write!(f, "backend server could not be reached: {e}"),
-            ExchangeError::TurnedAway(e) => write!(f, "backend server took no connection: {e}"),
+            ExchangeError::ConnectionRejected(e) => {
+                write!(f, "backend server took no connection: {e}")
+            }
             ExchangeError::ResponseLost(e) => write!(f, "connection lost before the response: {e}"),
         }
     }
@@ -69,13 +71,13 @@
         }
     }
     let mut connection = Connection::open(address).await.map_err(|e| match was_accepted(&e) {
-        true => ExchangeError::TurnedAway(e.to_string()),
+        true => ExchangeError::ConnectionRejected(e.to_string()),
         false => ExchangeError::Unreachable(e.to_string()),
     })?;
     match connection.send(req).await {
         Ok(resp) => Ok(backend_response(resp, connection, true)),
         Err(mut e) => match e.take_message() {
-            Some(_) => Err(ExchangeError::TurnedAway(e.into_error().to_string())),
+            Some(_) => Err(ExchangeError::ConnectionRejected(e.into_error().to_string())),
             None => Err(ExchangeError::ResponseLost(e.into_error().to_string())),
         },
     }
--- a/crates/dogwoodway_gateway/src/feeds.rs
+++ b/crates/dogwoodway_gateway/src/feeds.rs
@@ -40,11 +40,11 @@
 
 /// Least time between two reads of the list of servers that requests cause, in milliseconds, so that
 /// requests that come together share one.
-const MIN_NEEDED_READ_INTERVAL_MS: u64 = 20;
+const MIN_ON_DEMAND_READ_INTERVAL_MS: u64 = 20;
 
 /// Part of that time for each router, in milliseconds: all routers together cause at most 1,000 such
 /// reads a second, half of what the store bears.
-const NEEDED_READ_MS_PER_ROUTER: u64 = 1;
+const ON_DEMAND_READ_MS_PER_ROUTER: u64 = 1;
 
 /// What a router has last read from the store, as it reports it to other routers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -253,9 +253,11 @@
     }
 
     /// Returns the least time between two reads of the list of servers that requests cause.
-    pub(crate) fn needed_read_interval(&self) -> Duration {
+    pub(crate) fn on_demand_read_interval(&self) -> Duration {
         let routers = u64::from(self.router_count());
-        Duration::from_millis(MIN_NEEDED_READ_INTERVAL_MS.max(routers * NEEDED_READ_MS_PER_ROUTER))
+        Duration::from_millis(
+            MIN_ON_DEMAND_READ_INTERVAL_MS.max(routers * ON_DEMAND_READ_MS_PER_ROUTER),
+        )
     }
 
     /// Sets whether this router is a watcher.
--- a/crates/dogwoodway_gateway/src/fleet_actor/attempts.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/attempts.rs
@@ -200,7 +200,7 @@
                 self.mark_lost(msg.server);
                 self.probe(msg.server, cx.actor_ref());
             }
-            Some(HealthSignal::TurnedAway) => self.probe(msg.server, cx.actor_ref()),
+            Some(HealthSignal::ConnectionRejected) => self.probe(msg.server, cx.actor_ref()),
             Some(HealthSignal::ConnectionLost) => {
                 if let Some(fingerprint) = msg.fingerprint {
                     let (key, started_at_ms) = (msg.server, msg.process.started_at_ms);
--- a/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
@@ -41,7 +41,7 @@
 
 /// Time after the loss of a connection in which a kernel may accept new ones for a process that has
 /// ended, in milliseconds.
-const TEARDOWN_MS: u64 = 250;
+const ACCEPTS_AFTER_END_MS: u64 = 250;
 
 /// A crash of a server while it ran a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -260,8 +260,8 @@
         result: ProbeResult,
     ) -> bool {
         if result == ProbeResult::Open {
-            let teardown = Duration::from_millis(TEARDOWN_MS);
-            if self.first_lost.get(key).is_some_and(|lost_at| now - *lost_at >= teardown) {
+            let accepts_after_end = Duration::from_millis(ACCEPTS_AFTER_END_MS);
+            if self.first_lost.get(key).is_some_and(|lost_at| now - *lost_at >= accepts_after_end) {
                 self.record_service(key);
             }
             self.ended.retain(|ended| ended.key != key);
--- a/crates/dogwoodway_gateway/src/fleet_actor/probes.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/probes.rs
@@ -1,6 +1,6 @@
 //! Probe connections to servers whose health is in doubt.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use dogwoodway_routing::direct::{
     fleet::BackendKey,
@@ -13,7 +13,7 @@
 
 use crate::{
     clock,
-    connection::{Connection, was_accepted},
+    connection::{Connection, probe_result},
     fleet_actor::FleetActor,
 };
 
@@ -48,9 +48,7 @@
                 false => (ProbeResult::Open, Some(connection)),
             }
         }
-        Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => (ProbeResult::Refused, None),
-        Err(e) if was_accepted(&e) => (ProbeResult::Closed, None),
-        Err(_) => (ProbeResult::Unanswered, None),
+        Err(e) => (probe_result(&e), None),
     }
 }
 
--- a/crates/dogwoodway_gateway/src/gossip.rs
+++ b/crates/dogwoodway_gateway/src/gossip.rs
@@ -51,7 +51,7 @@
 const HEARTBEAT_DELAY_MS: u64 = 250;
 
 /// Time for which the periodic work may be put off by datagrams that wait, in milliseconds.
-const MAX_TURN_DELAY_MS: u64 = 50;
+const MAX_PERIODIC_DELAY_MS: u64 = 50;
 
 /// Time without a digest after which another aggregator is chosen, in milliseconds; two heartbeats
 /// and some delay.
@@ -166,10 +166,10 @@
             let due = if self.has_changes { send_at } else { heartbeat_at };
             let loads_changed = self.config.loads_changed.clone();
             let entered_at = clock::now();
-            self.arrivals.record_turn(entered_at);
+            self.arrivals.record_wakeup(entered_at);
             // Datagrams that never end keep the router from nothing.
-            if entered_at > due + Duration::from_millis(MAX_TURN_DELAY_MS) {
-                send_at = self.take_turn(role_from, count_from).await;
+            if entered_at > due + Duration::from_millis(MAX_PERIODIC_DELAY_MS) {
+                send_at = self.do_periodic_work(role_from, count_from).await;
                 continue;
             }
             tokio::select! {
@@ -194,14 +194,14 @@
                 () = clock::sleep_until(due) => {
                     // Whatever waited in the socket would have come first.
                     self.arrivals.record_empty(entered_at);
-                    send_at = self.take_turn(role_from, count_from).await;
+                    send_at = self.do_periodic_work(role_from, count_from).await;
                 }
             }
         }
     }
 
     /// Does the periodic work, and returns when it is due again at the earliest.
-    async fn take_turn(&mut self, role_from: Timestamp, count_from: Timestamp) -> Timestamp {
+    async fn do_periodic_work(&mut self, role_from: Timestamp, count_from: Timestamp) -> Timestamp {
         let now = clock::now();
         if now >= role_from {
             self.update_role(now);
--- a/crates/dogwoodway_gateway/src/gossip/receive.rs
+++ b/crates/dogwoodway_gateway/src/gossip/receive.rs
@@ -88,7 +88,7 @@
     /// Records the sender of a datagram, and returns when the datagram arrived.
     fn record_sender(&mut self, now: Timestamp, sender: RouterInfo) -> Timestamp {
         self.peers.record_info(now, sender);
-        self.arrivals.record_turn(now);
+        self.arrivals.record_wakeup(now);
         let arrived_at = self.arrivals.arrived_at(now);
         if arrived_at < now {
             log::debug!(from:% = sender.address, waited_ms = (now - arrived_at).as_millis() as u64;
--- a/crates/dogwoodway_gateway/src/metric.rs
+++ b/crates/dogwoodway_gateway/src/metric.rs
@@ -20,7 +20,7 @@
 pub(crate) const SOFTWARE_SURVEYS: &str = "dogwoodway_router_software_surveys_total";
 
 /// Reads of the list of servers that were made because a client took up a stream.
-pub(crate) const NEEDED_READS: &str = "dogwoodway_router_needed_server_list_reads_total";
+pub(crate) const ON_DEMAND_READS: &str = "dogwoodway_router_on_demand_server_list_reads_total";
 
 /// Seconds from when the list of servers was last known to be current until a client came that takes
 /// up a stream of unknown origin, by how its origin was found (label `origin`). 0 if the list was read
--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -370,8 +370,8 @@
                 guard.end(Some(HealthSignal::Unreachable));
                 (AttemptOutcome::Unreachable, why)
             }
-            Err(ExchangeError::TurnedAway(why)) => {
-                guard.end(Some(HealthSignal::TurnedAway));
+            Err(ExchangeError::ConnectionRejected(why)) => {
+                guard.end(Some(HealthSignal::ConnectionRejected));
                 (AttemptOutcome::Unreachable, why)
             }
             Err(ExchangeError::ResponseLost(why)) => {
--- a/crates/dogwoodway_gateway/src/server_check.rs
+++ b/crates/dogwoodway_gateway/src/server_check.rs
@@ -5,18 +5,21 @@
 
 use std::{io, net::SocketAddr, time::Duration};
 
-use dogwoodway_routing::direct::fleet::BackendKey;
+use dogwoodway_routing::direct::{
+    fleet::BackendKey,
+    process_end::{ProbeResult, has_crashed},
+};
 use kameo::actor::ActorRef;
 
 use crate::{
     clock,
-    connection::Connection,
+    connection::{Connection, probe_result},
     fleet_actor::{FleetActor, IsExpectedToStop, ProbeCompleted},
 };
 
 /// Time for which a connection must last, in milliseconds. While the kernel tears a process down, its
 /// listener may accept connections for a moment after the others were closed.
-const TEARDOWN_MS: u64 = 20;
+const LISTENER_TEARDOWN_MS: u64 = 20;
 
 /// Checks whether the server of a response still runs.
 #[derive(Clone, Debug)]
@@ -33,35 +36,38 @@
     ///
     /// A connection that the server accepts is kept for the next request.
     pub(crate) async fn has_crashed(&self) -> bool {
-        match self.connect().await {
+        let result = match self.connect().await {
             Ok(connection) => {
                 let result = ProbeCompleted::reached(self.server, self.started_at_ms, connection);
                 if let Err(e) = self.fleet.tell(result).await {
                     log::debug!("could not keep the connection to a checked server: {e}");
                 }
-                false
-            }
-            Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
-                match self.fleet.ask(IsExpectedToStop(self.server)).await {
-                    Ok(is_expected) => !is_expected,
-                    Err(e) => {
-                        log::error!("fleet actor did not say whether a server was to stop: {e}");
-                        true
-                    }
-                }
+                ProbeResult::Open
             }
             Err(e) => {
-                log::debug!("could not check a server whose response ended: {e}");
-                false
+                log::debug!("could not connect to a server whose response ended: {e}");
+                probe_result(&e)
             }
-        }
+        };
+        let is_expected_to_stop = match result {
+            ProbeResult::Refused => self.is_expected_to_stop().await,
+            ProbeResult::Open | ProbeResult::Closed | ProbeResult::Unanswered => false,
+        };
+        has_crashed(result, is_expected_to_stop)
+    }
+
+    async fn is_expected_to_stop(&self) -> bool {
+        self.fleet.ask(IsExpectedToStop(self.server)).await.unwrap_or_else(|e| {
+            log::error!("fleet actor did not say whether a server was to stop: {e}");
+            false
+        })
     }
 
     /// Connects to the server, again if the connection does not last. A server that has too many
     /// connections resets new ones, but it accepts them.
     async fn connect(&self) -> io::Result<Connection> {
         let connection = Connection::open(self.address).await?;
-        clock::sleep_until(clock::now() + Duration::from_millis(TEARDOWN_MS)).await;
+        clock::sleep_until(clock::now() + Duration::from_millis(LISTENER_TEARDOWN_MS)).await;
         match connection.is_reusable(clock::now()) {
             true => Ok(connection),
             false => Connection::open(self.address).await,
--- a/crates/dogwoodway_routing/src/direct/arrival.rs
+++ b/crates/dogwoodway_routing/src/direct/arrival.rs
@@ -8,17 +8,17 @@
 
 use dogwoodway_types::Timestamp;
 
-/// Time between two turns of a receiving task from which the process is taken to have stood still. The
+/// Time between two wakeups of a receiving task from which the process is taken to have stood still. The
 /// task wakes more often by itself.
-const MAX_TURN: Duration = Duration::from_millis(500);
+const MAX_SLEEP: Duration = Duration::from_millis(500);
 
-/// Time after a standstill within which all that waited in the socket is read, also where more messages
+/// Time after a stall within which all that waited in the socket is read, also where more messages
 /// arrive all the while. The buffer of a socket holds some hundred.
 const MAX_DRAIN: Duration = Duration::from_secs(1);
 
 /// Time in which the process stood still.
 #[derive(Clone, Copy, Debug)]
-struct Standstill {
+struct Stall {
     began_at: Timestamp,
     ended_at: Timestamp,
 }
@@ -33,44 +33,44 @@
 /// let start = Timestamp::from_millis(1_000);
 /// let (soon, late) = (start + Duration::from_millis(90), start + Duration::from_secs(3));
 /// let mut arrivals = ArrivalClock::new(start);
-/// arrivals.record_turn(soon);
+/// arrivals.record_wakeup(soon);
 /// assert_eq!(arrivals.arrived_at(soon), soon);
-/// arrivals.record_turn(late);
+/// arrivals.record_wakeup(late);
 /// assert_eq!(arrivals.arrived_at(late), soon, "the process stood still");
 /// arrivals.record_empty(late);
 /// assert_eq!(arrivals.arrived_at(late), late);
 /// ```
 #[derive(Clone, Copy, Debug)]
 pub struct ArrivalClock {
-    turned_at: Timestamp,
+    woke_at: Timestamp,
     /// Present until what arrived meanwhile has been read.
-    standstill: Option<Standstill>,
+    stall: Option<Stall>,
 }
 
 impl ArrivalClock {
     /// Creates the clock of a socket that is empty now.
     pub fn new(now: Timestamp) -> ArrivalClock {
-        ArrivalClock { turned_at: now, standstill: None }
+        ArrivalClock { woke_at: now, stall: None }
     }
 
     /// Records that the receiving task runs.
-    pub fn record_turn(&mut self, now: Timestamp) {
-        if now - self.turned_at > MAX_TURN {
-            let began_at = self.standstill.map_or(self.turned_at, |known| known.began_at);
-            self.standstill = Some(Standstill { began_at, ended_at: now });
+    pub fn record_wakeup(&mut self, now: Timestamp) {
+        if now - self.woke_at > MAX_SLEEP {
+            let began_at = self.stall.map_or(self.woke_at, |known| known.began_at);
+            self.stall = Some(Stall { began_at, ended_at: now });
         }
-        self.turned_at = now;
-        self.standstill = self.standstill.filter(|known| now - known.ended_at <= MAX_DRAIN);
+        self.woke_at = now;
+        self.stall = self.stall.filter(|known| now - known.ended_at <= MAX_DRAIN);
     }
 
     /// Records that the socket was empty at `at` or later.
     pub fn record_empty(&mut self, at: Timestamp) {
-        self.standstill = self.standstill.filter(|known| at < known.ended_at);
+        self.stall = self.stall.filter(|known| at < known.ended_at);
     }
 
     /// Returns when a message that is read at `now` arrived, or the earliest time if it may have waited
     /// while the process stood still.
     pub fn arrived_at(&self, now: Timestamp) -> Timestamp {
-        self.standstill.map_or(now, |known| known.began_at)
+        self.stall.map_or(now, |known| known.began_at)
     }
 }
--- a/crates/dogwoodway_routing/src/direct/fleet/placement.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/placement.rs
@@ -179,14 +179,14 @@
         now: Timestamp,
         request: &PlacementRequest,
         sample_share: f64,
-        avoids_mute: bool,
+        avoids_stalled: bool,
     ) -> Option<Choice> {
         let versions = request.preferred_version.map(Some).into_iter();
         let mut versions = versions.chain([request.required_version]);
         versions.find_map(|version| {
             // The engines of the sample may all be loading weights or have other versions.
-            self.choose(now, request, version, sample_share, avoids_mute)
-                .or_else(|| self.choose(now, request, version, EVERY_ENGINE, avoids_mute))
+            self.choose(now, request, version, sample_share, avoids_stalled)
+                .or_else(|| self.choose(now, request, version, EVERY_ENGINE, avoids_stalled))
         })
     }
 
@@ -198,7 +198,7 @@
         request: &PlacementRequest,
         required_version: Option<WeightsVersion>,
         share: f64,
-        avoids_mute: bool,
+        avoids_stalled: bool,
     ) -> Option<Choice> {
         let keys = self.by_service.get(&request.service)?.as_slice();
         let spec = self.engine_specs.get(&request.service);
@@ -213,7 +213,7 @@
         for &key in keys {
             let Some(server) = self.servers.get(key) else { continue };
             if !self.accepts_requests(now, server, request)
-                || (avoids_mute && self.is_mute(now, server))
+                || (avoids_stalled && self.is_stalled(now, server))
             {
                 continue;
             }
--- a/crates/dogwoodway_routing/src/direct/fleet/requests.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/requests.rs
@@ -142,8 +142,8 @@
 
     /// Returns whether a server owes an output, or owed one to a request that has ended, and has sent
     /// nothing for too long. It may accept connections.
-    pub(super) fn is_mute(&self, now: Timestamp, server: &Server) -> bool {
-        server.health.is_mute(now, self.due_since(server))
+    pub(super) fn is_stalled(&self, now: Timestamp, server: &Server) -> bool {
+        server.health.is_stalled(now, self.due_since(server))
     }
 
     /// Returns when the first output of a server was due that has not arrived.
--- a/crates/dogwoodway_routing/src/direct/health.rs
+++ b/crates/dogwoodway_routing/src/direct/health.rs
@@ -45,7 +45,7 @@
     Unreachable,
     /// A new connection was closed before a request was sent on it. The requests that the server runs go
     /// on.
-    TurnedAway,
+    ConnectionRejected,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -110,7 +110,9 @@
                 self.record_activity(now);
                 self.refusal_share += (1.0 - self.refusal_share) * SAMPLE_WEIGHT;
             }
-            HealthSignal::Unreachable | HealthSignal::TurnedAway => self.mark_unreachable(now),
+            HealthSignal::Unreachable | HealthSignal::ConnectionRejected => {
+                self.mark_unreachable(now);
+            }
         }
     }
 
@@ -187,7 +189,7 @@
     /// Returns whether the server has sent nothing for too long, although an output has been due since
     /// `due_since` or a request ended without any. Its machine may go on accepting connections while
     /// the process stands still.
-    pub fn is_mute(&self, now: Timestamp, due_since: Option<Timestamp>) -> bool {
+    pub fn is_stalled(&self, now: Timestamp, due_since: Option<Timestamp>) -> bool {
         let due_since = due_since.into_iter().chain(self.unanswered_since).min();
         due_since.is_some_and(|due_since| {
             let silent_since = self.last_output_at.max(due_since);
--- a/crates/dogwoodway_routing/src/direct/process_end.rs
+++ b/crates/dogwoodway_routing/src/direct/process_end.rs
@@ -132,6 +132,20 @@
     }
 }
 
+/// Returns whether a process has crashed whose connection ended in good order, as a killed one's does.
+/// It is probed afterwards. One that was expected to stop has sent what it had to send.
+///
+/// ```
+/// use dogwoodway_routing::direct::process_end::{ProbeResult, has_crashed};
+///
+/// assert!(has_crashed(ProbeResult::Refused, false));
+/// assert!(!has_crashed(ProbeResult::Refused, true));
+/// assert!(!has_crashed(ProbeResult::Unanswered, false));
+/// ```
+pub fn has_crashed(result: ProbeResult, is_expected_to_stop: bool) -> bool {
+    result == ProbeResult::Refused && !is_expected_to_stop
+}
+
 /// Returns whether a listing shows that the process that started at `started_at_ms` has ended.
 ///
 /// ```
