Log what a claim and a release of the leadership rest on

Who claims the leadership after whom, and how long a release says that its router has sent no order, could not be read from any log.

--- a/crates/dogwoodway_gateway/src/leader.rs
+++ b/crates/dogwoodway_gateway/src/leader.rs
@@ -280,8 +280,13 @@
         let leads = self.leadership.is_leader(now);
         let bytes = encode(&RouterRecord::Leader(record.clone()));
         match self.config.store.append_to_log(bytes, Some(at)).await {
-            Ok(offset) => {
-                self.leadership.record_append(now, offset, &record);
+            Ok(position) => {
+                if let LeaderRecord::Claim { .. } = &record {
+                    let predecessor = self.leadership.last_holder();
+                    let predecessor = predecessor.map_or("none", RouterName::as_str);
+                    log::info!(fence = position.ordinal(), predecessor; "leadership claimed");
+                }
+                self.leadership.record_append(now, position, &record);
                 if std::mem::take(&mut self.is_log_lost) {
                     log::info!("routers' log reached again");
                 }
@@ -311,10 +316,11 @@
         else {
             return;
         };
+        let quiet_ms = record.quiet_ms().unwrap_or_default();
         let bytes = encode(&RouterRecord::Leader(record));
         let append = self.config.store.append_to_log(bytes, Some(at));
         match tokio::time::timeout(Duration::from_millis(RELEASE_TIMEOUT_MS), append).await {
-            Ok(Ok(_)) => log::info!("leadership handed back"),
+            Ok(Ok(_)) => log::info!(quiet_ms; "leadership handed back"),
             Ok(Err(e)) => log::warn!("could not release the leadership, it expires instead: {e}"),
             Err(_) => log::warn!(
                 "leadership was not released within {RELEASE_TIMEOUT_MS} ms, it expires instead"
--- a/crates/dogwoodway_routing/src/direct/leadership.rs
+++ b/crates/dogwoodway_routing/src/direct/leadership.rs
@@ -59,6 +59,25 @@
     },
 }
 
+impl LeaderRecord {
+    /// Returns how long the router of a release has sent no order, in milliseconds; `None` for other
+    /// records.
+    ///
+    /// ```
+    /// use dogwoodway_routing::direct::leadership::LeaderRecord;
+    /// use dogwoodway_types::RouterName;
+    ///
+    /// let router = RouterName::try_from("router-1").unwrap();
+    /// assert_eq!(LeaderRecord::Release { router, quiet_ms: 400 }.quiet_ms(), Some(400));
+    /// ```
+    pub fn quiet_ms(&self) -> Option<u64> {
+        match self {
+            LeaderRecord::Release { quiet_ms, .. } => Some(*quiet_ms),
+            LeaderRecord::Claim { .. } | LeaderRecord::Renew { .. } => None,
+        }
+    }
+}
+
 /// What a router should do now to become or stay the leader.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LeadershipAction {
@@ -229,6 +248,22 @@
         self.log_end.is_some()
     }
 
+    /// Returns the router that the last record read is from, `None` if none was read.
+    ///
+    /// ```
+    /// use dogwoodway_routing::direct::leadership::{LeaderRecord, Leadership};
+    /// use dogwoodway_types::{LogPosition, RouterName, Timestamp};
+    ///
+    /// let router = |name| RouterName::try_from(name).unwrap();
+    /// let mut leadership = Leadership::new(router("router-1"), 3_000);
+    /// let claim = LeaderRecord::Claim { router: router("router-2") };
+    /// leadership.apply_record(Timestamp::from_millis(1), LogPosition::default(), &claim);
+    /// assert_eq!(leadership.last_holder(), Some(&router("router-2")));
+    /// ```
+    pub fn last_holder(&self) -> Option<&RouterName> {
+        self.holder.as_ref()
+    }
+
     /// Returns what the router should do now.
     pub fn next_action(&self, now: Timestamp) -> LeadershipAction {
         let Some(at) = self.log_end else { return LeadershipAction::Wait };
