State no quiet time from before the process in a release of the leadership

Cause: a release says for how long its router has sent no order. A process that has sent none said "since 1970", but the process before it under the same name may have sent orders until it was killed, and the new one claims without waiting for them, because they are its own.

Evidence: the log of real processes has "leadership handed back" with quiet_ms=, and the claim of the other router 39 ms later.

Why it works: the quiet time begins at the start of the process at the earliest, and the process before had ended by then. It is what the process has seen, so that no successor comes sooner than a lease after any order of that name.

--- a/crates/dogwoodway_gateway/src/leader.rs
+++ b/crates/dogwoodway_gateway/src/leader.rs
@@ -121,7 +121,7 @@
     tokio::spawn(announce(config.store.clone(), announcement.clone()));
     let mut own_records = OwnRecords::new(MAX_OWN_RECORDS);
     own_records.remember(announcement);
-    let leadership = Leadership::new(config.router.clone(), config.lease_ms);
+    let leadership = Leadership::new(clock::now(), config.router.clone(), config.lease_ms);
     let mut shutdown = config.shutdown.clone();
     let mut leader = Leader {
         config,
--- a/crates/dogwoodway_routing/src/direct/leadership.rs
+++ b/crates/dogwoodway_routing/src/direct/leadership.rs
@@ -9,7 +9,8 @@
 //! Engines may not check fencing tokens. Therefore a successor waits until the term of its
 //! predecessor has ended and the predecessor's last order is older than the lease, which is the
 //! shortest time between orders of different routers to one engine. It need not wait if the
-//! predecessor is the same router before a restart.
+//! predecessor is the same router before a restart. A router that has restarted does not know when
+//! it sent its last order before; it may have done so until this process started.
 //!
 //! A store that is restored from a copy starts a new era. It has lost the newest records, among them
 //! perhaps the claim of a leader whose term has not ended. Therefore a router makes no claim within
@@ -54,7 +55,7 @@
     Release {
         /// The router that was the leader.
         router: RouterName,
-        /// Milliseconds since the router's last order.
+        /// Milliseconds for which the router has certainly sent no order.
         quiet_ms: u64,
     },
 }
@@ -106,8 +107,8 @@
 /// use dogwoodway_types::{LogPosition, RouterName, Timestamp};
 ///
 /// let router = RouterName::try_from("router-1").unwrap();
-/// let mut leadership = Leadership::new(router, 3_000);
 /// let now = Timestamp::from_millis(1);
+/// let mut leadership = Leadership::new(now, router, 3_000);
 /// leadership.record_log_end(now, LogPosition::default(), true);
 /// let LeadershipAction::Append { record, at } = leadership.next_action(now) else { panic!("no claim") };
 /// leadership.record_append(now, at, &record);
@@ -130,13 +131,15 @@
     /// within the lease.
     lost_claims_expire_at: Timestamp,
     term: Option<Term>,
+    /// Time after which this router has sent no order. An earlier process of this router may have
+    /// sent orders until this one started.
     last_order_at: Timestamp,
 }
 
 impl Leadership {
-    /// Creates the state of a router that has read nothing of the log. Orders of different routers
-    /// to one engine must be at least `lease_ms` apart.
-    pub fn new(router: RouterName, lease_ms: u64) -> Leadership {
+    /// Creates the state of a router whose process starts at `now` and has read nothing of the log.
+    /// Orders of different routers to one engine must be at least `lease_ms` apart.
+    pub fn new(now: Timestamp, router: RouterName, lease_ms: u64) -> Leadership {
         Leadership {
             router,
             lease_ms,
@@ -147,7 +150,7 @@
             claimable_at: Timestamp::MAX,
             lost_claims_expire_at: Timestamp::default(),
             term: None,
-            last_order_at: Timestamp::default(),
+            last_order_at: now,
         }
     }
 
@@ -158,8 +161,9 @@
     /// use dogwoodway_routing::direct::leadership::{Leadership, LeadershipAction};
     /// use dogwoodway_types::{LogOffset, LogPosition, RouterName, StoreEra, Timestamp};
     ///
-    /// let mut leadership = Leadership::new(RouterName::try_from("router-1").unwrap(), 3_000);
     /// let now = Timestamp::from_millis(1);
+    /// let router = RouterName::try_from("router-1").unwrap();
+    /// let mut leadership = Leadership::new(now, router, 3_000);
     /// leadership.begin_era(now, Some(StoreEra(2)));
     /// let end = LogPosition { era: Some(StoreEra(2)), offset: LogOffset(0) };
     /// leadership.record_log_end(now, end, true);
@@ -227,8 +231,9 @@
     /// use dogwoodway_routing::direct::leadership::{Leadership, LeadershipAction};
     /// use dogwoodway_types::{LogPosition, RouterName, Timestamp};
     ///
-    /// let mut leadership = Leadership::new(RouterName::try_from("router-1").unwrap(), 3_000);
     /// let now = Timestamp::from_millis(1);
+    /// let router = RouterName::try_from("router-1").unwrap();
+    /// let mut leadership = Leadership::new(now, router, 3_000);
     /// leadership.record_log_end(now, LogPosition::default(), true);
     /// leadership.set_candidate(false);
     /// assert_eq!(leadership.next_action(now), LeadershipAction::Wait);
@@ -255,9 +260,10 @@
     /// use dogwoodway_types::{LogPosition, RouterName, Timestamp};
     ///
     /// let router = |name| RouterName::try_from(name).unwrap();
-    /// let mut leadership = Leadership::new(router("router-1"), 3_000);
+    /// let now = Timestamp::from_millis(1);
+    /// let mut leadership = Leadership::new(now, router("router-1"), 3_000);
     /// let claim = LeaderRecord::Claim { router: router("router-2") };
-    /// leadership.apply_record(Timestamp::from_millis(1), LogPosition::default(), &claim);
+    /// leadership.apply_record(now, LogPosition::default(), &claim);
     /// assert_eq!(leadership.last_holder(), Some(&router("router-2")));
     /// ```
     pub fn last_holder(&self) -> Option<&RouterName> {
--- a/crates/dogwoodway_routing/tests/direct_leadership.rs
+++ b/crates/dogwoodway_routing/tests/direct_leadership.rs
@@ -1,7 +1,8 @@
 //! Simulations of several routers that elect a leader by conditional appends to one log.
 
-use std::time::Duration;
+use std::{ops::Range, time::Duration};
 
+use assert_matches::assert_matches;
 use dogwoodway_routing::direct::leadership::{LeaderRecord, Leadership, LeadershipAction};
 use dogwoodway_types::{LogOffset, LogPosition, RouterName, StoreEra, Timestamp};
 use proptest::prelude::*;
@@ -30,6 +31,8 @@
     ReadsNothing,
     /// The router restarts and has lost its state.
     Restarted,
+    /// The router is stopped, releases the leadership, and starts again later without its state.
+    Stopped,
 }
 
 /// A return of the store from a copy, at one step of the simulation.
@@ -66,6 +69,11 @@
 }
 
 impl Router {
+    /// Starts the process of a router.
+    fn start(now: Timestamp, n: usize) -> Router {
+        Router { leadership: Leadership::new(now, name(n), LEASE_MS), read_to: None }
+    }
+
     fn read(&mut self, now: Timestamp, log: &Log) {
         let from = self.read_to.filter(|read_to| read_to.era == log.era);
         let from = from.map_or(0, |read_to| read_to.offset.0 as usize);
@@ -94,22 +102,45 @@
             false => {}
         }
     }
+
+    /// Releases the leadership, as a process does that is stopped.
+    fn stop(&mut self, now: Timestamp, log: &mut Log) {
+        if let Some(LeadershipAction::Append { record, at }) = self.leadership.release(now)
+            && at.offset == log.end().offset
+        {
+            log.records.push(record);
+        }
+    }
 }
 
-/// Runs a simulation; returns the orders sent, as time in milliseconds, router and fencing token.
+/// Runs a simulation in which the leader always has orders to send; returns the orders sent, as time
+/// in milliseconds, router and fencing token.
 fn simulate(
     routers: usize,
     steps: usize,
     faults: &[Fault],
     returns: &[Return],
 ) -> Vec<(u64, usize, u64)> {
-    let new = |n| Router { leadership: Leadership::new(name(n), LEASE_MS), read_to: None };
-    let mut states: Vec<_> = (0..routers).map(new).collect();
+    let always = 0..steps;
+    simulate_demand(routers, steps, faults, returns, &[always])
+}
+
+/// Runs a simulation in which the leader has orders to send in some ranges of steps.
+fn simulate_demand(
+    routers: usize,
+    steps: usize,
+    faults: &[Fault],
+    returns: &[Return],
+    demand: &[Range<usize>],
+) -> Vec<(u64, usize, u64)> {
+    let started_at = Timestamp::from_millis(10_000);
+    let mut states: Vec<_> = (0..routers).map(|n| Router::start(started_at, n)).collect();
     let era = (!returns.is_empty()).then_some(StoreEra(1));
     let mut log = Log { era, records: Vec::new() };
     let mut orders = Vec::new();
     for step in 0..steps {
-        let now = Timestamp::from_millis(10_000 + step as u64 * STEP_MS);
+        let now = started_at + Duration::from_millis(step as u64 * STEP_MS);
+        let has_demand = demand.iter().any(|steps| steps.contains(&step));
         for lost in returns.iter().filter(|lost| lost.at_step == step) {
             log.records.truncate(log.records.len().saturating_sub(lost.lost_records));
             log.era = log.era.map(|era| StoreEra(era.0 + 1));
@@ -120,7 +151,12 @@
             });
             match active_fault.map(|fault| fault.kind) {
                 Some(FaultKind::Paused) => continue,
-                Some(FaultKind::Restarted) => *router = new(n),
+                Some(FaultKind::Restarted) => *router = Router::start(now, n),
+                Some(FaultKind::Stopped) => {
+                    router.stop(now, &mut log);
+                    *router = Router::start(now, n);
+                    continue;
+                }
                 Some(FaultKind::Partitioned) => {}
                 Some(FaultKind::ReadsNothing) => router.append(now, &mut log, true),
                 Some(FaultKind::AnswerLost) | None => {
@@ -128,7 +164,7 @@
                     router.append(now, &mut log, active_fault.is_none());
                 }
             }
-            if let Some(token) = router.leadership.fencing_token(now) {
+            if has_demand && let Some(token) = router.leadership.fencing_token(now) {
                 router.leadership.record_order(now);
                 orders.push((now.as_millis(), n, token.ordinal()));
             }
@@ -143,7 +179,8 @@
         Just(FaultKind::Partitioned),
         Just(FaultKind::AnswerLost),
         Just(FaultKind::ReadsNothing),
-        Just(FaultKind::Restarted)
+        Just(FaultKind::Restarted),
+        Just(FaultKind::Stopped)
     ];
     (0..3_usize, 0..600_usize, 1..160_usize, kind).prop_map(|(router, at_step, steps, kind)| {
         let steps = if matches!(kind, FaultKind::Restarted) { 1 } else { steps };
@@ -151,6 +188,11 @@
     })
 }
 
+/// A range of steps in which the leader has orders to send.
+fn demand() -> impl Strategy<Value = Range<usize>> {
+    (0..780_usize, 1..40_usize).prop_map(|(from_step, steps)| from_step..from_step + steps)
+}
+
 fn store_return() -> impl Strategy<Value = Return> {
     // Twelve records are more than eight seconds of renewals.
     (0..700_usize, 0..12_usize).prop_map(|(at_step, lost_records)| Return { at_step, lost_records })
@@ -186,6 +228,32 @@
     }
 }
 
+proptest! {
+    // A leader has to restart, be stopped and have no orders to send in between.
+    #![proptest_config(ProptestConfig::with_cases(4_000))]
+
+    // Guards against a release of the leadership that forgets the orders of an earlier process.
+    #[test]
+    fn leaders_that_have_sent_no_order_themselves_keep_the_distance(
+        faults in prop::collection::vec(fault(), 0..8),
+        demand in prop::collection::vec(demand(), 1..10),
+    ) {
+        let orders = simulate_demand(3, 800, &faults, &[], &demand);
+        prop_assert_eq!(violation(&orders), None);
+    }
+
+    // The same, with a store that forgets claims and orders' holders.
+    #[test]
+    fn leaders_that_have_sent_no_order_themselves_keep_the_distance_though_the_store_forgets(
+        faults in prop::collection::vec(fault(), 0..8),
+        returns in prop::collection::vec(store_return(), 1..4),
+        demand in prop::collection::vec(demand(), 1..10),
+    ) {
+        let orders = simulate_demand(3, 800, &faults, &returns, &demand);
+        prop_assert_eq!(violation(&orders), None);
+    }
+}
+
 #[test]
 fn a_leader_goes_on_within_a_second_after_the_store_forgot_its_claim() {
     let lost = Return { at_step: 200, lost_records: usize::MAX };
@@ -208,10 +276,42 @@
     assert!(first_of_successor - last <= 5_000, "{last} {first_of_successor}");
 }
 
+/// Claims the leadership for a router whose process starts at `now`, at the end of the log.
+fn claim(now: Timestamp, n: usize, log: &mut Log) -> Router {
+    let mut router = Router::start(now, n);
+    router.read(now, log);
+    router.append(now, log, true);
+    assert!(router.leadership.is_leader(now), "router {n} does not lead");
+    router
+}
+
+// The time of an earlier process of the router counts as time in which it may have sent orders.
+#[test]
+fn leader_that_was_killed_after_its_orders_and_is_stopped_hands_over_after_the_lease() {
+    let mut log = Log { era: None, records: Vec::new() };
+    let at = Timestamp::from_millis;
+    let mut killed = claim(at(50_000), 0, &mut log);
+    killed.leadership.record_order(at(50_000));
+    drop(killed);
+    let mut restarted = claim(at(50_150), 0, &mut log);
+    restarted.stop(at(50_400), &mut log);
+    let mut successor = Router::start(at(40_000), 1);
+    for now in (50_400..53_000).step_by(50).map(at) {
+        successor.read(now, &log);
+        assert_eq!(successor.leadership.next_action(now), LeadershipAction::Wait, "{now:?}");
+    }
+    let claimable_at = at(53_400);
+    assert_matches!(
+        successor.leadership.next_action(claimable_at),
+        LeadershipAction::Append { .. },
+        "the leadership is handed over"
+    );
+}
+
 #[test]
 fn a_released_term_passes_on_once_the_last_order_is_a_lease_old() {
     let start = Timestamp::from_millis(50_000);
-    let mut first = Leadership::new(name(0), LEASE_MS);
+    let mut first = Leadership::new(start, name(0), LEASE_MS);
     first.record_log_end(start, LogPosition::default(), true);
     let LeadershipAction::Append { record, at } = first.next_action(start) else {
         panic!("no claim")
@@ -223,7 +323,7 @@
         panic!("nothing to release")
     };
     assert_eq!(first.fencing_token(released_at), None);
-    let mut successor = Leadership::new(name(1), LEASE_MS);
+    let mut successor = Leadership::new(start, name(1), LEASE_MS);
     successor.apply_record(released_at, LogPosition::default(), &record);
     successor.apply_record(released_at, LogPosition::default().next(), &release);
     successor.record_log_end(released_at, LogPosition::default().after(2), true);
