Hand the leadership over only once all orders have arrived

Engines could get orders of two routers less than a lease apart if a leader was stopped while an order was under way: the release counted its quiet time from when the order was sent, and a process that had just started did not count what the process before it had sent last.

Evidence: with a release that ignores orders under way and counts from the start of the process (a trial), the three new tests fail: a release with an order unanswered, one right after the start, a successor 900 ms too early. Found by reading; no run of real processes shows it.

Why it works: quiet time begins when the last order was answered or given up, at the earliest 650 ms after the start of the process, the time limits of connection and answer together. Before that the term is left to expire. The test of the released term now starts its process ten seconds earlier; its bounds are the same.

--- a/crates/dogwoodway_gateway/src/leader/rollout.rs
+++ b/crates/dogwoodway_gateway/src/leader/rollout.rs
@@ -221,7 +221,7 @@
             self.pending_loads.remove(&server);
             return;
         };
-        self.leadership.record_order(now);
+        self.leadership.record_order();
         load.step = LoadStep::Ordering;
         let order = LoadOrder {
             server: load.target.name.clone(),
@@ -247,6 +247,7 @@
 
     pub(super) async fn handle_order_outcome(&mut self, server: BackendKey, outcome: OrderOutcome) {
         let now = clock::now();
+        self.leadership.record_order_end(now);
         metrics::counter!(metric::ORDERS, "answer" => outcome_label(outcome)).increment(1);
         let Some(load) = self.pending_loads.get_mut(&server) else { return };
         log::info!(server:% = load.target.name, version = load.version().0, answer:? = outcome;
--- a/crates/dogwoodway_routing/src/direct/leadership.rs
+++ b/crates/dogwoodway_routing/src/direct/leadership.rs
@@ -10,7 +10,9 @@
 //! predecessor has ended and the predecessor's last order is older than the lease, which is the
 //! shortest time between orders of different routers to one engine. It need not wait if the
 //! predecessor is the same router before a restart. A router that has restarted does not know when
-//! it sent its last order before; it may have done so until this process started.
+//! it sent its last order before; it may have done so until this process started. A release states
+//! only for how long orders have certainly stopped to arrive, and none is made while an order has
+//! not been answered.
 //!
 //! A store that is restored from a copy starts a new era. It has lost the newest records, among them
 //! perhaps the claim of a leader whose term has not ended. Therefore a router makes no claim within
@@ -34,6 +36,10 @@
 /// order takes time to arrive.
 const ORDER_MARGIN_MS: u64 = 200;
 
+/// Longest time from sending an order to its arrival, in milliseconds. An order that has not been
+/// answered by then is given up, including the time for opening its connection.
+const ORDER_TRANSIT_MS: u64 = 650;
+
 /// Allowance for clocks that run at different speeds, in milliseconds.
 const CLOCK_MARGIN_MS: u64 = 200;
 
@@ -55,14 +61,14 @@
     Release {
         /// The router that was the leader.
         router: RouterName,
-        /// Milliseconds for which the router has certainly sent no order.
+        /// Milliseconds for which certainly no order of the router has arrived.
         quiet_ms: u64,
     },
 }
 
 impl LeaderRecord {
-    /// Returns how long the router of a release has sent no order, in milliseconds; `None` for other
-    /// records.
+    /// Returns for how long no order of the router of a release has arrived, in milliseconds; `None`
+    /// for other records.
     ///
     /// ```
     /// use dogwoodway_routing::direct::leadership::LeaderRecord;
@@ -131,9 +137,11 @@
     /// within the lease.
     lost_claims_expire_at: Timestamp,
     term: Option<Term>,
-    /// Time after which this router has sent no order. An earlier process of this router may have
-    /// sent orders until this one started.
-    last_order_at: Timestamp,
+    /// Orders that have neither been answered nor given up.
+    orders_in_flight: usize,
+    /// Time after which no order of this router arrives, except those in flight. An earlier process
+    /// of this router may have sent orders until this one started.
+    quiet_since: Timestamp,
 }
 
 impl Leadership {
@@ -150,7 +158,8 @@
             claimable_at: Timestamp::MAX,
             lost_claims_expire_at: Timestamp::default(),
             term: None,
-            last_order_at: now,
+            orders_in_flight: 0,
+            quiet_since: now + Duration::from_millis(ORDER_TRANSIT_MS),
         }
     }
 
@@ -325,18 +334,28 @@
         self.term.is_some_and(|term| now < term.ends_at)
     }
 
-    /// Records that the router sends an order now.
-    pub fn record_order(&mut self, now: Timestamp) {
-        self.last_order_at = now;
+    /// Records that the router sends an order now. Must be followed by
+    /// [`Leadership::record_order_end`].
+    pub fn record_order(&mut self) {
+        self.orders_in_flight += 1;
+    }
+
+    /// Records that an order was answered or given up now, so that it can no longer arrive.
+    pub fn record_order_end(&mut self, now: Timestamp) {
+        self.orders_in_flight = self.orders_in_flight.saturating_sub(1);
+        self.quiet_since = self.quiet_since.max(now);
     }
 
     /// Ends the router's term if it is the leader, and returns the record to append; `None` if
-    /// there is nothing to append.
+    /// there is nothing to append. While orders may still arrive the term is left to expire.
     pub fn release(&mut self, now: Timestamp) -> Option<LeadershipAction> {
         self.term.take().filter(|term| now < term.ends_at)?;
-        let quiet_ms = (now - self.last_order_at).as_millis() as u64;
-        let record = LeaderRecord::Release { router: self.router.clone(), quiet_ms };
         self.claimable_at = Timestamp::MAX;
+        if self.orders_in_flight > 0 || now < self.quiet_since {
+            return None;
+        }
+        let quiet_ms = (now - self.quiet_since).as_millis() as u64;
+        let record = LeaderRecord::Release { router: self.router.clone(), quiet_ms };
         Some(LeadershipAction::Append { record, at: self.log_end? })
     }
 }
--- a/crates/dogwoodway_routing/tests/direct_leadership.rs
+++ b/crates/dogwoodway_routing/tests/direct_leadership.rs
@@ -165,7 +165,8 @@
                 }
             }
             if has_demand && let Some(token) = router.leadership.fencing_token(now) {
-                router.leadership.record_order(now);
+                router.leadership.record_order();
+                router.leadership.record_order_end(now);
                 orders.push((now.as_millis(), n, token.ordinal()));
             }
         }
@@ -291,16 +292,61 @@
     let mut log = Log { era: None, records: Vec::new() };
     let at = Timestamp::from_millis;
     let mut killed = claim(at(50_000), 0, &mut log);
-    killed.leadership.record_order(at(50_000));
+    killed.leadership.record_order();
     drop(killed);
     let mut restarted = claim(at(50_150), 0, &mut log);
-    restarted.stop(at(50_400), &mut log);
+    restarted.stop(at(51_000), &mut log);
     let mut successor = Router::start(at(40_000), 1);
-    for now in (50_400..53_000).step_by(50).map(at) {
+    // An order that was sent at the kill arrives before 50,800.
+    for now in (51_000..53_800).step_by(50).map(at) {
         successor.read(now, &log);
         assert_eq!(successor.leadership.next_action(now), LeadershipAction::Wait, "{now:?}");
     }
-    let claimable_at = at(53_400);
+    let claimable_at = at(54_100);
+    assert_matches!(
+        successor.leadership.next_action(claimable_at),
+        LeadershipAction::Append { .. },
+        "the leadership is handed over"
+    );
+}
+
+// An order that is still under way when its router is stopped may arrive later.
+#[test]
+fn leader_that_is_stopped_before_its_order_was_answered_does_not_release_the_leadership() {
+    let mut log = Log { era: None, records: Vec::new() };
+    let at = Timestamp::from_millis;
+    let mut leader = claim(at(50_000), 0, &mut log);
+    leader.leadership.record_order();
+    leader.leadership.record_order();
+    leader.leadership.record_order_end(at(50_300));
+    assert_eq!(leader.leadership.release(at(50_300)), None);
+    assert_eq!(leader.leadership.next_action(at(50_300)), LeadershipAction::Wait);
+}
+
+// Orders of the process before may arrive for a while after the process has started.
+#[test]
+fn leader_that_is_stopped_right_after_its_start_does_not_release_the_leadership() {
+    let mut log = Log { era: None, records: Vec::new() };
+    let at = Timestamp::from_millis;
+    let mut leader = claim(at(50_000), 0, &mut log);
+    assert_eq!(leader.leadership.release(at(50_300)), None);
+}
+
+// The lease of the successor counts from the arrival of the last order, which its answer bounds.
+#[test]
+fn successor_waits_a_lease_after_the_answer_to_the_last_order() {
+    let mut log = Log { era: None, records: Vec::new() };
+    let at = Timestamp::from_millis;
+    let mut leader = claim(at(50_000), 0, &mut log);
+    leader.leadership.record_order();
+    leader.leadership.record_order_end(at(50_900));
+    leader.stop(at(51_000), &mut log);
+    let mut successor = Router::start(at(40_000), 1);
+    for now in (51_000..53_900).step_by(50).map(at) {
+        successor.read(now, &log);
+        assert_eq!(successor.leadership.next_action(now), LeadershipAction::Wait, "{now:?}");
+    }
+    let claimable_at = at(54_200);
     assert_matches!(
         successor.leadership.next_action(claimable_at),
         LeadershipAction::Append { .. },
@@ -311,13 +357,15 @@
 #[test]
 fn a_released_term_passes_on_once_the_last_order_is_a_lease_old() {
     let start = Timestamp::from_millis(50_000);
-    let mut first = Leadership::new(start, name(0), LEASE_MS);
+    let process_start = start.earlier_by(Duration::from_secs(10));
+    let mut first = Leadership::new(process_start, name(0), LEASE_MS);
     first.record_log_end(start, LogPosition::default(), true);
     let LeadershipAction::Append { record, at } = first.next_action(start) else {
         panic!("no claim")
     };
     first.record_append(start, at, &record);
-    first.record_order(start);
+    first.record_order();
+    first.record_order_end(start);
     let released_at = start + Duration::from_millis(1_000);
     let Some(LeadershipAction::Append { record: release, .. }) = first.release(released_at) else {
         panic!("nothing to release")
