Send few retries beyond the earned ones until a whole window is known

Callers saw servers that were refusing or slow get more retries than the operator allows after routers were restarted.

Cause: a process starts with all saved retries, though the process before it may have sent them in the same window. Pure test: two starts in a window, 1 to 380 routers. That the users saw this is an inference, their runs left no logs.

Why it works: what a process has not seen counts as used. Until it has run for a window it adds to what its requests earn an eighth of the slack, shared out over all routers; routers leave a quarter of the slack at all times, which covers two starts of each in one window.

--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -110,6 +110,8 @@
     /// Signals the loss of a server to the attempts at it. Removed once the server is up again, so
     /// that later attempts start with a new signal.
     lost_signals: SecondaryMap<BackendKey, watch::Sender<bool>>,
+    /// When this process started.
+    started_at: Timestamp,
     retry_bounds: RetryBounds,
     retry_shares: HashMap<ServiceName, RetryShare>,
     /// Number of routers that share the retry budget and the connection limits.
@@ -159,6 +161,7 @@
             idle_connections: SecondaryMap::new(),
             unnamed_responses: SecondaryMap::new(),
             lost_signals: SecondaryMap::new(),
+            started_at: clock::now(),
             retry_bounds: RetryBounds { ratio: settings.retry_ratio, slack: settings.retry_slack },
             retry_shares: HashMap::new(),
             router_count: ASSUMED_ROUTERS,
@@ -179,8 +182,8 @@
 
     fn retry_share(&mut self, service: &ServiceName) -> &mut RetryShare {
         let limits = self.retry_bounds.share(self.router_count, self.router_position);
-        let share =
-            self.retry_shares.entry(service.clone()).or_insert_with(|| RetryShare::new(limits));
+        let share = self.retry_shares.entry(service.clone());
+        let share = share.or_insert_with(|| RetryShare::new(self.started_at, limits));
         share.set_limits(limits);
         share
     }
--- a/crates/dogwoodway_routing/src/retry_budget.rs
+++ b/crates/dogwoodway_routing/src/retry_budget.rs
@@ -2,6 +2,8 @@
 //!
 //! Without such a limit, retries would multiply the load on servers that already fail under load.
 
+use std::time::Duration;
+
 use dogwoodway_types::Timestamp;
 
 /// Default for [`RetryLimits::earned_millis`]: one retry for five first attempts.
@@ -27,6 +29,11 @@
 /// count requests at slightly different times.
 const USED_PERMILLE: u32 = 750;
 
+/// Part of [`RetryBounds::slack`] that routers use in the first window after their start, in
+/// thousandths. The processes before may have used their whole part in the same window. What
+/// [`USED_PERMILLE`] leaves suffices for two starts of each router in one window.
+const START_PERMILLE: u32 = (1_000 - USED_PERMILLE) / 2;
+
 /// Span of time in which the retries of all routers are bounded, in seconds.
 const WINDOW_SECONDS: usize = 10;
 
@@ -39,6 +46,15 @@
     pub slack: u32,
 }
 
+/// Part of the retries of all routers that one of them may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ShareLimits {
+    /// Limits once the process has run for a whole window.
+    pub retries: RetryLimits,
+    /// Replaces [`RetryLimits::max_saved`] until then.
+    pub max_saved_at_start: u32,
+}
+
 impl RetryBounds {
     /// Returns the part of the limits that the router at `position`, from 0, among `routers` routers may
     /// use. The parts add up to no more than the limits.
@@ -47,17 +63,25 @@
     /// use dogwoodway_routing::retry_budget::{RetryBounds, RetryLimits};
     ///
     /// let bounds = RetryBounds { ratio: 0.2, slack: 54 };
-    /// assert_eq!(bounds.share(4, 0), RetryLimits { earned_millis: 150, max_saved: 10 });
-    /// let saved: u32 = (0..103).map(|position| bounds.share(103, position).max_saved).sum();
+    /// let share = bounds.share(4, 1);
+    /// assert_eq!(share.retries, RetryLimits { earned_millis: 150, max_saved: 10 });
+    /// assert_eq!(share.max_saved_at_start, 1);
+    /// let saved: u32 = (0..103).map(|position| bounds.share(103, position).retries.max_saved).sum();
     /// assert_eq!(saved, 40);
     /// ```
-    pub fn share(&self, routers: u32, position: u32) -> RetryLimits {
-        let used_share = f64::from(USED_PERMILLE) / 1e3;
-        let saved = (f64::from(self.slack) * used_share) as u64;
-        let saved_before = |position: u32| saved * u64::from(position) / u64::from(routers.max(1));
-        RetryLimits {
-            earned_millis: (self.ratio * 1e3 * used_share) as u32,
-            max_saved: (saved_before(position + 1) - saved_before(position)) as u32,
+    pub fn share(&self, routers: u32, position: u32) -> ShareLimits {
+        let part = |permille: u32| {
+            let saved = (f64::from(self.slack) * f64::from(permille) / 1e3) as u64;
+            // The first position has a retry as soon as there is any: a router that does not know
+            // the others yet counts as the first.
+            let saved_before =
+                |position: u32| (saved * u64::from(position)).div_ceil(u64::from(routers.max(1)));
+            (saved_before(position + 1) - saved_before(position)) as u32
+        };
+        let earned_millis = (self.ratio * f64::from(USED_PERMILLE)) as u32;
+        ShareLimits {
+            retries: RetryLimits { earned_millis, max_saved: part(USED_PERMILLE) },
+            max_saved_at_start: part(START_PERMILLE),
         }
     }
 }
@@ -124,36 +148,43 @@
 /// The part that one router uses of a retry budget of many routers.
 ///
 /// A router whose part is less than one retry still sends the retries that its requests earn. It must
-/// not save one, since all such routers may send theirs at once.
+/// not save one, since all such routers may send theirs at once. A process that has just started does
+/// not know which retries the process before it has sent, and sends few beyond what it earns.
 ///
 /// ```
 /// use dogwoodway_routing::retry_budget::{RetryBounds, RetryShare};
 /// use dogwoodway_types::Timestamp;
 ///
 /// let now = Timestamp::from_millis(1);
-/// let mut share = RetryShare::new(RetryBounds { ratio: 0.2, slack: 54 }.share(380, 0));
+/// let mut share = RetryShare::new(now, RetryBounds { ratio: 0.2, slack: 54 }.share(380, 1));
 /// assert!(!share.try_take_retry(now));
 /// (0..7).for_each(|_| share.record_first_attempt(now));
 /// assert!(share.try_take_retry(now));
 /// ```
 #[derive(Clone, Debug)]
 pub struct RetryShare {
-    limits: RetryLimits,
+    limits: ShareLimits,
+    /// Time from which all retries in a window are known, because this process has sent them.
+    window_known_from: Timestamp,
     budget: RetryBudget,
     recent: RecentAttempts,
 }
 
 impl RetryShare {
-    /// Creates a share with all saved retries.
-    pub fn new(limits: RetryLimits) -> RetryShare {
-        let budget = RetryBudget::new(bucket_limits(limits));
-        RetryShare { limits, budget, recent: RecentAttempts::default() }
+    /// Creates a share with all saved retries, of a process that started at `started_at`.
+    pub fn new(started_at: Timestamp, limits: ShareLimits) -> RetryShare {
+        RetryShare {
+            limits,
+            window_known_from: started_at + Duration::from_secs(WINDOW_SECONDS as u64),
+            budget: RetryBudget::new(bucket_limits(limits.retries)),
+            recent: RecentAttempts::default(),
+        }
     }
 
     /// Changes the limits; saved retries beyond the new capacity are dropped.
-    pub fn set_limits(&mut self, limits: RetryLimits) {
+    pub fn set_limits(&mut self, limits: ShareLimits) {
         self.limits = limits;
-        self.budget.set_limits(bucket_limits(limits));
+        self.budget.set_limits(bucket_limits(limits.retries));
     }
 
     /// Adds to the share what the first attempt of a request earns.
@@ -165,7 +196,11 @@
     /// Takes one retry; returns false, without taking any, if none is left.
     pub fn try_take_retry(&mut self, now: Timestamp) -> bool {
         let AttemptCount { first_attempts, retries, .. } = self.recent.sum(now);
-        let RetryLimits { earned_millis, max_saved } = self.limits;
+        let RetryLimits { earned_millis, max_saved } = self.limits.retries;
+        let max_saved = match now < self.window_known_from {
+            true => self.limits.max_saved_at_start,
+            false => max_saved,
+        };
         let allowed_millis = u64::from(earned_millis) * u64::from(first_attempts)
             + u64::from(max_saved * RETRY_COST_MILLIS);
         let taken_millis = (u64::from(retries) + 1) * u64::from(RETRY_COST_MILLIS);
--- a/crates/dogwoodway_routing/tests/retry_budget.rs
+++ b/crates/dogwoodway_routing/tests/retry_budget.rs
@@ -64,7 +64,8 @@
 /// Returns the retries that `routers` routers send at once, each of which has got `requests` requests
 /// just before and many long ago.
 fn retries_at_once(routers: u32, requests: u32) -> u32 {
-    let shares = (0..routers).map(|position| RetryShare::new(BOUNDS.share(routers, position)));
+    let share = |position| RetryShare::new(at(0), BOUNDS.share(routers, position));
+    let shares = (0..routers).map(share);
     let mut retries = 0;
     for mut share in shares {
         (0..100).for_each(|_| share.record_first_attempt(at(0)));
@@ -96,7 +97,10 @@
         steps in proptest::collection::vec((proptest::bool::weighted(0.3), 0..2_000_u64), 1..400),
     ) {
         let limits = BOUNDS.share(4, 1);
-        let (mut share, mut budget) = (RetryShare::new(limits), RetryBudget::new(limits));
+        let (mut share, mut budget) = (
+            RetryShare::new(Timestamp::default(), limits),
+            RetryBudget::new(limits.retries),
+        );
         let mut ms = 0;
         for (is_retry, pause_ms) in steps {
             ms += pause_ms / 10;
@@ -110,3 +114,40 @@
         }
     }
 }
+
+/// Sends all retries that a share allows at a time; returns their number.
+fn drain(share: &mut RetryShare, now: Timestamp) -> u32 {
+    (0..).take_while(|_| share.try_take_retry(now)).count() as u32
+}
+
+// Routers that were killed forgot the retries that they had sent, and sent all saved ones again.
+#[test]
+fn routers_that_start_again_twice_in_a_window_keep_the_budget_together() {
+    for routers in [1, 2, 4, 30, 103, 380] {
+        for requests in [0, 1, 10, 40] {
+            let mut retries = 0;
+            for position in 0..routers {
+                let limits = BOUNDS.share(routers, position);
+                let mut before = RetryShare::new(at(0), limits);
+                (0..100).for_each(|_| before.record_first_attempt(at(0)));
+                retries += drain(&mut before, at(60_000));
+                for started_at in [at(63_000), at(66_000)] {
+                    let mut share = RetryShare::new(started_at, limits);
+                    let now = started_at + std::time::Duration::from_millis(500);
+                    (0..requests).for_each(|_| share.record_first_attempt(now));
+                    retries += drain(&mut share, now);
+                }
+            }
+            let sent = 2 * routers * requests;
+            let allowed = BOUNDS.ratio * f64::from(sent) + f64::from(BOUNDS.slack);
+            assert!(f64::from(retries) <= allowed, "{retries} of {allowed}, {routers} routers");
+        }
+    }
+}
+
+#[test]
+fn saved_retries_are_back_once_a_whole_window_is_known() {
+    let mut share = RetryShare::new(at(0), BOUNDS.share(1, 0));
+    (0..100).for_each(|_| share.record_first_attempt(at(0)));
+    assert_eq!(drain(&mut share, at(20_000)), 40);
+}
