Continue streams only with answers that continue them

Cause: any success of the next server counted as the rest of the stream, and any text before a blank line as an event.

Why it works: status, media type and version of the weights must be those of the stream, the first event must have an id, and a continuation without an event proves nothing.

--- a/crates/dogwoodway_gateway/src/relay/deliver.rs
+++ b/crates/dogwoodway_gateway/src/relay/deliver.rs
@@ -15,7 +15,7 @@
     clock, metric,
     relay::{AttemptResponse, ClientRequest, Relay, outcome::log_outcome},
     response_body::{BodyContent, BodyError, ResponseBody},
-    stream::{self, StreamedResponse},
+    stream::{self, StreamHead, StreamedResponse},
 };
 
 /// Largest response, in bytes, that is buffered completely before its first byte is sent to the
@@ -53,6 +53,7 @@
         let AttemptResponse { upstream, guard } = *response;
         let keep_alive_ms = self.protocol.keep_alive_ms(&upstream.head.headers);
         let status = upstream.head.status;
+        let stream_head = StreamHead::from(&upstream.head);
         let framing = upstream.framing();
         let mut resp = Response::new(());
         *resp.status_mut() = status;
@@ -75,8 +76,9 @@
         match buffered {
             Buffered::Prefix(prefix) if can_break_off => {
                 let connection = upstream.connection;
+                let head = stream_head;
                 let response =
-                    StreamedResponse { status, prefix, body, connection, guard, keep_alive_ms };
+                    StreamedResponse { head, prefix, body, connection, guard, keep_alive_ms };
                 let body = stream::body(self, request, response);
                 Delivery::Respond(resp.map(|()| body))
             }
--- a/crates/dogwoodway_gateway/src/stream.rs
+++ b/crates/dogwoodway_gateway/src/stream.rs
@@ -17,7 +17,7 @@
 };
 use dogwoodway_types::{RequestFingerprint, Timestamp, WeightsVersion};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::{StatusCode, body::Frame};
+use hyper::{StatusCode, body::Frame, header, http};
 use kameo::actor::ActorRef;
 
 use crate::{
@@ -27,7 +27,7 @@
         AttemptedRequest, BytesReceived, EndAttempt, FirstOutputReceived, FleetActor,
         PlacementReply, ServerProcess,
     },
-    relay::{Attempt, ClientRequest, Relay, log_outcome},
+    relay::{Attempt, AttemptResponse, ClientRequest, Relay, log_outcome},
     response_body::ResponseBody,
     server_check::ServerCheck,
 };
@@ -189,11 +189,29 @@
     }
 }
 
+/// What the head of a response says of a stream. A response whose head says something else does not
+/// continue the stream, for example the server's report of a failure.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct StreamHead {
+    pub(crate) status: StatusCode,
+    /// Content type without parameters, in lower case.
+    media_type: String,
+}
+
+impl From<&http::response::Parts> for StreamHead {
+    fn from(head: &http::response::Parts) -> StreamHead {
+        let content_type = head.headers.get(header::CONTENT_TYPE);
+        let content_type = content_type.and_then(|value| value.to_str().ok()).unwrap_or_default();
+        let media_type = content_type.split(';').next().unwrap_or_default();
+        StreamHead { status: head.status, media_type: media_type.trim().to_ascii_lowercase() }
+    }
+}
+
 /// State of a response body that is passed on as it arrives.
 struct ResponseStream {
     relay: Arc<Relay>,
     request: ClientRequest,
-    status: StatusCode,
+    head: StreamHead,
     /// Bytes that were read before the body is passed on.
     prefix: Option<Bytes>,
     body: ResponseBody,
@@ -207,7 +225,7 @@
 
 /// A response whose body is passed on to the client as it arrives.
 pub(crate) struct StreamedResponse {
-    pub(crate) status: StatusCode,
+    pub(crate) head: StreamHead,
     /// Bytes of the body that were already read; may be empty.
     pub(crate) prefix: Bytes,
     pub(crate) body: ResponseBody,
@@ -221,7 +239,7 @@
     let stream = ResponseStream {
         relay,
         request,
-        status: response.status,
+        head: response.head,
         prefix: Some(response.prefix).filter(|prefix| !prefix.is_empty()),
         body: response.body,
         connection: Some(response.connection),
@@ -292,7 +310,7 @@
             let fingerprint = self.relay.fingerprint_if_tracked(&self.request);
             guard.complete(connection, self.keep_alive_ms, HealthSignal::Answered, fingerprint);
         }
-        log_outcome(&self.request, self.status, "answered", "", Some(self.body.end()));
+        log_outcome(&self.request, self.head.status, "answered", "", Some(self.body.end()));
         None
     }
 
@@ -303,7 +321,7 @@
     ) -> Option<Result<Bytes, BodyAborted>> {
         self.is_ended = true;
         self.end_attempt(signal);
-        log_outcome(&self.request, self.status, "broken-off", why, Some(self.body.end()));
+        log_outcome(&self.request, self.head.status, "broken-off", why, Some(self.body.end()));
         Some(Err(BodyAborted(why.to_owned())))
     }
 
@@ -335,6 +353,27 @@
         }
     }
 
+    /// Returns whether a response with this head may continue the stream, which runs on weights of
+    /// this version.
+    fn is_continued_by(
+        &self,
+        head: &http::response::Parts,
+        version: Option<WeightsVersion>,
+    ) -> bool {
+        let served = self.relay.protocol.weights_version(&head.headers);
+        let has_other_weights = served.is_some() && version.is_some() && served != version;
+        self.head == StreamHead::from(head) && !has_other_weights
+    }
+
+    /// Continues with the response of another server.
+    fn continue_with(&mut self, response: AttemptResponse) {
+        let AttemptResponse { upstream, guard } = response;
+        self.keep_alive_ms = self.relay.protocol.keep_alive_ms(&upstream.head.headers);
+        let framing = upstream.framing();
+        self.body.resume_with(upstream.body, framing, guard.server_check());
+        (self.connection, self.guard) = (Some(upstream.connection), Some(guard));
+    }
+
     /// Resumes a broken stream on another server; returns whether that succeeded.
     async fn resume(&mut self, why: &str) -> bool {
         let Some(resume_after) = self.prepare_resumption(why) else { return false };
@@ -374,18 +413,17 @@
             };
             match self.relay.attempt(request, target, resume_after.clone()).await {
                 Attempt::Responded { response, is_error: false }
-                    if response.upstream.head.status.is_success() =>
+                    if self.is_continued_by(&response.upstream.head, version) =>
                 {
-                    let headers = &response.upstream.head.headers;
-                    self.keep_alive_ms = self.relay.protocol.keep_alive_ms(headers);
-                    let framing = response.upstream.framing();
-                    let check = response.guard.server_check();
-                    self.body.resume_with(response.upstream.body, framing, check);
-                    self.connection = Some(response.upstream.connection);
-                    self.guard = Some(response.guard);
+                    self.continue_with(*response);
                     return true;
                 }
                 Attempt::Responded { response, .. } => {
+                    log::info!(
+                        request = self.request.head.id,
+                        head:? = StreamHead::from(&response.upstream.head);
+                        "an answer does not continue the stream"
+                    );
                     response.guard.end(Some(HealthSignal::Failed));
                     outcome = AttemptOutcome::Lost;
                 }
--- a/crates/dogwoodway_http/src/sse/scanner.rs
+++ b/crates/dogwoodway_http/src/sse/scanner.rs
@@ -35,6 +35,10 @@
     EndedInsideEvent(usize),
     /// The connection ended before the first event.
     EndedBeforeFirstEvent,
+    /// A stream that continues another one ended before its first event.
+    EmptyContinuation,
+    /// The first event of a stream that continues another one has no id.
+    UnnamedContinuation,
     /// An event is larger than 64 KiB.
     EventTooLarge,
     /// The head of a response came where an event should begin.
@@ -58,6 +62,12 @@
             EventStreamError::EndedBeforeFirstEvent => {
                 write!(f, "the connection ended before the first event")
             }
+            EventStreamError::EmptyContinuation => {
+                write!(f, "the stream that continues another one ended before its first event")
+            }
+            EventStreamError::UnnamedContinuation => {
+                write!(f, "the first event of the stream that continues another one has no id")
+            }
             EventStreamError::EventTooLarge => {
                 write!(f, "an event is larger than {MAX_EVENT_BYTES} bytes")
             }
@@ -103,6 +113,9 @@
     is_after_cr: bool,
     /// Whether an event has ended.
     has_events: bool,
+    /// Whether the stream continues one of which an event with an id has ended, and none of its own
+    /// has.
+    awaits_continuation: bool,
     /// Start of the current line; the whole line if it holds an id.
     line: Vec<u8>,
     /// Id of the incomplete event. An empty one ends the validity of earlier ids.
@@ -133,8 +146,9 @@
     /// # Errors
     ///
     /// Fails with [`EventStreamError::EventTooLarge`] if an event is larger than 64 KiB, with
-    /// [`EventStreamError::SecondResponse`] if the head of a response begins like an event, and with
-    /// [`EventStreamError::IdNotIncreasing`] if the id of an event does not follow the last one.
+    /// [`EventStreamError::SecondResponse`] if the head of a response begins like an event, with
+    /// [`EventStreamError::IdNotIncreasing`] if the id of an event does not follow the last one, and
+    /// with [`EventStreamError::UnnamedContinuation`] if the first event of a continuation has no id.
     pub fn scan(&mut self, bytes: &[u8]) -> Result<Option<usize>, EventStreamError> {
         let mut end = None;
         for (i, byte) in bytes.iter().enumerate() {
@@ -192,9 +206,11 @@
     ///
     /// # Errors
     ///
-    /// Fails if the stream ended inside an event or before its first one.
+    /// Fails if the stream ended inside an event or before its first one. A continuation without any
+    /// event proves nothing: the server may have failed.
     pub fn check_end(&self, framing: BodyFraming) -> Result<(), EventStreamError> {
         match self.incomplete_bytes {
+            0 if self.awaits_continuation => Err(EventStreamError::EmptyContinuation),
             0 if !self.has_events && framing == BodyFraming::CloseDelimited => {
                 Err(EventStreamError::EndedBeforeFirstEvent)
             }
@@ -216,7 +232,8 @@
     /// ```
     pub fn restarted(&self) -> EventScanner {
         let (last_id, position) = (self.last_id.clone(), self.position.clone());
-        EventScanner { last_id, position, ..EventScanner::default() }
+        let awaits_continuation = matches!(position, StreamPosition::After(_));
+        EventScanner { last_id, position, awaits_continuation, ..EventScanner::default() }
     }
 
     /// Returns the position after the last event that has ended. Comments are no events.
@@ -245,6 +262,9 @@
         let id = self.id.take().filter(|id| !id.is_empty());
         let has_content = mem::take(&mut self.has_content);
         let Some(next) = id else {
+            if has_content && self.awaits_continuation {
+                return Err(EventStreamError::UnnamedContinuation);
+            }
             if has_content {
                 self.position = StreamPosition::Unknown;
             }
@@ -255,6 +275,7 @@
         }
         self.position = StreamPosition::After(next.clone());
         self.last_id = Some(next);
+        self.awaits_continuation = false;
         Ok(())
     }
 }
