Pass nothing on in a planned stop that its end may cut off

Cause: requests were served under their own deadline, whatever was left of the grace.

Why it works: a late request is passed on only if its own deadline ends before the process does, and is refused with 503 and Retry-After otherwise. Early ones are answered by that time, at worst with 504.

--- a/crates/dogwoodway_gateway/src/ingress.rs
+++ b/crates/dogwoodway_gateway/src/ingress.rs
@@ -49,7 +49,7 @@
 /// Builds the handler of the health check, which responds on any path.
 pub(crate) fn readiness_handler(relay: Arc<Relay>, tables: TableWatch) -> Handler {
     Arc::new(move |_| {
-        let is_draining = relay.is_draining.load(std::sync::atomic::Ordering::Relaxed);
+        let is_draining = relay.drain.borrow().is_some();
         let resp = match tables.is_ready() && !is_draining {
             true => text_response(StatusCode::OK, "ready"),
             false => text_response(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -18,8 +18,9 @@
 };
 
 use bytes::Bytes;
-use dogwoodway_http::Body;
+use dogwoodway_http::{Body, text_response};
 use dogwoodway_routing::direct::{
+    drain::Drain,
     fleet::{PlacementRequest, Refusal},
     health::HealthSignal,
     prompt::Prompt,
@@ -34,6 +35,7 @@
 };
 use hyper::{Request, Response, StatusCode, body::Incoming, header, http};
 use kameo::actor::ActorRef;
+use tokio::sync::watch;
 
 pub(crate) use self::outcome::log_outcome;
 use crate::{
@@ -63,8 +65,8 @@
     pub(crate) origins: OriginResolver,
     /// Secret that is hashed together with bearer keys.
     pub(crate) key_pepper: String,
-    /// Set when the process is asked to drain; responses then carry `Connection: close`.
-    pub(crate) is_draining: Arc<AtomicBool>,
+    /// Present once the process is asked to drain; responses then carry `Connection: close`.
+    pub(crate) drain: watch::Sender<Option<Drain>>,
     /// Set once any request has been linked to a server crash. Until then, fingerprints are only
     /// computed for requests whose connection was lost.
     pub(crate) quarantine_in_use: Arc<AtomicBool>,
@@ -189,17 +191,36 @@
     pub(crate) async fn serve(self: Arc<Relay>, req: Request<Incoming>) -> Response<Body> {
         let arrived_at = clock::now();
         let (head, body) = req.into_parts();
-        let mut resp = match self.admit(arrived_at, head, body).await {
-            Ok(request) => self.clone().run(request).await,
-            Err(resp) => *resp,
+        let respond = async {
+            match self.admit(arrived_at, head, body).await {
+                Ok(request) => self.clone().run(request).await,
+                Err(resp) => *resp,
+            }
+        };
+        let mut resp = tokio::select! {
+            resp = respond => resp,
+            () = self.answers_due() => {
+                log::warn!("a request has no answer at the end of the grace");
+                text_response(StatusCode::GATEWAY_TIMEOUT, "no answer before the process ends")
+            }
         };
-        if self.is_draining.load(Ordering::Relaxed) {
+        if self.drain.borrow().is_some() {
             let close = header::HeaderValue::from_static("close");
             resp.headers_mut().insert(header::CONNECTION, close);
         }
         resp
     }
 
+    /// Resolves when the process drains and all requests must be answered.
+    async fn answers_due(&self) {
+        let mut drain = self.drain.subscribe();
+        let drain = drain.wait_for(Option::is_some).await.ok().and_then(|drain| *drain);
+        match drain {
+            Some(drain) => clock::sleep_until(drain.answers_until()).await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Places and sends a request until there is a response or no further attempt is allowed.
     async fn run(self: Arc<Relay>, mut request: ClientRequest) -> Response<Body> {
         if let Err(resp) = self.find_origin(&mut request).await {
--- a/crates/dogwoodway_gateway/src/relay/admit.rs
+++ b/crates/dogwoodway_gateway/src/relay/admit.rs
@@ -28,6 +28,10 @@
 /// `Retry-After` for clients while the router has no configuration, in milliseconds.
 const NO_CONFIG_RETRY_AFTER_MS: u64 = 500;
 
+/// `Retry-After` for clients that come too late in a planned stop, in milliseconds. Another router
+/// serves them at once.
+const LEAVING_RETRY_AFTER_MS: u64 = 50;
+
 /// Longest request path that is written to the log, in bytes.
 const MAX_LOGGED_PATH_BYTES: usize = 80;
 
@@ -76,6 +80,7 @@
             Ok(body) => body,
             Err(status) => return Err(self.reject_with_status(&head, &http_head, status, &table)),
         };
+        let deadline = self.deadline_in_stop(&head, deadline)?;
         Ok(ClientRequest {
             http_head,
             body,
@@ -99,6 +104,24 @@
         })
     }
 
+    /// Returns by when a request with this deadline is to be answered, which is earlier during a planned
+    /// stop. `Err` refuses one that comes too late in it.
+    fn deadline_in_stop(
+        &self,
+        head: &RequestHead,
+        deadline: Timestamp,
+    ) -> Result<Timestamp, Box<Response<Body>>> {
+        let Some(drain) = *self.drain.borrow() else { return Ok(deadline) };
+        if let Some(deadline) = drain.deadline(clock::now(), deadline) {
+            return Ok(deadline);
+        }
+        let reason = NotRunReason::Leaving;
+        metrics::counter!(metric::REQUESTS, "outcome" => "not-run").increment(1);
+        log::info!(request = head.id, why = reason.as_str(); "request refused");
+        let retry_after = Duration::from_millis(LEAVING_RETRY_AFTER_MS);
+        Err(Box::new(self.not_run_response(reason, retry_after)))
+    }
+
     /// Finds the team that owns the request's bearer key. Anonymous routes have no team.
     fn authenticate(
         &self,
--- a/crates/dogwoodway_gateway/src/router.rs
+++ b/crates/dogwoodway_gateway/src/router.rs
@@ -3,15 +3,12 @@
 use std::{
     fmt, io,
     net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, atomic::AtomicBool},
     time::Duration,
 };
 
 use dogwoodway_http::{ServerLimits, serve, serve_with_dynamic_limits};
-use dogwoodway_routing::direct::{distance::Regions, peers::ZoneTag};
+use dogwoodway_routing::direct::{distance::Regions, drain::Drain, peers::ZoneTag};
 use dogwoodway_types::{AvailabilityZone, RouterName};
 use futures::future::BoxFuture;
 use kameo::{
@@ -99,6 +96,8 @@
 pub struct ShutdownSignals {
     /// Resolves when the router should accept no new work and finish what is in progress.
     pub drain: BoxFuture<'static, ()>,
+    /// Time from then until `abort` resolves, in milliseconds.
+    pub limit_ms: u64,
     /// Resolves when requests that are still in progress should be aborted.
     pub abort: BoxFuture<'static, ()>,
 }
@@ -180,7 +179,7 @@
         fleet,
         tables,
         key_pepper: dependencies.key_pepper,
-        is_draining: Arc::new(AtomicBool::new(false)),
+        drain: watch::Sender::new(None),
         quarantine_in_use,
     });
     tokio::spawn(serve_health_checks(health_checks, relay.clone()));
@@ -211,8 +210,10 @@
     let limits = move || ingress::client_limits(&tables);
     let stop = async move {
         shutdown.drain.await;
-        relay.is_draining.store(true, Ordering::Relaxed);
-        clock::sleep_until(clock::now() + Duration::from_millis(DRAIN_NOTICE_MS)).await;
+        let (now, notice) = (clock::now(), Duration::from_millis(DRAIN_NOTICE_MS));
+        let drain = Drain::new(now, notice, Duration::from_millis(shutdown.limit_ms));
+        relay.drain.send_replace(Some(drain));
+        clock::sleep_until(now + notice).await;
     };
     tokio::select! {
         () = serve_with_dynamic_limits(
