--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -65,7 +65,7 @@
     pub(crate) origins: OriginResolver,
     /// Secret that is hashed together with bearer keys.
     pub(crate) key_pepper: String,
-    /// Present once the process is asked to drain; responses then carry `Connection: close`.
+    /// Present during a graceful shutdown; responses then carry `Connection: close`.
     pub(crate) drain: watch::Sender<Option<Drain>>,
     /// Set once any request has been linked to a server crash. Until then, fingerprints are only
     /// computed for requests whose connection was lost.
@@ -200,7 +200,7 @@
         let mut resp = tokio::select! {
             resp = respond => resp,
             () = self.answers_due() => {
-                log::warn!("a request has no answer at the end of the grace");
+                log::warn!("request aborted, no response before the end of the grace period");
                 text_response(StatusCode::GATEWAY_TIMEOUT, "no answer before the process ends")
             }
         };
@@ -211,7 +211,7 @@
         resp
     }
 
-    /// Resolves when the process drains and all requests must be answered.
+    /// Resolves at the time in a graceful shutdown by which all requests must be answered.
     async fn answers_due(&self) {
         let mut drain = self.drain.subscribe();
         let drain = drain.wait_for(Option::is_some).await.ok().and_then(|drain| *drain);
--- a/crates/dogwoodway_gateway/src/relay/admit.rs
+++ b/crates/dogwoodway_gateway/src/relay/admit.rs
@@ -28,8 +28,8 @@
 /// `Retry-After` for clients while the router has no configuration, in milliseconds.
 const NO_CONFIG_RETRY_AFTER_MS: u64 = 500;
 
-/// `Retry-After` for clients that come too late in a planned stop, in milliseconds. Another router
-/// serves them at once.
+/// `Retry-After` for requests that arrive too late in a graceful shutdown, in milliseconds. Another
+/// router can serve them at once.
 const LEAVING_RETRY_AFTER_MS: u64 = 50;
 
 /// Longest request path that is written to the log, in bytes.
@@ -80,7 +80,7 @@
             Ok(body) => body,
             Err(status) => return Err(self.reject_with_status(&head, &http_head, status, &table)),
         };
-        let deadline = self.deadline_in_stop(&head, deadline)?;
+        let deadline = self.deadline_during_shutdown(&head, deadline)?;
         Ok(ClientRequest {
             http_head,
             body,
@@ -104,9 +104,9 @@
         })
     }
 
-    /// Returns by when a request with this deadline is to be answered, which is earlier during a planned
-    /// stop. `Err` refuses one that comes too late in it.
-    fn deadline_in_stop(
+    /// Returns by when to answer a request, given its own deadline. During a graceful shutdown that may
+    /// be earlier; `Err` holds the response to a request that arrives too late.
+    fn deadline_during_shutdown(
         &self,
         head: &RequestHead,
         deadline: Timestamp,
--- a/crates/dogwoodway_gateway/src/router.rs
+++ b/crates/dogwoodway_gateway/src/router.rs
@@ -96,8 +96,8 @@
 pub struct ShutdownSignals {
     /// Resolves when the router should accept no new work and finish what is in progress.
     pub drain: BoxFuture<'static, ()>,
-    /// Time from then until `abort` resolves, in milliseconds.
-    pub limit_ms: u64,
+    /// Time from `drain` to `abort`, in milliseconds.
+    pub grace_period_ms: u64,
     /// Resolves when requests that are still in progress should be aborted.
     pub abort: BoxFuture<'static, ()>,
 }
@@ -211,7 +211,7 @@
     let stop = async move {
         shutdown.drain.await;
         let (now, notice) = (clock::now(), Duration::from_millis(DRAIN_NOTICE_MS));
-        let drain = Drain::new(now, notice, Duration::from_millis(shutdown.limit_ms));
+        let drain = Drain::new(now, notice, Duration::from_millis(shutdown.grace_period_ms));
         relay.drain.send_replace(Some(drain));
         clock::sleep_until(now + notice).await;
     };
--- a/crates/dogwoodway_gateway/src/stream.rs
+++ b/crates/dogwoodway_gateway/src/stream.rs
@@ -189,8 +189,8 @@
     }
 }
 
-/// What the head of a response says of a stream. A response whose head says something else does not
-/// continue the stream, for example the server's report of a failure.
+/// Properties of a response head that all runs of one stream share. A server that reports a failure
+/// instead of continuing the stream sends others.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct StreamHead {
     pub(crate) status: StatusCode,
@@ -353,8 +353,8 @@
         }
     }
 
-    /// Returns whether a response with this head may continue the stream, which runs on weights of
-    /// this version.
+    /// Returns whether a response with this head may continue the stream, whose weights have this
+    /// version.
     fn is_continued_by(
         &self,
         head: &http::response::Parts,
@@ -422,7 +422,7 @@
                     log::info!(
                         request = self.request.head.id,
                         head:? = StreamHead::from(&response.upstream.head);
-                        "an answer does not continue the stream"
+                        "response does not continue the stream"
                     );
                     response.guard.end(Some(HealthSignal::Failed));
                     outcome = AttemptOutcome::Lost;
--- a/crates/dogwoodway_http/src/sse/scanner.rs
+++ b/crates/dogwoodway_http/src/sse/scanner.rs
@@ -113,8 +113,8 @@
     is_after_cr: bool,
     /// Whether an event has ended.
     has_events: bool,
-    /// Whether the stream continues one of which an event with an id has ended, and none of its own
-    /// has.
+    /// Whether the stream continues another one after an event with an id, and has had no such event
+    /// itself.
     awaits_continuation: bool,
     /// Start of the current line; the whole line if it holds an id.
     line: Vec<u8>,
@@ -206,8 +206,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the stream ended inside an event or before its first one. A continuation without any
-    /// event proves nothing: the server may have failed.
+    /// Fails if the stream ended inside an event or before its first one. A server that fails may also
+    /// end a continuation before its first event.
     pub fn check_end(&self, framing: BodyFraming) -> Result<(), EventStreamError> {
         match self.incomplete_bytes {
             0 if self.awaits_continuation => Err(EventStreamError::EmptyContinuation),
--- a/crates/dogwoodway_routing/src/direct/drain.rs
+++ b/crates/dogwoodway_routing/src/direct/drain.rs
@@ -1,20 +1,19 @@
-//! Requests that come while a router is being stopped as planned.
+//! Deadlines of requests that arrive during a graceful shutdown.
 //!
-//! The platform ends the process after a grace period, whatever still runs. A request that is cut off
-//! then may have run, and its client cannot tell. Therefore no request is passed on that may be
-//! cut off: early ones are answered by the end of the grace, and late ones are refused unless their own
-//! deadline is earlier. Late ones come on connections that were accepted before, for example if the
-//! rest of a head arrives late.
+//! The process ends after a grace period, whatever still runs. A request that is cut off then may have
+//! run, and its client cannot tell. Therefore requests are answered before the grace period ends, and
+//! those that arrive late are refused unless their own deadline is earlier. Late requests arrive on
+//! connections that were accepted before, for example if a client is slow to send its head.
 
 use std::time::Duration;
 
 use dogwoodway_types::Timestamp;
 
-/// Time before the end of the grace by which a request must be answered, in milliseconds, so that the
-/// answer still reaches its client.
+/// Time from the last answers to the end of the grace period, in milliseconds, so that they still reach
+/// their clients.
 const ANSWER_MARGIN_MS: u64 = 250;
 
-/// A planned stop of a router.
+/// A graceful shutdown.
 ///
 /// ```
 /// use std::time::Duration;
@@ -29,16 +28,18 @@
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Drain {
-    /// Time from which requests are late: the platform sends no new ones any more.
+    /// Time from which requests are late, because load balancers send no new ones.
     late_from: Timestamp,
     /// Time by which all requests must be answered.
     answers_until: Timestamp,
 }
 
 impl Drain {
-    /// Begins a stop of which the platform has heard after `notice`, and that ends after `grace`.
-    pub fn new(now: Timestamp, notice: Duration, grace: Duration) -> Drain {
-        let answers_until = (now + grace).earlier_by(Duration::from_millis(ANSWER_MARGIN_MS));
+    /// Begins a shutdown that load balancers have noticed after `notice`, and that ends after
+    /// `grace_period`.
+    pub fn new(now: Timestamp, notice: Duration, grace_period: Duration) -> Drain {
+        let answers_until =
+            (now + grace_period).earlier_by(Duration::from_millis(ANSWER_MARGIN_MS));
         Drain { late_from: now + notice, answers_until }
     }
 
@@ -47,8 +48,8 @@
         self.answers_until
     }
 
-    /// Returns by when a request that has been read at `now` is to be answered, given its own deadline;
-    /// `None` if it must not be passed on.
+    /// Returns by when to answer a request that was read completely at `now`, given its own deadline;
+    /// `None` if the request must be refused.
     pub fn deadline(&self, now: Timestamp, deadline: Timestamp) -> Option<Timestamp> {
         let is_in_time = now < self.late_from || deadline <= self.answers_until;
         (is_in_time && now < self.answers_until).then(|| deadline.min(self.answers_until))
--- a/crates/dogwoodway_routing/src/direct/fleet/versions.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/versions.rs
@@ -65,23 +65,24 @@
 pub(super) struct PublishedVersion {
     pub(super) version: WeightsVersion,
     pub(super) published_at: Timestamp,
-    /// Whether this router or another one has seen the publication. If not, the time is assumed, and
-    /// is not told to other routers.
-    pub(super) is_seen: bool,
+    /// Whether a router has observed the publication. Otherwise its time is assumed and not reported to
+    /// other routers.
+    pub(super) is_observed: bool,
 }
 
 impl PublishedVersion {
-    /// Records that a router has seen the publication at a time.
-    fn record_seen(&mut self, published_at: Timestamp) {
-        self.published_at = match self.is_seen {
+    /// Records the time at which a router observed the publication; the earliest one is kept.
+    fn record_observation(&mut self, published_at: Timestamp) {
+        self.published_at = match self.is_observed {
             true => self.published_at.min(published_at),
             false => published_at,
         };
-        self.is_seen = true;
+        self.is_observed = true;
     }
 }
 
-fn insert(versions: &mut Vec<PublishedVersion>, published: PublishedVersion) {
+/// Inserts a version in ascending order and drops the lowest ones beyond the limit.
+fn insert_version(versions: &mut Vec<PublishedVersion>, published: PublishedVersion) {
     let index = versions.partition_point(|known| known.version < published.version);
     versions.insert(index, published);
     if versions.len() > MAX_PUBLISHED_VERSIONS {
@@ -101,13 +102,16 @@
         let published_at = now.earlier_by(age);
         let versions = self.published_versions.entry(model).or_default();
         match versions.iter_mut().find(|known| known.version == version) {
-            Some(known) => known.record_seen(published_at),
-            None => insert(versions, PublishedVersion { version, published_at, is_seen: true }),
+            Some(known) => known.record_observation(published_at),
+            None => insert_version(
+                versions,
+                PublishedVersion { version, published_at, is_observed: true },
+            ),
         }
     }
 
     /// Records a version that is read from the list of versions rather than announced at its
-    /// publication. Its age is assumed until another router tells it.
+    /// publication. Its age is assumed until another router reports it.
     ///
     /// ```
     /// use dogwoodway_routing::direct::fleet::Fleet;
@@ -129,14 +133,14 @@
             return;
         }
         let published_at = now.earlier_by(Duration::from_millis(ASSUMED_VERSION_AGE_MS));
-        insert(versions, PublishedVersion { version, published_at, is_seen: false });
+        insert_version(versions, PublishedVersion { version, published_at, is_observed: false });
     }
 
     /// Returns the recently published versions of known age, for other routers.
     pub fn recent_versions(&self, now: Timestamp) -> Vec<VersionAge> {
         let mut recent = Vec::new();
         for (model, versions) in &self.published_versions {
-            for known in versions.iter().filter(|known| known.is_seen) {
+            for known in versions.iter().filter(|known| known.is_observed) {
                 let age_ms = (now - known.published_at).as_millis() as u64;
                 if age_ms < RECENT_VERSION_MS {
                     let (model, version) = (model.clone(), known.version);
@@ -147,15 +151,14 @@
         recent
     }
 
-    /// Applies the age of a version as seen by another router. The version is at least that old, so
-    /// the earliest time at which it was seen is kept.
+    /// Applies the age of a version that another router reports. The version is at least that old.
     pub fn apply_version_age(&mut self, now: Timestamp, report: &VersionAge) {
         let published_at = now.earlier_by(Duration::from_millis(report.age_ms));
         let versions = self.published_versions.get_mut(&report.model);
         let known = versions
             .and_then(|versions| versions.iter_mut().find(|known| known.version == report.version));
         if let Some(known) = known {
-            known.record_seen(published_at);
+            known.record_observation(published_at);
         }
     }
 
--- a/crates/dogwoodway_routing/src/direct/leadership.rs
+++ b/crates/dogwoodway_routing/src/direct/leadership.rs
@@ -9,10 +9,10 @@
 //! Engines may not check fencing tokens. Therefore a successor waits until the term of its
 //! predecessor has ended and the predecessor's last order is older than the lease, which is the
 //! shortest time between orders of different routers to one engine. It need not wait if the
-//! predecessor is the same router before a restart. A router that has restarted does not know when
-//! it sent its last order before; it may have done so until this process started. A release states
-//! only for how long orders have certainly stopped to arrive, and none is made while an order has
-//! not been answered.
+//! predecessor is the same router before a restart. A release states for how long no order of
+//! the router has arrived. It counts from the end of the last order, and at the earliest from the start
+//! of the process plus the transit time of an order, because an earlier process of the same name may
+//! have sent orders until then.
 //!
 //! A store that is restored from a copy starts a new era. It has lost the newest records, among them
 //! perhaps the claim of a leader whose term has not ended. Therefore a router makes no claim within
@@ -61,7 +61,7 @@
     Release {
         /// The router that was the leader.
         router: RouterName,
-        /// Milliseconds for which certainly no order of the router has arrived.
+        /// Milliseconds for which no order of the router has arrived.
         quiet_ms: u64,
     },
 }
@@ -139,8 +139,8 @@
     term: Option<Term>,
     /// Orders that have neither been answered nor given up.
     orders_in_flight: usize,
-    /// Time after which no order of this router arrives, except those in flight. An earlier process
-    /// of this router may have sent orders until this one started.
+    /// Time after which no order of this router arrives, except those in flight. Orders of an earlier
+    /// process count.
     quiet_since: Timestamp,
 }
 
@@ -334,20 +334,31 @@
         self.term.is_some_and(|term| now < term.ends_at)
     }
 
-    /// Records that the router sends an order now. Must be followed by
-    /// [`Leadership::record_order_end`].
+    /// Records that an order is sent.
+    ///
+    /// ```
+    /// use dogwoodway_routing::direct::leadership::Leadership;
+    /// use dogwoodway_types::{LogPosition, RouterName, Timestamp};
+    ///
+    /// let now = Timestamp::from_millis(1);
+    /// let mut leadership = Leadership::new(now, RouterName::try_from("router-1").unwrap(), 3_000);
+    /// leadership.record_order();
+    /// assert_eq!(leadership.release(now), None);
+    /// leadership.record_order_end(now);
+    /// ```
     pub fn record_order(&mut self) {
         self.orders_in_flight += 1;
     }
 
-    /// Records that an order was answered or given up now, so that it can no longer arrive.
+    /// Records that an order was answered or given up. Each call of [`Leadership::record_order`] is
+    /// followed by one of this.
     pub fn record_order_end(&mut self, now: Timestamp) {
         self.orders_in_flight = self.orders_in_flight.saturating_sub(1);
         self.quiet_since = self.quiet_since.max(now);
     }
 
     /// Ends the router's term if it is the leader, and returns the record to append; `None` if
-    /// there is nothing to append. While orders may still arrive the term is left to expire.
+    /// there is nothing to append. While orders may still arrive, the term is left to expire.
     pub fn release(&mut self, now: Timestamp) -> Option<LeadershipAction> {
         self.term.take().filter(|term| now < term.ends_at)?;
         self.claimable_at = Timestamp::MAX;
--- a/crates/dogwoodway_routing/src/retry_budget.rs
+++ b/crates/dogwoodway_routing/src/retry_budget.rs
@@ -30,8 +30,8 @@
 const USED_PERMILLE: u32 = 750;
 
 /// Part of [`RetryBounds::slack`] that routers use in the first window after their start, in
-/// thousandths. The processes before may have used their whole part in the same window. What
-/// [`USED_PERMILLE`] leaves suffices for two starts of each router in one window.
+/// thousandths. It is taken from what [`USED_PERMILLE`] leaves, because earlier processes of the routers
+/// may have used their whole part in the same window. Each router may start twice in one window.
 const START_PERMILLE: u32 = (1_000 - USED_PERMILLE) / 2;
 
 /// Span of time in which the retries of all routers are bounded, in seconds.
@@ -51,7 +51,7 @@
 pub struct ShareLimits {
     /// Limits once the process has run for a whole window.
     pub retries: RetryLimits,
-    /// Replaces [`RetryLimits::max_saved`] until then.
+    /// Used instead of [`RetryLimits::max_saved`] until then.
     pub max_saved_at_start: u32,
 }
 
@@ -72,8 +72,7 @@
     pub fn share(&self, routers: u32, position: u32) -> ShareLimits {
         let part = |permille: u32| {
             let saved = (f64::from(self.slack) * f64::from(permille) / 1e3) as u64;
-            // The first position has a retry as soon as there is any: a router that does not know
-            // the others yet counts as the first.
+            // Rounding up favors the first position, which a router has until it knows the others.
             let saved_before =
                 |position: u32| (saved * u64::from(position)).div_ceil(u64::from(routers.max(1)));
             (saved_before(position + 1) - saved_before(position)) as u32
@@ -149,7 +148,8 @@
 ///
 /// A router whose part is less than one retry still sends the retries that its requests earn. It must
 /// not save one, since all such routers may send theirs at once. A process that has just started does
-/// not know which retries the process before it has sent, and sends few beyond what it earns.
+/// not know which retries an earlier process of the router has sent, and sends few beyond those that its
+/// requests earn.
 ///
 /// ```
 /// use dogwoodway_routing::retry_budget::{RetryBounds, RetryShare};
@@ -164,7 +164,7 @@
 #[derive(Clone, Debug)]
 pub struct RetryShare {
     limits: ShareLimits,
-    /// Time from which all retries in a window are known, because this process has sent them.
+    /// Time from which this process has sent all retries of the router in the last window.
     window_known_from: Timestamp,
     budget: RetryBudget,
     recent: RecentAttempts,
--- a/crates/dogwoodway_routing/tests/direct_leadership.rs
+++ b/crates/dogwoodway_routing/tests/direct_leadership.rs
@@ -243,7 +243,7 @@
         prop_assert_eq!(violation(&orders), None);
     }
 
-    // The same, with a store that forgets claims and orders' holders.
+    // The same, with a store that forgets claims.
     #[test]
     fn leaders_that_have_sent_no_order_themselves_keep_the_distance_though_the_store_forgets(
         faults in prop::collection::vec(fault(), 0..8),
--- a/crates/dogwoodway_routing/tests/retry_budget.rs
+++ b/crates/dogwoodway_routing/tests/retry_budget.rs
@@ -1,5 +1,7 @@
 //! Compares the retry budget with a reference model that evaluates the whole history.
 
+use std::time::Duration;
+
 use dogwoodway_routing::retry_budget::{RetryBounds, RetryBudget, RetryShare};
 use dogwoodway_types::Timestamp;
 use proptest::prelude::*;
@@ -120,7 +122,7 @@
     (0..).take_while(|_| share.try_take_retry(now)).count() as u32
 }
 
-// Routers that were killed forgot the retries that they had sent, and sent all saved ones again.
+// Guards against restarted routers that send their saved retries again.
 #[test]
 fn routers_that_start_again_twice_in_a_window_keep_the_budget_together() {
     for routers in [1, 2, 4, 30, 103, 380] {
@@ -133,7 +135,7 @@
                 retries += drain(&mut before, at(60_000));
                 for started_at in [at(63_000), at(66_000)] {
                     let mut share = RetryShare::new(started_at, limits);
-                    let now = started_at + std::time::Duration::from_millis(500);
+                    let now = started_at + Duration::from_millis(500);
                     (0..requests).for_each(|_| share.record_first_attempt(now));
                     retries += drain(&mut share, now);
                 }
--- a/src/router.rs
+++ b/src/router.rs
@@ -44,7 +44,7 @@
     let shutdown = Shutdown::listen(Duration::from_millis(settings.shutdown_limit_ms));
     tokio::spawn(report_settings_changes(hangups, settings.clone()));
     let signals = ShutdownSignals {
-        limit_ms: settings.shutdown_limit_ms,
+        grace_period_ms: settings.shutdown_limit_ms,
         drain: shutdown.reached(ShutdownPhase::Draining).boxed(),
         abort: shutdown.reached(ShutdownPhase::Aborting).boxed(),
     };
