Send no order that may arrive after its lease, on the own path

An engine that ignores fencing could execute an order of the old holder of its lease after one of the next: orders were sent until the lease ended, a call may take 1 s, and the next holder waits 0.5 s longer than the lease.

Evidence: the new test failed (last order at 8,999 ms, the next holder's at 9,501 ms). Found by reading the related paths.

Why it works: in the last second of a lease no order is sent to such an engine, so that it has arrived or was given up when the lease ends. Engines that check fencing tokens are not affected.

--- a/crates/dogwoodway_control/src/lease.rs
+++ b/crates/dogwoodway_control/src/lease.rs
@@ -22,6 +22,9 @@
 /// It exceeds [`LEASE_DURATION_MS`] by a margin for clocks that run at different speeds.
 pub const TAKEOVER_WAIT_MS: u64 = 5_500;
 
+/// Longest time from sending an order to its arrival, in milliseconds: the time limit of the call.
+pub const ORDER_TRANSIT_MS: u64 = 1_000;
+
 /// A claim of the lease on a backend server's engine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -165,7 +168,8 @@
         self.held = None;
     }
 
-    /// Returns the fencing token for an order; must be called immediately before each order.
+    /// Returns the fencing token for an order; must be called immediately before each order. The order
+    /// must arrive within [`ORDER_TRANSIT_MS`].
     ///
     /// # Errors
     ///
@@ -184,7 +188,12 @@
         if fencing == EngineFencing::Ignored && now < held.others_ended_at {
             return Err(LeaseError::Waiting { until: held.others_ended_at });
         }
-        match now < held.ends_at {
+        // An engine that ignores fencing executes an order that arrives after the lease has ended.
+        let arrives_by = match fencing {
+            EngineFencing::Enforced => now,
+            EngineFencing::Ignored => now + Duration::from_millis(ORDER_TRANSIT_MS),
+        };
+        match arrives_by < held.ends_at {
             true => Ok(held.offset),
             false => Err(LeaseError::NotHeld),
         }
--- a/crates/dogwoodway_control/tests/lease.rs
+++ b/crates/dogwoodway_control/tests/lease.rs
@@ -5,7 +5,8 @@
 
 use dogwoodway_control::{
     lease::{
-        EngineFencing, LEASE_DURATION_MS, LeaseError, ServerClaim, ServerLease, TAKEOVER_WAIT_MS,
+        EngineFencing, LEASE_DURATION_MS, LeaseError, ORDER_TRANSIT_MS, ServerClaim, ServerLease,
+        TAKEOVER_WAIT_MS,
     },
     loading::{LoadingSlots, ModelWeights, SLOT_DURATION_MS, SlotClaim, desired_weights},
 };
@@ -189,6 +190,29 @@
     assert!(new.fencing_token(arrival, EngineFencing::Ignored).is_err());
 }
 
+// Guards against an order that is under way when its lease ends and arrives after those of the next holder.
+#[test]
+fn order_that_takes_as_long_as_its_call_may_arrives_before_those_of_the_next_holder() {
+    let server = BackendServerName::try_from("worker-1").unwrap();
+    let mut old = ServerLease::new(server.clone(), AgentIncarnation(1));
+    let mut new = ServerLease::new(server, AgentIncarnation(2));
+    let at = Timestamp::from_millis;
+    for (n, now) in [(1, at(10)), (2, at(4_000))] {
+        let claim = old.new_claim(now, n);
+        old.apply_claim(now, LogOffset(n), &claim);
+    }
+    // The old holder does not read the claim of the new one.
+    let claim = new.new_claim(at(4_001), 3);
+    new.apply_claim(at(4_001), LogOffset(3), &claim);
+    let renewal = new.new_claim(at(8_000), 4);
+    new.apply_claim(at(8_000), LogOffset(4), &renewal);
+    let is_allowed =
+        |lease: &ServerLease, ms| lease.fencing_token(at(ms), EngineFencing::Ignored).is_ok();
+    let last_sent = (0..20_000).rev().find(|ms| is_allowed(&old, *ms)).expect("an order");
+    let next_sent = (0..20_000).find(|ms| is_allowed(&new, *ms)).expect("an order");
+    assert!(last_sent + ORDER_TRANSIT_MS < next_sent, "{last_sent} {next_sent}");
+}
+
 #[test]
 fn two_competing_agents_do_not_block_each_other() {
     let server = BackendServerName::try_from("worker-1").unwrap();
