Claim the leadership only once the orders of the own earlier term have arrived

Engines could get an order with a lower fencing token after one with a higher one, from a leader that was killed and claimed again at once, or that claimed again after the store's return; and an order sent at the end of a term could arrive within the lease of the successor's. Class: an order counts as arrived when it was sent.

All pass now. No run of real processes shows it.

Why it works: a claim waits for the orders of the own earlier term, and in the last 650 ms of a term none is sent, so that all have arrived or were given up when the next term begins.

--- a/crates/dogwoodway_routing/src/direct/leadership.rs
+++ b/crates/dogwoodway_routing/src/direct/leadership.rs
@@ -8,11 +8,13 @@
 //!
 //! Engines may not check fencing tokens. Therefore a successor waits until the term of its
 //! predecessor has ended and the predecessor's last order is older than the lease, which is the
-//! shortest time between orders of different routers to one engine. It need not wait if the
-//! predecessor is the same router before a restart. A release states for how long no order of
-//! the router has arrived. It counts from the end of the last order, and at the earliest from the start
-//! of the process plus the transit time of an order, because an earlier process of the same name may
-//! have sent orders until then.
+//! shortest time between orders of different routers to one engine. If the predecessor is the same
+//! router, before a restart or in an earlier era, the successor waits only until the orders of that
+//! term have arrived.
+//!
+//! A release states for how long no order of the router has arrived. It counts from the end of the
+//! last order, and at the earliest from the start of the process plus the transit time of an order,
+//! because an earlier process of the same name may have sent orders until then.
 //!
 //! A store that is restored from a copy starts a new era. It has lost the newest records, among them
 //! perhaps the claim of a leader whose term has not ended. Therefore a router makes no claim within
@@ -32,13 +34,10 @@
 /// after both have been lost.
 pub const RENEW_INTERVAL_MS: u64 = 700;
 
-/// Time before the end of a term in which the leader sends no orders, in milliseconds, because an
-/// order takes time to arrive.
-const ORDER_MARGIN_MS: u64 = 200;
-
 /// Longest time from sending an order to its arrival, in milliseconds. An order that has not been
-/// answered by then is given up, including the time for opening its connection.
-const ORDER_TRANSIT_MS: u64 = 650;
+/// answered by then is given up, including the time for opening its connection. The leader sends no
+/// orders in this time before the end of its term.
+pub const ORDER_TRANSIT_MS: u64 = 650;
 
 /// Allowance for clocks that run at different speeds, in milliseconds.
 const CLOCK_MARGIN_MS: u64 = 200;
@@ -289,6 +288,7 @@
             }
             Some(_) => LeadershipAction::Wait,
             None if self.is_candidate
+                && self.own_orders_have_arrived(now)
                 && now >= self.claimable_at.max(self.lost_claims_expire_at) =>
             {
                 LeadershipAction::Append { record: LeaderRecord::Claim { router }, at }
@@ -297,6 +297,13 @@
         }
     }
 
+    /// Returns whether no order of an earlier term of this router can still arrive. It would have a lower
+    /// fencing token than those of the next term.
+    fn own_orders_have_arrived(&self, now: Timestamp) -> bool {
+        let has_led = self.holder.as_ref() == Some(&self.router);
+        self.orders_in_flight == 0 && (!has_led || now >= self.quiet_since)
+    }
+
     /// Records that a record of this router was appended at `position`, in the era of the position
     /// at which the log had to end. `sent_at` is a time before it was sent.
     pub fn record_append(
@@ -325,7 +332,7 @@
     /// Must be called immediately before each order.
     pub fn fencing_token(&self, now: Timestamp) -> Option<LogPosition> {
         let term = self.term?;
-        let usable_until = term.ends_at.earlier_by(Duration::from_millis(ORDER_MARGIN_MS));
+        let usable_until = term.ends_at.earlier_by(Duration::from_millis(ORDER_TRANSIT_MS));
         (now < usable_until).then_some(term.fencing_token)
     }
 
--- a/crates/dogwoodway_routing/tests/direct_leadership.rs
+++ b/crates/dogwoodway_routing/tests/direct_leadership.rs
@@ -3,7 +3,9 @@
 use std::{ops::Range, time::Duration};
 
 use assert_matches::assert_matches;
-use dogwoodway_routing::direct::leadership::{LeaderRecord, Leadership, LeadershipAction};
+use dogwoodway_routing::direct::leadership::{
+    LeaderRecord, Leadership, LeadershipAction, ORDER_TRANSIT_MS,
+};
 use dogwoodway_types::{LogOffset, LogPosition, RouterName, StoreEra, Timestamp};
 use proptest::prelude::*;
 
@@ -19,7 +21,7 @@
     kind: FaultKind,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum FaultKind {
     /// The router does nothing while time goes on.
     Paused,
@@ -31,6 +33,8 @@
     ReadsNothing,
     /// The router restarts and has lost its state.
     Restarted,
+    /// Orders of the router arrive late.
+    SlowOrders,
     /// The router is stopped, releases the leadership, and starts again later without its state.
     Stopped,
 }
@@ -44,10 +48,22 @@
 
 struct Router {
     leadership: Leadership,
+    /// Distinguishes the processes of a router.
+    started_at: Timestamp,
     /// Position up to which the router has read; `None` if it has to begin at the start.
     read_to: Option<LogPosition>,
 }
 
+/// An order that has been sent.
+#[derive(Clone, Copy, Debug)]
+struct Order {
+    arrives_at: Timestamp,
+    router: usize,
+    /// When the process started that sent it.
+    process: Timestamp,
+    token: u64,
+}
+
 struct Log {
     /// Present if the store names its era.
     era: Option<StoreEra>,
@@ -71,7 +87,8 @@
 impl Router {
     /// Starts the process of a router.
     fn start(now: Timestamp, n: usize) -> Router {
-        Router { leadership: Leadership::new(now, name(n), LEASE_MS), read_to: None }
+        let leadership = Leadership::new(now, name(n), LEASE_MS);
+        Router { leadership, started_at: now, read_to: None }
     }
 
     fn read(&mut self, now: Timestamp, log: &Log) {
@@ -113,8 +130,8 @@
     }
 }
 
-/// Runs a simulation in which the leader always has orders to send; returns the orders sent, as time
-/// in milliseconds, router and fencing token.
+/// Runs a simulation in which the leader always has orders to send; returns the orders that arrived, as
+/// time in milliseconds, router and fencing token.
 fn simulate(
     routers: usize,
     steps: usize,
@@ -137,7 +154,7 @@
     let mut states: Vec<_> = (0..routers).map(|n| Router::start(started_at, n)).collect();
     let era = (!returns.is_empty()).then_some(StoreEra(1));
     let mut log = Log { era, records: Vec::new() };
-    let mut orders = Vec::new();
+    let (mut orders, mut under_way) = (Vec::new(), Vec::<Order>::new());
     for step in 0..steps {
         let now = started_at + Duration::from_millis(step as u64 * STEP_MS);
         let has_demand = demand.iter().any(|steps| steps.contains(&step));
@@ -145,6 +162,13 @@
             log.records.truncate(log.records.len().saturating_sub(lost.lost_records));
             log.era = log.era.map(|era| StoreEra(era.0 + 1));
         }
+        for order in under_way.extract_if(.., |order| order.arrives_at <= now) {
+            orders.push((now.as_millis(), order.router, order.token));
+            let router = &mut states[order.router];
+            if router.started_at == order.process {
+                router.leadership.record_order_end(now);
+            }
+        }
         for (n, router) in states.iter_mut().enumerate() {
             let active_fault = faults.iter().find(|fault| {
                 fault.router == n && (fault.at_step..fault.at_step + fault.steps).contains(&step)
@@ -159,15 +183,24 @@
                 }
                 Some(FaultKind::Partitioned) => {}
                 Some(FaultKind::ReadsNothing) => router.append(now, &mut log, true),
-                Some(FaultKind::AnswerLost) | None => {
+                Some(FaultKind::AnswerLost | FaultKind::SlowOrders) | None => {
+                    let is_answered =
+                        active_fault.is_none_or(|fault| fault.kind != FaultKind::AnswerLost);
                     router.read(now, &log);
-                    router.append(now, &mut log, active_fault.is_none());
+                    router.append(now, &mut log, is_answered);
                 }
             }
             if has_demand && let Some(token) = router.leadership.fencing_token(now) {
+                let is_slow = active_fault.is_some_and(|fault| fault.kind == FaultKind::SlowOrders);
                 router.leadership.record_order();
-                router.leadership.record_order_end(now);
-                orders.push((now.as_millis(), n, token.ordinal()));
+                if is_slow {
+                    let (process, token) = (router.started_at, token.ordinal());
+                    let arrives_at = now + Duration::from_millis(ORDER_TRANSIT_MS);
+                    under_way.push(Order { arrives_at, router: n, process, token });
+                } else {
+                    router.leadership.record_order_end(now);
+                    orders.push((now.as_millis(), n, token.ordinal()));
+                }
             }
         }
     }
@@ -181,6 +214,7 @@
         Just(FaultKind::AnswerLost),
         Just(FaultKind::ReadsNothing),
         Just(FaultKind::Restarted),
+        Just(FaultKind::SlowOrders),
         Just(FaultKind::Stopped)
     ];
     (0..3_usize, 0..600_usize, 1..160_usize, kind).prop_map(|(router, at_step, steps, kind)| {
@@ -294,10 +328,15 @@
     let mut killed = claim(at(50_000), 0, &mut log);
     killed.leadership.record_order();
     drop(killed);
-    let mut restarted = claim(at(50_150), 0, &mut log);
+    let mut restarted = Router::start(at(50_150), 0);
+    // An order that was sent at the kill arrives before 50,800.
+    for now in [at(50_750), at(50_850)] {
+        restarted.read(now, &log);
+        restarted.append(now, &mut log, true);
+        assert_eq!(restarted.leadership.is_leader(now), now > at(50_800));
+    }
     restarted.stop(at(51_000), &mut log);
     let mut successor = Router::start(at(40_000), 1);
-    // An order that was sent at the kill arrives before 50,800.
     for now in (51_000..53_800).step_by(50).map(at) {
         successor.read(now, &log);
         assert_eq!(successor.leadership.next_action(now), LeadershipAction::Wait, "{now:?}");
