Refuse late requests in the grace period of an entry too

Callers of the own path whose call arrived late in the grace period of an entry got "unknown: the entry had to stop" after it had run, also if it must not run twice. The same cause as at routers: a request kept its own deadline, whatever was left of the grace period.

Evidence: the new test failed (a call that ran and ended as unknown); it is refused with 503 and does not run now.

Why it works: the entry takes the same decision. It moves from `direct` to the root of the routing crate.

--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -20,7 +20,6 @@
 use bytes::Bytes;
 use dogwoodway_http::{Body, text_response};
 use dogwoodway_routing::direct::{
-    drain::Drain,
     fleet::{PlacementRequest, Refusal},
     health::HealthSignal,
     prompt::Prompt,
@@ -28,7 +27,7 @@
     stream_origin::{StreamKey, StreamOrigin},
     table::{RouteKind, TeamRule},
 };
-use dogwoodway_routing::part_blame::PartKey;
+use dogwoodway_routing::{drain::Drain, part_blame::PartKey};
 use dogwoodway_types::{
     BackendServerName, NotRunReason, RequestFingerprint, RouteName, ServiceName, TeamName,
     Timestamp,
--- a/crates/dogwoodway_gateway/src/router.rs
+++ b/crates/dogwoodway_gateway/src/router.rs
@@ -8,7 +8,10 @@
 };
 
 use dogwoodway_http::{ServerLimits, serve, serve_with_dynamic_limits};
-use dogwoodway_routing::direct::{distance::Regions, drain::Drain, peers::ZoneTag};
+use dogwoodway_routing::{
+    direct::{distance::Regions, peers::ZoneTag},
+    drain::Drain,
+};
 use dogwoodway_types::{AvailabilityZone, RouterName};
 use futures::future::BoxFuture;
 use kameo::{
--- a/crates/dogwoodway_routing/src/direct.rs
+++ b/crates/dogwoodway_routing/src/direct.rs
@@ -12,7 +12,6 @@
 pub mod arrival;
 pub mod cost;
 pub mod distance;
-pub mod drain;
 pub mod feed;
 pub mod fleet;
 pub mod health;
--- a/crates/dogwoodway_routing/src/direct/drain.rs
+++ b/crates/dogwoodway_routing/src/drain.rs
@@ -17,7 +17,7 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use dogwoodway_routing::direct::drain::Drain;
+/// use dogwoodway_routing::drain::Drain;
 /// use dogwoodway_types::Timestamp;
 ///
 /// let at = Timestamp::from_millis;
--- a/crates/dogwoodway_routing/src/lib.rs
+++ b/crates/dogwoodway_routing/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod baseline;
 pub mod budget;
 pub mod direct;
+pub mod drain;
 pub mod membership;
 pub mod outlier;
 pub mod part_blame;
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -9,11 +9,17 @@
 mod retry_budget;
 mod agent_registry;
 
-use std::{path::Path, process::ExitCode, sync::Arc, time::Duration};
+use std::{
+    path::Path,
+    process::ExitCode,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use dogwoodway_caller::{CallerApi, CallerLimits};
 use dogwoodway_http::{ServerLimits, serve};
-use dogwoodway_types::RequestId;
+use dogwoodway_routing::drain::Drain;
+use dogwoodway_types::{RequestId, Timestamp};
 use dogwoodway_vms::HttpVmList;
 use kameo::actor::Spawn;
 use tokio::net::TcpListener;
@@ -62,13 +68,18 @@
         return EXIT_FAILURE;
     }
     let shutdown = Shutdown::listen(Duration::from_millis(settings.shutdown_limit_ms));
-    let dispatcher = EntryDispatcher::new(settings, config, agents, shutdown.clone());
+    let shutdown_limit = Duration::from_millis(settings.shutdown_limit_ms);
+    let drain = Arc::new(OnceLock::new());
+    let dispatcher =
+        EntryDispatcher::new(settings, config, agents, shutdown.clone(), drain.clone());
     let new_request_id = || RequestId(rand::random());
     let api = CallerApi::new(Arc::new(dispatcher), CallerLimits::default(), new_request_id);
     let handler = api.into_handler();
     let stop_accepting = async {
         shutdown.reached(ShutdownPhase::Draining).await;
-        tokio::time::sleep(Duration::from_millis(DRAIN_NOTICE_MS)).await;
+        let notice = Duration::from_millis(DRAIN_NOTICE_MS);
+        drain.get_or_init(|| Drain::new(Timestamp::now(), notice, shutdown_limit));
+        tokio::time::sleep(notice).await;
     };
     let aborted = async {
         shutdown.reached(ShutdownPhase::Aborting).await;
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -13,10 +13,11 @@
 mod retry_state;
 mod serve;
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use dogwoodway_caller::{AnswerEvent, AnswerReceiver, CallerRequest, Dispatcher, Readiness};
 use dogwoodway_log::HttpLog;
+use dogwoodway_routing::drain::Drain;
 use dogwoodway_types::{KeyHash, LogOffset, ModelName, Outcome, TeamName};
 use futures::{FutureExt, future::BoxFuture};
 use kameo::actor::{ActorRef, Spawn};
@@ -51,6 +52,8 @@
     retry_budget: ActorRef<RetryBudgetActor>,
     quarantine: ActorRef<QuarantineActor>,
     shutdown: Shutdown,
+    /// Present during a graceful shutdown.
+    drain: Arc<OnceLock<Drain>>,
 }
 
 impl EntryDispatcher {
@@ -60,6 +63,7 @@
         config: ConfigHandle,
         agents: ActorRef<AgentRegistry>,
         shutdown: Shutdown,
+        drain: Arc<OnceLock<Drain>>,
     ) -> EntryDispatcher {
         let probe_selector = ProbeSelector::spawn(ProbeSelector::default());
         let team_limits = TeamLimitsActor::spawn(TeamLimitsActor::new());
@@ -75,6 +79,7 @@
             retry_budget,
             quarantine,
             shutdown,
+            drain,
         };
         EntryDispatcher { inner: Arc::new(inner) }
     }
--- a/src/entry/dispatch/serve.rs
+++ b/src/entry/dispatch/serve.rs
@@ -63,7 +63,13 @@
             CallerWork::Chat { .. } => req.class.as_ref().and_then(|name| cfg.classes.get(name)),
         };
         let answer_ms = class.map_or(DEFAULT_ANSWER_TIMEOUT_MS, |c| u64::from(c.answer_within_ms));
-        let class_deadline = Timestamp::now() + Duration::from_millis(answer_ms);
+        let now = Timestamp::now();
+        let class_deadline = now + Duration::from_millis(answer_ms);
+        let deadline = req.deadline.map_or(class_deadline, |d| d.min(class_deadline));
+        let Some(deadline) = self.drain.get().map_or(Some(deadline), |d| d.deadline(now, deadline))
+        else {
+            return not_run(NotRunReason::Leaving, None);
+        };
         let (is_chat, max_tokens) = match &req.work {
             CallerWork::Chat { max_tokens, .. } => (true, *max_tokens),
             CallerWork::Service(_) => (false, 0),
@@ -72,7 +78,7 @@
         let mut state = RequestState {
             tx,
             shutdown: self.shutdown.clone(),
-            deadline: req.deadline.map_or(class_deadline, |d| d.min(class_deadline)),
+            deadline,
             repeatable,
             claim: idempotency::claim_request(&req, repeatable),
             stream: AnswerStream::new(max_tokens),
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -14,7 +14,7 @@
     net::TcpStream,
 };
 
-use crate::fleet::{Fleet, FleetOptions, chat_body, stream::CallerStream};
+use crate::fleet::{API_KEY, Fleet, FleetOptions, chat_body, stream::CallerStream};
 
 const FLEET_OPTIONS: FleetOptions = FleetOptions {
     engines: 2,
@@ -150,3 +150,36 @@
     assert_eq!((received.error.as_deref(), received.is_done), (Some("failed"), false));
     assert!(fleet.entries[0].exits_successfully());
 }
+
+// Guards against calls that are passed on late in the grace period, so that its end aborts them.
+#[tokio::test]
+async fn call_that_arrives_late_in_the_grace_period_is_refused_without_running() {
+    let mut fleet = Fleet::start(FLEET_OPTIONS).await;
+    fleet.entries[0].restart_with_setting("shutdown_limit_ms: 3000");
+    fleet.http = HttpClient::new();
+    while !fleet.chat(0, &chat_body("up?", 1)).await.status.is_success() {}
+    let url = format!("{}/fault", fleet.services[0].url());
+    let (fault, timeout) = (json!({"delay_ms": 4_000}), Duration::from_secs(30));
+    let set: Result<serde_json::Value, _> =
+        fleet.http.json(hyper::Method::POST, &url, &fault, timeout).await;
+    set.unwrap();
+    let body = r#"{"billet": 7}"#;
+    let req = format!(
+        "POST /services/reservations HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {API_KEY}\r\n\
+         content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let (early, late) = req.split_at(req.len() / 2);
+    let mut stream = TcpStream::connect(fleet.entries[0].address).await.unwrap();
+    stream.write_all(early.as_bytes()).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    fleet.entries[0].signal("TERM");
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    stream.write_all(late.as_bytes()).await.unwrap();
+    let mut reply = Vec::new();
+    stream.read_to_end(&mut reply).await.unwrap();
+    let reply = String::from_utf8_lossy(&reply);
+    assert!(reply.starts_with("HTTP/1.1 503"), "{reply}");
+    let calls = fleet.service_calls().await;
+    assert!(!calls.iter().any(|call| call.contains("billet")), "{calls:?}");
+}
