Bound the wait of requests for outdated weights at the engine

Cause: a request is placed on old weights if it is predicted to start in time. Nothing ended its wait if it did not: its engine started it whenever its turn came, up to its deadline of 15 s. A request that was sent before the publication had no limit at all. Class: a prediction taken for a bound; the condition is checked when work is placed, not where it starts.

Evidence: the log of starts. Waits of 2,507 to 3,124 ms where 2,400 were left, with the age of the publication known to the millisecond.

Why this works: the latest start goes to the engine as the time that is left. An engine refuses what has passed it in its queue as not executed, so that the request runs on new weights elsewhere, also if it must not be repeated. What an engine has not answered by then, since it was sent before the publication, is withdrawn by a reset. As the bound no longer rests on the prediction, requests with short outputs are placed on old weights longer than before, and those with long outputs shorter, since an engine also stops what has started at the end of its time.

--- a/crates/dogwoodway_gateway/src/exchange.rs
+++ b/crates/dogwoodway_gateway/src/exchange.rs
@@ -36,6 +36,9 @@
     ConnectionRejected(String),
     /// The request was sent, at least in part; the server may have run it.
     ResponseLost(String),
+    /// The request was withdrawn from an engine because it had not started when its weights became too
+    /// old; the engine may have started it just before.
+    Withdrawn,
 }
 
 impl fmt::Display for ExchangeError {
@@ -46,6 +49,9 @@
                 write!(f, "backend server took no connection: {e}")
             }
             ExchangeError::ResponseLost(e) => write!(f, "connection lost before the response: {e}"),
+            ExchangeError::Withdrawn => {
+                write!(f, "request not started before its weights became too old")
+            }
         }
     }
 }
--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -134,19 +134,26 @@
     next_version_ages_at: Timestamp,
     /// Connections that a server of each service accepts from all routers together.
     max_connections: HashMap<ServiceName, u32>,
-    start_limits: watch::Sender<Arc<StartLimits>>,
+    signals: Arc<FleetSignals>,
     loads_changed: Arc<Notify>,
 }
 
+/// What a [`FleetActor`] tells the tasks that serve requests.
+#[derive(Debug, Default)]
+pub(crate) struct FleetSignals {
+    /// Set once any request has been linked to a server crash. Until then, fingerprints are only
+    /// computed for requests whose connection was lost.
+    pub(crate) quarantine_in_use: Arc<AtomicBool>,
+    /// Until when requests may start on outdated weights.
+    pub(crate) start_limits: watch::Sender<Arc<StartLimits>>,
+}
+
 /// What a [`FleetActor`] shares with other tasks.
 pub(crate) struct FleetChannels {
     /// Receives the events that are shared with other routers.
     pub(crate) fingerprint_events: mpsc::Sender<FingerprintEvent>,
     pub(crate) control: Arc<dyn EngineControl>,
-    /// Set by the actor once any request has been linked to a crash.
-    pub(crate) quarantine_in_use: Arc<AtomicBool>,
-    /// Set by the actor: until when requests may start on outdated weights.
-    pub(crate) start_limits: watch::Sender<Arc<StartLimits>>,
+    pub(crate) signals: Arc<FleetSignals>,
     /// Notified when there are new loads to report to other routers.
     pub(crate) loads_changed: Arc<Notify>,
 }
@@ -157,8 +164,8 @@
         fleet.set_regions(settings.regions.clone());
         fleet.set_stale_weights_limit(settings.stale_weights_limit_ms);
         let seed = router_id(settings.gossip_listen);
-        let crash_tracker =
-            CrashTracker::new(channels.fingerprint_events, channels.quarantine_in_use);
+        let quarantine_in_use = channels.signals.quarantine_in_use.clone();
+        let crash_tracker = CrashTracker::new(channels.fingerprint_events, quarantine_in_use);
         FleetActor {
             fleet,
             idle_connections: SecondaryMap::new(),
@@ -179,7 +186,7 @@
             leaving_notices: Vec::new(),
             next_version_ages_at: Timestamp::default(),
             max_connections: HashMap::new(),
-            start_limits: channels.start_limits,
+            signals: channels.signals,
             loads_changed: channels.loads_changed,
         }
     }
--- a/crates/dogwoodway_gateway/src/fleet_actor/weights.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/weights.rs
@@ -127,7 +127,7 @@
     /// Publishes until when requests may start on outdated weights, if that has changed.
     pub(super) fn publish_start_limits(&self) {
         let limits = self.fleet.start_limits();
-        self.start_limits.send_if_modified(|known| {
+        self.signals.start_limits.send_if_modified(|known| {
             let has_changed = **known != limits;
             if has_changed {
                 *known = Arc::new(limits);
--- a/crates/dogwoodway_gateway/src/metric.rs
+++ b/crates/dogwoodway_gateway/src/metric.rs
@@ -36,6 +36,10 @@
 /// later than allowed (label `late`).
 pub(crate) const OUTDATED_STARTS: &str = "dogwoodway_router_outdated_starts_total";
 
+/// Requests that were withdrawn from engines because they had not started before their weights became
+/// too old.
+pub(crate) const WITHDRAWN_REQUESTS: &str = "dogwoodway_router_withdrawn_requests_total";
+
 /// Seconds left, when such a request started, until none may start on its weights any more.
 pub(crate) const OUTDATED_START_LEFT_SECONDS: &str =
     "dogwoodway_router_outdated_start_left_seconds";
--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -10,17 +10,14 @@
 mod response_head;
 
 use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
 use bytes::Bytes;
 use dogwoodway_http::{Body, text_response};
 use dogwoodway_routing::direct::{
-    fleet::{PlacementRequest, Refusal, StartLimits},
+    fleet::{PlacementRequest, Refusal},
     health::HealthSignal,
     prompt::Prompt,
     retry::{AttemptCounts, AttemptOutcome, NextStep, next_step},
@@ -41,7 +38,7 @@
     clock,
     directory::TableWatch,
     exchange::{BackendResponse, ExchangeError, exchange},
-    fleet_actor::{AssignedServer, FleetActor, PlaceRequest, PlacementReply},
+    fleet_actor::{AssignedServer, FleetActor, FleetSignals, PlaceRequest, PlacementReply},
     metric,
     platform_api::{ForwardParams, RequestHead, RequestProtocol},
     relay::{
@@ -56,6 +53,10 @@
 /// router may know it.
 const UNKNOWN_ORIGIN_RETRY_MS: u64 = 200;
 
+/// Time after the latest start of a request at which it is withdrawn from an engine that has not
+/// answered, in milliseconds. By then the refusal of an engine that was told the latest start has arrived.
+const WITHDRAWAL_DELAY_MS: u64 = 150;
+
 /// Serves client requests. Shared by all connections.
 pub(crate) struct Relay {
     pub(crate) protocol: Arc<dyn RequestProtocol>,
@@ -66,11 +67,7 @@
     pub(crate) key_pepper: String,
     /// Present during a graceful shutdown; responses then carry `Connection: close`.
     pub(crate) drain: watch::Sender<Option<Drain>>,
-    /// Set once any request has been linked to a server crash. Until then, fingerprints are only
-    /// computed for requests whose connection was lost.
-    pub(crate) quarantine_in_use: Arc<AtomicBool>,
-    /// Until when requests may start on outdated weights.
-    pub(crate) start_limits: watch::Receiver<Arc<StartLimits>>,
+    pub(crate) signals: Arc<FleetSignals>,
 }
 
 /// An admitted client request and the state of its attempts.
@@ -160,7 +157,8 @@
         ForwardParams {
             target: placement.name.clone(),
             team: self.team.as_ref().map(|team| team.name.clone()),
-            deadline: self.deadline,
+            // The engine refuses a request whose time has passed in its queue, and has not run it then.
+            deadline: placement.latest_start.map_or(self.deadline, |at| at.min(self.deadline)),
             priority: self.priority,
             version: placement.version,
             cache_scope: placement.scope.clone(),
@@ -304,7 +302,7 @@
         &self,
         request: &ClientRequest,
     ) -> Option<RequestFingerprint> {
-        match self.quarantine_in_use.load(Ordering::Relaxed) {
+        match self.signals.quarantine_in_use.load(Ordering::Relaxed) {
             true => request.fingerprint(),
             false => None,
         }
@@ -318,7 +316,38 @@
         version: Option<WeightsVersion>,
     ) -> Option<Timestamp> {
         let model = &request.head.prompt.as_ref()?.model;
-        self.start_limits.borrow().latest_start(model, version?)
+        self.signals.start_limits.borrow().latest_start(model, version?)
+    }
+
+    /// Waits until a request that has not started on a version of its model's weights would start too
+    /// late. New weights may be published while it waits.
+    pub(crate) async fn start_overdue(
+        &self,
+        request: &ClientRequest,
+        version: Option<WeightsVersion>,
+    ) {
+        let mut limits = self.signals.start_limits.subscribe();
+        loop {
+            limits.mark_unchanged();
+            let overdue_at = self
+                .latest_start(request, version)
+                .map(|at| at + Duration::from_millis(WITHDRAWAL_DELAY_MS));
+            let overdue = async {
+                match overdue_at {
+                    Some(at) => clock::sleep_until(at).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = overdue => return,
+                changed = limits.changed() => {
+                    if changed.is_err() {
+                        // The fleet actor has ended, and with it the process.
+                        return std::future::pending().await;
+                    }
+                }
+            }
+        }
     }
 
     /// Asks the fleet actor to choose a server for a request.
@@ -384,6 +413,9 @@
             () = server_marked_lost(&mut target.lost), if is_repeatable => {
                 Err(ExchangeError::ResponseLost("the server does not answer any more".to_owned()))
             }
+            () = self.start_overdue(request, target.placement.version) => {
+                Err(ExchangeError::Withdrawn)
+            }
         };
         let (outcome, why) = match result {
             Ok(upstream) => match self.classify_response(request, &target, &upstream) {
@@ -399,18 +431,7 @@
                     (outcome, why)
                 }
             },
-            Err(ExchangeError::Unreachable(why)) => {
-                guard.end(Some(HealthSignal::Unreachable));
-                (AttemptOutcome::Unreachable, why)
-            }
-            Err(ExchangeError::ConnectionRejected(why)) => {
-                guard.end(Some(HealthSignal::ConnectionRejected));
-                (AttemptOutcome::Unreachable, why)
-            }
-            Err(ExchangeError::ResponseLost(why)) => {
-                guard.connection_lost(request.fingerprint());
-                (AttemptOutcome::Lost, why)
-            }
+            Err(error) => end_without_response(guard, error, request),
         };
         request.attempts.record(outcome);
         log_attempt_end(request, &target, outcome, &why);
@@ -418,6 +439,34 @@
     }
 }
 
+/// Ends an attempt at a request that has brought no response. Returns its outcome, and why there is no
+/// response.
+fn end_without_response(
+    guard: AttemptGuard,
+    error: ExchangeError,
+    request: &ClientRequest,
+) -> (AttemptOutcome, String) {
+    match error {
+        ExchangeError::Unreachable(why) => {
+            guard.end(Some(HealthSignal::Unreachable));
+            (AttemptOutcome::Unreachable, why)
+        }
+        ExchangeError::ConnectionRejected(why) => {
+            guard.end(Some(HealthSignal::ConnectionRejected));
+            (AttemptOutcome::Unreachable, why)
+        }
+        ExchangeError::ResponseLost(why) => {
+            guard.connection_lost(request.fingerprint());
+            (AttemptOutcome::Lost, why)
+        }
+        ExchangeError::Withdrawn => {
+            metrics::counter!(metric::WITHDRAWN_REQUESTS).increment(1);
+            guard.end(None);
+            (AttemptOutcome::Lost, error.to_string())
+        }
+    }
+}
+
 /// Returns the keys of the parts of a prompt that other requests may share: all but the last.
 fn shared_parts(prompt: Option<&Prompt>, team: Option<&TeamRule>) -> Arc<[PartKey]> {
     let Some(prompt) = prompt else { return Arc::default() };
--- a/crates/dogwoodway_gateway/src/router.rs
+++ b/crates/dogwoodway_gateway/src/router.rs
@@ -1,11 +1,6 @@
 //! Assembles a router: starts its tasks, serves its listeners and shuts it down.
 
-use std::{
-    fmt, io,
-    net::SocketAddr,
-    sync::{Arc, atomic::AtomicBool},
-    time::Duration,
-};
+use std::{fmt, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use dogwoodway_http::{ServerLimits, serve, serve_with_dynamic_limits};
 use dogwoodway_routing::{
@@ -27,7 +22,7 @@
     checked_store::CheckedStore,
     clock, directory,
     feeds::SharedFeeds,
-    fleet_actor::{FleetActor, FleetChannels, Tick},
+    fleet_actor::{FleetActor, FleetChannels, FleetSignals, Tick},
     gossip::{self, GossipConfig},
     ingress, kv_follower, leader,
     leader::LeaderConfig,
@@ -136,17 +131,15 @@
     let (fingerprint_tx, fingerprint_events) = mpsc::channel(FINGERPRINT_EVENT_QUEUE);
     let (discovered_tx, discovered) = mpsc::channel(DISCOVERED_QUEUE);
     let (leader_shutdown_tx, leader_shutdown) = watch::channel(false);
-    let quarantine_in_use = Arc::new(AtomicBool::new(false));
+    let signals = Arc::<FleetSignals>::default();
     let loads_changed = Arc::new(Notify::new());
     let feeds = SharedFeeds::new(loads_changed.clone());
     let (origins, origin_questions) = SharedOrigins::new(loads_changed.clone());
     let (surveys, software_questions) = SharedSurveys::new(&feeds);
-    let (start_limits_tx, start_limits) = watch::channel(Arc::default());
     let fleet_channels = FleetChannels {
         fingerprint_events: fingerprint_tx,
         control: dependencies.control.clone(),
-        quarantine_in_use: quarantine_in_use.clone(),
-        start_limits: start_limits_tx,
+        signals: signals.clone(),
         loads_changed: loads_changed.clone(),
     };
     let fleet = spawn_fleet(&settings, fleet_channels);
@@ -185,8 +178,7 @@
         tables,
         key_pepper: dependencies.key_pepper,
         drain: watch::Sender::new(None),
-        quarantine_in_use,
-        start_limits,
+        signals,
     });
     tokio::spawn(serve_health_checks(health_checks, relay.clone()));
     serve_clients(clients, relay, shutdown).await;
--- a/crates/dogwoodway_gateway/src/stream.rs
+++ b/crates/dogwoodway_gateway/src/stream.rs
@@ -23,10 +23,12 @@
 use crate::{
     clock,
     connection::Connection,
+    exchange::ExchangeError,
     fleet_actor::{
         AttemptedRequest, BytesReceived, EndAttempt, FirstOutputReceived, FleetActor,
         PlacementReply, ServerProcess,
     },
+    metric,
     relay::{Attempt, AttemptResponse, ClientRequest, Relay, log_outcome, log_outdated_start},
     response_body::ResponseBody,
     server_check::ServerCheck,
@@ -275,7 +277,17 @@
         }
         while !self.is_ended {
             let limit = clock::timer_instant(self.request.deadline);
-            let Ok(bytes) = tokio::time::timeout_at(limit, self.body.next()).await else {
+            let waiting = self.guard.as_ref().filter(|guard| !guard.has_output);
+            let version = waiting.and_then(|guard| guard.version);
+            let bytes = tokio::select! {
+                biased;
+                bytes = tokio::time::timeout_at(limit, self.body.next()) => bytes,
+                () = self.relay.start_overdue(&self.request, version), if waiting.is_some() => {
+                    metrics::counter!(metric::WITHDRAWN_REQUESTS).increment(1);
+                    return self.fail(&ExchangeError::Withdrawn.to_string(), None);
+                }
+            };
+            let Ok(bytes) = bytes else {
                 return self.fail("the time for the answer is up", None);
             };
             let Some(bytes) = bytes else { return self.finish() };
--- a/crates/dogwoodway_routing/src/direct/fleet/placement.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/placement.rs
@@ -110,6 +110,9 @@
     /// Predicted numbers of prompt tokens that the engine computes and that it fetches, in this
     /// order; zero for a plain server.
     pub computed_and_fetched_tokens: (u32, u32),
+    /// Until when the request may start on the weights that it names; absent if no newer ones are
+    /// known.
+    pub latest_start: Option<Timestamp>,
     /// Predicted time to the first output, in milliseconds.
     pub predicted_ms: u32,
     /// Requests of all known routers in flight at the server, including this one.
@@ -155,7 +158,11 @@
             .or_else(|| self.choose_by_version(now, request, sample_share, false))
             .ok_or_else(|| self.refusal_without_server(now, request))?;
         let predicted_ms = self.check_wait_and_deadline(now, request, &choice.candidate)?;
-        Ok(self.record_placement(now, choice, predicted_ms))
+        let scoped = request.prompt.as_ref().zip(choice.scope.as_ref());
+        let latest_start =
+            scoped.and_then(|(prompt, scope)| self.latest_start(&prompt.model, scope.version));
+        let placement = self.record_placement(now, choice, predicted_ms);
+        Ok(Placement { latest_start, ..placement })
     }
 
     /// Builds the refusal of a request that no server accepts. If servers are only paused or at their
@@ -220,8 +227,7 @@
             let (prefill, scope, fetch) = match (&request.prompt, spec) {
                 (Some(prompt), Some(spec)) => {
                     let Some(serving) = server.version(&prompt.model) else { continue };
-                    let (version, penalty_ms) =
-                        self.version_to_request(now, &prompt.model, serving);
+                    let (version, penalty_ms) = self.version_to_request(now, prompt, serving);
                     if required_version.is_some_and(|wanted| wanted != version) {
                         continue;
                     }
@@ -317,24 +323,23 @@
         let prefill = candidate.prefill;
         let load = added_load(prefill.as_ref());
         let segments = scope.as_ref().map(|scope| scope.segments.clone()).unwrap_or_default();
-        let ready_at = now + Duration::from_micros((predicted_ms * 1e3) as u64);
+        let predicted_latency = Duration::from_micros((predicted_ms * 1e3) as u64);
+        let ready_at = now + predicted_latency;
         let fetch_from = self.source_address(fetch, &segments);
-        let saved_at = ready_at + Duration::from_millis(STORE_SAVE_DELAY_MS);
-        let save_to = self.kv_stores.plan_save(now, &segments, saved_at);
+        let save_delay = Duration::from_millis(STORE_SAVE_DELAY_MS);
+        let save_to = self.kv_stores.plan_save(now, &segments, ready_at + save_delay);
         let server = &mut self.servers[key];
-        let ahead_tokens = candidate.load.pending_prefill_tokens;
-        let sample = prefill.filter(|_| ahead_tokens <= MAX_SAMPLE_QUEUE_TOKENS);
         let in_flight_request = InFlightRequest {
             server: key,
             started_at_ms: server.listing.started_at_ms,
             load,
             segments,
             sent_at: now,
-            predicted_latency: Duration::from_micros((predicted_ms * 1e3) as u64),
+            predicted_latency,
             predicted_at_nominal_speed: Duration::from_secs_f64(
                 predicted_ms / candidate.slowdown / 1e3,
             ),
-            speed_sample: sample.map(|prefill| (prefill, ahead_tokens)),
+            speed_sample: speed_sample(&candidate),
             has_output: false,
         };
         server.own_load = server.own_load + load;
@@ -345,8 +350,8 @@
         let (listing, has_limit) = (&server.listing, server.limit.is_stated());
         let (name, software) = (listing.name.clone(), listing.software.clone());
         let (address, started_at_ms) = (listing.address, listing.started_at_ms);
-        let (tag, software_tag) = (server.hash.into(), server.software);
-        let server_in_flight = server.load().running;
+        let (tag, software_tag, in_flight) =
+            (server.hash.into(), server.software, server.load().running);
         let segments = &in_flight_request.segments;
         if !segments.is_empty() {
             self.queue_prompt_update(tag, segments, predicted_ms, save_to.is_some());
@@ -363,13 +368,14 @@
             software_tag,
             address,
             version: scope.as_ref().map(|scope| scope.version),
+            latest_start: None,
             scope: scope.map(|scope| scope.label),
             fetch_from,
             save_to,
             computed_and_fetched_tokens: prefill
                 .map_or((0, 0), |r| (r.computed_tokens, r.fetched_tokens)),
             predicted_ms: predicted_ms as u32,
-            in_flight: server_in_flight,
+            in_flight,
             sent_at: now,
             has_limit,
         }
@@ -418,6 +424,14 @@
     }
 }
 
+/// Returns the work for a prompt and the prompt tokens queued ahead of it, if these are so few that the
+/// time to its first output measures the engine's speed.
+fn speed_sample(candidate: &Candidate) -> Option<(PrefillWork, u64)> {
+    let ahead_tokens = candidate.load.pending_prefill_tokens;
+    let prefill = candidate.prefill.filter(|_| ahead_tokens <= MAX_SAMPLE_QUEUE_TOKENS);
+    Some((prefill?, ahead_tokens))
+}
+
 /// The server chosen for a request, before the request counts as in flight there.
 struct Choice {
     key: BackendKey,
--- a/crates/dogwoodway_routing/src/direct/fleet/versions.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/versions.rs
@@ -8,6 +8,7 @@
 
 use crate::direct::{
     fleet::{Availability, BackendKey, Fleet},
+    prompt::Prompt,
     rollout::EngineWeights,
 };
 
@@ -38,10 +39,24 @@
 /// milliseconds, unless the platform sets another.
 pub(super) const DEFAULT_STALE_WEIGHTS_LIMIT_MS: u64 = 8_000;
 
-/// Time before that limit from which requests are no longer placed on old weights, in milliseconds.
-/// A request starts with its first token, after its turn in the engine's queue and the prefill of
-/// its prompt; on a slow engine both take longer than predicted.
-const START_MARGIN_MS: u64 = 2_400;
+/// Time before that limit at which the wait of a request on old weights ends, in milliseconds. The
+/// engine counts the time that it is given from when the request arrives, which may be some time
+/// after it was computed: a connection has to be opened, and the process may wait for the processor.
+const START_TRANSIT_MS: u64 = 500;
+
+/// Least time left for a request to start from which it is placed on old weights, in milliseconds. A
+/// request starts with its first token, after its turn in the engine's queue and the prefill of its
+/// prompt; on a slow engine both take longer than predicted. One that has not started in time has
+/// waited in vain.
+const START_MARGIN_MS: u64 = 1_200;
+
+/// Part of that time for the start if the output is long, in milliseconds; the rest is for the output,
+/// since the engine stops the request at the end of its time even if it has started.
+const LONG_OUTPUT_START_MARGIN_MS: u64 = 500;
+
+/// Time that an engine takes for a token of the output while it computes prompts as well, in
+/// milliseconds.
+const OUTPUT_MS_PER_TOKEN: u64 = 20;
 
 /// Time after publication during which routers tell each other the age of a version, in
 /// milliseconds.
@@ -182,14 +197,30 @@
 
     /// Returns until when requests may start on outdated weights.
     pub fn start_limits(&self) -> StartLimits {
-        let limit = Duration::from_millis(self.stale_weights_limit_ms);
         let limits = |versions: &Vec<PublishedVersion>| {
-            versions.iter().map(|known| (known.version, known.published_at + limit)).collect()
+            versions.iter().map(|known| (known.version, self.latest_start_before(known))).collect()
         };
         let by_model = self.published_versions.iter();
         StartLimits { by_model: by_model.map(|(model, v)| (model.clone(), limits(v))).collect() }
     }
 
+    /// Returns until when a request may start on a version; `None` if no newer one is known.
+    pub(super) fn latest_start(
+        &self,
+        model: &ModelName,
+        version: WeightsVersion,
+    ) -> Option<Timestamp> {
+        let versions = self.published_versions.get(model)?;
+        let newer = versions.iter().find(|published| published.version > version)?;
+        Some(self.latest_start_before(newer))
+    }
+
+    /// Returns until when requests may start on older weights than a published version.
+    fn latest_start_before(&self, newer: &PublishedVersion) -> Timestamp {
+        let limit_ms = self.stale_weights_limit_ms.saturating_sub(START_TRANSIT_MS);
+        newer.published_at + Duration::from_millis(limit_ms)
+    }
+
     /// Applies the age of a version that another router reports. The version is at least that old.
     pub fn apply_version_age(&mut self, now: Timestamp, report: &VersionAge) {
         let published_at = now.earlier_by(Duration::from_millis(report.age_ms));
@@ -278,23 +309,31 @@
     /// Returns the version to request from an engine that is believed to serve `serving`, and the
     /// cost of doing so in milliseconds.
     ///
-    /// Once the engine's weights are too old, nothing may run on them. The engine may have loaded
-    /// newer ones that this router has not heard of, so the newest version is requested; an engine
-    /// that does not have it refuses.
+    /// Once the engine's weights are so old that the request could start on them too late, the newest
+    /// version is requested: the engine may have loaded it without this router having heard of it, and
+    /// refuses otherwise.
     pub(super) fn version_to_request(
         &self,
         now: Timestamp,
-        model: &ModelName,
+        prompt: &Prompt,
         serving: WeightsVersion,
     ) -> (WeightsVersion, f64) {
-        let versions = self.published_versions.get(model).map_or(&[][..], Vec::as_slice);
+        let versions = self.published_versions.get(&prompt.model).map_or(&[][..], Vec::as_slice);
         let newer = versions.iter().find(|published| published.version > serving);
         let (Some(newer), Some(newest)) = (newer, versions.last()) else { return (serving, 0.0) };
-        let limit_ms = self.stale_weights_limit_ms.saturating_sub(START_MARGIN_MS);
+        if now + start_margin(prompt.output_tokens) >= self.latest_start_before(newer) {
+            return (newest.version, UNCONFIRMED_WEIGHTS_COST_MS);
+        }
         match u64::try_from((now - newer.published_at).as_millis()).unwrap_or(u64::MAX) {
-            age_ms if age_ms >= limit_ms => (newest.version, UNCONFIRMED_WEIGHTS_COST_MS),
             STALE_WEIGHTS_AFTER_MS.. => (serving, STALE_WEIGHTS_COST_MS),
             _ => (serving, 0.0),
         }
     }
 }
+
+/// Returns the time that must be left until the latest start of a request with this output, in tokens,
+/// for it to be placed.
+fn start_margin(output_tokens: u32) -> Duration {
+    let output_ms = u64::from(output_tokens) * OUTPUT_MS_PER_TOKEN;
+    Duration::from_millis(START_MARGIN_MS.max(LONG_OUTPUT_START_MARGIN_MS + output_ms))
+}
--- a/crates/dogwoodway_routing/tests/direct_fleet.rs
+++ b/crates/dogwoodway_routing/tests/direct_fleet.rs
@@ -594,6 +594,56 @@
     }
 }
 
+// Guards against a wait at the engine that nothing ends, however short it was predicted to be.
+#[test]
+fn requests_on_outdated_weights_carry_the_time_by_which_they_must_have_started() {
+    let model = ModelName::try_from(MODEL).unwrap();
+    let (mut fleet, _) = fleet(3);
+    let before = place(&mut fleet, at(0), 7, 1);
+    assert_eq!(before.latest_start, None);
+    assert_eq!(fleet.start_limits().latest_start(&model, WeightsVersion(1)), None);
+    fleet.record_published_version(at(100), model.clone(), WeightsVersion(2), Duration::ZERO);
+    fleet.record_published_version(at(3_000), model.clone(), WeightsVersion(3), Duration::ZERO);
+    for ms in (100..12_000).step_by(100) {
+        let placement = place(&mut fleet, at(ms), 7, ms);
+        finish(&mut fleet, at(ms), placement.request);
+        let limits = fleet.start_limits();
+        let version = placement.version.unwrap();
+        assert_eq!(placement.latest_start, limits.latest_start(&model, version));
+        let limit = [(WeightsVersion(1), 8_100), (WeightsVersion(2), 11_000)];
+        if let Some((_, limit_ms)) = limit.iter().find(|(old, _)| *old == version) {
+            let latest_start = placement.latest_start.expect("newer weights are known");
+            assert!(at(ms) < latest_start && latest_start < at(*limit_ms), "{version:?} at {ms}");
+        }
+    }
+    // The request that was sent before the publication has a limit now.
+    let limits = fleet.start_limits();
+    assert!(limits.latest_start(&model, WeightsVersion(1)).is_some_and(|until| until < at(8_100)));
+}
+
+// Guards against streams that start in time and are stopped at the time given to their engine.
+#[test]
+fn requests_with_long_outputs_are_placed_on_outdated_weights_only_if_they_end_in_time() {
+    let model = ModelName::try_from(MODEL).unwrap();
+    let last_on_old_weights = |output_tokens| {
+        let (mut fleet, _) = fleet(3);
+        fleet.record_published_version(at(0), model.clone(), WeightsVersion(2), Duration::ZERO);
+        let is_old = |ms: &u64| {
+            let now = at(*ms);
+            let prompt = Prompt { output_tokens, ..prompt(7, 5_000, 1_000, *ms) };
+            let placement = fleet.place(now, &placement_request(now, prompt, 1, 800, *ms)).unwrap();
+            finish(&mut fleet, now, placement.request);
+            placement.version == Some(WeightsVersion(1))
+        };
+        (0..9_000).step_by(100).filter(is_old).max().unwrap()
+    };
+    let [short, long] = [5, 200].map(last_on_old_weights);
+    assert!(
+        long + 3_000 < short,
+        "200 tokens take 4 s: until {long} ms, 5 tokens until {short} ms"
+    );
+}
+
 #[test]
 fn a_prompt_is_placed_though_most_engines_load_and_many_prompts_are_on_their_way() {
     let (mut fleet, keys) = fleet(60);
