Keep what a router knows of a publication beside what others observed

The commit before let the report of another router, which may be late by an assumed time, replace the time at which a router itself had last seen the store without the version.

--- a/crates/dogwoodway_routing/src/direct/fleet/versions.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/versions.rs
@@ -121,13 +121,14 @@
 }
 
 impl PublishedVersion {
-    /// Records the time at which a router observed the publication; the earliest one is kept. The
-    /// publication was later than `published_after`.
+    /// Records the time at which another router observed the publication; the earliest one is kept.
+    /// `published_after` counts if this router does not know better.
     fn record_observation(&mut self, observed_at: Timestamp, published_after: Timestamp) {
-        (self.published_at, self.published_after) = match self.is_observed {
-            true => (self.published_at.min(observed_at), self.published_after.max(published_after)),
-            false => (observed_at, published_after),
-        };
+        if self.is_observed {
+            self.published_at = self.published_at.min(observed_at);
+            return;
+        }
+        (self.published_at, self.published_after) = (observed_at, published_after);
         self.is_observed = true;
     }
 }
