Let no unanswered order hold the roll-out of new weights up

Cause: an order that was not answered counted as a load. The engine took one of the places of the six that may load, though it served, and so did the retries of its order; and all routers placed nothing on it for 4 s from when the order was sent. Engines whose weights were too old for any request were spared as well, though they served nothing.

Why this works: an engine is out of use once it has accepted its order. One whose order is unanswered leaves its place to others until it reports that it is busy; its order is repeated under the same precondition, so that one of them is carried out. Engines that no request may start on are ordered at once.

--- a/crates/dogwoodway_gateway/src/leader/rollout.rs
+++ b/crates/dogwoodway_gateway/src/leader/rollout.rs
@@ -62,6 +62,9 @@
     accepted_orders: u64,
     /// Consecutive reports that failed.
     failures: u32,
+    /// Whether the last order was not answered, and the engine has not reported since that it is busy. The
+    /// order may have been lost, or may be carried out at any time.
+    has_unanswered_order: bool,
 }
 
 impl PendingLoad {
@@ -104,7 +107,14 @@
         let engines: Vec<_> = targets
             .iter()
             .map(|target| EngineWeights {
-                is_loading: self.pending_loads.contains_key(&target.weights.server),
+                is_loading: self
+                    .pending_loads
+                    .get(&target.weights.server)
+                    .is_some_and(|load| !load.has_unanswered_order),
+                has_unanswered_order: self
+                    .pending_loads
+                    .get(&target.weights.server)
+                    .is_some_and(|load| load.has_unanswered_order),
                 ..target.weights.clone()
             })
             .collect();
@@ -113,8 +123,13 @@
         for server in due {
             let target = targets.iter().find(|target| target.weights.server == server);
             let Some(target) = target.cloned() else { continue };
-            let load =
-                PendingLoad { target, step: LoadStep::Querying, accepted_orders: 0, failures: 0 };
+            let load = PendingLoad {
+                target,
+                step: LoadStep::Querying,
+                accepted_orders: 0,
+                failures: 0,
+                has_unanswered_order: false,
+            };
             self.request_report(&load);
             self.pending_loads.insert(server, load);
         }
@@ -163,6 +178,7 @@
             Err(why) => return self.handle_report_error(server, why).await,
         };
         load.failures = 0;
+        load.has_unanswered_order &= !report.is_busy;
         let serves = report.weights.iter().find(|(model, _)| model == load.model());
         let is_loaded = serves.is_some_and(|(_, version)| *version >= load.version());
         if is_loaded && !report.is_busy {
@@ -235,10 +251,8 @@
         log::info!(server:% = order.server, version = order.version.0, fence = order.fencing_token,
             after = order.expected_orders, running = load.target.weights.running;
             "engine ordered to load new weights");
-        let state = WeightsState::Loading(load.version());
         let (control, events) = (self.config.control.clone(), self.events.clone());
         let target = Box::new(load.target.clone());
-        self.update_weights_state(server, None, state).await;
         tokio::spawn(async move {
             let answer = control.load_weights(order).await;
             send_event(&events, Event::Ordered { target, answer }).await;
@@ -253,10 +267,14 @@
         log::info!(server:% = load.target.name, version = load.version().0, answer:? = outcome;
             "order answered");
         let after = |ms| now + Duration::from_millis(ms);
+        load.has_unanswered_order = outcome == OrderOutcome::Unknown;
         match outcome {
             OrderOutcome::Accepted => {
                 let (poll_at, give_up_at) = (after(FIRST_POLL_DELAY_MS), after(LOAD_TIMEOUT_MS));
                 load.step = LoadStep::Loading { poll_at, give_up_at };
+                // Until it has accepted the order, the engine serves.
+                let state = WeightsState::Loading(load.version());
+                self.update_weights_state(server, None, state).await;
             }
             OrderOutcome::AlreadyHolds => {
                 load.step = LoadStep::Loading { poll_at: now, give_up_at: after(LOAD_TIMEOUT_MS) };
--- a/crates/dogwoodway_routing/src/direct/fleet/versions.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/versions.rs
@@ -318,6 +318,10 @@
                     serving: *serving,
                     newest,
                     is_loading: now < server.loading_until,
+                    has_unanswered_order: false,
+                    is_out_of_use: self
+                        .latest_start(model, *serving)
+                        .is_some_and(|latest_start| now + start_margin(0) >= latest_start),
                     is_available: server.health.is_up()
                         && server.removal_due_at.is_none()
                         && server.wants_requests(now)
--- a/crates/dogwoodway_routing/src/direct/rollout.rs
+++ b/crates/dogwoodway_routing/src/direct/rollout.rs
@@ -28,8 +28,13 @@
     pub serving: WeightsVersion,
     /// Newest published version, or the one that the engine serves if none is known.
     pub newest: WeightsVersion,
-    /// Whether the engine was ordered to load and has not finished.
+    /// Whether the engine is loading, or is being ordered to.
     pub is_loading: bool,
+    /// Whether the engine was ordered to load and did not answer. It may carry out the order at any
+    /// time, and serves until then.
+    pub has_unanswered_order: bool,
+    /// Whether requests may no longer be placed on the weights that the engine serves.
+    pub is_out_of_use: bool,
     /// Whether the engine can be ordered to load: reachable, listed and not draining.
     pub is_available: bool,
     /// Requests in flight at the engine, of all known routers.
@@ -48,7 +53,8 @@
 }
 
 /// Returns the engines to order now: those on the oldest weights first, and among these the ones
-/// with the fewest requests to finish.
+/// with the fewest requests to finish. Engines that requests may no longer be placed on are all
+/// ordered, since they serve nothing meanwhile.
 ///
 /// ```
 /// use dogwoodway_routing::direct::rollout::{EngineWeights, engines_to_load};
@@ -60,6 +66,8 @@
 ///     serving: WeightsVersion(1),
 ///     newest: WeightsVersion(2),
 ///     is_loading: false,
+///     has_unanswered_order: false,
+///     is_out_of_use: false,
 ///     is_available: true,
 ///     running: 0,
 /// };
@@ -70,10 +78,15 @@
     let loading = engines.iter().filter(|engine| engine.is_loading).count();
     let max_new_loads = max_concurrent_loads(engines.len()).saturating_sub(loading);
     let is_due = |engine: &&EngineWeights| {
-        engine.serving < engine.newest && !engine.is_loading && engine.is_available
+        engine.serving < engine.newest
+            && !engine.is_loading
+            && !engine.has_unanswered_order
+            && engine.is_available
     };
-    let mut due: Vec<_> = engines.iter().filter(is_due).collect();
-    due.sort_by_key(|engine| (engine.serving, engine.running));
-    due.truncate(max_new_loads);
+    let (mut due, mut serving): (Vec<_>, Vec<_>) =
+        engines.iter().filter(is_due).partition(|engine| engine.is_out_of_use);
+    serving.sort_by_key(|engine| (engine.serving, engine.running));
+    serving.truncate(max_new_loads);
+    due.extend(serving);
     due
 }
--- a/crates/dogwoodway_routing/tests/direct_fleet.rs
+++ b/crates/dogwoodway_routing/tests/direct_fleet.rs
@@ -252,6 +252,28 @@
     assert_eq!(order, [1, 1, 2]);
 }
 
+// Guards against a roll-out that waits for engines that never answer, or spares those that nobody uses.
+#[test]
+fn unanswered_orders_and_engines_out_of_use_do_not_hold_the_rollout_up() {
+    let (mut fleet, _) = fleet(18);
+    let model = ModelName::try_from(MODEL).unwrap();
+    fleet.record_published_version(at(0), model, WeightsVersion(2), Duration::ZERO);
+    let mut engines = fleet.engine_weights(at(1));
+    assert_eq!(engines_to_load(&engines).len(), 6);
+    for engine in &mut engines[..6] {
+        engine.is_loading = true;
+    }
+    assert!(engines_to_load(&engines).is_empty(), "no more than six load at the same time");
+    for engine in &mut engines[..6] {
+        (engine.is_loading, engine.has_unanswered_order) = (false, true);
+    }
+    let due: Vec<_> = engines_to_load(&engines).iter().map(|engine| engine.server).collect();
+    assert_eq!(due.len(), 6);
+    assert!(due.iter().all(|server| engines[6..].iter().any(|engine| engine.server == *server)));
+    let engines = fleet.engine_weights(at(7_900));
+    assert_eq!(engines_to_load(&engines).len(), 18, "no request may start on them any more");
+}
+
 #[test]
 fn outdated_listings_do_not_bring_a_server_back() {
     let (mut fleet, keys) = fleet(1);
