Place requests with long outputs on outdated weights while there is time for their start

The bound of the wait left old weights early for requests with long outputs, since an engine also stops what has started at the end of its time, and took 20 ms for a token where some 3 ms are seen.

Engines are told the latest start only if the output ends before it. Other requests are placed while 4 s are left, and the router withdraws them if they do not start.

--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -158,7 +158,7 @@
             target: placement.name.clone(),
             team: self.team.as_ref().map(|team| team.name.clone()),
             // The engine refuses a request whose time has passed in its queue, and has not run it then.
-            deadline: placement.latest_start.map_or(self.deadline, |at| at.min(self.deadline)),
+            deadline: placement.refused_after.map_or(self.deadline, |at| at.min(self.deadline)),
             priority: self.priority,
             version: placement.version,
             cache_scope: placement.scope.clone(),
--- a/crates/dogwoodway_routing/src/direct/fleet/placement.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/placement.rs
@@ -110,9 +110,9 @@
     /// Predicted numbers of prompt tokens that the engine computes and that it fetches, in this
     /// order; zero for a plain server.
     pub computed_and_fetched_tokens: (u32, u32),
-    /// Until when the request may start on the weights that it names; absent if no newer ones are
-    /// known.
-    pub latest_start: Option<Timestamp>,
+    /// Until when the request may start on the weights that it names, and from when on the engine is to
+    /// refuse it; absent if no newer ones are known, or if the output may take longer.
+    pub refused_after: Option<Timestamp>,
     /// Predicted time to the first output, in milliseconds.
     pub predicted_ms: u32,
     /// Requests of all known routers in flight at the server, including this one.
@@ -159,10 +159,10 @@
             .ok_or_else(|| self.refusal_without_server(now, request))?;
         let predicted_ms = self.check_wait_and_deadline(now, request, &choice.candidate)?;
         let scoped = request.prompt.as_ref().zip(choice.scope.as_ref());
-        let latest_start =
-            scoped.and_then(|(prompt, scope)| self.latest_start(&prompt.model, scope.version));
+        let refused_after =
+            scoped.and_then(|(prompt, scope)| self.refused_after(now, prompt, scope.version));
         let placement = self.record_placement(now, choice, predicted_ms);
-        Ok(Placement { latest_start, ..placement })
+        Ok(Placement { refused_after, ..placement })
     }
 
     /// Builds the refusal of a request that no server accepts. If servers are only paused or at their
@@ -368,7 +368,7 @@
             software_tag,
             address,
             version: scope.as_ref().map(|scope| scope.version),
-            latest_start: None,
+            refused_after: None,
             scope: scope.map(|scope| scope.label),
             fetch_from,
             save_to,
--- a/crates/dogwoodway_routing/src/direct/fleet/versions.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/versions.rs
@@ -50,13 +50,17 @@
 /// waited in vain.
 const START_MARGIN_MS: u64 = 1_200;
 
-/// Part of that time for the start if the output is long, in milliseconds; the rest is for the output,
-/// since the engine stops the request at the end of its time even if it has started.
-const LONG_OUTPUT_START_MARGIN_MS: u64 = 500;
+/// Time that must be left for the start of a request beside its output if the engine is to refuse it
+/// afterwards, in milliseconds: an engine also stops what has started at the end of its time.
+const REFUSED_START_MARGIN_MS: u64 = 500;
+
+/// Time that must be left for the start of a request that its engine is not told to refuse afterwards,
+/// since its output may take longer, in milliseconds. The router withdraws it if it does not start.
+const WITHDRAWN_START_MARGIN_MS: u64 = 4_000;
 
 /// Time that an engine takes for a token of the output while it computes prompts as well, in
 /// milliseconds.
-const OUTPUT_MS_PER_TOKEN: u64 = 20;
+const OUTPUT_MS_PER_TOKEN: u64 = 4;
 
 /// Time after which a router that reaches the store has observed a publication, in milliseconds: it
 /// relies on the reports of others for up to 1,400 ms, and then reads.
@@ -224,12 +228,20 @@
         StartLimits { by_model: by_model.map(|(model, v)| (model.clone(), limits(v))).collect() }
     }
 
-    /// Returns until when a request may start on a version; `None` if no newer one is known.
-    pub(super) fn latest_start(
+    /// Returns until when a request may start on a version and is refused afterwards by its engine; `None`
+    /// if no newer version is known, or if its output may take longer.
+    pub(super) fn refused_after(
         &self,
-        model: &ModelName,
+        now: Timestamp,
+        prompt: &Prompt,
         version: WeightsVersion,
     ) -> Option<Timestamp> {
+        let latest_start = self.latest_start(&prompt.model, version);
+        latest_start.filter(|at| ends_before(now, *at, prompt.output_tokens))
+    }
+
+    /// Returns until when a request may start on a version; `None` if no newer one is known.
+    fn latest_start(&self, model: &ModelName, version: WeightsVersion) -> Option<Timestamp> {
         let versions = self.published_versions.get(model)?;
         let newer = versions.iter().find(|published| published.version > version)?;
         Some(self.latest_start_before(newer))
@@ -321,7 +333,7 @@
                     has_unanswered_order: false,
                     is_out_of_use: self
                         .latest_start(model, *serving)
-                        .is_some_and(|latest_start| now + start_margin(0) >= latest_start),
+                        .is_some_and(|latest_start| !may_start(now, latest_start, 0)),
                     is_available: server.health.is_up()
                         && server.removal_due_at.is_none()
                         && server.wants_requests(now)
@@ -348,7 +360,7 @@
         let versions = self.published_versions.get(&prompt.model).map_or(&[][..], Vec::as_slice);
         let newer = versions.iter().find(|published| published.version > serving);
         let (Some(newer), Some(newest)) = (newer, versions.last()) else { return (serving, 0.0) };
-        if now + start_margin(prompt.output_tokens) >= self.latest_start_before(newer) {
+        if !may_start(now, self.latest_start_before(newer), prompt.output_tokens) {
             return (newest.version, UNCONFIRMED_WEIGHTS_COST_MS);
         }
         match u64::try_from((now - newer.published_at).as_millis()).unwrap_or(u64::MAX) {
@@ -358,9 +370,17 @@
     }
 }
 
-/// Returns the time that must be left until the latest start of a request with this output, in tokens,
-/// for it to be placed.
-fn start_margin(output_tokens: u32) -> Duration {
+/// Returns whether a request is to be refused by its engine if it has not started in time, because its
+/// output ends before that time otherwise.
+fn ends_before(now: Timestamp, latest_start: Timestamp, output_tokens: u32) -> bool {
     let output_ms = u64::from(output_tokens) * OUTPUT_MS_PER_TOKEN;
-    Duration::from_millis(START_MARGIN_MS.max(LONG_OUTPUT_START_MARGIN_MS + output_ms))
+    now + Duration::from_millis(REFUSED_START_MARGIN_MS + output_ms) <= latest_start
+}
+
+/// Returns whether a request may be placed on weights on which it must start by `latest_start`.
+fn may_start(now: Timestamp, latest_start: Timestamp, output_tokens: u32) -> bool {
+    let left = latest_start - now;
+    let may_be_withdrawn = left >= Duration::from_millis(WITHDRAWN_START_MARGIN_MS);
+    left > Duration::from_millis(START_MARGIN_MS)
+        && (may_be_withdrawn || ends_before(now, latest_start, output_tokens))
 }
