Handle requests by the configuration in force once their body has arrived

Callers whose body arrived slowly were handled by the configuration that was in force when the head arrived, up to the time limit of the route later: run though the key had been revoked or the route removed meanwhile, or run by the service that the route had left.

Cause: route, key and service were decided before the body was read, and not looked at again.

The table is compared once more before the request is placed; if it was replaced, the request is checked by the one in force, and refused with its 401 or 404, or placed on its service. A service that still belongs to the route is kept, and the deadline never grows.

--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -224,6 +224,10 @@
 
     /// Places and sends a request until there is a response or no further attempt is allowed.
     async fn run(self: Arc<Relay>, mut request: ClientRequest) -> Response<Body> {
+        // The configuration may have changed while the body arrived.
+        if let Err(resp) = self.apply_current_table(&mut request) {
+            return *resp;
+        }
         if let Err(resp) = self.find_origin(&mut request).await {
             return *resp;
         }
--- a/crates/dogwoodway_gateway/src/relay/admit.rs
+++ b/crates/dogwoodway_gateway/src/relay/admit.rs
@@ -1,12 +1,12 @@
 //! Admission of client requests: parsing, routing, authentication and reading of the body.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use dogwoodway_http::Body;
 use dogwoodway_routing::direct::{
     retry::AttemptCounts,
-    table::{Route, RoutingTable, TeamRule},
+    table::{Route, RouteKey, RoutingTable, TeamRule},
 };
 use dogwoodway_types::{KeyHash, NotRunReason, Timestamp};
 use http_body_util::{BodyExt, Limited};
@@ -35,12 +35,23 @@
 /// Longest request path that is written to the log, in bytes.
 const MAX_LOGGED_PATH_BYTES: usize = 80;
 
+/// The rules for a request.
+struct Routing {
+    table: Arc<RoutingTable>,
+    key: RouteKey,
+    /// Absent on anonymous routes.
+    team: Option<TeamRule>,
+}
+
+impl Routing {
+    fn route(&self) -> &Route {
+        self.table.route(self.key)
+    }
+}
+
 impl Relay {
     /// Checks a request against the routing table and reads its body. `Err` holds the response
     /// that rejects it.
-    ///
-    /// With a stale table, an unknown route or key may have been added since, so the client is
-    /// told to retry instead of getting a final 404 or 401.
     pub(super) async fn admit(
         &self,
         arrived_at: Timestamp,
@@ -53,32 +64,20 @@
                 return Err(self.reject_malformed(&http_head, StatusCode::BAD_REQUEST, &error));
             }
         };
-        let Some(table) = self.tables.current() else {
-            return Err(self.no_configuration_response(arrived_at, &head));
-        };
-        let is_stale = self.tables.is_stale(arrived_at);
-        let Some(key) = table.find(&head.host, http_head.uri.path()) else {
-            if is_stale {
-                return Err(self.no_configuration_response(arrived_at, &head));
-            }
-            return Err(self.reject_with_status(&head, &http_head, StatusCode::NOT_FOUND, &table));
-        };
-        let route = table.route(key);
-        let team = match self.authenticate(&table, route, &head) {
-            Ok(team) => team,
-            Err(_) if is_stale => return Err(self.no_configuration_response(arrived_at, &head)),
-            Err(status) => return Err(self.reject_with_status(&head, &http_head, status, &table)),
-        };
+        let routing = self.find_route(arrived_at, &http_head, &head)?;
+        let route = routing.route();
         let Some(service) = route.service(rand::random()).cloned() else {
             return Err(self.no_configuration_response(arrived_at, &head));
         };
         let limit = arrived_at + Duration::from_millis(u64::from(route.timeout_ms));
         let deadline = head.deadline.map_or(limit, |deadline| deadline.min(limit));
-        let limits = table.limits();
+        let limits = routing.table.limits();
         let max_body_bytes = limits.map_or(DEFAULT_BODY_BYTES, |l| l.max_body_bytes as usize);
         let body = match read_body(body, max_body_bytes, deadline).await {
             Ok(body) => body,
-            Err(status) => return Err(self.reject_with_status(&head, &http_head, status, &table)),
+            Err(status) => {
+                return Err(self.reject_with_status(&head, &http_head, status, &routing.table));
+            }
         };
         let deadline = self.deadline_during_shutdown(&head, deadline)?;
         Ok(ClientRequest {
@@ -90,20 +89,82 @@
             route: route.name.clone(),
             kind: route.kind,
             max_attempts: route.max_attempts.max(1),
-            priority: engine_priority(route, team.as_ref()),
+            priority: engine_priority(route, routing.team.as_ref()),
             route_priority: route.priority,
             service,
             services: route.services(),
-            shared_parts: shared_parts(head.prompt.as_ref(), team.as_ref()),
-            team,
+            shared_parts: shared_parts(head.prompt.as_ref(), routing.team.as_ref()),
+            table_version: routing.table.version(),
+            team: routing.team,
             origin: None,
             attempts: AttemptCounts::default(),
             tried: Vec::new(),
-            table_version: table.version(),
             head,
         })
     }
 
+    /// Applies the routing table in force to a request that was admitted by an earlier one, before it is
+    /// sent to a server. `Err` holds the response to a request that is no longer allowed.
+    pub(super) fn apply_current_table(
+        &self,
+        request: &mut ClientRequest,
+    ) -> Result<(), Box<Response<Body>>> {
+        let is_current = |table: &RoutingTable| table.version() == request.table_version;
+        if self.tables.current().is_some_and(|table| is_current(&table)) {
+            return Ok(());
+        }
+        let routing = self.find_route(clock::now(), &request.http_head, &request.head)?;
+        let route = routing.route();
+        let services = route.services();
+        if !services.contains(&request.service) {
+            let service = route.service(rand::random()).cloned();
+            request.service = service
+                .ok_or_else(|| self.no_configuration_response(clock::now(), &request.head))?;
+        }
+        let since_arrival = |ms| request.arrived_at + Duration::from_millis(u64::from(ms));
+        // The body was read, or an attempt made, by the earlier deadline.
+        request.deadline = request.deadline.min(since_arrival(route.timeout_ms));
+        request.expected_by = since_arrival(route.target_latency_ms);
+        request.route = route.name.clone();
+        request.kind = route.kind;
+        request.max_attempts = route.max_attempts.max(1);
+        request.priority = engine_priority(route, routing.team.as_ref());
+        request.route_priority = route.priority;
+        request.services = services;
+        request.shared_parts = shared_parts(request.head.prompt.as_ref(), routing.team.as_ref());
+        request.table_version = routing.table.version();
+        request.team = routing.team;
+        Ok(())
+    }
+
+    /// Finds the route and the team of a request in the routing table in force. `Err` holds the
+    /// response that rejects it.
+    ///
+    /// With a stale table, an unknown route or key may have been added since, so the client is
+    /// told to retry instead of getting a final 404 or 401.
+    fn find_route(
+        &self,
+        now: Timestamp,
+        http_head: &http::request::Parts,
+        head: &RequestHead,
+    ) -> Result<Routing, Box<Response<Body>>> {
+        let Some(table) = self.tables.current() else {
+            return Err(self.no_configuration_response(now, head));
+        };
+        let is_stale = self.tables.is_stale(now);
+        let Some(key) = table.find(&head.host, http_head.uri.path()) else {
+            if is_stale {
+                return Err(self.no_configuration_response(now, head));
+            }
+            return Err(self.reject_with_status(head, http_head, StatusCode::NOT_FOUND, &table));
+        };
+        match self.authenticate(&table, table.route(key), head) {
+            Ok(team) => Ok(Routing { table, key, team }),
+            Err(_) if is_stale => Err(self.no_configuration_response(now, head)),
+            Err(status) => Err(self.reject_with_status(head, http_head, status, &table)),
+        }
+    }
+
     /// Returns by when to answer a request, given its own deadline. During a graceful shutdown that may
     /// be earlier; `Err` holds the response to a request that arrives too late.
     fn deadline_during_shutdown(
