Make further attempts by the configuration in force

A request whose first attempt was refused or lost was sent again by the configuration that had admitted it, however old: run at another server of a service that its route had left, or though its key had been revoked or its route removed. Streams of 15 s and servers that hang make that many seconds after the change.

The table in force is applied before each attempt. A request that may have run and gets no further attempt ends with 502, since 401, 404 or 503 would say that it has not run; so does one whose route may not be repeated any more.

--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -232,6 +232,9 @@
             return *resp;
         }
         loop {
+            if let Err(resp) = self.apply_current_table(&mut request) {
+                return *resp;
+            }
             let target = match self.place(&request, request.placement_request()).await {
                 PlacementReply::Assigned(target) => target,
                 PlacementReply::Refused(refusal) => {
--- a/crates/dogwoodway_gateway/src/relay/admit.rs
+++ b/crates/dogwoodway_gateway/src/relay/admit.rs
@@ -113,6 +113,21 @@
         if self.tables.current().is_some_and(|table| is_current(&table)) {
             return Ok(());
         }
+        let result = self.update_rules(request);
+        let may_have_run = request.attempts.may_have_run;
+        let may_run_again =
+            result.is_ok() && request.kind.is_repeatable() && may_have_run < request.max_attempts;
+        if may_have_run == 0 || may_run_again {
+            return result;
+        }
+        // A refusal would tell the client that the request has not run.
+        let why = "the configuration allows no further attempt";
+        Err(Box::new(self.error_response(request, StatusCode::BAD_GATEWAY, why)))
+    }
+
+    /// Replaces what an earlier routing table said of a request. `Err` holds the response to a request
+    /// that is no longer allowed.
+    fn update_rules(&self, request: &mut ClientRequest) -> Result<(), Box<Response<Body>>> {
         let routing = self.find_route(clock::now(), &request.http_head, &request.head)?;
         let route = routing.route();
         let services = route.services();
