Refuse queued attempts that a new configuration no longer allows

Callers' requests that waited in an agent's queue started there by the configuration under which they had been placed, however late: on a backend server that their selector had left, or on weights that it had replaced. A queue may be as long as the answers are.

Cause: an agent compares the configurations when an attempt arrives, and checked engine and version, but not the configuration, when one leaves the queue.

An agent that takes over a configuration refuses the queued attempts that it does not allow there, and their entries place them anew. The class is not known to the agent: an attempt is refused only if no class of its team may run there.

--- a/crates/dogwoodway_types/src/config.rs
+++ b/crates/dogwoodway_types/src/config.rs
@@ -259,6 +259,59 @@
         })
     }
 
+    /// Returns whether a backend server may run a chat of a team on these weights, in any traffic class.
+    ///
+    /// ```
+    /// use std::collections::BTreeMap;
+    /// use dogwoodway_types::{
+    ///     BackendServerName, Configuration, ModelName, Selector, SelectorName, TeamName, WeightsVersion,
+    /// };
+    ///
+    /// let model = ModelName::try_from("m").unwrap();
+    /// let selector = Selector {
+    ///     name: SelectorName::try_from("chat").unwrap(),
+    ///     teams: Vec::new(),
+    ///     classes: Vec::new(),
+    ///     model: Some(model.clone()),
+    ///     version: Some(WeightsVersion(2)),
+    ///     labels: BTreeMap::new(),
+    ///     priority: None,
+    /// };
+    /// let mut cfg = Configuration::default();
+    /// cfg.selectors.insert(selector.name.clone(), selector);
+    /// let (team, zone) = (TeamName::try_from("desk").unwrap(), "zone-1".parse().unwrap());
+    /// let server = BackendServerName::try_from("worker-1").unwrap();
+    /// let may_run = |version| {
+    ///     let weights = (&model, WeightsVersion(version));
+    ///     cfg.may_run_on(&team, weights, &server, &zone, &BTreeMap::new())
+    /// };
+    /// assert!(may_run(2) && !may_run(1));
+    /// ```
+    pub fn may_run_on(
+        &self,
+        team: &TeamName,
+        (model, version): (&ModelName, WeightsVersion),
+        server: &BackendServerName,
+        zone: &AvailabilityZone,
+        own_labels: &BTreeMap<String, String>,
+    ) -> bool {
+        for selector in self.selectors.values() {
+            if !selector.applies_to_team(team) || selector.model.as_ref() != Some(model) {
+                continue;
+            }
+            if selector.version.is_none_or(|wanted| wanted == version)
+                && self.is_eligible(selector, server, zone, own_labels)
+            {
+                return true;
+            }
+            // Applies to all classes, so that no later selector applies to any.
+            if selector.classes.is_empty() {
+                return false;
+            }
+        }
+        false
+    }
+
     /// Finds the traffic class of a plain-service call by the longest matching path prefix.
     pub fn class_for_path(&self, path: &str) -> Option<&TrafficClass> {
         let prefix_len = |class: &TrafficClass| {
@@ -274,9 +327,12 @@
 
 impl Selector {
     fn applies_to(&self, team: &TeamName, class: &ClassName, model: Option<&ModelName>) -> bool {
-        let team_matches = self.teams.is_empty() || self.teams.contains(team);
         let class_matches = self.classes.is_empty() || self.classes.contains(class);
-        team_matches && class_matches && self.model.as_ref() == model
+        self.applies_to_team(team) && class_matches && self.model.as_ref() == model
+    }
+
+    fn applies_to_team(&self, team: &TeamName) -> bool {
+        self.teams.is_empty() || self.teams.contains(team)
     }
 }
 
--- a/src/agent/actor.rs
+++ b/src/agent/actor.rs
@@ -209,6 +209,22 @@
         }
     }
 
+    /// Returns the queued attempts that were placed under an earlier configuration and that the one in
+    /// force does not allow here.
+    fn disallowed_attempts(&self) -> Vec<AttemptId> {
+        let AgentSettings { name, zone, labels, .. } = &self.settings;
+        let is_allowed = |req: &StartRequest| match &req.work {
+            Work::Chat(chat) => {
+                let weights = (&chat.model, chat.version);
+                self.config.may_run_on(&req.team, weights, name, zone, labels)
+            }
+            Work::Service(_) => true,
+        };
+        let is_older = |req: &StartRequest| req.config_offset < self.config.offset;
+        let queued = self.queued_requests.iter();
+        queued.filter(|(_, req)| is_older(req) && !is_allowed(req)).map(|(id, _)| *id).collect()
+    }
+
     fn spawn_attempt(&mut self, req: StartRequest, actor: &ActorRef<AgentActor>) {
         let id = req.attempt;
         // A claimed attempt runs to its end, so that its outcome is recorded.
--- a/src/agent/actor/watch.rs
+++ b/src/agent/actor/watch.rs
@@ -4,21 +4,29 @@
 use std::sync::Arc;
 
 use dogwoodway_engine::EngineStatus;
-use dogwoodway_types::{Configuration, LogOffset, Timestamp};
+use dogwoodway_routing::queue::Refusal;
+use dogwoodway_types::{Configuration, LogOffset, NotRunReason, Timestamp};
 use kameo::message::{Context, Message};
 
 use crate::agent::actor::AgentActor;
 
-/// Reports the configuration in force.
+/// Reports the configuration in force. Queued attempts that it no longer allows are refused, so that
+/// their entries place them anew.
 pub(crate) struct ConfigChanged(pub(crate) Arc<Configuration>);
 
 impl Message<ConfigChanged> for AgentActor {
     type Reply = ();
 
-    async fn handle(&mut self, msg: ConfigChanged, _: &mut Context<Self, Self::Reply>) {
-        if msg.0.offset > self.config.offset || self.config.offset == LogOffset(0) {
-            self.config = msg.0;
+    async fn handle(&mut self, msg: ConfigChanged, cx: &mut Context<Self, Self::Reply>) {
+        if msg.0.offset <= self.config.offset && self.config.offset != LogOffset(0) {
+            return;
         }
+        self.config = msg.0;
+        for id in self.disallowed_attempts() {
+            let (reason, retry_at) = (NotRunReason::StaleConfiguration, Timestamp::now());
+            self.refuse(id, Refusal { reason, retry_at });
+        }
+        self.dispatch_queued(cx.actor_ref());
     }
 }
 
--- /dev/null
+++ b/tests/queued_requests.rs
@@ -0,0 +1,64 @@
+//! Requests that wait in an agent's queue while the configuration changes.
+
+mod fleet;
+
+use std::time::Duration;
+
+use dogwoodway_types::ConfigEdit;
+use hyper::Method;
+use serde_json::Value;
+
+use crate::fleet::{Fleet, FleetOptions, chat_body};
+
+const REQUEST_TIMEOUT_MS: u64 = 60_000;
+
+/// Chats that are sent at once; more than an engine runs at a time.
+const CHATS: usize = 20;
+
+/// Tokens of each chat, enough that those of the queue start only after the change.
+const TOKENS: u32 = 300;
+
+/// Publishes that chats run on the backend server in a zone, on any weights.
+async fn select_zone(fleet: &Fleet, zone: &str) {
+    let selector =
+        format!("- !selector {{name: chat, model: demo-model, labels: {{zone: {zone}}}}}");
+    let edits: Vec<ConfigEdit> = serde_yaml_ng::from_str(&selector).unwrap();
+    fleet.publish(&edits).await;
+}
+
+/// Returns how many requests an engine has scheduled.
+async fn scheduled_count(fleet: &Fleet, engine: usize) -> usize {
+    let url = format!("{}/journal", fleet.engines[engine].url());
+    let timeout = Duration::from_millis(REQUEST_TIMEOUT_MS);
+    let journal: Vec<Value> = fleet.http.json(Method::GET, &url, &(), timeout).await.unwrap();
+    journal.iter().filter(|record| record.to_string().contains("cheduled")).count()
+}
+
+// Guards against attempts that start from a queue by a configuration that was replaced meanwhile.
+#[tokio::test]
+async fn queued_request_does_not_start_on_a_server_that_its_selector_has_left() {
+    let options = FleetOptions {
+        engines: 2,
+        services: 0,
+        entries: 1,
+        decode_us: 10_000,
+        ..FleetOptions::default()
+    };
+    let fleet = Fleet::start(options).await;
+    select_zone(&fleet, "zone-0").await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let bodies: Vec<_> = (0..CHATS).map(|i| chat_body(&format!("chat {i}"), TOKENS)).collect();
+    let chats = futures::future::join_all(bodies.iter().map(|body| fleet.chat(0, body)));
+    let change = async {
+        tokio::time::sleep(Duration::from_millis(1_000)).await;
+        select_zone(&fleet, "zone-1").await;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        scheduled_count(&fleet, 0).await
+    };
+    let (replies, count_after_change) = tokio::join!(chats, change);
+    for reply in &replies {
+        assert_eq!(reply.status, 200, "{}", String::from_utf8_lossy(&reply.body));
+    }
+    let started_later = scheduled_count(&fleet, 0).await - count_after_change;
+    assert_eq!(started_later, 0, "chats started on the server that the selector has left");
+}
