Check a caller's key again once the body has arrived

A caller whose key was revoked while its body arrived, up to 30 s after the head, was still served. Cause: the key was checked before the body was read, and not again. The team is now the one that the key has once the body is complete.

--- a/crates/dogwoodway_caller/src/api.rs
+++ b/crates/dogwoodway_caller/src/api.rs
@@ -188,7 +188,9 @@
             }),
         };
         let body = self.read_body(body).await?;
-        Ok((caller, body))
+        // The key may have been revoked while the body arrived.
+        let team = self.authenticate(&parts.headers).await?;
+        Ok((CallerRequest { team, ..caller }, body))
     }
 
     async fn read_body(&self, body: Incoming) -> Result<Bytes, Box<Response<Body>>> {
