--- a/crates/dogwoodway_routing/src/queue.rs
+++ b/crates/dogwoodway_routing/src/queue.rs
@@ -62,6 +62,10 @@
     fn is_long(&self) -> bool {
         self.prefill + self.decode >= LONG_JOB_THRESHOLD
     }
+
+    fn is_too_late(&self, now: Timestamp) -> bool {
+        now + self.prefill + self.decode > self.deadline
+    }
 }
 
 /// Result of [`WorkQueue::offer`].
@@ -174,7 +178,8 @@
         (OfferOutcome::Queued, shed)
     }
 
-    /// Removes and returns the next job to pass to the engine, if any may start now.
+    /// Removes and returns the next job to pass to the engine, if any may start now. Jobs that can no
+    /// longer meet their deadlines are left to [`WorkQueue::expire`].
     ///
     /// `is_cached` returns whether the engine has a piece in its cache.
     pub fn dequeue<F>(&mut self, now: Timestamp, is_cached: F) -> Option<AttemptId>
@@ -184,7 +189,8 @@
         if self.running.len() >= self.limits.max_running {
             return None;
         }
-        let position = *self.waiting.iter().find(|(_, job)| self.may_run(job))?.0;
+        let may_run = |job: &Job| !job.is_too_late(now) && self.may_run(job);
+        let position = *self.waiting.iter().find(|(_, job)| may_run(job))?.0;
         let job = self.waiting.remove(&position)?;
         if !self.is_prefilling() {
             self.prefill_progress_from = now;
@@ -216,8 +222,7 @@
 
     /// Removes and returns the waiting jobs that can no longer meet their deadlines.
     pub fn expire(&mut self, now: Timestamp) -> Vec<(AttemptId, Refusal)> {
-        let is_too_late = |job: &Job| now + job.prefill + job.decode > job.deadline;
-        let expired = self.waiting.extract_if(.., |_, job| is_too_late(job));
+        let expired = self.waiting.extract_if(.., |_, job| job.is_too_late(now));
         expired
             .map(|(_, job)| (job.id, refusal(now, NotRunReason::DeadlinePassed, job.prefill)))
             .collect()
--- a/crates/dogwoodway_routing/tests/queue.rs
+++ b/crates/dogwoodway_routing/tests/queue.rs
@@ -64,7 +64,7 @@
         waiting
     }
 
-    fn dequeue(&mut self, cached: u128) -> Option<AttemptId> {
+    fn dequeue(&mut self, now: Timestamp, cached: u128) -> Option<AttemptId> {
         let running: Vec<_> = self.jobs.iter().filter(|m| m.is_prefilling.is_some()).collect();
         if running.len() >= LIMITS.max_running {
             return None;
@@ -80,7 +80,9 @@
             let has_slot = !is_long(job) || long < LIMITS.max_running * 3 / 4;
             !waits_for_owner && prefills_ahead < MAX_CONCURRENT_PREFILLS && has_slot
         };
-        let id = self.waiting_in_order().into_iter().find(|m| may_run(&m.job))?.job.id;
+        let in_time = |job: &Job| now + job.prefill + job.decode <= job.deadline;
+        let mut waiting = self.waiting_in_order().into_iter();
+        let id = waiting.find(|m| in_time(&m.job) && may_run(&m.job))?.job.id;
         let owned: Vec<_> = running.iter().flat_map(|m| m.computes.clone()).collect();
         let model_job = self.jobs.iter_mut().find(|m| m.job.id == id)?;
         let is_uncached = |p: &PieceHash| p.0 != cached && !owned.contains(p);
@@ -148,7 +150,9 @@
                         });
                     }
                 }
-                Op::Dequeue => prop_assert_eq!(queue.dequeue(now, |p| p.0 == 0), model.dequeue(0)),
+                Op::Dequeue => {
+                    prop_assert_eq!(queue.dequeue(now, |p| p.0 == 0), model.dequeue(now, 0));
+                }
                 Op::PrefillDone(n) => {
                     let id = AttemptId(n as u128);
                     queue.prefill_done(now, id);
@@ -233,3 +237,17 @@
     assert_eq!(queue.dequeue(Timestamp(9), |_| true), Some(AttemptId(1)));
     assert_eq!(queue.dequeue(Timestamp(9), |_| true), Some(AttemptId(2)));
 }
+
+// Guards against jobs that start after their deadline, as after a pause of the process.
+#[test]
+fn job_that_can_no_longer_meet_its_deadline_is_not_dequeued() {
+    let mut queue = WorkQueue::new(LIMITS);
+    let deadline = Timestamp::from_millis(200);
+    queue.offer(Timestamp(0), Job { deadline, ..job(1, 9, 100) });
+    queue.offer(Timestamp(0), job(2, 5, 100));
+    let after_pause = Timestamp::from_millis(150);
+    assert_eq!(queue.dequeue(after_pause, |_| true), Some(AttemptId(2)));
+    assert_eq!(queue.dequeue(after_pause, |_| true), None);
+    let expired: Vec<_> = queue.expire(after_pause).into_iter().map(|(id, _)| id).collect();
+    assert_eq!(expired, [AttemptId(1)]);
+}
