Refuse requests of a team that was removed while they waited

Requests of a team that an operator had removed still started, from an agent's queue or as further attempts: the team was looked up when the key was checked, and selectors without teams match any name. An entry now finds no agent for a team that the configuration does not have, and an agent refuses the queued attempts of one; both end as not run if nothing ran.

--- a/crates/dogwoodway_types/src/config.rs
+++ b/crates/dogwoodway_types/src/config.rs
@@ -264,7 +264,8 @@
     /// ```
     /// use std::collections::BTreeMap;
     /// use dogwoodway_types::{
-    ///     BackendServerName, Configuration, ModelName, Selector, SelectorName, TeamName, WeightsVersion,
+    ///     BackendServerName, Configuration, ModelName, Selector, SelectorName, Team, TeamName,
+    ///     WeightsVersion,
     /// };
     ///
     /// let model = ModelName::try_from("m").unwrap();
@@ -279,11 +280,13 @@
     /// };
     /// let mut cfg = Configuration::default();
     /// cfg.selectors.insert(selector.name.clone(), selector);
-    /// let (team, zone) = (TeamName::try_from("desk").unwrap(), "zone-1".parse().unwrap());
+    /// let (name, zone) = (TeamName::try_from("desk").unwrap(), "zone-1".parse().unwrap());
+    /// let team = Team { name, keys: Vec::new(), tokens_per_minute: 1_000, max_in_flight: 1 };
+    /// cfg.teams.insert(team.name.clone(), team.clone());
     /// let server = BackendServerName::try_from("worker-1").unwrap();
     /// let may_run = |version| {
     ///     let weights = (&model, WeightsVersion(version));
-    ///     cfg.may_run_on(&team, weights, &server, &zone, &BTreeMap::new())
+    ///     cfg.may_run_on(&team.name, weights, &server, &zone, &BTreeMap::new())
     /// };
     /// assert!(may_run(2) && !may_run(1));
     /// ```
@@ -295,6 +298,9 @@
         zone: &AvailabilityZone,
         own_labels: &BTreeMap<String, String>,
     ) -> bool {
+        if !self.teams.contains_key(team) {
+            return false;
+        }
         for selector in self.selectors.values() {
             if !selector.applies_to_team(team) || selector.model.as_ref() != Some(model) {
                 continue;
--- a/src/entry/agent_registry.rs
+++ b/src/entry/agent_registry.rs
@@ -266,8 +266,8 @@
     }
 }
 
-/// Query for the agents that may run a request; the reply is `None` if there is no configuration or
-/// no selector applies.
+/// Query for the agents that may run a request; the reply is `None` if there is no configuration, the
+/// team has been removed or no selector applies.
 pub(crate) struct FindEligible {
     pub(crate) team: TeamName,
     pub(crate) class: ClassName,
@@ -302,6 +302,7 @@
         _: &mut Context<Self, Self::Reply>,
     ) -> Self::Reply {
         let cfg = self.config.borrow().clone()?;
+        cfg.teams.get(&msg.team)?;
         let selector = cfg.selector_for(&msg.team, &msg.class, msg.model.as_ref())?;
         let class_priority = cfg.classes.get(&msg.class).map(|class| class.priority);
         let priority = selector.priority.or(class_priority).unwrap_or_default();
--- a/tests/queued_requests.rs
+++ b/tests/queued_requests.rs
@@ -34,9 +34,7 @@
     journal.iter().filter(|record| record.to_string().contains("cheduled")).count()
 }
 
-// Guards against attempts that start from a queue by a configuration that was replaced meanwhile.
-#[tokio::test]
-async fn queued_request_does_not_start_on_a_server_that_its_selector_has_left() {
+async fn start_fleet() -> Fleet {
     let options = FleetOptions {
         engines: 2,
         services: 0,
@@ -44,10 +42,20 @@
         decode_us: 10_000,
         ..FleetOptions::default()
     };
-    let fleet = Fleet::start(options).await;
+    Fleet::start(options).await
+}
+
+fn long_chats() -> Vec<Value> {
+    (0..CHATS).map(|i| chat_body(&format!("chat {i}"), TOKENS)).collect()
+}
+
+// Guards against attempts that start from a queue by a configuration that was replaced meanwhile.
+#[tokio::test]
+async fn queued_request_does_not_start_on_a_server_that_its_selector_has_left() {
+    let fleet = start_fleet().await;
     select_zone(&fleet, "zone-0").await;
     tokio::time::sleep(Duration::from_millis(500)).await;
-    let bodies: Vec<_> = (0..CHATS).map(|i| chat_body(&format!("chat {i}"), TOKENS)).collect();
+    let bodies = long_chats();
     let chats = futures::future::join_all(bodies.iter().map(|body| fleet.chat(0, body)));
     let change = async {
         tokio::time::sleep(Duration::from_millis(1_000)).await;
@@ -62,3 +70,30 @@
     let started_later = scheduled_count(&fleet, 0).await - count_after_change;
     assert_eq!(started_later, 0, "chats started on the server that the selector has left");
 }
+
+// Guards against attempts that start from a queue though their team has been removed meanwhile.
+#[tokio::test]
+async fn queued_request_of_a_removed_team_does_not_start() {
+    let fleet = start_fleet().await;
+    select_zone(&fleet, "zone-0").await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let bodies = long_chats();
+    let chats = futures::future::join_all(bodies.iter().map(|body| fleet.chat(0, body)));
+    let change = async {
+        tokio::time::sleep(Duration::from_millis(1_000)).await;
+        let edit = "- !remove {kind: team, name: demo}";
+        let edits: Vec<ConfigEdit> = serde_yaml_ng::from_str(edit).unwrap();
+        fleet.publish(&edits).await;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        scheduled_count(&fleet, 0).await
+    };
+    let (replies, count_after_change) = tokio::join!(chats, change);
+    let started_later = scheduled_count(&fleet, 0).await - count_after_change;
+    assert_eq!(started_later, 0, "chats of the removed team started");
+    let refused: Vec<_> = replies.iter().filter(|reply| reply.status != 200).collect();
+    assert!(!refused.is_empty());
+    for reply in refused {
+        let answer: Value = serde_json::from_slice(&reply.body).unwrap();
+        assert_eq!(answer["error"]["type"], "not-run", "{answer}");
+    }
+}
