End connections of silent peers only, not of peers that read slowly

Servers that paused for 10 s in a long body lost it after 6 s; the caller got 502.

Cause: TCP_USER_TIMEOUT was set to the time for which a peer may be silent. The kernel applies it also to a peer whose window is closed, although that peer answers each probe.

WatchedStream reads TCP_INFO while data is unacknowledged, and ends a connection only if the kernel has repeated something for the whole timeout and nothing was acknowledged in it. Probes come at least every quarter of the timeout (TCP_RTO_MAX_MS), so that silence in a long pause is found as well. Keep-alive probes go on finding silent peers of other connections. A socket whose state cannot be read keeps TCP_USER_TIMEOUT.

Moving TCP_USER_TIMEOUT on while acknowledgements come was tried first: the trickling client was still reset.

--- a/crates/dogwoodway_gateway/src/connection.rs
+++ b/crates/dogwoodway_gateway/src/connection.rs
@@ -14,7 +14,7 @@
 };
 
 use bytes::Bytes;
-use dogwoodway_http::set_silence_timeout;
+use dogwoodway_http::WatchedStream;
 use dogwoodway_routing::direct::process_end::ProbeResult;
 use dogwoodway_types::Timestamp;
 use http_body_util::Full;
@@ -40,7 +40,8 @@
 const CONNECT_TIMEOUT_MS: u64 = 200;
 
 /// Time without any packet from the peer after which a connection is closed, in milliseconds.
-/// Longer than network disturbances after which responses still arrive.
+/// Longer than network disturbances after which responses still arrive. A server that reads slowly is
+/// not silent: its request's deadline limits it.
 const SILENCE_TIMEOUT_MS: u64 = 6_000;
 
 /// Largest response head that is accepted, in bytes; also the size of the read buffer.
@@ -70,7 +71,7 @@
         let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
         let stream = tokio::time::timeout(limit, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
-        set_silence_timeout(&stream, Duration::from_millis(SILENCE_TIMEOUT_MS))?;
+        let stream = WatchedStream::new(stream, Duration::from_millis(SILENCE_TIMEOUT_MS))?;
         let is_unanswered = Arc::new(AtomicBool::new(false));
         let socket = Socket { stream, is_unanswered: is_unanswered.clone() };
         let (sender, conn) = http1::Builder::new()
@@ -150,10 +151,10 @@
 
 /// Socket of a connection, reset if it is closed while a request is unanswered.
 ///
-/// After an orderly close, the kernel goes on delivering what was sent for [`SILENCE_TIMEOUT_MS`].
+/// After an orderly close, the kernel goes on delivering what was sent.
 #[derive(Debug)]
 struct Socket {
-    stream: TcpStream,
+    stream: WatchedStream,
     is_unanswered: Arc<AtomicBool>,
 }
 
--- a/crates/dogwoodway_http/src/lib.rs
+++ b/crates/dogwoodway_http/src/lib.rs
@@ -7,6 +7,7 @@
 mod client;
 mod framing;
 mod server;
+mod silence;
 mod sse;
 
 pub use crate::{
@@ -16,6 +17,7 @@
     },
     client::{ClientLimits, HttpClient, HttpError, HttpResponse},
     framing::BodyFraming,
-    server::{Handler, ServerLimits, serve, serve_with_dynamic_limits, set_silence_timeout},
+    server::{Handler, ServerLimits, serve, serve_with_dynamic_limits},
+    silence::WatchedStream,
     sse::{EventScanner, EventSplitter, EventStreamError, SseReader, StreamPosition, sse_event},
 };
--- a/crates/dogwoodway_http/src/server.rs
+++ b/crates/dogwoodway_http/src/server.rs
@@ -8,13 +8,12 @@
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
 };
-use socket2::{SockRef, TcpKeepalive};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::Semaphore,
 };
 
-use crate::Body;
+use crate::{Body, WatchedStream};
 
 /// Handles one request and returns its response.
 pub type Handler =
@@ -30,7 +29,7 @@
     /// Maximum size of the head of a request, in bytes.
     pub max_header_bytes: usize,
     /// Time without any packet from the client after which a connection is closed, in
-    /// milliseconds; `None` for no limit.
+    /// milliseconds; `None` for no limit. A client that reads slowly is not silent.
     pub silence_timeout_ms: Option<u64>,
 }
 
@@ -91,9 +90,13 @@
             }
         };
         let limits = limits();
-        if let Err(e) = set_socket_options(&stream, &limits) {
-            log::debug!("failed to set socket options of a connection: {e}");
-        }
+        let stream = match watched(stream, &limits) {
+            Ok(stream) => stream,
+            Err(e) => {
+                log::debug!("failed to set socket options of a connection: {e}");
+                continue;
+            }
+        };
         let handler = handler.clone();
         let service = service_fn(move |req| {
             let response = handler(req);
@@ -116,21 +119,10 @@
     graceful.shutdown().await;
 }
 
-fn set_socket_options(stream: &TcpStream, limits: &ServerLimits) -> std::io::Result<()> {
+fn watched(stream: TcpStream, limits: &ServerLimits) -> std::io::Result<WatchedStream> {
     stream.set_nodelay(true)?;
     match limits.silence_timeout_ms {
-        Some(ms) => set_silence_timeout(stream, Duration::from_millis(ms)),
-        None => Ok(()),
+        Some(ms) => WatchedStream::new(stream, Duration::from_millis(ms)),
+        None => Ok(WatchedStream::unwatched(stream)),
     }
 }
-
-/// Makes the kernel close a connection on which no packet has arrived for `timeout`.
-///
-/// TCP keep-alive probes are sent on an idle connection, so a live peer that has nothing to send
-/// still responds to them. The TCP user timeout covers data that the peer does not acknowledge.
-pub fn set_silence_timeout(stream: &TcpStream, timeout: Duration) -> std::io::Result<()> {
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(timeout))?;
-    let keepalive = TcpKeepalive::new().with_time(timeout / 2).with_interval(timeout / 2);
-    socket.set_tcp_keepalive(&keepalive.with_retries(1))
-}
