Excuse a request whose crashes another one explains

Callers of sound requests got 503 "quarantined" for minutes: the request had run beside a crashing one in two crashes, or behind a relay in three, and was not answered between them. Nothing on the platform's path keeps two suspects from one server, on which the quarantine relies.

Hypotheses: each crash counts in full against all its requests, though the log tells every router which they were (confirmed); an answer at one router does not reach the other in time (not seen).

Why it works: the log has all requests of each crash, so a crash is attributed to the request in the most of them; a draw takes one crash more. The request in the most crashes is never excused, so the crashing one still stops.

--- a/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
@@ -14,6 +14,7 @@
 };
 
 use dogwoodway_routing::{
+    crash_attribution::CrashAttribution,
     direct::{
         fleet::BackendKey,
         process_end::{EndSign, ProbeHistory, ProbeResult},
@@ -133,6 +134,8 @@
 /// Crashes recorded by this router and by others, and the suspects of this one.
 pub(super) struct CrashTracker {
     quarantine: Quarantine,
+    /// Which of the requests of each crash is to blame. Nothing keeps two suspects from one server.
+    attribution: CrashAttribution,
     /// Whether any crash was ever recorded. Shared with the request path, which reads it without
     /// asking the actor.
     is_in_use: Arc<AtomicBool>,
@@ -156,6 +159,7 @@
         let quarantine = Quarantine::new(MAX_QUARANTINED);
         CrashTracker {
             quarantine,
+            attribution: CrashAttribution::default(),
             is_in_use,
             suspects: Vec::new(),
             probes: SecondaryMap::new(),
@@ -174,11 +178,18 @@
         fingerprint: &RequestFingerprint,
     ) -> Option<Timestamp> {
         match self.quarantine.status(now, fingerprint) {
-            QuarantineStatus::Quarantined { until } => Some(until),
+            QuarantineStatus::Quarantined { until } => {
+                (!self.is_excused(fingerprint)).then_some(until)
+            }
             QuarantineStatus::Suspect | QuarantineStatus::Clear => None,
         }
     }
 
+    /// Returns whether other requests explain the crashes of a request.
+    fn is_excused(&self, fingerprint: &RequestFingerprint) -> bool {
+        self.attribution.is_excused(fingerprint, self.quarantine.excess_crashes(fingerprint))
+    }
+
     /// Adds a request whose connection was lost, in case its server has crashed, unless the process had
     /// ended before the request was sent. Returns whether the process is known to have ended.
     pub(super) fn add_suspect(
@@ -345,7 +356,8 @@
     /// have had another cause.
     pub(super) fn record_response(&mut self, now: Timestamp, fingerprint: RequestFingerprint) {
         self.quarantine.remember_answer(now, fingerprint);
-        if self.quarantine.record_answer(&fingerprint) {
+        let was_in_crash = self.attribution.record_answer(&fingerprint);
+        if self.quarantine.record_answer(&fingerprint) || was_in_crash {
             self.publish(FingerprintEvent::Answered(fingerprint));
         }
     }
@@ -354,15 +366,19 @@
     pub(super) fn apply(&mut self, now: Timestamp, event: &FingerprintEvent) {
         match event {
             FingerprintEvent::Crashed(report) => {
-                self.quarantine.record_crash(now, report.fingerprint, report.incarnation());
+                let (fingerprint, engine) = (report.fingerprint, report.incarnation());
+                self.attribution.record_crash(now, fingerprint, engine);
+                self.quarantine.record_crash(now, fingerprint, engine);
                 self.log_crash(now, report, true);
             }
             FingerprintEvent::PossiblyCrashed { report, lost_at } => {
                 let (fingerprint, engine) = (report.fingerprint, report.incarnation());
+                self.attribution.record_crash(now, fingerprint, engine);
                 self.quarantine.record_uncertain_crash(now, *lost_at, fingerprint, engine);
                 self.log_crash(now, report, false);
             }
             FingerprintEvent::Answered(fingerprint) => {
+                self.attribution.record_answer(fingerprint);
                 self.quarantine.record_answer(fingerprint);
             }
         }
@@ -372,7 +388,8 @@
         self.is_in_use.store(true, Ordering::Relaxed);
         log::info!(
             fingerprint:? = report.fingerprint, server:% = report.server, is_certain = is_certain,
-            outcome:? = self.quarantine.status(now, &report.fingerprint);
+            outcome:? = self.quarantine.status(now, &report.fingerprint),
+            is_excused = self.is_excused(&report.fingerprint);
             "a backend server crashed while it ran a request"
         );
     }
--- a/crates/dogwoodway_routing/src/lib.rs
+++ b/crates/dogwoodway_routing/src/lib.rs
@@ -12,6 +12,7 @@
 #[cfg(feature = "baselines")]
 pub mod baseline;
 pub mod budget;
+pub mod crash_attribution;
 pub mod direct;
 pub mod drain;
 pub mod membership;
--- a/crates/dogwoodway_routing/src/quarantine.rs
+++ b/crates/dogwoodway_routing/src/quarantine.rs
@@ -73,17 +73,21 @@
         !self.crashed_engines.is_empty() || !self.uncertain_engines.is_empty()
     }
 
-    /// Updates the quarantine after a further crash at `at`.
-    fn update(&mut self, at: Timestamp) {
-        self.expires_at = self.expires_at.max(at + SUSPICION_PERIOD);
+    /// Returns the number of crashes beyond those for which the request is quarantined; `None` if there
+    /// are fewer.
+    fn excess(&self) -> Option<usize> {
         let certain = self.crashed_engines.len();
         let threshold = match certain >= CRASH_THRESHOLD {
             true => CRASH_THRESHOLD,
             false => UNCERTAIN_CRASH_THRESHOLD,
         };
-        let Some(excess) = (certain + self.uncertain_engines.len()).checked_sub(threshold) else {
-            return;
-        };
+        (certain + self.uncertain_engines.len()).checked_sub(threshold)
+    }
+
+    /// Updates the quarantine after a further crash at `at`.
+    fn update(&mut self, at: Timestamp) {
+        self.expires_at = self.expires_at.max(at + SUSPICION_PERIOD);
+        let Some(excess) = self.excess() else { return };
         let doublings = u32::try_from(excess).unwrap_or(u32::MAX).min(MAX_DOUBLINGS);
         self.quarantined_until = at + INITIAL_QUARANTINE * (1 << doublings);
         self.expires_at = self.quarantined_until + SUSPICION_PERIOD;
@@ -263,6 +267,25 @@
         }
     }
 
+    /// Returns the number of crashes of a request beyond those for which it is quarantined, 0 if it has
+    /// no more.
+    ///
+    /// ```
+    /// use dogwoodway_routing::quarantine::Quarantine;
+    /// use dogwoodway_types::{EngineIncarnation, RequestFingerprint, TeamName, Timestamp};
+    ///
+    /// let team = TeamName::try_from("demo").unwrap();
+    /// let request = RequestFingerprint::new(&team, &[b"compare"]);
+    /// let mut quarantine = Quarantine::new(100);
+    /// for n in 1..=3 {
+    ///     quarantine.record_crash(Timestamp(0), request, EngineIncarnation(n));
+    /// }
+    /// assert_eq!(quarantine.excess_crashes(&request), 1);
+    /// ```
+    pub fn excess_crashes(&self, request: &RequestFingerprint) -> usize {
+        self.records.get(request).and_then(Record::excess).unwrap_or(0)
+    }
+
     /// Returns the number of requests that are quarantined at `now`.
     pub fn quarantined(&self, now: Timestamp) -> usize {
         self.records.values().filter(|record| record.quarantined_until > now).count()
