Try a probable cause of crashes at intervals, and count begun answers as running

Callers of sound requests got 503 "no-backend-server" for seconds behind a relay: the crashing request took down each server that came back, in runs less than 500 ms apart, of which only one counts, and it was sent to a second server at once after each crash.

Cause: while crashes are too few to refuse a request, nothing restrained it; and a crash behind a relay was uncertain also for a stream that had begun, though its answer shows that the process was running then.

The pure test does not compile before; the function that it asks is new.

Why it works: a run that could not count against the request is refused until it can, for at most 500 ms after a crash or a try; an answer lifts it. Streams need two crashes behind relays too.

--- a/crates/dogwoodway_gateway/src/fleet_actor/attempts.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/attempts.rs
@@ -72,7 +72,8 @@
     ) -> PlacementReply {
         let now = clock::now();
         if let Some(fingerprint) = msg.fingerprint
-            && let Some(until) = self.crash_tracker.quarantined_until(now, &fingerprint)
+            && let Some(until) =
+                self.crash_tracker.refused_until(now, &fingerprint, msg.may_have_run)
         {
             return PlacementReply::Refused(Refusal {
                 reason: NotRunReason::Quarantined,
@@ -109,6 +110,9 @@
                 if let PartStatus::Trial(part) = part_status {
                     self.part_evidence.start_trial(now, part);
                 }
+                if let Some(fingerprint) = msg.fingerprint {
+                    self.crash_tracker.record_try(now, fingerprint);
+                }
                 self.loads_changed.notify_one();
                 let connection = self.take_idle(now, placement.server);
                 let lost = self.subscribe_lost(placement.server);
--- a/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
@@ -171,18 +171,26 @@
     }
 
     /// Returns until when a request must not run, or `None` if it may run now. A suspected request
-    /// may run.
-    pub(super) fn quarantined_until(
+    /// may run. One that has probably crashed servers is not sent again after it was lost, and else at
+    /// intervals: more of its runs would crash servers before the quarantine can tell.
+    pub(super) fn refused_until(
         &self,
         now: Timestamp,
         fingerprint: &RequestFingerprint,
+        may_have_run: bool,
     ) -> Option<Timestamp> {
-        match self.quarantine.status(now, fingerprint) {
-            QuarantineStatus::Quarantined { until } => {
-                (!self.is_excused(fingerprint)).then_some(until)
-            }
-            QuarantineStatus::Suspect | QuarantineStatus::Clear => None,
+        if let QuarantineStatus::Quarantined { until } = self.quarantine.status(now, fingerprint)
+            && !self.is_excused(fingerprint)
+        {
+            return Some(until);
         }
+        let next_try_at = self.attribution.next_try_at(fingerprint)?;
+        (may_have_run || next_try_at > now).then_some(next_try_at.max(now))
+    }
+
+    /// Records that a request is sent to a server.
+    pub(super) fn record_try(&mut self, now: Timestamp, fingerprint: RequestFingerprint) {
+        self.attribution.record_try(now, fingerprint);
     }
 
     /// Returns whether other requests explain the crashes of a request.
@@ -298,8 +306,8 @@
     }
 
     /// Records that a process has ended, which is a crash for all requests that it may have been
-    /// running. Unless connections were refused from its end on, some of them may have been sent later,
-    /// and the crash is uncertain. Returns the crash with the answers that it had begun, or `None` if it
+    /// running. Unless connections were refused from its end on, those whose answer had not begun may
+    /// have been sent later, and the crash is uncertain for them. Returns the crash with the answers that it had begun, or `None` if it
     /// had no request of this router.
     pub(super) fn confirm_crash(
         &mut self,
@@ -308,7 +316,7 @@
         started_at_ms: u64,
         sign: EndSign,
     ) -> Option<EngineCrash> {
-        let is_certain = sign.excludes_later_requests();
+        let excludes_later = sign.excludes_later_requests();
         self.ended.retain(|ended| ended.until > now);
         if self.ended.len() >= MAX_SUSPECTS {
             self.ended.pop_front();
@@ -336,9 +344,10 @@
         for suspect in confirmed {
             suspect.log();
             crash.merge(&EngineCrash { engine, crashed_at, runs: suspect.runs(crashed_at) });
+            let was_running = excludes_later || suspect.request.answer_started_at.is_some();
             // It was more likely beside the request that crashed the server, or came after that.
             let is_certain =
-                is_certain && !self.quarantine.was_answered(now, &suspect.report.fingerprint);
+                was_running && !self.quarantine.was_answered(now, &suspect.report.fingerprint);
             let event = match is_certain {
                 true => FingerprintEvent::Crashed(suspect.report),
                 false => FingerprintEvent::PossiblyCrashed {
--- a/crates/dogwoodway_routing/src/crash_attribution.rs
+++ b/crates/dogwoodway_routing/src/crash_attribution.rs
@@ -11,6 +11,10 @@
 //! - *A draw takes one crash more.* Two requests that were in exactly the same crashes are only blamed
 //!   after a further one, which mostly tells them apart.
 //!
+//! A request that has probably caused crashes, but not enough of them that are certain, is tried at
+//! intervals: further runs until then could only crash servers, as crashes that follow closely do not
+//! count.
+//!
 //! The request in the most crashes is never excused by another one, so that of several that crash
 //! engines one after the other is blamed, each for crashes that those before it do not explain.
 //! The result depends on the set of reports only, so that routers which read them in different orders
@@ -20,7 +24,7 @@
 
 use dogwoodway_types::{EngineIncarnation, RequestFingerprint, Timestamp};
 
-use crate::quarantine::{CRASH_THRESHOLD, SUSPICION_PERIOD};
+use crate::quarantine::{CRASH_THRESHOLD, SUSPICION_PERIOD, UNCERTAIN_SPACING};
 
 /// Maximum number of crashes that are remembered.
 const MAX_CRASHES: usize = 128;
@@ -68,6 +72,8 @@
     crashes: VecDeque<Crash>,
     /// Number of crashes of which each request is a suspect, at least 1.
     counts: HashMap<RequestFingerprint, usize>,
+    /// When probable causes were last sent to a server.
+    tried_at: HashMap<RequestFingerprint, Timestamp>,
 }
 
 impl CrashAttribution {
@@ -118,6 +124,7 @@
         for (_, was_answered) in requests.filter(|(known, _)| known == request) {
             *was_answered = true;
         }
+        self.tried_at.remove(request);
         self.counts.remove(request).is_some()
     }
 
@@ -136,18 +143,79 @@
     /// assert!(!attribution.is_excused(&request, 0));
     /// ```
     pub fn is_excused(&self, request: &RequestFingerprint, excess: usize) -> bool {
-        let Some(count) = self.counts.get(request).copied() else { return false };
-        let count_of = |other: &RequestFingerprint| self.counts.get(other).copied().unwrap_or(0);
-        let (mut unexplained, mut drawn) = (0, HashMap::new());
-        for crash in self.crashes.iter().filter(|crash| crash.suspects().any(|r| r == request)) {
-            let others = || crash.suspects().filter(|other| *other != request);
-            unexplained += usize::from(!others().any(|other| count_of(other) > count));
-            for other in others().filter(|other| count_of(other) == count) {
-                *drawn.entry(other).or_insert(0) += 1;
+        let count = self.count(request);
+        if count == 0 {
+            return false;
+        }
+        let mut drawn = HashMap::new();
+        for crash in self.crashes_of(request) {
+            for other in crash.suspects().filter(|other| *other != request) {
+                if self.count(other) == count {
+                    *drawn.entry(other).or_insert(0) += 1;
+                }
             }
         }
         let is_draw = drawn.values().any(|shared| *shared == count);
-        unexplained < CRASH_THRESHOLD || (is_draw && excess == 0)
+        !self.is_likely_cause(request) || (is_draw && excess == 0)
+    }
+
+    /// Returns whether a request was in several crashes that no other one explains.
+    ///
+    /// ```
+    /// use dogwoodway_routing::crash_attribution::CrashAttribution;
+    /// use dogwoodway_types::{EngineIncarnation, RequestFingerprint, TeamName, Timestamp};
+    ///
+    /// let team = TeamName::try_from("demo").unwrap();
+    /// let request = RequestFingerprint::new(&team, &[b"bad"]);
+    /// let mut attribution = CrashAttribution::default();
+    /// attribution.record_crash(Timestamp(0), request, EngineIncarnation(1));
+    /// assert!(!attribution.is_likely_cause(&request));
+    /// attribution.record_crash(Timestamp(0), request, EngineIncarnation(2));
+    /// assert!(attribution.is_likely_cause(&request));
+    /// ```
+    pub fn is_likely_cause(&self, request: &RequestFingerprint) -> bool {
+        let count = self.count(request);
+        let is_unexplained = |crash: &&Crash| crash.suspects().all(|r| self.count(r) <= count);
+        self.crashes_of(request).filter(is_unexplained).count() >= CRASH_THRESHOLD
+    }
+
+    /// Records that a request is sent to a server, which matters if it is a probable cause.
+    pub fn record_try(&mut self, now: Timestamp, request: RequestFingerprint) {
+        if self.is_likely_cause(&request) {
+            self.tried_at.retain(|tried, _| self.counts.contains_key(tried));
+            self.tried_at.insert(request, now);
+        }
+    }
+
+    /// Returns when a request may run next that has probably caused crashes; absent for others.
+    ///
+    /// ```
+    /// use dogwoodway_routing::{crash_attribution::CrashAttribution, quarantine::UNCERTAIN_SPACING};
+    /// use dogwoodway_types::{EngineIncarnation, RequestFingerprint, TeamName, Timestamp};
+    ///
+    /// let team = TeamName::try_from("demo").unwrap();
+    /// let request = RequestFingerprint::new(&team, &[b"bad"]);
+    /// let mut attribution = CrashAttribution::default();
+    /// attribution.record_crash(Timestamp(0), request, EngineIncarnation(1));
+    /// assert_eq!(attribution.next_try_at(&request), None);
+    /// attribution.record_crash(Timestamp(0), request, EngineIncarnation(2));
+    /// assert_eq!(attribution.next_try_at(&request), Some(Timestamp(0) + UNCERTAIN_SPACING));
+    /// ```
+    pub fn next_try_at(&self, request: &RequestFingerprint) -> Option<Timestamp> {
+        if !self.is_likely_cause(request) {
+            return None;
+        }
+        let reported = self.crashes_of(request).map(|crash| crash.reported_at);
+        let last = reported.chain(self.tried_at.get(request).copied()).max()?;
+        Some(last + UNCERTAIN_SPACING)
+    }
+
+    fn crashes_of(&self, request: &RequestFingerprint) -> impl Iterator<Item = &Crash> {
+        self.crashes.iter().filter(move |crash| crash.suspects().any(|r| r == request))
+    }
+
+    fn count(&self, request: &RequestFingerprint) -> usize {
+        self.counts.get(request).copied().unwrap_or(0)
     }
 }
 
--- a/crates/dogwoodway_routing/src/quarantine.rs
+++ b/crates/dogwoodway_routing/src/quarantine.rs
@@ -30,8 +30,9 @@
 /// ended before it was sent.
 pub const UNCERTAIN_CRASH_THRESHOLD: usize = 3;
 
-/// Time after a crash in which an uncertain one does not count.
-const UNCERTAIN_SPACING: Duration = Duration::from_millis(500);
+/// Time after a crash in which an uncertain one does not count. Runs of a request that has probably
+/// caused it show nothing in that time.
+pub const UNCERTAIN_SPACING: Duration = Duration::from_millis(500);
 
 /// Time after an answer to a request in which an uncertain crash does not count against it.
 const ANSWER_VALIDITY: Duration = Duration::from_secs(5);
--- a/crates/dogwoodway_routing/tests/crash_attribution.rs
+++ b/crates/dogwoodway_routing/tests/crash_attribution.rs
@@ -2,7 +2,7 @@
 
 use dogwoodway_routing::{
     crash_attribution::CrashAttribution,
-    quarantine::{Quarantine, QuarantineStatus},
+    quarantine::{Quarantine, QuarantineStatus, UNCERTAIN_SPACING},
 };
 use dogwoodway_types::{EngineIncarnation, RequestFingerprint, TeamName, Timestamp};
 use rand::{RngExt, SeedableRng, rngs::StdRng, seq::SliceRandom};
@@ -152,3 +152,21 @@
     assert!(!attribution.record_answer(&request(0)));
     assert!(!attribution.is_excused(&request(1), 0));
 }
+
+// A probable cause crashed each server that came back, in runs that follow too closely to count.
+#[test]
+fn probable_cause_is_tried_at_intervals_until_it_is_answered() {
+    let mut attribution = CrashAttribution::default();
+    let at = Timestamp::from_millis;
+    for n in 1..=2 {
+        attribution.record_crash(at(100 * n), request(0), EngineIncarnation(n));
+        attribution.record_crash(at(100 * n), request(1), EngineIncarnation(n));
+    }
+    attribution.record_crash(at(300), request(0), EngineIncarnation(3));
+    attribution.record_try(at(900), request(0));
+    attribution.record_try(at(900), request(1));
+    assert_eq!(attribution.next_try_at(&request(0)), Some(at(900) + UNCERTAIN_SPACING));
+    assert_eq!(attribution.next_try_at(&request(1)), None);
+    attribution.record_answer(&request(0));
+    assert_eq!(attribution.next_try_at(&request(0)), None);
+}
