Suspect a request whose client leaves a stream that fell silent

Callers of sound requests lost their servers, one every 1.6 s, while a stream that silenced its machines was sent again and again: its client left before the loss was noticed, the attempt ended without a sign, and the request was never suspected, though another server was listed at the address later.

Cause: an attempt whose client left said nothing, whatever its server had been doing.

Why it works: a begun answer that was silent for 500 ms when its client left is kept as a suspicion, as after a lost connection. It counts only once the process is known to have ended, and bytes from the server lift it.

--- a/crates/dogwoodway_gateway/src/fleet_actor/attempts.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/attempts.rs
@@ -170,6 +170,8 @@
     pub(crate) sent_at: Timestamp,
     /// When the server began to answer; absent if it did not.
     pub(crate) answer_started_at: Option<Timestamp>,
+    /// Whether its client left while the server was silent, so that its connection was not lost.
+    pub(crate) was_abandoned: bool,
 }
 
 /// Ends an attempt and releases its place in the fleet.
@@ -184,11 +186,31 @@
     pub(crate) signal: Option<HealthSignal>,
     /// The connection, if it can be reused.
     pub(crate) connection: Option<Connection>,
-    /// Present if the connection was lost, or while requests are tracked for crashes.
+    /// Present if the connection was lost, if the client left while the server was silent, or while
+    /// requests are tracked for crashes.
     pub(crate) fingerprint: Option<RequestFingerprint>,
     pub(crate) request: AttemptedRequest,
 }
 
+impl FleetActor {
+    /// Records that a request may have crashed its server.
+    fn add_suspect(
+        &mut self,
+        now: Timestamp,
+        key: BackendKey,
+        process: ServerProcess,
+        fingerprint: RequestFingerprint,
+        request: AttemptedRequest,
+    ) {
+        let started_at_ms = process.started_at_ms;
+        let is_known_ended =
+            self.crash_tracker.add_suspect(now, key, process, fingerprint, request);
+        if is_known_ended || self.fleet.has_process_ended(key, started_at_ms) {
+            self.confirm_crash(now, key, started_at_ms, EndSign::KnownBefore);
+        }
+    }
+}
+
 impl Message<EndAttempt> for FleetActor {
     type Reply = ();
 
@@ -207,16 +229,16 @@
             Some(HealthSignal::ConnectionRejected) => self.probe(msg.server, cx.actor_ref()),
             Some(HealthSignal::ConnectionLost) => {
                 if let Some(fingerprint) = msg.fingerprint {
-                    let (key, started_at_ms) = (msg.server, msg.process.started_at_ms);
-                    let request = msg.request;
-                    let is_known_ended =
-                        self.crash_tracker.add_suspect(now, key, msg.process, fingerprint, request);
-                    if is_known_ended || self.fleet.has_process_ended(key, started_at_ms) {
-                        self.confirm_crash(now, key, started_at_ms, EndSign::KnownBefore);
-                    }
+                    self.add_suspect(now, msg.server, msg.process, fingerprint, msg.request);
                 }
                 self.probe(msg.server, cx.actor_ref());
             }
+            None => {
+                if let Some(fingerprint) = msg.fingerprint {
+                    self.add_suspect(now, msg.server, msg.process, fingerprint, msg.request);
+                    self.probe(msg.server, cx.actor_ref());
+                }
+            }
             Some(signal @ (HealthSignal::Answered | HealthSignal::Failed)) => {
                 self.crash_tracker.record_service(msg.server);
                 let AttemptedRequest { shared_parts, answer_started_at, .. } = msg.request;
--- a/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
@@ -262,8 +262,10 @@
     }
 
     /// Records that a server serves, so that connections lost earlier say nothing about later ones.
+    /// Neither does a client that left before then. A connection alone may be to the next process.
     pub(super) fn record_service(&mut self, key: BackendKey) {
         self.first_lost.remove(key);
+        self.suspects.retain(|suspect| suspect.key != key || !suspect.request.was_abandoned);
     }
 
     /// Returns whether requests are suspected of having crashed a server.
@@ -281,7 +283,7 @@
         if result == ProbeResult::Open {
             let accepts_after_end = Duration::from_millis(ACCEPTS_AFTER_END_MS);
             if self.first_lost.get(key).is_some_and(|lost_at| now - *lost_at >= accepts_after_end) {
-                self.record_service(key);
+                self.first_lost.remove(key);
             }
             self.ended.retain(|ended| ended.key != key);
             if let Some(generation) = self.generations.get_mut(key)
--- a/crates/dogwoodway_gateway/src/stream.rs
+++ b/crates/dogwoodway_gateway/src/stream.rs
@@ -35,6 +35,10 @@
 /// Least time between two reports of received bytes for one response, in milliseconds.
 const ACTIVITY_INTERVAL_MS: u64 = 150;
 
+/// Time without bytes after which a client that leaves a stream may do so because the server's machine
+/// fell silent, in milliseconds; some intervals between the events of a stream.
+const ABANDONED_SILENCE_MS: u64 = 500;
+
 /// Time after its deadline for which a client may still take up a stream, in milliseconds; its clock
 /// started earlier than the router's.
 const RESUMPTION_MARGIN_MS: u64 = 1_000;
@@ -92,6 +96,7 @@
                 shared_parts: request.shared_parts.clone(),
                 sent_at: clock::now(),
                 answer_started_at: None,
+                was_abandoned: false,
             },
             has_output: false,
             activity_reported_at: clock::now(),
@@ -172,6 +177,19 @@
         self.signal = signal;
     }
 
+    /// Ends an attempt whose client has left while the server, which had begun to answer, was silent.
+    /// The fingerprint counts against the request if the server turns out to have crashed.
+    fn abandon(mut self, fingerprint: Option<RequestFingerprint>) {
+        self.request.was_abandoned = true;
+        self.fingerprint = fingerprint;
+    }
+
+    /// Returns whether the server has begun to answer and then sent nothing for long.
+    fn is_silent(&self) -> bool {
+        let silence = clock::now() - self.activity_reported_at;
+        self.has_output && silence >= Duration::from_millis(ABANDONED_SILENCE_MS)
+    }
+
     /// Ends an attempt whose connection was lost. The fingerprint counts against the request if the
     /// server turns out to have crashed.
     pub(crate) fn connection_lost(mut self, fingerprint: Option<RequestFingerprint>) {
@@ -201,6 +219,14 @@
     }
 }
 
+impl Drop for ResponseStream {
+    fn drop(&mut self) {
+        if let Some(guard) = self.guard.take_if(|guard| guard.is_silent()) {
+            guard.abandon(self.request.fingerprint());
+        }
+    }
+}
+
 /// Properties of a response head that all runs of one stream share. A server that reports a failure
 /// instead of continuing the stream sends others.
 #[derive(Clone, Debug, PartialEq, Eq)]
