--- a/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
@@ -14,6 +14,7 @@
 };
 
 use dogwoodway_routing::{
+    crash_attribution::CrashAttribution,
     direct::{
         fleet::BackendKey,
         process_end::{EndSign, ProbeHistory, ProbeResult},
@@ -133,6 +134,8 @@
 /// Crashes recorded by this router and by others, and the suspects of this one.
 pub(super) struct CrashTracker {
     quarantine: Quarantine,
+    /// Which of the requests of each crash is to blame. Nothing keeps two suspects from one server.
+    attribution: CrashAttribution,
     /// Whether any crash was ever recorded. Shared with the request path, which reads it without
     /// asking the actor.
     is_in_use: Arc<AtomicBool>,
@@ -156,6 +159,7 @@
         let quarantine = Quarantine::new(MAX_QUARANTINED);
         CrashTracker {
             quarantine,
+            attribution: CrashAttribution::default(),
             is_in_use,
             suspects: Vec::new(),
             probes: SecondaryMap::new(),
@@ -167,16 +171,31 @@
     }
 
     /// Returns until when a request must not run, or `None` if it may run now. A suspected request
-    /// may run.
-    pub(super) fn quarantined_until(
+    /// may run. One that has probably crashed servers is not sent again after it was lost, and else at
+    /// intervals: more of its runs would crash servers before the quarantine can tell.
+    pub(super) fn refused_until(
         &self,
         now: Timestamp,
         fingerprint: &RequestFingerprint,
+        may_have_run: bool,
     ) -> Option<Timestamp> {
-        match self.quarantine.status(now, fingerprint) {
-            QuarantineStatus::Quarantined { until } => Some(until),
-            QuarantineStatus::Suspect | QuarantineStatus::Clear => None,
+        if let QuarantineStatus::Quarantined { until } = self.quarantine.status(now, fingerprint)
+            && !self.is_excused(fingerprint)
+        {
+            return Some(until);
         }
+        let next_try_at = self.attribution.next_try_at(fingerprint)?;
+        (may_have_run || next_try_at > now).then_some(next_try_at.max(now))
+    }
+
+    /// Records that a request is sent to a server.
+    pub(super) fn record_try(&mut self, now: Timestamp, fingerprint: RequestFingerprint) {
+        self.attribution.record_try(now, fingerprint);
+    }
+
+    /// Returns whether other requests explain the crashes of a request.
+    fn is_excused(&self, fingerprint: &RequestFingerprint) -> bool {
+        self.attribution.is_excused(fingerprint, self.quarantine.excess_crashes(fingerprint))
     }
 
     /// Adds a request whose connection was lost, in case its server has crashed, unless the process had
@@ -243,8 +262,10 @@
     }
 
     /// Records that a server serves, so that connections lost earlier say nothing about later ones.
+    /// Neither does a client that left before then. A connection alone may be to the next process.
     pub(super) fn record_service(&mut self, key: BackendKey) {
         self.first_lost.remove(key);
+        self.suspects.retain(|suspect| suspect.key != key || !suspect.request.was_abandoned);
     }
 
     /// Returns whether requests are suspected of having crashed a server.
@@ -262,7 +283,7 @@
         if result == ProbeResult::Open {
             let accepts_after_end = Duration::from_millis(ACCEPTS_AFTER_END_MS);
             if self.first_lost.get(key).is_some_and(|lost_at| now - *lost_at >= accepts_after_end) {
-                self.record_service(key);
+                self.first_lost.remove(key);
             }
             self.ended.retain(|ended| ended.key != key);
             if let Some(generation) = self.generations.get_mut(key)
@@ -287,8 +308,8 @@
     }
 
     /// Records that a process has ended, which is a crash for all requests that it may have been
-    /// running. Unless connections were refused from its end on, some of them may have been sent later,
-    /// and the crash is uncertain. Returns the crash with the answers that it had begun, or `None` if it
+    /// running. Unless connections were refused from its end on, those whose answer had not begun may
+    /// have been sent later, and the crash is uncertain for them. Returns the crash with the answers that it had begun, or `None` if it
     /// had no request of this router.
     pub(super) fn confirm_crash(
         &mut self,
@@ -297,7 +318,7 @@
         started_at_ms: u64,
         sign: EndSign,
     ) -> Option<EngineCrash> {
-        let is_certain = sign.excludes_later_requests();
+        let excludes_later = sign.excludes_later_requests();
         self.ended.retain(|ended| ended.until > now);
         if self.ended.len() >= MAX_SUSPECTS {
             self.ended.pop_front();
@@ -325,9 +346,10 @@
         for suspect in confirmed {
             suspect.log();
             crash.merge(&EngineCrash { engine, crashed_at, runs: suspect.runs(crashed_at) });
+            let was_running = excludes_later || suspect.request.answer_started_at.is_some();
             // It was more likely beside the request that crashed the server, or came after that.
             let is_certain =
-                is_certain && !self.quarantine.was_answered(now, &suspect.report.fingerprint);
+                was_running && !self.quarantine.was_answered(now, &suspect.report.fingerprint);
             let event = match is_certain {
                 true => FingerprintEvent::Crashed(suspect.report),
                 false => FingerprintEvent::PossiblyCrashed {
@@ -345,7 +367,8 @@
     /// have had another cause.
     pub(super) fn record_response(&mut self, now: Timestamp, fingerprint: RequestFingerprint) {
         self.quarantine.remember_answer(now, fingerprint);
-        if self.quarantine.record_answer(&fingerprint) {
+        let was_in_crash = self.attribution.record_answer(&fingerprint);
+        if self.quarantine.record_answer(&fingerprint) || was_in_crash {
             self.publish(FingerprintEvent::Answered(fingerprint));
         }
     }
@@ -354,15 +377,19 @@
     pub(super) fn apply(&mut self, now: Timestamp, event: &FingerprintEvent) {
         match event {
             FingerprintEvent::Crashed(report) => {
-                self.quarantine.record_crash(now, report.fingerprint, report.incarnation());
+                let (fingerprint, engine) = (report.fingerprint, report.incarnation());
+                self.attribution.record_crash(now, fingerprint, engine);
+                self.quarantine.record_crash(now, fingerprint, engine);
                 self.log_crash(now, report, true);
             }
             FingerprintEvent::PossiblyCrashed { report, lost_at } => {
                 let (fingerprint, engine) = (report.fingerprint, report.incarnation());
+                self.attribution.record_crash(now, fingerprint, engine);
                 self.quarantine.record_uncertain_crash(now, *lost_at, fingerprint, engine);
                 self.log_crash(now, report, false);
             }
             FingerprintEvent::Answered(fingerprint) => {
+                self.attribution.record_answer(fingerprint);
                 self.quarantine.record_answer(fingerprint);
             }
         }
@@ -372,7 +399,8 @@
         self.is_in_use.store(true, Ordering::Relaxed);
         log::info!(
             fingerprint:? = report.fingerprint, server:% = report.server, is_certain = is_certain,
-            outcome:? = self.quarantine.status(now, &report.fingerprint);
+            outcome:? = self.quarantine.status(now, &report.fingerprint),
+            is_excused = self.is_excused(&report.fingerprint);
             "a backend server crashed while it ran a request"
         );
     }
