Make room for new connections by closing idle ones

The server took a permit for each connection, idle ones included. `Connections` now counts them: while less than an eighth is left, responses say `Connection: close`; while nothing is left, the longest idle ones are closed, unless a byte of another request has arrived in the process or the kernel. The health check fails while each connection has a request in progress. The number of client connections follows `limits.max_fds` of the settings (1,900 of 4,100).

--- a/crates/dogwoodway_gateway/src/ingress.rs
+++ b/crates/dogwoodway_gateway/src/ingress.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use dogwoodway_http::{Handler, ServerLimits, text_response};
+use dogwoodway_http::{Connections, Handler, ServerLimits, text_response};
 use hyper::StatusCode;
 
 use crate::{directory::TableWatch, relay::Relay};
@@ -18,13 +18,11 @@
 /// Largest request head if the configuration sets no limit, in bytes.
 const DEFAULT_HEAD_BYTES: usize = 32 << 10;
 
-/// Maximum number of client connections. It leaves file descriptors for the rest of the process.
-pub(crate) const MAX_CLIENT_CONNECTIONS: usize = 2_000;
-
 /// Smallest limit for a request head that a connection supports, in bytes.
 const MIN_HEAD_BYTES: usize = 8 << 10;
 
-/// Returns the limits for client connections that are accepted now.
+/// Returns the limits for client connections that are accepted now. How many there may be is up to
+/// their [`Connections`].
 ///
 /// The time limit for reading a head equals the idle limit, because it also covers the wait for the
 /// next request. That bounds slow heads well enough, since a head usually arrives in one piece.
@@ -33,11 +31,11 @@
     let max_header_bytes =
         limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.max_header_bytes as usize);
     ServerLimits {
-        max_connections: MAX_CLIENT_CONNECTIONS,
         header_read_timeout_ms: limits
             .map_or(DEFAULT_IDLE_MS, |limits| u64::from(limits.idle_timeout_ms)),
         max_header_bytes: max_header_bytes.max(MIN_HEAD_BYTES),
         silence_timeout_ms: Some(CLIENT_SILENCE_TIMEOUT_MS),
+        ..ServerLimits::default()
     }
 }
 
@@ -46,11 +44,16 @@
     Arc::new(move |req| Box::pin(relay.clone().serve(req)))
 }
 
-/// Builds the handler of the health check, which responds on any path.
-pub(crate) fn readiness_handler(relay: Arc<Relay>, tables: TableWatch) -> Handler {
+/// Builds the handler of the health check, which responds on any path. A router that can accept no
+/// further client is not ready.
+pub(crate) fn readiness_handler(
+    relay: Arc<Relay>,
+    tables: TableWatch,
+    clients: Arc<Connections>,
+) -> Handler {
     Arc::new(move |_| {
         let is_draining = relay.drain.borrow().is_some();
-        let resp = match tables.is_ready() && !is_draining {
+        let resp = match tables.is_ready() && !is_draining && !clients.is_full() {
             true => text_response(StatusCode::OK, "ready"),
             false => text_response(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
         };
--- a/crates/dogwoodway_gateway/src/router.rs
+++ b/crates/dogwoodway_gateway/src/router.rs
@@ -7,10 +7,11 @@
     time::Duration,
 };
 
-use dogwoodway_http::{ServerLimits, serve, serve_with_dynamic_limits};
+use dogwoodway_http::{Connections, ServerLimits, serve, serve_with_dynamic_limits};
 use dogwoodway_routing::{
     direct::{distance::Regions, peers::ZoneTag},
     drain::Drain,
+    process_limits::ProcessLimits,
 };
 use dogwoodway_types::{AvailabilityZone, RouterName};
 use futures::future::BoxFuture;
@@ -68,6 +69,8 @@
     /// Share of a processor core that this router has, in percent. Routers with more of it do more
     /// for the others.
     pub cpu_percent: u8,
+    /// What the process may use of its machine.
+    pub limits: ProcessLimits,
     /// Least time between orders of different routers to the same engine, in milliseconds.
     pub lease_ms: u32,
     /// Time after the publication of new weights within which requests may start on old ones, in
@@ -188,8 +191,7 @@
         quarantine_in_use,
         start_limits,
     });
-    tokio::spawn(serve_health_checks(health_checks, relay.clone()));
-    serve_clients(clients, relay, shutdown).await;
+    serve_listeners(clients, health_checks, settings.limits, relay, shutdown).await;
     leader_shutdown_tx.send_replace(true);
     leader.await.unwrap_or_else(|e| log::error!("leader task failed: {e}"));
     Ok(())
@@ -203,14 +205,32 @@
     fleet
 }
 
-async fn serve_health_checks(listener: TcpListener, relay: Arc<Relay>) {
+/// Serves clients until the router has shut down, and health checks.
+async fn serve_listeners(
+    clients: TcpListener,
+    health_checks: TcpListener,
+    limits: ProcessLimits,
+    relay: Arc<Relay>,
+    shutdown: ShutdownSignals,
+) {
+    let connections = Connections::new(limits.max_client_connections());
+    tokio::spawn(serve_health_checks(health_checks, relay.clone(), connections.clone()));
+    serve_clients(clients, connections, relay, shutdown).await;
+}
+
+async fn serve_health_checks(listener: TcpListener, relay: Arc<Relay>, clients: Arc<Connections>) {
     let tables = relay.tables.clone();
-    let handler = ingress::readiness_handler(relay, tables);
+    let handler = ingress::readiness_handler(relay, tables, clients);
     serve(listener, ServerLimits::default(), handler, std::future::pending()).await;
 }
 
 /// Serves clients until the process is asked to stop, then until their requests have ended.
-async fn serve_clients(listener: TcpListener, relay: Arc<Relay>, shutdown: ShutdownSignals) {
+async fn serve_clients(
+    listener: TcpListener,
+    connections: Arc<Connections>,
+    relay: Arc<Relay>,
+    shutdown: ShutdownSignals,
+) {
     let handler = ingress::client_handler(relay.clone());
     let tables = relay.tables.clone();
     let limits = move || ingress::client_limits(&tables);
@@ -224,7 +244,7 @@
     tokio::select! {
         () = serve_with_dynamic_limits(
             listener,
-            ingress::MAX_CLIENT_CONNECTIONS,
+            connections,
             limits,
             handler,
             stop,
--- a/crates/dogwoodway_http/src/server.rs
+++ b/crates/dogwoodway_http/src/server.rs
@@ -3,18 +3,24 @@
 use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
 
 use futures::future::BoxFuture;
-use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    header::{self, HeaderValue},
+    server::conn::http1,
+    service::{HttpService, service_fn},
+};
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
 };
 use socket2::{SockRef, TcpKeepalive};
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::Semaphore,
-};
+use tokio::net::{TcpListener, TcpStream};
 
-use crate::Body;
+use crate::{
+    Body,
+    connections::{Connections, OpenConnection, ServerBody},
+};
 
 /// Handles one request and returns its response.
 pub type Handler =
@@ -23,7 +29,8 @@
 /// Limits on the connections of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerLimits {
-    /// Maximum number of open connections; further ones wait to be accepted.
+    /// Maximum number of open connections. Idle ones are closed for further ones; if none is idle,
+    /// those wait to be accepted.
     pub max_connections: usize,
     /// Time within which a client must send the head of a request, in milliseconds.
     pub header_read_timeout_ms: u64,
@@ -53,15 +60,15 @@
 where
     F: Future<Output = ()> + Send,
 {
-    serve_with_dynamic_limits(listener, limits.max_connections, move || limits, handler, shutdown)
-        .await;
+    let connections = Connections::new(limits.max_connections);
+    serve_with_dynamic_limits(listener, connections, move || limits, handler, shutdown).await;
 }
 
 /// Like [`serve`], with limits that may change at run time: `limits` is called for each connection
-/// when it is accepted. Only the maximum number of connections is fixed, by `max_connections`.
+/// when it is accepted. Only the maximum number of connections is fixed, by `connections`.
 pub async fn serve_with_dynamic_limits<F, L>(
     listener: TcpListener,
-    max_connections: usize,
+    connections: Arc<Connections>,
     limits: L,
     handler: Handler,
     shutdown: F,
@@ -70,22 +77,19 @@
     L: Fn() -> ServerLimits + Send,
 {
     let graceful = GracefulShutdown::new();
-    let permits = Arc::new(Semaphore::new(max_connections));
     let mut shutdown = std::pin::pin!(shutdown);
     loop {
-        let accept = async {
-            let permit = permits.clone().acquire_owned().await;
-            (permit, listener.accept().await)
-        };
-        let (permit, accepted) = tokio::select! {
+        let accept = async { (connections.room().await, listener.accept().await) };
+        let (room, accepted) = tokio::select! {
             accepted = accept => accepted,
             () = &mut shutdown => break,
         };
-        let Ok(permit) = permit else { break };
         let stream = match accepted {
             Ok((stream, _)) => stream,
             Err(e) => {
                 log::warn!("failed to accept a connection: {e}");
+                // The process may have no descriptor left.
+                connections.close_longest_idle();
                 tokio::time::sleep(Duration::from_millis(10)).await;
                 continue;
             }
@@ -94,28 +98,55 @@
         if let Err(e) = set_socket_options(&stream, &limits) {
             log::debug!("failed to set socket options of a connection: {e}");
         }
-        let handler = handler.clone();
-        let service = service_fn(move |req| {
-            let response = handler(req);
-            async move { Ok::<_, Infallible>(response.await) }
-        });
+        let open = Arc::new(connections.add(room));
+        let io = TokioIo::new(open.stream(stream));
         let conn = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(Duration::from_millis(limits.header_read_timeout_ms))
             .max_buf_size(limits.max_header_bytes)
-            .serve_connection(TokioIo::new(stream), service);
-        let conn = graceful.watch(conn);
-        tokio::spawn(async move {
-            if let Err(e) = conn.await {
-                log::debug!("connection ended with an error: {e}");
-            }
-            drop(permit);
-        });
+            .serve_connection(io, service(handler.clone(), open.clone()));
+        tokio::spawn(run_connection(graceful.watch(conn), open));
     }
     drop(listener);
     graceful.shutdown().await;
 }
 
+/// Builds the service of one connection.
+fn service(
+    handler: Handler,
+    open: Arc<OpenConnection>,
+) -> impl HttpService<Incoming, ResBody = ServerBody, Error = Infallible, Future: Send> {
+    service_fn(move |req| {
+        let (guard, response, open) = (open.begin_request(), handler(req), open.clone());
+        async move {
+            let mut resp = response.await;
+            if open.is_scarce() {
+                let close = HeaderValue::from_static("close");
+                resp.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok(resp.map(|body| ServerBody { body, _guard: guard }))
+        }
+    })
+}
+
+async fn run_connection<C>(conn: C, open: Arc<OpenConnection>)
+where
+    C: Future<Output = hyper::Result<()>>,
+{
+    let mut conn = std::pin::pin!(conn);
+    loop {
+        tokio::select! {
+            result = &mut conn => {
+                if let Err(e) = result {
+                    log::debug!("connection ended with an error: {e}");
+                }
+                return;
+            }
+            () = open.changed() => {}
+        }
+    }
+}
+
 fn set_socket_options(stream: &TcpStream, limits: &ServerLimits) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     match limits.silence_timeout_ms {
--- a/crates/dogwoodway_routing/src/lib.rs
+++ b/crates/dogwoodway_routing/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod prefill_rate;
 pub mod prefix_index;
 pub mod prefix_traffic;
+pub mod process_limits;
 pub mod quarantine;
 pub mod queue;
 pub mod rendezvous;
