Bound the memory that request bodies take together

Each body was collected whole, on each connection, and `limits.memory_mb` of the settings was not read. The machine's memory is shared out now: what the process and its connections leave is for bodies. A request reserves the length of its body before it is read; small bodies have an eighth for themselves, large ones wait shortly or get 503 with `Retry-After`, and what their clients still send is discarded, so that the response reaches them. Only bodies of unknown length can be refused while they are read.

--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -7,6 +7,7 @@
 mod deliver;
 mod outcome;
 mod refusal;
+mod request_body;
 mod response_head;
 
 use std::{
@@ -36,7 +37,10 @@
 use kameo::actor::ActorRef;
 use tokio::sync::watch;
 
-pub(crate) use self::outcome::{log_outcome, log_outdated_start};
+pub(crate) use self::{
+    outcome::{log_outcome, log_outdated_start},
+    request_body::{BodyMemory, BodyReservation},
+};
 use crate::{
     clock,
     directory::TableWatch,
@@ -64,6 +68,8 @@
     pub(crate) origins: OriginResolver,
     /// Secret that is hashed together with bearer keys.
     pub(crate) key_pepper: String,
+    /// Memory for the bodies of all requests.
+    pub(crate) bodies: Arc<BodyMemory>,
     /// Present during a graceful shutdown; responses then carry `Connection: close`.
     pub(crate) drain: watch::Sender<Option<Drain>>,
     /// Set once any request has been linked to a server crash. Until then, fingerprints are only
@@ -77,6 +83,8 @@
 pub(crate) struct ClientRequest {
     pub(crate) http_head: http::request::Parts,
     pub(crate) body: Bytes,
+    /// Keeps the memory of `body` reserved.
+    pub(crate) _reservation: BodyReservation,
     /// The fields that the router parsed from `http_head`.
     pub(crate) head: RequestHead,
     pub(crate) arrived_at: Timestamp,
--- a/crates/dogwoodway_gateway/src/relay/admit.rs
+++ b/crates/dogwoodway_gateway/src/relay/admit.rs
@@ -2,20 +2,24 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use dogwoodway_http::Body;
 use dogwoodway_routing::direct::{
+    admission,
     retry::AttemptCounts,
-    table::{Route, RoutingTable, TeamRule},
+    table::{Route, RouteKind, RoutingTable, TeamRule},
 };
 use dogwoodway_types::{KeyHash, NotRunReason, Timestamp};
-use http_body_util::{BodyExt, Limited};
 use hyper::{Response, StatusCode, body::Incoming, header, http};
 
 use crate::{
     clock, metric,
     platform_api::{HeadError, RequestHead},
-    relay::{ClientRequest, Relay, path, refusal::text_response, shared_parts},
+    relay::{
+        ClientRequest, Relay, path,
+        refusal::text_response,
+        request_body::{BodyError, RequestBody, discard},
+        shared_parts,
+    },
 };
 
 /// Largest request body, in bytes, if the configuration sets no limit.
@@ -32,6 +36,10 @@
 /// router can serve them at once.
 const LEAVING_RETRY_AFTER_MS: u64 = 50;
 
+/// `Retry-After` for requests whose bodies find no memory, in milliseconds. Those that are being read
+/// then take about this long.
+const NO_MEMORY_RETRY_AFTER_MS: u64 = 1_000;
+
 /// Longest request path that is written to the log, in bytes.
 const MAX_LOGGED_PATH_BYTES: usize = 80;
 
@@ -74,16 +82,12 @@
         };
         let limit = arrived_at + Duration::from_millis(u64::from(route.timeout_ms));
         let deadline = head.deadline.map_or(limit, |deadline| deadline.min(limit));
-        let limits = table.limits();
-        let max_body_bytes = limits.map_or(DEFAULT_BODY_BYTES, |l| l.max_body_bytes as usize);
-        let body = match read_body(body, max_body_bytes, deadline).await {
-            Ok(body) => body,
-            Err(status) => return Err(self.reject_with_status(&head, &http_head, status, &table)),
-        };
+        let body = self.read_body(body, &http_head, &head, &table, route.kind, deadline).await?;
         let deadline = self.deadline_during_shutdown(&head, deadline)?;
         Ok(ClientRequest {
             http_head,
-            body,
+            body: body.bytes,
+            _reservation: body.reservation,
             arrived_at,
             deadline,
             expected_by: arrived_at + Duration::from_millis(u64::from(route.target_latency_ms)),
@@ -104,6 +108,33 @@
         })
     }
 
+    /// Reads the body of a request on a route of this kind. `Err` holds the response that rejects it.
+    async fn read_body(
+        &self,
+        mut body: Incoming,
+        http_head: &http::request::Parts,
+        head: &RequestHead,
+        table: &RoutingTable,
+        kind: RouteKind,
+        deadline: Timestamp,
+    ) -> Result<RequestBody, Box<Response<Body>>> {
+        let limits = table.limits();
+        let max_bytes = limits.map_or(DEFAULT_BODY_BYTES, |l| l.max_body_bytes as usize);
+        match self.bodies.read(&mut body, max_bytes, deadline, kind.is_repeatable()).await {
+            Ok(body) => Ok(body),
+            Err(BodyError::Rejected(status)) => {
+                Err(self.reject_with_status(head, http_head, status, table))
+            }
+            Err(BodyError::NoRoom) => {
+                // A client that expects to be asked sends no body after a refusal.
+                if !http_head.headers.contains_key(header::EXPECT) {
+                    discard(body, deadline);
+                }
+                Err(self.no_memory_response(head, deadline))
+            }
+        }
+    }
+
     /// Returns by when to answer a request, given its own deadline. During a graceful shutdown that may
     /// be earlier; `Err` holds the response to a request that arrives too late.
     fn deadline_during_shutdown(
@@ -122,6 +153,18 @@
         Err(Box::new(self.not_run_response(reason, retry_after)))
     }
 
+    /// Refuses a request for whose body there is no memory.
+    fn no_memory_response(&self, head: &RequestHead, deadline: Timestamp) -> Box<Response<Body>> {
+        let reason = NotRunReason::Overloaded;
+        let now = clock::now();
+        let retry_at = now + Duration::from_millis(NO_MEMORY_RETRY_AFTER_MS);
+        let retry_after = admission::retry_after(now, retry_at, deadline, rand::random());
+        metrics::counter!(metric::REQUESTS, "outcome" => "no-memory").increment(1);
+        log::info!(request = head.id, why = "no memory for its body",
+            come_back_ms = retry_after.as_millis() as u64; "request refused");
+        Box::new(self.not_run_response(reason, retry_after))
+    }
+
     /// Finds the team that owns the request's bearer key. Anonymous routes have no team.
     fn authenticate(
         &self,
@@ -186,22 +229,6 @@
     }
 }
 
-async fn read_body(
-    body: Incoming,
-    max_bytes: usize,
-    deadline: Timestamp,
-) -> Result<Bytes, StatusCode> {
-    let read = Limited::new(body, max_bytes).collect();
-    match tokio::time::timeout_at(clock::timer_instant(deadline), read).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-            Err(StatusCode::PAYLOAD_TOO_LARGE)
-        }
-        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
-        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
-    }
-}
-
 fn truncate(path: &str) -> &str {
     path.get(..MAX_LOGGED_PATH_BYTES).unwrap_or(path)
 }
--- /dev/null
+++ b/crates/dogwoodway_gateway/src/relay/request_body.rs
@@ -0,0 +1,180 @@
+//! Reading of request bodies within the memory that the process has for them.
+
+use std::{
+    pin::pin,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bytes::{Bytes, BytesMut};
+use dogwoodway_routing::body_budget::{BodyAdmission, BodyBudget};
+use dogwoodway_types::Timestamp;
+use http_body_util::BodyExt;
+use hyper::{
+    StatusCode,
+    body::{Body as _, Incoming},
+};
+use tokio::sync::Notify;
+
+use crate::clock;
+
+/// Time for which a repeatable request waits for room, in milliseconds. Clients give up an attempt that
+/// was not read for a second.
+const REPEATABLE_WAIT_MS: u64 = 700;
+
+/// Time for which another request waits for room, in milliseconds.
+const WAIT_MS: u64 = 2_000;
+
+/// Bytes by which the reservation grows for a body that does not state its length.
+const GROWTH_BYTES: u64 = 64 << 10;
+
+/// Why the body of a request was not read completely.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum BodyError {
+    /// The client gets this status.
+    Rejected(StatusCode),
+    /// There is no memory for the body at present.
+    NoRoom,
+}
+
+/// Memory for the bodies of all requests of the router.
+#[derive(Debug)]
+pub(crate) struct BodyMemory {
+    budget: Mutex<BodyBudget>,
+    released: Notify,
+}
+
+impl BodyMemory {
+    pub(crate) fn new(capacity: u64) -> Arc<BodyMemory> {
+        Arc::new(BodyMemory {
+            budget: Mutex::new(BodyBudget::new(capacity)),
+            released: Notify::new(),
+        })
+    }
+
+    /// Reads a body of at most `max_bytes` until `deadline`.
+    pub(super) async fn read(
+        self: &Arc<Self>,
+        body: &mut Incoming,
+        max_bytes: usize,
+        deadline: Timestamp,
+        is_repeatable: bool,
+    ) -> Result<RequestBody, BodyError> {
+        let length = body.size_hint().exact();
+        if length.is_some_and(|length| length > max_bytes as u64) {
+            return Err(BodyError::Rejected(StatusCode::PAYLOAD_TOO_LARGE));
+        }
+        let wait_ms = if is_repeatable { REPEATABLE_WAIT_MS } else { WAIT_MS };
+        let wait_until = deadline.min(clock::now() + Duration::from_millis(wait_ms));
+        let expected = length.unwrap_or(GROWTH_BYTES);
+        let reservation = self.reserve(expected, wait_until).await.ok_or(BodyError::NoRoom)?;
+        let read = collect(body, expected as usize, max_bytes, reservation);
+        let timer = clock::timer_instant(deadline);
+        let timed_out = |_| Err(BodyError::Rejected(StatusCode::REQUEST_TIMEOUT));
+        tokio::time::timeout_at(timer, read).await.unwrap_or_else(timed_out)
+    }
+
+    async fn reserve(
+        self: &Arc<Self>,
+        bytes: u64,
+        wait_until: Timestamp,
+    ) -> Option<BodyReservation> {
+        let admission = self.lock().admit(bytes);
+        match admission {
+            BodyAdmission::Read => return Some(BodyReservation { memory: self.clone(), bytes }),
+            BodyAdmission::Refuse => return None,
+            BodyAdmission::Wait => {}
+        }
+        let _wait = Wait(self);
+        let admitted = async {
+            loop {
+                let mut released = pin!(self.released.notified());
+                released.as_mut().enable();
+                if self.lock().admit_waiting(bytes) {
+                    return BodyReservation { memory: self.clone(), bytes };
+                }
+                released.await;
+            }
+        };
+        tokio::time::timeout_at(clock::timer_instant(wait_until), admitted).await.ok()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BodyBudget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Discards the rest of a body that is not read. A connection that is closed with unread bytes is
+/// reset, and the client may lose the response.
+pub(super) fn discard(mut body: Incoming, until: Timestamp) {
+    let read = async move { while let Some(Ok(_)) = body.frame().await {} };
+    tokio::spawn(tokio::time::timeout_at(clock::timer_instant(until), read));
+}
+
+/// The body of a request and the memory that is reserved for it.
+#[derive(Debug)]
+pub(super) struct RequestBody {
+    pub(super) bytes: Bytes,
+    pub(super) reservation: BodyReservation,
+}
+
+/// Bytes of the budget, returned when this is dropped.
+#[derive(Debug)]
+pub(crate) struct BodyReservation {
+    memory: Arc<BodyMemory>,
+    bytes: u64,
+}
+
+impl BodyReservation {
+    /// Makes the reservation cover `bytes` bytes, if there is room.
+    fn cover(&mut self, bytes: u64) -> Result<(), BodyError> {
+        let missing = bytes.saturating_sub(self.bytes);
+        if missing == 0 {
+            return Ok(());
+        }
+        let growth = missing.next_multiple_of(GROWTH_BYTES);
+        if !self.memory.lock().grow(self.bytes, growth) {
+            return Err(BodyError::NoRoom);
+        }
+        self.bytes += growth;
+        Ok(())
+    }
+}
+
+impl Drop for BodyReservation {
+    fn drop(&mut self) {
+        if self.bytes > 0 {
+            self.memory.lock().release(self.bytes);
+            self.memory.released.notify_waiters();
+        }
+    }
+}
+
+/// A request that counts as waiting until this is dropped.
+struct Wait<'a>(&'a BodyMemory);
+
+impl Drop for Wait<'_> {
+    fn drop(&mut self) {
+        self.0.lock().end_wait();
+    }
+}
+
+async fn collect(
+    body: &mut Incoming,
+    expected: usize,
+    max_bytes: usize,
+    mut reservation: BodyReservation,
+) -> Result<RequestBody, BodyError> {
+    let mut buf = BytesMut::with_capacity(expected);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BodyError::Rejected(StatusCode::BAD_REQUEST))?;
+        let Ok(data) = frame.into_data() else { continue };
+        let len = buf.len() + data.len();
+        if len > max_bytes {
+            return Err(BodyError::Rejected(StatusCode::PAYLOAD_TOO_LARGE));
+        }
+        reservation.cover(len as u64)?;
+        buf.extend_from_slice(&data);
+    }
+    Ok(RequestBody { bytes: buf.freeze(), reservation })
+}
--- a/crates/dogwoodway_gateway/src/router.rs
+++ b/crates/dogwoodway_gateway/src/router.rs
@@ -33,7 +33,7 @@
     ingress, kv_follower, leader,
     leader::LeaderConfig,
     platform_api::{Directory, EngineControl, KvEventSource, RequestProtocol, RouterLog},
-    relay::Relay,
+    relay::{BodyMemory, Relay},
     software_surveys::SharedSurveys,
     stream_origins::{OriginResolver, SharedOrigins},
 };
@@ -187,6 +187,7 @@
         fleet,
         tables,
         key_pepper: dependencies.key_pepper,
+        bodies: BodyMemory::new(settings.limits.body_memory()),
         drain: watch::Sender::new(None),
         quarantine_in_use,
         start_limits,
--- a/crates/dogwoodway_routing/src/lib.rs
+++ b/crates/dogwoodway_routing/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod answer_stream;
 pub mod attempt;
+pub mod body_budget;
 pub mod kv_transfer;
 #[cfg(feature = "baselines")]
 pub mod baseline;
--- a/crates/dogwoodway_routing/src/process_limits.rs
+++ b/crates/dogwoodway_routing/src/process_limits.rs
@@ -13,23 +13,39 @@
 /// Fewest client connections, so that a process whose limit is unusable still serves.
 const MIN_CLIENT_CONNECTIONS: u32 = 16;
 
+/// Memory of a process without clients, with the state of a large fleet, in bytes.
+const BASE_MEMORY: u64 = 24 << 20;
+
+/// Memory of a client connection and the one to the backend server that runs its request, in bytes,
+/// without the request's body.
+const MEMORY_PER_CLIENT: u64 = 16 << 10;
+
+/// Share of the memory for bodies, as its reciprocal, that is left to the allocator.
+const ALLOCATOR_SHARE: u64 = 8;
+
+/// Least memory for bodies, in bytes, so that a process whose limit is unusable still serves.
+const MIN_BODY_MEMORY: u64 = 4 << 20;
+
 /// Limits that the machine sets for a process.
 ///
 /// ```
 /// use dogwoodway_routing::process_limits::ProcessLimits;
 ///
-/// let limits = ProcessLimits { max_descriptors: 4_100, ..ProcessLimits::default() };
+/// let limits = ProcessLimits { max_descriptors: 4_100, max_memory: 260 << 20 };
 /// assert_eq!(limits.max_client_connections(), 1_900);
+/// assert_eq!(limits.body_memory() >> 20, 180);
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ProcessLimits {
     /// Maximum number of open descriptors.
     pub max_descriptors: u32,
+    /// Maximum resident memory, in bytes.
+    pub max_memory: u64,
 }
 
 impl Default for ProcessLimits {
     fn default() -> ProcessLimits {
-        ProcessLimits { max_descriptors: 4_096 }
+        ProcessLimits { max_descriptors: 4_096, max_memory: 256 << 20 }
     }
 }
 
@@ -39,4 +55,11 @@
         let free = self.max_descriptors.saturating_sub(FILE_DESCRIPTORS + OWN_DESCRIPTORS);
         (free / DESCRIPTORS_PER_CLIENT).max(MIN_CLIENT_CONNECTIONS) as usize
     }
+
+    /// Returns how many bytes the bodies of all requests together may take.
+    pub fn body_memory(&self) -> u64 {
+        let connections = self.max_client_connections() as u64 * MEMORY_PER_CLIENT;
+        let free = self.max_memory.saturating_sub(BASE_MEMORY + connections);
+        (free - free / ALLOCATOR_SHARE).max(MIN_BODY_MEMORY)
+    }
 }
