--- a/crates/dogwoodway_http/src/lib.rs
+++ b/crates/dogwoodway_http/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod body;
 mod client;
+mod connections;
 mod framing;
 mod server;
 mod silence;
@@ -16,6 +17,7 @@
         text_response,
     },
     client::{ClientLimits, HttpClient, HttpError, HttpResponse},
+    connections::Connections,
     framing::BodyFraming,
     server::{Handler, ServerLimits, serve, serve_with_dynamic_limits},
     silence::WatchedStream,
--- a/crates/dogwoodway_http/src/silence.rs
+++ b/crates/dogwoodway_http/src/silence.rs
@@ -104,6 +104,11 @@
         self.stream.set_zero_linger()
     }
 
+    /// Returns the socket.
+    pub(crate) fn socket(&self) -> SockRef<'_> {
+        SockRef::from(&self.stream)
+    }
+
     fn check_peer(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
         match &mut self.watch {
             Some(watch) => watch.poll(&self.stream, cx),
--- a/crates/dogwoodway_routing/src/lib.rs
+++ b/crates/dogwoodway_routing/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod answer_stream;
 pub mod attempt;
+pub mod body_budget;
 pub mod kv_transfer;
 #[cfg(feature = "baselines")]
 pub mod baseline;
@@ -22,6 +23,7 @@
 pub mod prefill_rate;
 pub mod prefix_index;
 pub mod prefix_traffic;
+pub mod process_limits;
 pub mod quarantine;
 pub mod queue;
 pub mod rendezvous;
