End a placement whose reply nobody reads

Callers saw: after clients left right after they had sent a request, a router refused every request for a service with 503 (no-backend-server, or overloaded for prompts) until it was restarted, its servers idle.

Cause: the fleet actor counted a request when it replied; the guard that ends the count was made by the handler after it had read the reply. If the handler was dropped between the two, nothing ended the count.

The reply now carries the owner of all that the actor has counted, PlacementClaim, made in the actor. Dropped unread, or with a request that is not sent, it takes back the place, the prompt tokens, the retry and the trial of a prompt part, and returns the idle connection. A retry for which no server is found is returned to the budget as well.

Ruled out: ends of attempts that are lost in the actor's mailbox; it is unbounded, and no failure was logged.

--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -8,6 +8,7 @@
 mod limit_reports;
 mod notices;
 mod part_evidence;
+mod placement_claim;
 mod probes;
 mod routers;
 mod software;
@@ -378,6 +379,7 @@
 
     async fn handle(&mut self, _: Tick, cx: &mut Context<Self, Self::Reply>) {
         let now = clock::now();
+        metrics::gauge!(metric::IN_FLIGHT).set(self.fleet.in_flight_count() as f64);
         self.fleet.expire_peer_loads(now);
         self.fleet.observe_software(now);
         for (name, key) in self.fleet.remove_unlisted(now) {
--- a/crates/dogwoodway_gateway/src/fleet_actor/attempts.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/attempts.rs
@@ -8,7 +8,7 @@
     process_end::EndSign,
 };
 use dogwoodway_routing::part_blame::{PartKey, PartStatus};
-use dogwoodway_types::{NotRunReason, RequestFingerprint, Timestamp};
+use dogwoodway_types::{NotRunReason, RequestFingerprint, ServiceName, Timestamp};
 use kameo::{
     Reply,
     message::{Context, Message},
@@ -18,7 +18,10 @@
 use crate::{
     clock,
     connection::Connection,
-    fleet_actor::{FleetActor, ServerProcess},
+    fleet_actor::{
+        FleetActor, ServerProcess,
+        placement_claim::{PlacementClaim, PlacementCounts},
+    },
     metric,
     platform_api::DirectoryChange,
 };
@@ -56,8 +59,8 @@
 /// The server chosen for a request.
 pub(crate) struct AssignedServer {
     pub(crate) placement: Placement,
-    /// An idle connection to it, if there is one.
-    pub(crate) connection: Option<Connection>,
+    /// Owns the placement until the request is sent.
+    pub(crate) claim: PlacementClaim,
     /// Turns true when the server is marked as lost.
     pub(crate) lost: watch::Receiver<bool>,
 }
@@ -68,7 +71,7 @@
     async fn handle(
         &mut self,
         msg: PlaceRequest,
-        _: &mut Context<Self, Self::Reply>,
+        cx: &mut Context<Self, Self::Reply>,
     ) -> PlacementReply {
         let now = clock::now();
         if let Some(fingerprint) = msg.fingerprint
@@ -104,21 +107,48 @@
                 wait_ms: 0,
             });
         }
+        let service = msg.placement_request.service.clone();
         match self.fleet.place(now, &msg.placement_request) {
             Ok(placement) => {
-                if let PartStatus::Trial(part) = part_status {
-                    self.part_evidence.start_trial(now, part);
-                }
-                self.loads_changed.notify_one();
-                let connection = self.take_idle(now, placement.server);
+                let trial = match part_status {
+                    PartStatus::Trial(part) => Some(part),
+                    _ => None,
+                };
+                let retry = msg.is_retry.then_some((service, now));
+                let counts = self.count_placement(now, &placement, retry, trial);
+                let claim = PlacementClaim::new(cx.actor_ref(), counts);
                 let lost = self.subscribe_lost(placement.server);
-                PlacementReply::Assigned(Box::new(AssignedServer { placement, connection, lost }))
+                PlacementReply::Assigned(Box::new(AssignedServer { placement, claim, lost }))
+            }
+            Err(refusal) => {
+                if msg.is_retry {
+                    self.retry_share(&service).return_retry(now);
+                }
+                PlacementReply::Refused(refusal)
             }
-            Err(refusal) => PlacementReply::Refused(refusal),
         }
     }
 }
 
+impl FleetActor {
+    /// Counts what belongs to a placement besides the place, and returns all of it.
+    fn count_placement(
+        &mut self,
+        now: Timestamp,
+        placement: &Placement,
+        retry: Option<(ServiceName, Timestamp)>,
+        trial: Option<PartKey>,
+    ) -> PlacementCounts {
+        if let Some(part) = trial {
+            self.part_evidence.start_trial(now, part);
+        }
+        self.loads_changed.notify_one();
+        let Placement { request: request_key, server, .. } = *placement;
+        let connection = self.take_idle(now, server);
+        PlacementCounts { request_key, server, connection, retry, trial }
+    }
+}
+
 /// The first bytes of a response body have arrived. For a response that is read completely before
 /// it is passed on, this is sent at its end.
 pub(crate) struct FirstOutputReceived(pub(crate) RequestKey);
--- a/crates/dogwoodway_gateway/src/fleet_actor/part_evidence.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/part_evidence.rs
@@ -54,6 +54,10 @@
         self.blame.start_trial(now, part);
     }
 
+    pub(super) fn cancel_trial(&mut self, part: PartKey) {
+        self.blame.cancel_trial(part);
+    }
+
     pub(super) fn record_crash(&mut self, now: Timestamp, crash: EngineCrash) {
         self.blame.record_crash(now, crash);
     }
--- a/crates/dogwoodway_gateway/src/metric.rs
+++ b/crates/dogwoodway_gateway/src/metric.rs
@@ -6,6 +6,9 @@
 /// Attempts at backend servers, by how they ended (label `end`).
 pub(crate) const ATTEMPTS: &str = "dogwoodway_router_attempts_total";
 
+/// Requests that count as in flight at backend servers.
+pub(crate) const IN_FLIGHT: &str = "dogwoodway_router_requests_in_flight";
+
 /// Responses of backend servers that name no request.
 pub(crate) const UNNAMED_RESPONSES: &str = "dogwoodway_router_unnamed_responses_total";
 
--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -371,7 +371,7 @@
                 return Attempt::Failed { outcome, why };
             }
         };
-        let (connection, address) = (target.connection.take(), target.placement.address);
+        let (connection, address) = (target.claim.hand_over(), target.placement.address);
         let sent = exchange(connection, address, head, request.body.clone());
         let is_repeatable = request.kind.is_repeatable();
         let result = tokio::select! {
--- a/crates/dogwoodway_routing/src/direct/fleet/requests.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/requests.rs
@@ -111,20 +111,38 @@
         request_key: RequestKey,
         signal: Option<HealthSignal>,
     ) {
-        let Some(request) = self.in_flight.remove(request_key) else { return };
+        let Some(request) = self.release(now, request_key) else { return };
         let Some(server) = self.servers.get_mut(request.server) else { return };
-        if server.listing.started_at_ms == request.started_at_ms {
-            server.own_load = server.own_load - request.load;
-            server.awaiting_output.retain(|(other, _)| *other != request_key);
-        }
         if let Some(signal) = signal {
             server.health.record(now, signal);
         } else if !request.has_output {
             server.health.record_unanswered(now, request.sent_at + request.predicted_latency);
         }
-        if !request.has_output {
-            server.prefix_cache.discard_unfinished(&request.segments, now);
+    }
+
+    /// Takes back a placement whose request was not sent, which says nothing about the server.
+    pub fn cancel_request(&mut self, now: Timestamp, request_key: RequestKey) {
+        self.release(now, request_key);
+    }
+
+    /// Returns the number of requests in flight.
+    pub fn in_flight_count(&self) -> usize {
+        self.in_flight.len()
+    }
+
+    /// Ends what a request takes up at its server.
+    fn release(&mut self, now: Timestamp, request_key: RequestKey) -> Option<InFlightRequest> {
+        let request = self.in_flight.remove(request_key)?;
+        if let Some(server) = self.servers.get_mut(request.server) {
+            if server.listing.started_at_ms == request.started_at_ms {
+                server.own_load = server.own_load - request.load;
+                server.awaiting_output.retain(|(other, _)| *other != request_key);
+            }
+            if !request.has_output {
+                server.prefix_cache.discard_unfinished(&request.segments, now);
+            }
         }
+        Some(request)
     }
 
     /// Returns the servers that have sent nothing for too long while an output is overdue.
--- a/crates/dogwoodway_routing/src/part_blame.rs
+++ b/crates/dogwoodway_routing/src/part_blame.rs
@@ -288,6 +288,22 @@
         self.trials.insert(part, now + TRIAL_TIMEOUT);
     }
 
+    /// Cancels the trial of a part whose request was not sent.
+    ///
+    /// ```
+    /// use dogwoodway_routing::part_blame::{PartBlame, PartKey, PartStatus};
+    /// use dogwoodway_types::{ModelName, Timestamp};
+    ///
+    /// let part = PartKey::new(&ModelName::try_from("m").unwrap(), None, "a");
+    /// let mut blame = PartBlame::new(1, 1);
+    /// blame.start_trial(Timestamp::from_millis(1), part);
+    /// blame.cancel_trial(part);
+    /// assert_eq!(blame.status(Timestamp::from_millis(2), &[part]), PartStatus::Clear);
+    /// ```
+    pub fn cancel_trial(&mut self, part: PartKey) {
+        self.trials.remove(&part);
+    }
+
     /// Returns the parts in quarantine, those with the longest series of crashes first.
     pub fn quarantined(&mut self, now: Timestamp) -> &[QuarantinedPart] {
         self.evaluate(now);
--- a/crates/dogwoodway_routing/src/retry_budget.rs
+++ b/crates/dogwoodway_routing/src/retry_budget.rs
@@ -142,6 +142,11 @@
             None => false,
         }
     }
+
+    fn return_retry(&mut self) {
+        let saved = self.saved_millis + RETRY_COST_MILLIS;
+        self.saved_millis = saved.min(self.limits.max_saved * RETRY_COST_MILLIS);
+    }
 }
 
 /// The part that one router uses of a retry budget of many routers.
@@ -210,6 +215,24 @@
         }
         is_allowed
     }
+
+    /// Returns a retry that was taken at `taken_at` and not sent.
+    ///
+    /// ```
+    /// use dogwoodway_routing::retry_budget::{RetryBounds, RetryShare};
+    /// use dogwoodway_types::Timestamp;
+    ///
+    /// let now = Timestamp::from_millis(20_000);
+    /// let limits = RetryBounds { ratio: 0.0, slack: 2 }.share(1, 0);
+    /// let mut share = RetryShare::new(Timestamp::default(), limits);
+    /// assert!(share.try_take_retry(now) && !share.try_take_retry(now));
+    /// share.return_retry(now);
+    /// assert!(share.try_take_retry(now) && !share.try_take_retry(now));
+    /// ```
+    pub fn return_retry(&mut self, taken_at: Timestamp) {
+        self.budget.return_retry();
+        self.recent.remove_retry(taken_at);
+    }
 }
 
 /// Returns the limits of the bucket of a share, which must hold one retry for any to be taken.
@@ -243,6 +266,15 @@
         slot
     }
 
+    /// Removes a retry of `taken_at`, unless its second is no longer counted.
+    fn remove_retry(&mut self, taken_at: Timestamp) {
+        let second = taken_at.as_millis() / 1_000;
+        let slot = &mut self.slots[second as usize % (WINDOW_SECONDS + 1)];
+        if slot.second == second {
+            slot.retries = slot.retries.saturating_sub(1);
+        }
+    }
+
     fn sum(&self, now: Timestamp) -> AttemptCount {
         let second = now.as_millis() / 1_000;
         let recent = self.slots.iter().filter(|slot| slot.second + WINDOW_SECONDS as u64 >= second);
