Send nothing on for a client that has left

Cause: a router whose 2,000 client connections are all in use accepts no further one, so that requests wait unread in the kernel's queue while their clients give up. When they were accepted, the request was placed and sent before the server found the end of the connection behind it: after a read that does not fill its buffer, tokio's socket waits for the next event.

The server now reads a client's socket until nothing is left, so that the end is found together with the request. Before a request is sent, the router checks its deadline and looks at the client's socket; if nobody awaits the response, the placement ends. The deadline also wins over an attempt that is about to be sent when the process has stood still past it.

The new tests in client_connection.rs need the new type, and so do not compile on the code before.

--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -18,7 +18,7 @@
 };
 
 use bytes::Bytes;
-use dogwoodway_http::{Body, text_response};
+use dogwoodway_http::{Body, ClientConnection, text_response};
 use dogwoodway_routing::direct::{
     fleet::{PlacementRequest, Refusal, StartLimits},
     health::HealthSignal,
@@ -123,6 +123,13 @@
         Some(RequestFingerprint::new(&team, &parts))
     }
 
+    /// Returns whether nobody awaits the response any more: the deadline has passed or the client has
+    /// left.
+    pub(crate) fn is_abandoned(&self) -> bool {
+        let client = self.http_head.extensions.get::<ClientConnection>();
+        clock::now() >= self.deadline || client.is_some_and(ClientConnection::is_closed)
+    }
+
     /// Returns the id of the last event that the client has of a stream that it takes up.
     pub(crate) fn last_event_id(&self) -> Option<String> {
         let after = self.head.resumption.as_ref()?.after.clone();
@@ -183,7 +190,7 @@
     Responded { response: Box<AttemptResponse>, is_error: bool },
     /// There is no response that could be sent to the client.
     Failed { outcome: AttemptOutcome, why: String },
-    /// The request's deadline has passed.
+    /// The request's deadline has passed, or its client has left.
     TimedOut,
 }
 
@@ -353,6 +360,20 @@
 
     /// Sends a request to the chosen server and waits for the head of its response.
     pub(crate) async fn attempt(
+        &self,
+        request: &mut ClientRequest,
+        target: Box<AssignedServer>,
+        resume_after: Option<String>,
+    ) -> Attempt {
+        // The request may have waited for the processor or the fleet actor.
+        if request.is_abandoned() {
+            log::info!(request = request.head.id; "request not sent on: nobody awaits its response");
+            return Attempt::TimedOut;
+        }
+        self.send(request, target, resume_after).await
+    }
+
+    async fn send(
         &self,
         request: &mut ClientRequest,
         mut target: Box<AssignedServer>,
@@ -375,12 +396,14 @@
         let sent = exchange(connection, address, head, request.body.clone());
         let is_repeatable = request.kind.is_repeatable();
         let result = tokio::select! {
-            result = sent => result,
+            // If the process has stood still past the deadline, nothing is sent.
+            biased;
             () = clock::sleep_until(request.deadline) => {
                 request.attempts.record(AttemptOutcome::Lost);
                 guard.end(None);
                 return Attempt::TimedOut;
             }
+            result = sent => result,
             () = server_marked_lost(&mut target.lost), if is_repeatable => {
                 Err(ExchangeError::ResponseLost("the server does not answer any more".to_owned()))
             }
--- a/crates/dogwoodway_http/src/lib.rs
+++ b/crates/dogwoodway_http/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod body;
 mod client;
+mod client_connection;
 mod framing;
 mod server;
 mod sse;
@@ -15,6 +16,7 @@
         text_response,
     },
     client::{ClientLimits, HttpClient, HttpError, HttpResponse},
+    client_connection::ClientConnection,
     framing::BodyFraming,
     server::{Handler, ServerLimits, serve, serve_with_dynamic_limits, set_silence_timeout},
     sse::{EventScanner, EventSplitter, EventStreamError, SseReader, StreamPosition, sse_event},
--- a/crates/dogwoodway_http/src/server.rs
+++ b/crates/dogwoodway_http/src/server.rs
@@ -14,9 +14,13 @@
     sync::Semaphore,
 };
 
-use crate::Body;
+use crate::{
+    Body,
+    client_connection::{ClientConnection, ClientStream},
+};
 
-/// Handles one request and returns its response.
+/// Handles one request and returns its response. The request's extensions hold the
+/// [`ClientConnection`] that it arrived on.
 pub type Handler =
     Arc<dyn Fn(Request<Incoming>) -> BoxFuture<'static, Response<Body>> + Send + Sync>;
 
@@ -83,7 +87,7 @@
         };
         let Ok(permit) = permit else { break };
         let stream = match accepted {
-            Ok((stream, _)) => stream,
+            Ok((stream, _)) => Arc::new(stream),
             Err(e) => {
                 log::warn!("failed to accept a connection: {e}");
                 tokio::time::sleep(Duration::from_millis(10)).await;
@@ -95,7 +99,9 @@
             log::debug!("failed to set socket options of a connection: {e}");
         }
         let handler = handler.clone();
-        let service = service_fn(move |req| {
+        let client = ClientConnection(Arc::downgrade(&stream));
+        let service = service_fn(move |mut req: Request<Incoming>| {
+            req.extensions_mut().insert(client.clone());
             let response = handler(req);
             async move { Ok::<_, Infallible>(response.await) }
         });
@@ -103,7 +109,7 @@
             .timer(TokioTimer::new())
             .header_read_timeout(Duration::from_millis(limits.header_read_timeout_ms))
             .max_buf_size(limits.max_header_bytes)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(TokioIo::new(ClientStream(stream)), service);
         let conn = graceful.watch(conn);
         tokio::spawn(async move {
             if let Err(e) = conn.await {
