--- a/crates/dogwoodway_http/src/connections.rs
+++ b/crates/dogwoodway_http/src/connections.rs
@@ -20,7 +20,7 @@
     sync::{Notify, OwnedSemaphorePermit, Semaphore},
 };
 
-use crate::{Body, BodyAborted, WatchedStream};
+use crate::{Body, BodyAborted, WatchedStream, client_connection::ClientStream};
 
 /// Share of the connections, as its reciprocal, that is kept free: while fewer are, responses ask
 /// clients to close.
@@ -160,7 +160,7 @@
 
 impl OpenConnection {
     /// Wraps the connection's socket.
-    pub(crate) fn stream(&self, stream: WatchedStream) -> ServerStream {
+    pub(crate) fn stream(&self, stream: WatchedStream<ClientStream>) -> ServerStream {
         ServerStream { stream, state: self.state.clone() }
     }
 
@@ -227,7 +227,7 @@
 /// Socket of a connection. It ends between two requests if the connection is asked to close.
 #[derive(Debug)]
 pub(crate) struct ServerStream {
-    stream: WatchedStream,
+    stream: WatchedStream<ClientStream>,
     state: Arc<ConnectionState>,
 }
 
--- a/crates/dogwoodway_http/src/lib.rs
+++ b/crates/dogwoodway_http/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod body;
 mod client;
+mod client_connection;
 mod connections;
 mod framing;
 mod server;
@@ -17,9 +18,10 @@
         text_response,
     },
     client::{ClientLimits, HttpClient, HttpError, HttpResponse},
+    client_connection::ClientConnection,
     connections::Connections,
     framing::BodyFraming,
     server::{Handler, ServerLimits, serve, serve_with_dynamic_limits},
-    silence::WatchedStream,
+    silence::{TcpSocketStream, WatchedStream},
     sse::{EventScanner, EventSplitter, EventStreamError, SseReader, StreamPosition, sse_event},
 };
--- a/crates/dogwoodway_http/src/server.rs
+++ b/crates/dogwoodway_http/src/server.rs
@@ -18,10 +18,12 @@
 
 use crate::{
     Body, WatchedStream,
+    client_connection::{ClientConnection, ClientStream},
     connections::{Connections, OpenConnection, ServerBody},
 };
 
-/// Handles one request and returns its response.
+/// Handles one request and returns its response. The request's extensions hold the
+/// [`ClientConnection`] that it arrived on.
 pub type Handler =
     Arc<dyn Fn(Request<Incoming>) -> BoxFuture<'static, Response<Body>> + Send + Sync>;
 
@@ -84,7 +86,7 @@
             () = &mut shutdown => break,
         };
         let stream = match accepted {
-            Ok((stream, _)) => stream,
+            Ok((stream, _)) => Arc::new(stream),
             Err(e) => {
                 log::warn!("failed to accept a connection: {e}");
                 // The process may have no descriptor left.
@@ -94,6 +96,7 @@
             }
         };
         let limits = limits();
+        let client = ClientConnection(Arc::downgrade(&stream));
         let stream = match watched(stream, &limits) {
             Ok(stream) => stream,
             Err(e) => {
@@ -107,7 +110,7 @@
             .timer(TokioTimer::new())
             .header_read_timeout(Duration::from_millis(limits.header_read_timeout_ms))
             .max_buf_size(limits.max_header_bytes)
-            .serve_connection(io, service(handler.clone(), open.clone()));
+            .serve_connection(io, service(handler.clone(), client, open.clone()));
         tokio::spawn(run_connection(graceful.watch(conn), open));
     }
     drop(listener);
@@ -117,9 +120,11 @@
 /// Builds the service of one connection.
 fn service(
     handler: Handler,
+    client: ClientConnection,
     open: Arc<OpenConnection>,
 ) -> impl HttpService<Incoming, ResBody = ServerBody, Error = Infallible, Future: Send> {
-    service_fn(move |req| {
+    service_fn(move |mut req: Request<Incoming>| {
+        req.extensions_mut().insert(client.clone());
         let (guard, response, open) = (open.begin_request(), handler(req), open.clone());
         async move {
             let mut resp = response.await;
@@ -150,8 +155,12 @@
     }
 }
 
-fn watched(stream: TcpStream, limits: &ServerLimits) -> std::io::Result<WatchedStream> {
+fn watched(
+    stream: Arc<TcpStream>,
+    limits: &ServerLimits,
+) -> std::io::Result<WatchedStream<ClientStream>> {
     stream.set_nodelay(true)?;
+    let stream = ClientStream(stream);
     match limits.silence_timeout_ms {
         Some(ms) => WatchedStream::new(stream, Duration::from_millis(ms)),
         None => Ok(WatchedStream::unwatched(stream)),
--- a/crates/dogwoodway_http/src/silence.rs
+++ b/crates/dogwoodway_http/src/silence.rs
@@ -50,11 +50,23 @@
 /// # }
 /// ```
 #[derive(Debug)]
-pub struct WatchedStream {
-    stream: TcpStream,
+pub struct WatchedStream<S = TcpStream> {
+    stream: S,
     watch: Option<Watch>,
 }
 
+/// A stream over one TCP socket.
+pub trait TcpSocketStream: AsyncRead + AsyncWrite + Unpin {
+    /// Returns the stream of the socket.
+    fn tcp(&self) -> &TcpStream;
+}
+
+impl TcpSocketStream for TcpStream {
+    fn tcp(&self) -> &TcpStream {
+        self
+    }
+}
+
 /// Watch of a connection that may have unacknowledged data.
 #[derive(Debug)]
 struct Watch {
@@ -65,18 +77,21 @@
     answered_at: Instant,
 }
 
-impl WatchedStream {
+impl<S> WatchedStream<S>
+where
+    S: TcpSocketStream,
+{
     /// Watches a connection, whose peer may be silent for up to `timeout`.
     ///
     /// # Errors
     ///
     /// Fails if the options of the socket cannot be set.
-    pub fn new(stream: TcpStream, timeout: Duration) -> io::Result<WatchedStream> {
-        let socket = SockRef::from(&stream);
+    pub fn new(stream: S, timeout: Duration) -> io::Result<WatchedStream<S>> {
+        let socket = SockRef::from(stream.tcp());
         // A connection without unacknowledged data: a live peer that has nothing to send answers probes.
         let keepalive = TcpKeepalive::new().with_time(timeout / 2).with_interval(timeout / 2);
         socket.set_tcp_keepalive(&keepalive.with_retries(1))?;
-        if let Err(e) = SendState::of(&stream) {
+        if let Err(e) = SendState::of(stream.tcp()) {
             UNKNOWN_STATE_REPORTED.call_once(|| {
                 log::warn!("the state of TCP connections is unknown, slow readers may be cut: {e}");
             });
@@ -84,13 +99,13 @@
             return Ok(WatchedStream::unwatched(stream));
         }
         // Without this option, a peer that falls silent after a long pause is found at the next probe.
-        let _ = set_max_retry_interval(&stream, timeout / RETRIES_PER_TIMEOUT);
+        let _ = set_max_retry_interval(stream.tcp(), timeout / RETRIES_PER_TIMEOUT);
         let watch = Watch { timeout, check: None, answered_at: Instant::now() };
         Ok(WatchedStream { stream, watch: Some(watch) })
     }
 
     /// Wraps a connection without a watch.
-    pub(crate) fn unwatched(stream: TcpStream) -> WatchedStream {
+    pub(crate) fn unwatched(stream: S) -> WatchedStream<S> {
         WatchedStream { stream, watch: None }
     }
 
@@ -101,17 +116,17 @@
     ///
     /// Fails if the option of the socket cannot be set.
     pub fn set_zero_linger(&self) -> io::Result<()> {
-        self.stream.set_zero_linger()
+        self.stream.tcp().set_zero_linger()
     }
 
     /// Returns the socket.
     pub(crate) fn socket(&self) -> SockRef<'_> {
-        SockRef::from(&self.stream)
+        SockRef::from(self.stream.tcp())
     }
 
     fn check_peer(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
         match &mut self.watch {
-            Some(watch) => watch.poll(&self.stream, cx),
+            Some(watch) => watch.poll(self.stream.tcp(), cx),
             None => Ok(()),
         }
     }
@@ -120,7 +135,7 @@
         match &mut self.watch {
             Some(watch) if watch.check.is_none() => {
                 watch.start();
-                watch.poll(&self.stream, cx)
+                watch.poll(self.stream.tcp(), cx)
             }
             _ => Ok(()),
         }
@@ -161,7 +176,10 @@
     }
 }
 
-impl AsyncRead for WatchedStream {
+impl<S> AsyncRead for WatchedStream<S>
+where
+    S: TcpSocketStream,
+{
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -172,7 +190,10 @@
     }
 }
 
-impl AsyncWrite for WatchedStream {
+impl<S> AsyncWrite for WatchedStream<S>
+where
+    S: TcpSocketStream,
+{
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -208,7 +229,7 @@
         if self.watch.is_some() {
             // The kernel counts the retries of a closed connection, so they must not follow each other
             // fast if a peer reads the end slowly.
-            let _ = set_max_retry_interval(&self.stream, MAX_RETRY_INTERVAL);
+            let _ = set_max_retry_interval(self.stream.tcp(), MAX_RETRY_INTERVAL);
         }
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
