Mend what the review of the fix for outdated weights found

Test: earlier_observation_of_another_router_shortens_the_time_for_outdated_weights. - A router that starts after two publications learns the earlier one from others; the store lists only the newest. - An engine that turns out to be loading after an unanswered order is announced to all routers. - A refusal or an end at the time that an engine was given says nothing of its health, and is no sign of a crash.

--- a/crates/dogwoodway_gateway/src/leader/rollout.rs
+++ b/crates/dogwoodway_gateway/src/leader/rollout.rs
@@ -178,9 +178,14 @@
             Err(why) => return self.handle_report_error(server, why).await,
         };
         load.failures = 0;
-        load.has_unanswered_order &= !report.is_busy;
         let serves = report.weights.iter().find(|(model, _)| model == load.model());
         let is_loaded = serves.is_some_and(|(_, version)| *version >= load.version());
+        if load.has_unanswered_order && report.is_busy {
+            load.has_unanswered_order = false;
+            let state = WeightsState::Loading(load.version());
+            self.update_weights_state(server, None, state).await;
+        }
+        let Some(load) = self.pending_loads.get_mut(&server) else { return };
         if is_loaded && !report.is_busy {
             let (model, version) = (load.model().clone(), load.version());
             log::info!(server:% = load.target.name, version = version.0; "weights loaded");
--- a/crates/dogwoodway_gateway/src/stream.rs
+++ b/crates/dogwoodway_gateway/src/stream.rs
@@ -57,6 +57,8 @@
     process: ServerProcess,
     /// Version of the weights that the server was asked to use.
     pub(crate) version: Option<WeightsVersion>,
+    /// From when on the server refuses or stops the request, if that is before its deadline.
+    refused_after: Option<Timestamp>,
     /// Identifies the server to other routers.
     server_tag: ServerTag,
     /// Software version of the server.
@@ -88,6 +90,7 @@
                 started_at_ms: placement.started_at_ms,
             },
             version: placement.version,
+            refused_after: placement.refused_after,
             server_tag: placement.server_tag,
             software: placement.software_tag,
             signal: None,
@@ -176,7 +179,13 @@
 
     /// Ends the attempt and closes its connection.
     pub(crate) fn end(mut self, signal: Option<HealthSignal>) {
-        self.signal = signal;
+        self.signal = signal.filter(|_| !self.is_out_of_time());
+    }
+
+    /// Returns whether the time that the server was given has passed, so that it refuses or stops the
+    /// request whatever its health.
+    fn is_out_of_time(&self) -> bool {
+        self.refused_after.is_some_and(|at| clock::now() >= at)
     }
 
     /// Ends an attempt whose client has left while the server, which had begun to answer, was silent.
@@ -195,6 +204,9 @@
     /// Ends an attempt whose connection was lost. The fingerprint counts against the request if the
     /// server turns out to have crashed.
     pub(crate) fn connection_lost(mut self, fingerprint: Option<RequestFingerprint>) {
+        if self.is_out_of_time() {
+            return;
+        }
         self.signal = Some(HealthSignal::ConnectionLost);
         self.fingerprint = fingerprint;
     }
--- a/crates/dogwoodway_routing/src/direct/fleet/versions.rs
+++ b/crates/dogwoodway_routing/src/direct/fleet/versions.rs
@@ -130,6 +130,7 @@
     fn record_observation(&mut self, observed_at: Timestamp, published_after: Timestamp) {
         if self.is_observed {
             self.published_at = self.published_at.min(observed_at);
+            self.published_after = self.published_after.min(observed_at);
             return;
         }
         (self.published_at, self.published_after) = (observed_at, published_after);
@@ -259,11 +260,16 @@
         let observed_at = now.earlier_by(Duration::from_millis(report.age_ms));
         let published_after =
             observed_at.earlier_by(Duration::from_millis(MAX_OBSERVATION_DELAY_MS));
-        let versions = self.published_versions.get_mut(&report.model);
-        let known = versions
-            .and_then(|versions| versions.iter_mut().find(|known| known.version == report.version));
-        if let Some(known) = known {
+        let Some(versions) = self.published_versions.get_mut(&report.model) else { return };
+        if let Some(known) = versions.iter_mut().find(|known| known.version == report.version) {
             known.record_observation(observed_at, published_after);
+        } else if versions.last().is_some_and(|newest| newest.version > report.version) {
+            // The store lists only the newest version.
+            let (version, published_at) = (report.version, observed_at);
+            insert_version(
+                versions,
+                PublishedVersion { version, published_at, is_observed: true, published_after },
+            );
         }
     }
 
--- a/crates/dogwoodway_routing/tests/direct_fleet.rs
+++ b/crates/dogwoodway_routing/tests/direct_fleet.rs
@@ -7,7 +7,7 @@
     direct::{
         fleet::{
             Availability, BackendKey, Fleet, Placement, PlacementRequest, RequestKey,
-            ServerListing, ServerLoad, ServerTag,
+            ServerListing, ServerLoad, ServerTag, VersionAge,
         },
         health::HealthSignal,
         kv_stores::KvChange,
@@ -670,6 +670,24 @@
     assert!(until(&restarted) <= until(&prompt).map(|at| at + Duration::from_millis(200)));
 }
 
+// Guards against an observation that another router made earlier and that does not count.
+#[test]
+fn earlier_observation_of_another_router_shortens_the_time_for_outdated_weights() {
+    let model = ModelName::try_from(MODEL).unwrap();
+    let report = |version, age_ms| VersionAge { model: model.clone(), version, age_ms };
+    let (mut restarted, _) = fleet(1);
+    restarted.record_listed_version(at(3_000), model.clone(), WeightsVersion(3));
+    // The first one has stood still and read late; the second one has watched all the while.
+    restarted.apply_version_age(at(3_100), &report(WeightsVersion(3), 0));
+    restarted.apply_version_age(at(3_200), &report(WeightsVersion(3), 3_000));
+    // The list names only the newest version.
+    restarted.apply_version_age(at(3_200), &report(WeightsVersion(2), 4_200));
+    let limits = restarted.start_limits();
+    let until = |version| limits.latest_start(&model, WeightsVersion(version)).unwrap();
+    assert!(until(2) <= at(8_200), "{}", until(2));
+    assert!(until(1) <= at(7_000), "{}", until(1));
+}
+
 // Guards against streams that start in time and are stopped at the time given to their engine.
 #[test]
 fn engines_are_told_to_refuse_only_requests_whose_outputs_end_before() {
