--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -9,6 +9,7 @@
 mod refusal;
 mod request_body;
 mod response_head;
+mod start_limit;
 
 use std::{
     sync::{Arc, atomic::Ordering},
@@ -28,7 +29,7 @@
 use dogwoodway_routing::{drain::Drain, part_blame::PartKey};
 use dogwoodway_types::{
     BackendServerName, NotRunReason, RequestFingerprint, RouteName, ServiceName, TeamName,
-    Timestamp, WeightsVersion,
+    Timestamp,
 };
 use hyper::{Request, Response, StatusCode, body::Incoming, header, http};
 use kameo::actor::ActorRef;
@@ -57,10 +58,6 @@
 /// router may know it.
 const UNKNOWN_ORIGIN_RETRY_MS: u64 = 200;
 
-/// Time after the latest start of a request at which it is withdrawn from an engine that has not
-/// answered, in milliseconds. By then the refusal of an engine that was told the latest start has arrived.
-const WITHDRAWAL_DELAY_MS: u64 = 150;
-
 /// Serves client requests. Shared by all connections.
 pub(crate) struct Relay {
     pub(crate) protocol: Arc<dyn RequestProtocol>,
@@ -330,48 +327,6 @@
         }
     }
 
-    /// Returns until when a request may start on a version of its model's weights; `None` if no newer
-    /// one is known.
-    pub(crate) fn latest_start(
-        &self,
-        request: &ClientRequest,
-        version: Option<WeightsVersion>,
-    ) -> Option<Timestamp> {
-        let model = &request.head.prompt.as_ref()?.model;
-        self.signals.start_limits.borrow().latest_start(model, version?)
-    }
-
-    /// Waits until a request that has not started on a version of its model's weights would start too
-    /// late. New weights may be published while it waits.
-    pub(crate) async fn start_overdue(
-        &self,
-        request: &ClientRequest,
-        version: Option<WeightsVersion>,
-    ) {
-        let mut limits = self.signals.start_limits.subscribe();
-        loop {
-            limits.mark_unchanged();
-            let overdue_at = self
-                .latest_start(request, version)
-                .map(|at| at + Duration::from_millis(WITHDRAWAL_DELAY_MS));
-            let overdue = async {
-                match overdue_at {
-                    Some(at) => clock::sleep_until(at).await,
-                    None => std::future::pending().await,
-                }
-            };
-            tokio::select! {
-                () = overdue => return,
-                changed = limits.changed() => {
-                    if changed.is_err() {
-                        // The fleet actor has ended, and with it the process.
-                        return std::future::pending().await;
-                    }
-                }
-            }
-        }
-    }
-
     /// Asks the fleet actor to choose a server for a request.
     pub(crate) async fn place(
         &self,
