--- a/crates/dogwoodway_gateway/src/lib.rs
+++ b/crates/dogwoodway_gateway/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod platform_api;
 pub mod clock;
+mod attempt_guard;
 mod checked_store;
 mod connection;
 mod directory;
--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -40,6 +40,7 @@
     request_body::{BodyMemory, BodyReservation},
 };
 use crate::{
+    attempt_guard::AttemptGuard,
     clock,
     directory::TableWatch,
     exchange::{BackendResponse, ExchangeError, exchange},
@@ -50,7 +51,6 @@
         deliver::Delivery,
         outcome::{log_attempt_end, log_placement, log_resumption},
     },
-    stream::AttemptGuard,
     stream_origins::{OriginResolver, TakenUpStream},
 };
 
--- a/crates/dogwoodway_gateway/src/relay/outcome.rs
+++ b/crates/dogwoodway_gateway/src/relay/outcome.rs
@@ -5,8 +5,9 @@
 use hyper::StatusCode;
 
 use crate::{
-    clock, fleet_actor::AssignedServer, metric, platform_api::StreamResumption,
-    relay::ClientRequest, response_body::BodyEnd, stream::AttemptGuard, stream_origins::Resolution,
+    attempt_guard::AttemptGuard, clock, fleet_actor::AssignedServer, metric,
+    platform_api::StreamResumption, relay::ClientRequest, response_body::BodyEnd,
+    stream_origins::Resolution,
 };
 
 fn attempt_outcome_label(outcome: AttemptOutcome) -> &'static str {
