--- a/crates/dogwoodway_gateway/src/attempt_guard.rs
+++ b/crates/dogwoodway_gateway/src/attempt_guard.rs
@@ -161,13 +161,14 @@
 
     /// Ends the attempt and closes its connection.
     pub(crate) fn end(mut self, signal: Option<HealthSignal>) {
-        self.signal = signal.filter(|_| !self.is_out_of_time());
+        let is_out_of_time = self.is_out_of_time(clock::now());
+        self.signal = signal.filter(|_| !is_out_of_time);
     }
 
     /// Returns whether the time that the server was given has passed, so that it refuses or stops the
     /// request whatever its health.
-    fn is_out_of_time(&self) -> bool {
-        self.refused_after.is_some_and(|at| clock::now() >= at)
+    fn is_out_of_time(&self, now: Timestamp) -> bool {
+        self.refused_after.is_some_and(|at| now >= at)
     }
 
     /// Ends an attempt whose client has left while the server, which had begun to answer, was silent.
@@ -178,15 +179,15 @@
     }
 
     /// Returns whether the server has begun to answer and then sent nothing for long.
-    pub(crate) fn is_silent(&self) -> bool {
-        let silence = clock::now() - self.activity_reported_at;
+    pub(crate) fn is_silent(&self, now: Timestamp) -> bool {
+        let silence = now - self.activity_reported_at;
         self.has_output && silence >= Duration::from_millis(ABANDONED_SILENCE_MS)
     }
 
     /// Ends an attempt whose connection was lost. The fingerprint counts against the request if the
     /// server turns out to have crashed.
     pub(crate) fn connection_lost(mut self, fingerprint: Option<RequestFingerprint>) {
-        if self.is_out_of_time() {
+        if self.is_out_of_time(clock::now()) {
             return;
         }
         self.signal = Some(HealthSignal::ConnectionLost);
--- a/crates/dogwoodway_gateway/src/fleet_actor/attempts.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/attempts.rs
@@ -135,7 +135,8 @@
 }
 
 impl FleetActor {
-    /// Counts what belongs to a placement besides the place, and returns all of it.
+    /// Starts the trial of a part and takes an idle connection for a placement. Returns all that the
+    /// placement takes up, to be owned by its claim.
     fn count_placement(
         &mut self,
         now: Timestamp,
--- a/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
@@ -309,8 +309,8 @@
 
     /// Records that a process has ended, which is a crash for all requests that it may have been
     /// running. Unless connections were refused from its end on, those whose answer had not begun may
-    /// have been sent later, and the crash is uncertain for them. Returns the crash with the answers that it had begun, or `None` if it
-    /// had no request of this router.
+    /// have been sent later, and the crash is uncertain for them. Returns the crash with the answers that
+    /// it had begun, or `None` if it had no request of this router.
     pub(super) fn confirm_crash(
         &mut self,
         now: Timestamp,
--- a/crates/dogwoodway_gateway/src/relay/admit.rs
+++ b/crates/dogwoodway_gateway/src/relay/admit.rs
@@ -43,7 +43,7 @@
 /// Longest request path that is written to the log, in bytes.
 const MAX_LOGGED_PATH_BYTES: usize = 80;
 
-/// The rules for a request.
+/// Route and team of a request, as one routing table has them.
 struct Routing {
     table: Arc<RoutingTable>,
     key: RouteKey,
--- a/crates/dogwoodway_gateway/src/stream.rs
+++ b/crates/dogwoodway_gateway/src/stream.rs
@@ -34,7 +34,7 @@
 
 impl Drop for ResponseStream {
     fn drop(&mut self) {
-        if let Some(guard) = self.guard.take_if(|guard| guard.is_silent()) {
+        if let Some(guard) = self.guard.take_if(|guard| guard.is_silent(clock::now())) {
             guard.abandon(self.request.fingerprint());
         }
     }
--- a/crates/dogwoodway_http/src/connections.rs
+++ b/crates/dogwoodway_http/src/connections.rs
@@ -110,10 +110,8 @@
             .filter(|(since, _)| *since != IN_USE)
             .collect();
         self.is_full.store(idle.is_empty(), Ordering::Relaxed);
-        let now_ms = self.now_ms();
-        idle.retain(|(since, _)| since + MIN_IDLE_MS <= now_ms);
-        idle.sort_unstable_by_key(|(since, _)| *since);
-        for (_, state) in idle.iter().take(CLOSE_BATCH) {
+        keep_longest_idle(&mut idle, self.now_ms());
+        for (_, state) in &idle {
             state.is_unwanted.store(true, Ordering::Relaxed);
             state.changed.notify_one();
         }
@@ -140,6 +138,14 @@
     }
 }
 
+/// Keeps those of the idle connections, each with the time since which it is idle, that make room for new
+/// ones.
+fn keep_longest_idle<T>(idle: &mut Vec<(u64, T)>, now_ms: u64) {
+    idle.retain(|(since_ms, _)| since_ms + MIN_IDLE_MS <= now_ms);
+    idle.sort_unstable_by_key(|(since_ms, _)| *since_ms);
+    idle.truncate(CLOSE_BATCH);
+}
+
 #[derive(Debug)]
 struct ConnectionState {
     /// When the connection became idle, in milliseconds, or [`IN_USE`].
