Log when a request on a crashed server was sent, and what clears a part

Lines of requests on crashed servers now state sent_ms, and an answer that clears a part of two crashes or more is logged.

--- a/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
@@ -123,9 +123,10 @@
         let parts: Vec<_> = self.request.shared_parts.iter().map(PartKey::to_string).collect();
         let answered_ms =
             self.request.answer_started_at.map(|at| (self.lost_at - at).as_millis() as u64);
+        let sent_ms = (self.lost_at - self.request.sent_at).as_millis() as u64;
         log::info!(
             request = self.request.id, server:% = self.report.server, parts:? = parts,
-            answered_ms:? = answered_ms;
+            sent_ms = sent_ms, answered_ms:? = answered_ms;
             "request was on a backend server that crashed"
         );
     }
--- a/crates/dogwoodway_gateway/src/fleet_actor/part_evidence.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/part_evidence.rs
@@ -19,6 +19,9 @@
 /// just started, in milliseconds.
 const SUMMARY_INTERVAL_MS: u64 = 500;
 
+/// Crashes from which on it is logged that an answer cleared a part. Most common parts are cleared of one.
+const MIN_LOGGED_CRASHES: usize = 2;
+
 /// Evidence of this router and of others.
 pub(super) struct PartEvidence {
     blame: PartBlame,
@@ -112,6 +115,14 @@
 
     /// Logs which parts have entered or left the quarantine.
     fn log_changes(&mut self, now: Timestamp) {
+        let refutations = self.blame.take_refutations();
+        for cleared in refutations.iter().filter(|cleared| cleared.crashes >= MIN_LOGGED_CRASHES) {
+            log::info!(
+                part:% = cleared.part, crashes = cleared.crashes,
+                began_ms = (now - cleared.started_at).as_millis() as u64;
+                "an answer cleared a prompt part of crashes"
+            );
+        }
         let current = self.blame.quarantined(now);
         if current == self.logged {
             return;
--- a/crates/dogwoodway_routing/src/part_blame.rs
+++ b/crates/dogwoodway_routing/src/part_blame.rs
@@ -110,6 +110,17 @@
     },
 }
 
+/// Evidence against a part that an answer has cleared.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refutation {
+    /// The part.
+    pub part: PartKey,
+    /// Crashes that no longer count against it.
+    pub crashes: usize,
+    /// When the answer began.
+    pub started_at: Timestamp,
+}
+
 /// A part that is blamed for crashes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QuarantinedPart {
@@ -173,6 +184,8 @@
     next_evaluation_at: Timestamp,
     evaluated_at: Timestamp,
     outgoing: VecDeque<PartNotice>,
+    /// Cleared evidence that was not taken yet.
+    refutations: VecDeque<Refutation>,
 }
 
 impl PartBlame {
@@ -193,6 +206,7 @@
             next_evaluation_at: Timestamp::MAX,
             evaluated_at: Timestamp::default(),
             outgoing: VecDeque::new(),
+            refutations: VecDeque::new(),
         }
     }
 
@@ -315,6 +329,11 @@
         self.outgoing.drain(..).collect()
     }
 
+    /// Takes the evidence that answers have cleared since the last call.
+    pub fn take_refutations(&mut self) -> Vec<Refutation> {
+        self.refutations.drain(..).collect()
+    }
+
     /// Returns the evidence against all parts in quarantine, for routers that have just started.
     pub fn summary(&mut self, now: Timestamp) -> Vec<PartNotice> {
         self.evaluate(now);
@@ -373,17 +392,22 @@
             self.forget_answers(now);
         }
         self.answered.insert(part, started_at);
-        let refutes = self.crashes.iter().any(|crash| {
+        let refuted = self.crashes.iter().filter(|crash| {
             crash.crashed_at <= started_at
                 && crash.crashed_at > known
                 && crash.run_of(part).is_some()
         });
-        if refutes {
+        let crashes = refuted.count();
+        if crashes > 0 {
+            if self.refutations.len() >= MAX_OUTGOING {
+                self.refutations.pop_front();
+            }
+            self.refutations.push_back(Refutation { part, crashes, started_at });
             self.is_outdated = true;
             self.trials.remove(&part);
             self.contrasted.remove(&part);
         }
-        refutes
+        crashes > 0
     }
 
     /// Forgets the older half of the complete answers.
