Count crashes against the parts of requests without an answer

Callers saw requests with a part that crashes engines sent on without end: 73 to 77 of them reached engines later than 3 s after the fifth crash, and up to 114 engines ended, if the engines crashed before the first byte of a response. A crash counted only against the parts of answers that had begun, since requests in a queue say nothing; but an engine that fails while it reads a prompt never begins to answer it. The logs of the failing test show it: all 113 lost requests with the part had no answer and had been sent 31 to 35 ms before, and nothing was quarantined.

A request without an answer now counts as running since it was sent, for 250 ms at most: crashes that are further apart come one after the other. Parts of requests that were only queued are cleared by answers elsewhere, as common parts are. No message between routers changes its form.

--- a/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
@@ -112,10 +112,10 @@
 }
 
 impl Suspect {
-    /// Returns the answer that the server had begun, for each shared part of the prompt.
+    /// Returns the run of the request for each shared part of the prompt.
     fn runs(&self, crashed_at: Timestamp) -> Vec<PartRun> {
-        let Some(started_at) = self.request.answer_started_at else { return Vec::new() };
-        let lead = crashed_at - started_at;
+        let AttemptedRequest { sent_at, answer_started_at, .. } = self.request;
+        let lead = PartRun::lead(crashed_at, sent_at, answer_started_at);
         PartRun::of_request(&self.request.shared_parts, self.report.fingerprint, lead)
     }
 
@@ -310,8 +310,8 @@
 
     /// Records that a process has ended, which is a crash for all requests that it may have been
     /// running. Unless connections were refused from its end on, those whose answer had not begun may
-    /// have been sent later, and the crash is uncertain for them. Returns the crash with the answers that
-    /// it had begun, or `None` if it had no request of this router.
+    /// have been sent later, and the crash is uncertain for them. Returns the crash with the requests
+    /// that the process may have been running, or `None` if it had none of this router.
     pub(super) fn confirm_crash(
         &mut self,
         now: Timestamp,
--- a/crates/dogwoodway_routing/src/part_blame.rs
+++ b/crates/dogwoodway_routing/src/part_blame.rs
@@ -1,14 +1,15 @@
 //! Blame of prompt parts for crashes of the engines that answer prompts with them.
 //!
 //! The load pattern behind this: a part that many requests share, such as a document, crashes each
-//! engine that begins to answer a prompt with it. The requests differ in all else and arrive at
+//! engine that runs a prompt with it, while it reads the prompt or once it has begun to answer. The requests differ in all else and arrive at
 //! every router, so counting crashes against whole requests never stops them. Each crash also takes
 //! down a batch of sound requests, which may share other parts with the cause.
 //!
 //! The evidence is counted against each shared part:
 //!
-//! - *A crash counts against the parts of the answers that the engine had begun.* Requests that were
-//!   queued there count for nothing.
+//! - *A crash counts against the parts of all requests that the engine had and had not answered
+//!   completely.* Nothing tells those that it was reading from those in its queue; the parts of the latter
+//!   are cleared by answers elsewhere.
 //! - *A complete answer refutes all crashes before it began*, wherever it ran. An answer that broke
 //!   off, and an error, refute nothing. An answer that goes on for clearly longer than those that
 //!   ended in crashes counts as complete: long answers could otherwise clear their parts only
@@ -215,7 +216,7 @@
         self.router_count = routers.max(1);
     }
 
-    /// Records a crash of an engine and the answers that it had begun for this router. Repeated
+    /// Records a crash of an engine and the requests of this router that it had not answered. Repeated
     /// reports of one crash are merged.
     pub fn record_crash(&mut self, now: Timestamp, crash: EngineCrash) {
         if !crash.runs.is_empty() && self.merge_crash(now, &crash) {
--- a/crates/dogwoodway_routing/src/part_blame/evidence.rs
+++ b/crates/dogwoodway_routing/src/part_blame/evidence.rs
@@ -13,19 +13,49 @@
 /// Position of a whole request, which comes after all parts of its prompt.
 const REQUEST_POSITION: u8 = u8::MAX;
 
-/// An answer, to a prompt with a part, that an engine had begun when it crashed.
+/// Longest time that a request without an answer counts as running. Before that it may have been
+/// queued, so that crashes which are further apart than this count one after the other.
+const MAX_UNANSWERED_LEAD: Duration = Duration::from_millis(250);
+
+/// A request whose prompt contains a part, and which an engine was answering or may have been running
+/// when it crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartRun {
     /// The part.
     pub part: PartKey,
     /// Position of the part in the prompt; 0 is the first. A whole request comes last.
     pub position: u8,
-    /// Time from the beginning of the answer to the crash. Of several answers, the one that began
-    /// first counts: it would have crashed the engine before the others.
+    /// Time from the beginning of the answer to the crash, see [`PartRun::lead`]. Of several answers,
+    /// the one that began first counts: it would have crashed the engine before the others.
     pub lead: Duration,
 }
 
 impl PartRun {
+    /// Returns for how long a request had been running when its engine crashed. An engine that fails
+    /// while it reads the prompt never begins to answer, and a request that it reads looks like one that
+    /// is queued: both count from when they were sent, for a short time at most.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use dogwoodway_routing::part_blame::PartRun;
+    /// use dogwoodway_types::Timestamp;
+    ///
+    /// let [sent_at, answered_at, crashed_at] = [100, 5_000, 5_040].map(Timestamp::from_millis);
+    /// let answered = PartRun::lead(crashed_at, sent_at, Some(answered_at));
+    /// assert_eq!(answered, Duration::from_millis(40));
+    /// assert!(PartRun::lead(crashed_at, sent_at, None) < Duration::from_secs(1));
+    /// ```
+    pub fn lead(
+        crashed_at: Timestamp,
+        sent_at: Timestamp,
+        answer_started_at: Option<Timestamp>,
+    ) -> Duration {
+        match answer_started_at {
+            Some(started_at) => crashed_at - started_at,
+            None => (crashed_at - sent_at).min(MAX_UNANSWERED_LEAD),
+        }
+    }
+
     /// Returns the runs of a request: one for each shared part of its prompt, in order, and one for
     /// the whole request. A request without shared parts has none.
     ///
--- a/crates/dogwoodway_standin/examples/crash_storm.rs
+++ b/crates/dogwoodway_standin/examples/crash_storm.rs
@@ -10,6 +10,9 @@
     /// Number of seeds for each case.
     #[arg(long, default_value_t = 5)]
     seeds: u64,
+    /// Policies to play.
+    #[arg(long, value_enum, default_values = ["no-blame", "crash-count", "part-blame"])]
+    policies: Vec<PolicyKind>,
 }
 
 fn cases() -> Vec<(String, Storm)> {
@@ -49,6 +52,23 @@
     ] {
         cases.push((name.to_owned(), Storm { cause, ..Storm::default() }));
     }
+    for share in [0.01, 0.05, 0.3] {
+        let storm = Storm { crashes_before_answer: true, cause_share: share, ..Storm::default() };
+        cases.push((format!("before the answer, {:.0}% of requests", share * 1e2), storm));
+    }
+    let before = Storm { crashes_before_answer: true, ..Storm::default() };
+    cases.push((
+        "before the answer, two causes".to_owned(),
+        Storm { cause: Cause::TwoDocuments, ..before },
+    ));
+    cases.push((
+        "before the answer, engines crash for other reasons too".to_owned(),
+        Storm { other_crashes_per_hour, ..before },
+    ));
+    cases.push((
+        "before the answer, 30 routers, 100 engines".to_owned(),
+        Storm { routers: 30, engines: 100, requests_per_s: 700.0, ..before },
+    ));
     let nothing =
         Storm { cause: Cause::Nothing, other_crashes_per_hour: 600.0, ..Storm::default() };
     cases.push(("only other reasons, 600 an hour each".to_owned(), nothing));
@@ -62,7 +82,7 @@
     );
     println!("|---|---|---|---|---|---|---|");
     for (name, storm) in cases() {
-        for policy in [PolicyKind::NoBlame, PolicyKind::CrashCount, PolicyKind::PartBlame] {
+        for policy in args.policies.iter().copied() {
             let outcomes: Vec<_> =
                 (0..args.seeds).map(|seed| simulate(storm, policy, seed)).collect();
             println!("| {name} | {} | {} |", policy.name(), row(&outcomes));
--- a/crates/dogwoodway_standin/src/crash_storm/policy.rs
+++ b/crates/dogwoodway_standin/src/crash_storm/policy.rs
@@ -49,7 +49,7 @@
     PartBlame(Box<PartBlame>),
 }
 
-/// A request whose answer an engine had begun when it crashed.
+/// A request that an engine had not answered completely when it crashed.
 pub(super) struct LostRun<'a> {
     pub(super) parts: &'a [PartKey],
     pub(super) request: RequestFingerprint,
--- a/crates/dogwoodway_standin/src/crash_storm/simulator.rs
+++ b/crates/dogwoodway_standin/src/crash_storm/simulator.rs
@@ -5,7 +5,7 @@
     collections::{BinaryHeap, HashMap},
 };
 
-use dogwoodway_routing::part_blame::{PartKey, PartNotice};
+use dogwoodway_routing::part_blame::{PartKey, PartNotice, PartRun};
 use dogwoodway_types::{EngineIncarnation, ModelName, RequestFingerprint, TeamName, Timestamp};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -76,6 +76,8 @@
     pub other_crashes_per_hour: f64,
     /// What crashes engines.
     pub cause: Cause,
+    /// Whether the cause crashes engines while they read the prompt, otherwise once they answer it.
+    pub crashes_before_answer: bool,
     /// Duration of the storm in seconds.
     pub seconds: u64,
 }
@@ -93,6 +95,7 @@
             knowledge_ms: 50,
             other_crashes_per_hour: 0.0,
             cause: Cause::Document,
+            crashes_before_answer: false,
             seconds: 20,
         }
     }
@@ -131,6 +134,7 @@
 struct Run {
     request: Request,
     engine: usize,
+    sent_at: Timestamp,
     began_at: Option<Timestamp>,
     may_repeat: bool,
 }
@@ -372,9 +376,15 @@
         let may_repeat = !request.is_second_attempt && permission == Permission::Run;
         let id = self.next_number + 1;
         let prefill_ms = self.rng.random_range(PREFILL_MS);
-        self.schedule(prefill_ms, Event::Begin(id));
+        if request.is_bad && self.storm.crashes_before_answer {
+            let incarnation = self.engines[engine].incarnation;
+            self.schedule(prefill_ms, Event::Crash { engine, caused_in: Some(incarnation) });
+        } else {
+            self.schedule(prefill_ms, Event::Begin(id));
+        }
         self.engines[engine].runs.push(id);
-        self.runs.insert(id, Run { request, engine, began_at: None, may_repeat });
+        let sent_at = self.now();
+        self.runs.insert(id, Run { request, engine, sent_at, began_at: None, may_repeat });
     }
 
     fn begin(&mut self, id: u64) {
@@ -425,11 +435,10 @@
         let team = TeamName::try_from("team").expect("a valid name");
         let mut by_router: HashMap<usize, Vec<LostRun<'_>>> = HashMap::new();
         for run in &lost {
-            let Some(began_at) = run.began_at else { continue };
             by_router.entry(run.request.router).or_default().push(LostRun {
                 parts: &run.request.parts,
                 request: RequestFingerprint::new(&team, &[&run.request.id.to_le_bytes()]),
-                lead: now - began_at,
+                lead: PartRun::lead(now, run.sent_at, run.began_at),
             });
         }
         let mut routers: Vec<_> = by_router.into_iter().collect();
--- a/crates/dogwoodway_standin/tests/crash_storm.rs
+++ b/crates/dogwoodway_standin/tests/crash_storm.rs
@@ -31,6 +31,18 @@
     check("many routers", Storm { routers: 30, engines: 60, requests_per_s: 400.0, ..usual() });
 }
 
+// Crashes counted only against answers that had begun.
+#[test]
+fn cause_that_crashes_engines_before_they_answer_is_refused() {
+    let usual = Storm { crashes_before_answer: true, ..usual() };
+    check("usual", usual);
+    check("rare", Storm { cause_share: 0.01, ..usual });
+    check("frequent", Storm { cause_share: 0.3, ..usual });
+    check("two causes", Storm { cause: Cause::TwoDocuments, ..usual });
+    check("other reasons too", Storm { other_crashes_per_hour: 120.0, ..usual });
+    check("many routers", Storm { routers: 30, engines: 60, requests_per_s: 400.0, ..usual });
+}
+
 #[test]
 fn crashes_for_other_reasons_refuse_nothing() {
     let storm = Storm { cause: Cause::Nothing, other_crashes_per_hour: 600.0, ..usual() };
