Blame a part after five crashes that it alone explains

From the fifth crash on the part's own crashes decide, provided that its runs ended after similar times: crashes for other reasons end answers of any age. Of the parts that may be blamed, the one that was in most crashes is taken first; a sound companion could have a longer series than the cause, since its runs overlap less.

--- a/crates/dogwoodway_routing/src/part_blame.rs
+++ b/crates/dogwoodway_routing/src/part_blame.rs
@@ -23,7 +23,8 @@
 //!   part, so that a request that is sent again and again does not bring blame on what it shares.
 //! - *There must be a contrast*: a part is blamed only if prompts without it, for the same model,
 //!   were answered meanwhile. If nothing is answered, the cause is elsewhere.
-//! - *Chance is considered*: while engines crash without the part as well, more crashes are needed.
+//! - *Chance is considered*: while engines crash without the part as well, more crashes are needed, but
+//!   not once the part has been in five, each after a similar time.
 //!
 //! A part with [`BLAME_THRESHOLD`] crashes in series is quarantined for [`INITIAL_QUARANTINE`], and
 //! twice as long after each further crash. Then one request tries it again; a complete answer clears
@@ -45,22 +46,19 @@
 
 use dogwoodway_types::Timestamp;
 
-use self::{evidence::Series, search::series_of};
 pub use self::{
     evidence::{EngineCrash, PartRun},
     key::PartKey,
     notice::{AnsweredPart, PartNotice},
 };
+use self::{
+    evidence::{Series, survival_after},
+    search::series_of,
+};
 
 /// Crashes in series from which on a part is quarantined, if no engine crashes without it.
 pub const BLAME_THRESHOLD: usize = 3;
 
-/// An answer that goes on for this many times as long as the longest that ended in a crash, and for
-/// [`SURVIVAL_MARGIN`] more, is taken for a complete one.
-const SURVIVAL_FACTOR: f64 = 1.5;
-
-const SURVIVAL_MARGIN: Duration = Duration::from_millis(200);
-
 /// Duration of the first quarantine of a part; each further crash doubles it.
 pub const INITIAL_QUARANTINE: Duration = Duration::from_secs(60);
 
@@ -249,7 +247,7 @@
                 continue;
             }
             let series = Series::longest(*part, counted.iter().copied());
-            let survival = series.longest_lead.mul_f64(SURVIVAL_FACTOR) + SURVIVAL_MARGIN;
+            let survival = survival_after(series.longest_lead);
             if now - started_at >= survival && self.refute(now, *part, started_at) {
                 self.queue(PartNotice::Answered(AnsweredPart { part: *part, started_at }));
             }
--- a/crates/dogwoodway_routing/src/part_blame/evidence.rs
+++ b/crates/dogwoodway_routing/src/part_blame/evidence.rs
@@ -10,6 +10,12 @@
 /// Largest number of parts for which the answers of one crashed engine are kept.
 const MAX_RUNS: usize = 96;
 
+/// An answer that goes on for this many times as long as the longest that ended in a crash, and for
+/// [`SURVIVAL_MARGIN`] more, is taken for a complete one.
+const SURVIVAL_FACTOR: f64 = 1.5;
+
+const SURVIVAL_MARGIN: Duration = Duration::from_millis(200);
+
 /// Position of a whole request, which comes after all parts of its prompt.
 const REQUEST_POSITION: u8 = u8::MAX;
 
@@ -143,6 +149,12 @@
     pub(super) crashed_at: Timestamp,
 }
 
+/// Returns how long an answer goes on before it counts as complete, if others ended in a crash after
+/// `lead`.
+pub(super) fn survival_after(lead: Duration) -> Duration {
+    lead.mul_f64(SURVIVAL_FACTOR) + SURVIVAL_MARGIN
+}
+
 /// The longest series of crashes of one part in which all answers began after the crash before.
 #[derive(Clone, Debug)]
 pub(super) struct Series {
@@ -156,6 +168,8 @@
     pub(super) last_crash_at: Timestamp,
     /// Longest time from the beginning of an answer to a crash of the series.
     pub(super) longest_lead: Duration,
+    /// Shortest and longest time from the beginning of an answer to any of the crashes.
+    lead_range: (Duration, Duration),
 }
 
 impl Series {
@@ -172,6 +186,7 @@
             first_crash_at: Timestamp::default(),
             last_crash_at: Timestamp::default(),
             longest_lead: Duration::ZERO,
+            lead_range: (Duration::MAX, Duration::ZERO),
         };
         let mut previous_crash_at: Option<Timestamp> = None;
         for crash in crashes {
@@ -179,19 +194,29 @@
                 (series.position, series.first_crash_at) = (crash.position, crash.crashed_at);
             }
             series.all_indices.push(crash.index);
+            let (shortest, longest) = series.lead_range;
+            let lead = crash.crashed_at - crash.started_at;
+            series.lead_range = (shortest.min(lead), longest.max(lead));
             series.last_crash_at = crash.crashed_at;
             if previous_crash_at.is_none_or(|previous| crash.started_at > previous) {
                 series.indices.push(crash.index);
-                series.longest_lead = series.longest_lead.max(crash.crashed_at - crash.started_at);
+                series.longest_lead = series.longest_lead.max(lead);
                 previous_crash_at = Some(crash.crashed_at);
             }
         }
         series
     }
 
+    /// Returns whether no answer had gone on for clearly longer than the shortest one when its engine
+    /// crashed. Engines that crash for other reasons end answers of any age.
+    pub(super) fn has_similar_leads(&self) -> bool {
+        let (shortest, longest) = self.lead_range;
+        longest <= survival_after(shortest)
+    }
+
     /// Returns how well the part explains crashes, for comparison. Of two parts that always occur
     /// together the later one is blamed, which refuses fewer requests.
     pub(super) fn strength(&self) -> (usize, usize, u8, Reverse<PartKey>) {
-        (self.indices.len(), self.all_indices.len(), self.position, Reverse(self.part))
+        (self.all_indices.len(), self.indices.len(), self.position, Reverse(self.part))
     }
 }
--- a/crates/dogwoodway_routing/src/part_blame/search.rs
+++ b/crates/dogwoodway_routing/src/part_blame/search.rs
@@ -19,6 +19,10 @@
 /// Largest number of further crashes. With several causes, most crashes are without each of them.
 const MAX_FURTHER_CRASHES: usize = 3;
 
+/// Crashes, one after the other or not, from which on crashes of other engines no longer protect a part
+/// whose runs all ended after similar times. Without a complete answer to it so many are hardly chance.
+const MAX_CRASHES_BEFORE_BLAME: usize = 5;
+
 /// Time before the first crash of a part from which on crashes without it count.
 const BACKGROUND_PERIOD: Duration = Duration::from_secs(10);
 
@@ -115,6 +119,9 @@
     /// Returns the crashes in series from which on a part is blamed: the more engines crashed without
     /// it meanwhile and shortly before, the likelier it is that the part was there by chance.
     fn threshold(&self, series: &Series, explained: &HashSet<usize>) -> usize {
+        if series.all_indices.len() >= MAX_CRASHES_BEFORE_BLAME && series.has_similar_leads() {
+            return BLAME_THRESHOLD;
+        }
         // Later crashes do not count: a part that is refused cannot be in them.
         let from = series.first_crash_at.earlier_by(BACKGROUND_PERIOD);
         let period = from..=series.last_crash_at;
--- a/crates/dogwoodway_routing/tests/part_blame.rs
+++ b/crates/dogwoodway_routing/tests/part_blame.rs
@@ -65,6 +65,30 @@
     assert_eq!(blame.status(at(560), &[part("a"), part("d")]), PartStatus::Clear);
 }
 
+// Crashes of other engines and overlapping ones left a part without blame after its fifth crash.
+#[test]
+fn part_in_five_crashes_is_blamed_although_other_engines_crash_too() {
+    let mut blame = PartBlame::new(1, 1);
+    let crashed = |ms, lead_ms| {
+        let lead = Duration::from_millis(lead_ms);
+        let runs = vec![PartRun { part: part("bad"), position: 1, lead }];
+        EngineCrash { engine: EngineIncarnation(ms), crashed_at: at(ms), runs }
+    };
+    blame.record_crash(at(6_600), crashed(6_600, 113));
+    blame.record_crash(at(8_600), crashed(8_600, 115));
+    // Begun before the crash before was noticed.
+    blame.record_crash(at(8_645), crashed(8_645, 88));
+    for n in 0..4 {
+        blame.record_crash(at(9_235 + n), crash(n, 9_235 + n, &["a", "other"]));
+    }
+    answer_others(&mut blame, 9_300);
+    blame.record_crash(at(12_255), crashed(12_255, 110));
+    assert_eq!(quarantined(&mut blame, 19_000), []);
+    blame.record_crash(at(19_560), crashed(19_560, 123));
+    answer_others(&mut blame, 19_600);
+    assert_eq!(quarantined(&mut blame, 20_000), [part("bad")]);
+}
+
 #[test]
 fn part_of_long_answers_is_not_blamed_when_engines_crash_faster_than_they_end() {
     let parts = [part("a"), part("b")];
