Hold a crashing part back while no other prompt is answered

Such a part is now tried by one request at a time, from 1 s after its last crash; other prompts are served and bring the contrast.

--- a/crates/dogwoodway_gateway/src/fleet_actor/part_evidence.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/part_evidence.rs
@@ -30,6 +30,8 @@
     next_summary_at: Timestamp,
     /// Parts in quarantine as last logged.
     logged: Vec<QuarantinedPart>,
+    /// Parts without contrast as last logged.
+    logged_held_back: Vec<PartKey>,
 }
 
 impl PartEvidence {
@@ -39,6 +41,7 @@
             notices: Vec::new(),
             next_summary_at: Timestamp::default(),
             logged: Vec::new(),
+            logged_held_back: Vec::new(),
         }
     }
 
@@ -123,6 +126,11 @@
                 "an answer cleared a prompt part of crashes"
             );
         }
+        let held_back: Vec<_> = self.blame.held_back(now).iter().map(|held| held.part).collect();
+        for part in held_back.iter().filter(|part| !self.logged_held_back.contains(part)) {
+            log::warn!(part:% = part; "prompt part tried by one request at a time");
+        }
+        self.logged_held_back = held_back;
         let current = self.blame.quarantined(now);
         if current == self.logged {
             return;
--- a/crates/dogwoodway_routing/src/part_blame.rs
+++ b/crates/dogwoodway_routing/src/part_blame.rs
@@ -22,7 +22,8 @@
 //!   it explains no longer counts against the parts that accompany it. A whole request counts like a
 //!   part, so that a request that is sent again and again does not bring blame on what it shares.
 //! - *There must be a contrast*: a part is blamed only if prompts without it, for the same model,
-//!   were answered meanwhile. If nothing is answered, the cause is elsewhere.
+//!   were answered meanwhile. If nothing is answered, the cause may be elsewhere: then the part is tried by
+//!   one request at a time, so that the engines that come back are left for the other requests.
 //! - *Chance is considered*: while engines crash without the part as well, more crashes are needed, but
 //!   not once the part has been in five, each after a similar time.
 //!
@@ -87,6 +88,13 @@
 /// Time after which a trial without a result is repeated.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time after the last crash of a part without contrast until it is tried again. Answers to prompts
+/// without it, if there are engines to give them, come within that time.
+const UNCONTRASTED_PAUSE: Duration = Duration::from_secs(1);
+
+/// As [`TRIAL_TIMEOUT`], for a part without contrast, which may be in all prompts.
+const UNCONTRASTED_TRIAL_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Largest number of notices that are queued for other routers.
 const MAX_OUTGOING: usize = 256;
 
@@ -129,6 +137,8 @@
     pub crashes: usize,
     /// When the quarantine ends.
     pub until: Timestamp,
+    /// Whether prompts without the part were answered meanwhile. Otherwise the quarantine is short.
+    pub has_contrast: bool,
 }
 
 /// Evidence of which parts crash engines, and the parts that are blamed.
@@ -170,13 +180,13 @@
     recent_answers: VecDeque<(Timestamp, Vec<PartKey>)>,
     /// Parts for which some router has a contrast.
     contrasted: HashSet<PartKey>,
-    /// The strongest blame first.
-    quarantined: Vec<QuarantinedPart>,
+    /// Those with a contrast come first, of these the strongest.
+    blamed: Vec<QuarantinedPart>,
     /// Parts from [`NO_RETRY_THRESHOLD`] on.
     suspects: HashSet<PartKey>,
     /// Trials of this router, and when each counts as without a result.
     trials: HashMap<PartKey, Timestamp>,
-    /// Whether a part would be quarantined if there were a contrast.
+    /// Whether a blamed part has no contrast.
     awaits_contrast: bool,
     is_outdated: bool,
     /// When a crash begins to count for blame.
@@ -197,7 +207,7 @@
             answered: HashMap::new(),
             recent_answers: VecDeque::new(),
             contrasted: HashSet::new(),
-            quarantined: Vec::new(),
+            blamed: Vec::new(),
             suspects: HashSet::new(),
             trials: HashMap::new(),
             awaits_contrast: false,
@@ -281,7 +291,7 @@
     /// Returns whether a request with these shared parts may run now.
     pub fn status(&mut self, now: Timestamp, parts: &[PartKey]) -> PartStatus {
         self.evaluate(now);
-        let blamed = self.quarantined.iter().find(|blamed| parts.contains(&blamed.part));
+        let blamed = self.blamed.iter().find(|blamed| parts.contains(&blamed.part));
         if let Some(QuarantinedPart { part, until, .. }) = blamed.copied() {
             let trial_at = until + self.trial_delay(part);
             let until = trial_at.max(self.trials.get(&part).copied().unwrap_or_default());
@@ -298,7 +308,12 @@
 
     /// Starts the trial of a part. Later requests with it wait for the result.
     pub fn start_trial(&mut self, now: Timestamp, part: PartKey) {
-        self.trials.insert(part, now + TRIAL_TIMEOUT);
+        let blamed = self.blamed.iter().find(|blamed| blamed.part == part);
+        let timeout = match blamed.is_some_and(|blamed| !blamed.has_contrast) {
+            true => UNCONTRASTED_TRIAL_TIMEOUT,
+            false => TRIAL_TIMEOUT,
+        };
+        self.trials.insert(part, now + timeout);
     }
 
     /// Cancels the trial of a part whose request was not sent.
@@ -317,10 +332,21 @@
         self.trials.remove(&part);
     }
 
-    /// Returns the parts in quarantine, those with the longest series of crashes first.
+    /// Returns the parts in quarantine, those in most crashes first.
     pub fn quarantined(&mut self, now: Timestamp) -> &[QuarantinedPart] {
         self.evaluate(now);
-        &self.quarantined
+        &self.blamed[..self.contrasted_count()]
+    }
+
+    /// Returns the parts that are tried by one request at a time, since there is no contrast.
+    pub fn held_back(&mut self, now: Timestamp) -> &[QuarantinedPart] {
+        self.evaluate(now);
+        &self.blamed[self.contrasted_count()..]
+    }
+
+    /// Returns the number of parts in quarantine. They come before those without contrast.
+    fn contrasted_count(&self) -> usize {
+        self.blamed.partition_point(|blamed| blamed.has_contrast)
     }
 
     /// Takes the notices for other routers. Each is to be sent several times, since some are lost.
@@ -338,7 +364,7 @@
         self.evaluate(now);
         let counted = self.counted_crashes();
         let mut notices = Vec::new();
-        for QuarantinedPart { part, .. } in &self.quarantined {
+        for QuarantinedPart { part, .. } in &self.blamed[..self.contrasted_count()] {
             let series = series_of(&counted, *part, &HashSet::new());
             let newest = series.indices.iter().rev().take(BLAME_THRESHOLD + MAX_DOUBLINGS);
             notices.extend(newest.map(|i| PartNotice::Crashed {
@@ -374,7 +400,7 @@
             return;
         }
         let is_needed = |crash: &EngineCrash| {
-            self.quarantined.iter().any(|blamed| crash.run_of(blamed.part).is_some())
+            self.blamed.iter().any(|blamed| crash.run_of(blamed.part).is_some())
         };
         let dropped = self.crashes.iter().position(|crash| !is_needed(crash)).unwrap_or(0);
         self.crashes.remove(dropped);
--- a/crates/dogwoodway_routing/src/part_blame/search.rs
+++ b/crates/dogwoodway_routing/src/part_blame/search.rs
@@ -9,7 +9,7 @@
 
 use crate::part_blame::{
     BLAME_THRESHOLD, EVIDENCE_TTL, INITIAL_QUARANTINE, MAX_DOUBLINGS, MAX_QUARANTINED, PartBlame,
-    PartKey, PartNotice, QuarantinedPart,
+    PartKey, PartNotice, QuarantinedPart, UNCONTRASTED_PAUSE,
     evidence::{CountedCrash, Series},
 };
 
@@ -59,14 +59,14 @@
         counted.retain(|_, crashes| crashes.len() >= NO_RETRY_THRESHOLD);
         let mut explained = HashSet::new();
         let mut blamed = Vec::new();
-        self.awaits_contrast = false;
         while blamed.len() < MAX_QUARANTINED {
-            let (strongest, awaits_contrast) = self.strongest(now, &counted, &explained);
-            self.awaits_contrast = awaits_contrast;
-            let Some(series) = strongest else { break };
+            let Some((series, has_contrast)) = self.strongest(now, &counted, &explained) else {
+                break;
+            };
             explained.extend(series.all_indices.iter().copied());
-            blamed.push(quarantine(&series));
+            blamed.push(quarantine(&series, has_contrast));
         }
+        self.awaits_contrast = blamed.iter().any(|blamed| !blamed.has_contrast);
         self.suspects.clear();
         while self.suspects.len() < MAX_QUARANTINED {
             let series = counted.keys().map(|part| series_of(&counted, *part, &explained));
@@ -76,7 +76,7 @@
             self.suspects.insert(series.part);
         }
         self.contrasted.retain(|part| self.crashes.iter().any(|c| c.run_of(*part).is_some()));
-        for QuarantinedPart { part, .. } in &blamed {
+        for QuarantinedPart { part, .. } in blamed.iter().filter(|blamed| blamed.has_contrast) {
             // The other routers may not have seen the contrast.
             if self.contrasted.insert(*part)
                 && let Some(last) = counted.get(part).and_then(|crashes| crashes.last())
@@ -85,7 +85,7 @@
                 self.outgoing.push_back(PartNotice::Crashed { crash, contrasted: vec![*part] });
             }
         }
-        self.quarantined = blamed;
+        self.blamed = blamed;
     }
 
     /// Returns the least time between two evaluations, which take longer the more crashes there are.
@@ -96,14 +96,14 @@
         }
     }
 
-    /// Returns the part that explains most of the crashes left, if it can be blamed, and whether
-    /// there is another part for which only a contrast is missing.
+    /// Returns the part that explains most of the crashes left, if it can be blamed, and whether there is
+    /// a contrast. Parts with one come first.
     fn strongest(
         &self,
         now: Timestamp,
         counted: &HashMap<PartKey, Vec<CountedCrash>>,
         explained: &HashSet<usize>,
-    ) -> (Option<Series>, bool) {
+    ) -> Option<(Series, bool)> {
         let series = counted.keys().map(|part| series_of(counted, *part, explained));
         let strong = series.filter(|series| {
             let is_reported = |i: &&usize| now - self.crashes[**i].crashed_at >= REPORT_PERIOD;
@@ -111,9 +111,11 @@
             let threshold = self.threshold(series, explained);
             reported >= threshold || series.indices.len() > threshold
         });
-        let (contrasted, others): (Vec<_>, Vec<_>) =
-            strong.partition(|series| self.has_contrast(series));
-        (contrasted.into_iter().max_by_key(Series::strength), !others.is_empty())
+        let with_contrast = strong.map(|series| {
+            let has_contrast = self.has_contrast(&series);
+            (series, has_contrast)
+        });
+        with_contrast.max_by_key(|(series, has_contrast)| (*has_contrast, series.strength()))
     }
 
     /// Returns the crashes in series from which on a part is blamed: the more engines crashed without
@@ -186,9 +188,13 @@
     Series::longest(part, crashes.iter().filter(|crash| !explained.contains(&crash.index)).copied())
 }
 
-fn quarantine(series: &Series) -> QuarantinedPart {
-    let crashes = series.indices.len();
+fn quarantine(series: &Series, has_contrast: bool) -> QuarantinedPart {
+    let (part, crashes) = (series.part, series.indices.len());
+    if !has_contrast {
+        let until = series.last_crash_at + UNCONTRASTED_PAUSE;
+        return QuarantinedPart { part, crashes, until, has_contrast };
+    }
     let doublings = (crashes - BLAME_THRESHOLD).min(MAX_DOUBLINGS) as u32;
     let until = series.last_crash_at + INITIAL_QUARANTINE * (1 << doublings);
-    QuarantinedPart { part: series.part, crashes, until }
+    QuarantinedPart { part, crashes, until, has_contrast }
 }
--- a/crates/dogwoodway_routing/tests/part_blame.rs
+++ b/crates/dogwoodway_routing/tests/part_blame.rs
@@ -89,6 +89,41 @@
     assert_eq!(quarantined(&mut blame, 20_000), [part("bad")]);
 }
 
+// A part that had crashed all engines before any other prompt was answered was not refused.
+#[test]
+fn part_is_held_back_when_it_leaves_no_engine_to_answer_other_prompts() {
+    let mut blame = PartBlame::new(1, 1);
+    for n in 1..=4 {
+        blame.record_crash(at(100 * n), crash(n, 100 * n, &["a", "bad"]));
+    }
+    let bad = [part("a"), part("bad")];
+    assert_matches!(blame.status(at(600), &bad), PartStatus::Quarantined { .. });
+    assert_eq!(blame.status(at(600), &[part("a"), part("other")]), PartStatus::Clear);
+    // One request tries it when engines may be back; the others wait for the result.
+    assert_eq!(blame.status(at(1_500), &bad), PartStatus::Trial(part("bad")));
+    blame.start_trial(at(1_500), part("bad"));
+    assert_matches!(blame.status(at(1_600), &bad), PartStatus::Quarantined { .. });
+    blame.record_crash(at(1_700), crash(5, 1_700, &["a", "bad"]));
+    answer_others(&mut blame, 1_800);
+    let PartStatus::Quarantined { until, .. } = blame.status(at(2_000), &bad) else {
+        panic!("the part is not refused");
+    };
+    assert!(until > at(60_000), "{until:?}");
+}
+
+// The part may be in all prompts, and engines may have crashed for another reason.
+#[test]
+fn part_without_contrast_is_cleared_by_the_answer_to_its_trial() {
+    let mut blame = PartBlame::new(1, 1);
+    for n in 1..=4 {
+        blame.record_crash(at(100 * n), crash(n, 100 * n, &["a"]));
+    }
+    assert_eq!(blame.status(at(1_500), &[part("a")]), PartStatus::Trial(part("a")));
+    blame.start_trial(at(1_500), part("a"));
+    blame.record_answer(at(1_700), &[part("a")], at(1_600));
+    assert_eq!(blame.status(at(1_800), &[part("a")]), PartStatus::Clear);
+}
+
 #[test]
 fn part_of_long_answers_is_not_blamed_when_engines_crash_faster_than_they_end() {
     let parts = [part("a"), part("b")];
