Count requests of silent engines against their parts once the entry is gone

Engines that fell silent under a part, instead of closing their connections, never counted as crashed: their clients left after two seconds, the entry lapsed, and suspects of a removed server were dropped. With 16 such engines and four routers 6 prompts with the part reached engines later than 3 s after the fifth crash (12 engines lost). The log had no line of them.

When an entry goes, or when the end of a request at a removed server is noticed, what that server may have been running now counts against the parts of the prompts. A server that was cut off and lives leaves the same evidence, which answers elsewhere clear; whole requests are therefore not blamed for it.

--- a/crates/dogwoodway_gateway/src/fleet_actor.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor.rs
@@ -296,6 +296,7 @@
                 if let Some(key) = self.fleet.remove(&name) {
                     self.remove_connections(key);
                     log::info!(server:% = name; "backend server gone");
+                    self.record_removal(now, key);
                 }
             }
             DirectoryChange::InvalidEntry(what) => log::warn!("directory entry ignored: {what}"),
@@ -318,6 +319,15 @@
         }
     }
 
+    /// Records that a server whose entry is gone has left requests without an end.
+    fn record_removal(&mut self, now: Timestamp, key: BackendKey) {
+        if let Some(crash) = self.crash_tracker.take_runs_of_removed(now, key) {
+            log::info!(engine = crash.engine.0; "backend server gone with requests");
+            self.part_evidence.record_crash(now, crash);
+            self.loads_changed.notify_one();
+        }
+    }
+
     fn remove_connections(&mut self, key: BackendKey) {
         self.idle_connections.remove(key);
         self.unnamed_responses.remove(key);
--- a/crates/dogwoodway_gateway/src/fleet_actor/attempts.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/attempts.rs
@@ -238,6 +238,8 @@
             self.crash_tracker.add_suspect(now, key, process, fingerprint, request);
         if is_known_ended || self.fleet.has_process_ended(key, started_at_ms) {
             self.confirm_crash(now, key, started_at_ms, EndSign::KnownBefore);
+        } else if self.fleet.listing(key).is_none() {
+            self.record_removal(now, key);
         }
     }
 }
--- a/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
@@ -127,7 +127,7 @@
         log::info!(
             request = self.request.id, server:% = self.report.server, parts:? = parts,
             sent_ms = sent_ms, answered_ms:? = answered_ms;
-            "request was on a backend server that crashed"
+            "request was on a backend server that crashed or is gone"
         );
     }
 }
@@ -364,6 +364,26 @@
         Some(crash)
     }
 
+    /// Removes the suspects of a server whose entry is gone, and returns what it may have been running
+    /// when it fell silent or lost its connections. It may have been cut off, so this is evidence against
+    /// parts of prompts alone, which answers elsewhere clear; whole requests are not blamed for it.
+    pub(super) fn take_runs_of_removed(
+        &mut self,
+        now: Timestamp,
+        key: BackendKey,
+    ) -> Option<EngineCrash> {
+        self.suspects.retain(|suspect| suspect.until > now);
+        let suspects: Vec<_> = self.suspects.extract_if(.., |suspect| suspect.key == key).collect();
+        let first = suspects.iter().min_by_key(|suspect| suspect.lost_at)?;
+        let (engine, crashed_at) = (first.report.incarnation(), first.lost_at);
+        let mut crash = EngineCrash { engine, crashed_at, runs: Vec::new() };
+        for suspect in suspects {
+            suspect.log();
+            crash.merge(&EngineCrash { engine, crashed_at, runs: suspect.runs(crashed_at) });
+        }
+        Some(crash)
+    }
+
     /// Clears a request after a server has responded to it and survived: the earlier crashes must
     /// have had another cause.
     pub(super) fn record_response(&mut self, now: Timestamp, fingerprint: RequestFingerprint) {
