Clear a part only by bytes that arrived after its engine could have crashed

A router or entry that stood still while it read an answer took the time at which it read the bytes for the time up to which the answer went on: bytes from before a crash, read two seconds later, refuted all earlier crashes of their part and its quarantine ended everywhere.

The proof is now the report before: what is read an interval later was not there yet. The own path had the same fault.

--- a/crates/dogwoodway_gateway/src/attempt_guard.rs
+++ b/crates/dogwoodway_gateway/src/attempt_guard.rs
@@ -2,10 +2,13 @@
 
 use std::{mem, net::SocketAddr, time::Duration};
 
-use dogwoodway_routing::direct::{
-    fleet::{BackendKey, Placement, RequestKey, ServerTag},
-    health::HealthSignal,
-    software::SoftwareTag,
+use dogwoodway_routing::{
+    direct::{
+        fleet::{BackendKey, Placement, RequestKey, ServerTag},
+        health::HealthSignal,
+        software::SoftwareTag,
+    },
+    part_blame::AnswerProgress,
 };
 use dogwoodway_types::{BackendServerName, RequestFingerprint, Timestamp, WeightsVersion};
 use kameo::actor::ActorRef;
@@ -20,9 +23,6 @@
     server_check::ServerCheck,
 };
 
-/// Least time between two reports of received bytes for one response, in milliseconds.
-const ACTIVITY_INTERVAL_MS: u64 = 150;
-
 /// Time without bytes after which a client that leaves a stream may do so because the server's machine
 /// fell silent, in milliseconds; some intervals between the events of a stream.
 const ABANDONED_SILENCE_MS: u64 = 500;
@@ -52,8 +52,7 @@
     request: AttemptedRequest,
     /// Whether any bytes of the response body have arrived.
     pub(crate) has_output: bool,
-    /// When received bytes were last reported to the fleet.
-    activity_reported_at: Timestamp,
+    progress: AnswerProgress,
 }
 
 impl AttemptGuard {
@@ -86,7 +85,7 @@
                 was_abandoned: false,
             },
             has_output: false,
-            activity_reported_at: clock::now(),
+            progress: AnswerProgress::new(clock::now()),
         }
     }
 
@@ -115,18 +114,18 @@
         self.request.answer_started_at = Some(clock::now());
     }
 
-    /// Reports received bytes to the fleet: the first ones at once, later ones at most every
-    /// [`ACTIVITY_INTERVAL_MS`]. Returns whether they are the first ones.
+    /// Reports received bytes to the fleet: the first ones at once, later ones when [`AnswerProgress`]
+    /// says so. Returns whether they are the first ones.
     pub(crate) fn record_bytes(&mut self) -> bool {
         let now = clock::now();
         let is_first = !mem::replace(&mut self.has_output, true);
         if is_first {
-            self.activity_reported_at = now;
+            self.progress = AnswerProgress::new(now);
             self.report_first_output();
-        } else if (now - self.activity_reported_at).as_millis() as u64 >= ACTIVITY_INTERVAL_MS {
-            self.activity_reported_at = now;
+        } else if let Some(alive_at) = self.progress.record(now) {
             let bytes = BytesReceived {
                 server: self.server,
+                alive_at,
                 answer_started_at: self.request.answer_started_at,
                 shared_parts: self.request.shared_parts.clone(),
             };
@@ -180,7 +179,7 @@
 
     /// Returns whether the server has begun to answer and then sent nothing for long.
     pub(crate) fn is_silent(&self, now: Timestamp) -> bool {
-        let silence = now - self.activity_reported_at;
+        let silence = now - self.progress.reported_at();
         self.has_output && silence >= Duration::from_millis(ABANDONED_SILENCE_MS)
     }
 
--- a/crates/dogwoodway_gateway/src/fleet_actor/attempts.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/attempts.rs
@@ -171,6 +171,8 @@
 /// on.
 pub(crate) struct BytesReceived {
     pub(crate) server: BackendKey,
+    /// Until when the answer is known to have gone on.
+    pub(crate) alive_at: Timestamp,
     /// When the answer began.
     pub(crate) answer_started_at: Option<Timestamp>,
     /// Parts of the prompt that other requests may share, in order.
@@ -185,7 +187,7 @@
         self.fleet.record_activity(now, msg.server);
         self.crash_tracker.record_service(msg.server);
         if let Some(started_at) = msg.answer_started_at {
-            self.part_evidence.record_progress(now, &msg.shared_parts, started_at);
+            self.part_evidence.record_progress(msg.alive_at, &msg.shared_parts, started_at);
         }
     }
 }
--- a/crates/dogwoodway_gateway/src/fleet_actor/part_evidence.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/part_evidence.rs
@@ -79,11 +79,11 @@
 
     pub(super) fn record_progress(
         &mut self,
-        now: Timestamp,
+        alive_at: Timestamp,
         parts: &[PartKey],
         started_at: Timestamp,
     ) {
-        self.blame.record_progress(now, parts, started_at);
+        self.blame.record_progress(alive_at, parts, started_at);
     }
 
     pub(super) fn apply(&mut self, now: Timestamp, notices: &[PartNotice]) {
--- a/crates/dogwoodway_routing/src/part_blame.rs
+++ b/crates/dogwoodway_routing/src/part_blame.rs
@@ -38,6 +38,7 @@
 mod evidence;
 mod key;
 mod notice;
+mod progress;
 mod search;
 
 use std::{
@@ -51,6 +52,7 @@
     evidence::{EngineCrash, PartRun},
     key::PartKey,
     notice::{AnsweredPart, PartNotice},
+    progress::AnswerProgress,
 };
 use self::{
     evidence::{Series, survival_after},
@@ -247,10 +249,15 @@
         self.is_outdated |= self.awaits_contrast;
     }
 
-    /// Records that an answer that began at `started_at` still goes on, to a prompt with these shared
-    /// parts. It refutes what a complete answer refutes, once it has gone on for clearly longer than
+    /// Records that an answer that began at `started_at` was going on at `alive_at`, to a prompt with these
+    /// shared parts. It refutes what a complete answer refutes, once it has gone on for clearly longer than
     /// any answer in the series of crashes of a part.
-    pub fn record_progress(&mut self, now: Timestamp, parts: &[PartKey], started_at: Timestamp) {
+    pub fn record_progress(
+        &mut self,
+        alive_at: Timestamp,
+        parts: &[PartKey],
+        started_at: Timestamp,
+    ) {
         for part in parts {
             let counted = self.counted_crashes_of(*part);
             if !counted.iter().any(|crash| crash.crashed_at <= started_at) {
@@ -258,7 +265,7 @@
             }
             let series = Series::longest(*part, counted.iter().copied());
             let survival = survival_after(series.longest_lead);
-            if now - started_at >= survival && self.refute(now, *part, started_at) {
+            if alive_at - started_at >= survival && self.refute(alive_at, *part, started_at) {
                 self.queue(PartNotice::Answered(AnsweredPart { part: *part, started_at }));
             }
         }
--- a/crates/dogwoodway_routing/tests/part_blame.rs
+++ b/crates/dogwoodway_routing/tests/part_blame.rs
@@ -4,8 +4,8 @@
 
 use assert_matches::assert_matches;
 use dogwoodway_routing::part_blame::{
-    BLAME_THRESHOLD, EngineCrash, INITIAL_QUARANTINE, MAX_QUARANTINED, PartBlame, PartKey,
-    PartNotice, PartRun, PartStatus,
+    AnswerProgress, BLAME_THRESHOLD, EngineCrash, INITIAL_QUARANTINE, MAX_QUARANTINED, PartBlame,
+    PartKey, PartNotice, PartRun, PartStatus,
 };
 use dogwoodway_types::{EngineIncarnation, ModelName, RequestFingerprint, TeamName, Timestamp};
 use proptest::prelude::*;
@@ -124,6 +124,25 @@
     assert_eq!(blame.status(at(1_800), &[part("a")]), PartStatus::Clear);
 }
 
+// Bytes that waited while the router stood still made an answer look longer than the others.
+#[test]
+fn answer_read_after_a_pause_of_the_router_does_not_clear_its_part() {
+    let mut blame = blame_with_bad_part();
+    let bad = [part("a"), part("bad")];
+    // Begun at 400 ms and crashed 30 ms later; the rest of its bytes is read at 2,500 ms.
+    let mut progress = AnswerProgress::new(at(410));
+    for read_at in [420, 2_500, 2_501, 2_502].map(at) {
+        if let Some(alive_at) = progress.record(read_at) {
+            blame.record_progress(alive_at, &bad, at(400));
+        }
+    }
+    assert_eq!(quarantined(&mut blame, 2_600), [part("bad")]);
+    // Bytes that arrive an interval later were not there before.
+    let alive_at = progress.record(at(2_700)).expect("an interval has passed");
+    blame.record_progress(alive_at, &bad, at(400));
+    assert_eq!(quarantined(&mut blame, 2_800), []);
+}
+
 #[test]
 fn part_of_long_answers_is_not_blamed_when_engines_crash_faster_than_they_end() {
     let parts = [part("a"), part("b")];
--- a/src/entry/dispatch/request_state.rs
+++ b/src/entry/dispatch/request_state.rs
@@ -77,7 +77,8 @@
         }
         self.progress_reported_at = now;
         let (started_at, parts) = (self.attempt_started_at, self.shared_parts.clone());
-        let progress = RecordPartProgress { started_at, parts };
+        // What is read after a pause of this process may be from before a crash.
+        let progress = RecordPartProgress { started_at, alive_at: since, parts };
         if let Err(e) = self.quarantine.tell(progress).await {
             log::warn!("could not report that an answer goes on: {e}");
         }
--- a/src/entry/quarantine.rs
+++ b/src/entry/quarantine.rs
@@ -255,6 +255,8 @@
 pub(crate) struct RecordPartProgress {
     /// When the attempt began.
     pub(crate) started_at: Timestamp,
+    /// Until when the answer is known to have gone on.
+    pub(crate) alive_at: Timestamp,
     /// Messages that other prompts may share, in order.
     pub(crate) parts: Arc<[PartKey]>,
 }
@@ -263,7 +265,7 @@
     type Reply = ();
 
     async fn handle(&mut self, msg: RecordPartProgress, _: &mut Context<Self, ()>) {
-        self.part_blame.record_progress(Timestamp::now(), &msg.parts, msg.started_at);
+        self.part_blame.record_progress(msg.alive_at, &msg.parts, msg.started_at);
         self.append_notices();
     }
 }
