Tell the other routers that a part in quarantine is being tried

Their turns are drawn by each router alone and collide, and 500 ms are less than a silent engine takes to be known. Each may crash an engine.

A router now tells the others when it starts a trial, and they wait as for a trial of their own.

--- a/crates/dogwoodway_routing/src/part_blame.rs
+++ b/crates/dogwoodway_routing/src/part_blame.rs
@@ -28,8 +28,8 @@
 //!   not once the part has been in five, each after a similar time.
 //!
 //! A part with [`BLAME_THRESHOLD`] crashes in series is quarantined for [`INITIAL_QUARANTINE`], and
-//! twice as long after each further crash. Then one request tries it again; a complete answer clears
-//! it. The last part of a prompt is its own and is never blamed; see
+//! twice as long after each further crash. Then one request tries it again, which the other routers are
+//! told; a complete answer clears it. The last part of a prompt is its own and is never blamed; see
 //! [`quarantine`](crate::quarantine) for single requests.
 //!
 //! Routers exchange the evidence as [`PartNotice`]s. Each evaluates all of it, so that they come to
@@ -51,7 +51,7 @@
 pub use self::{
     evidence::{EngineCrash, PartRun},
     key::PartKey,
-    notice::{AnsweredPart, PartNotice},
+    notice::{AnsweredPart, PartNotice, TriedPart},
     progress::AnswerProgress,
 };
 use self::{
@@ -83,8 +83,7 @@
 /// Number of complete answers that are remembered as contrast.
 const MAX_RECENT_ANSWERS: usize = 64;
 
-/// Time between the trials of two routers. A trial that crashes its engine is known to the others
-/// by then.
+/// Time between the trials of two routers. One that has started is known to the others by then.
 const TRIAL_SPACING: Duration = Duration::from_millis(500);
 
 /// Time after which a trial without a result is repeated.
@@ -186,7 +185,7 @@
     blamed: Vec<QuarantinedPart>,
     /// Parts from [`NO_RETRY_THRESHOLD`] on.
     suspects: HashSet<PartKey>,
-    /// Trials of this router, and when each counts as without a result.
+    /// Trials of all routers, and when each counts as without a result.
     trials: HashMap<PartKey, Timestamp>,
     /// Whether a blamed part has no contrast.
     awaits_contrast: bool,
@@ -292,6 +291,11 @@
             PartNotice::Answered(AnsweredPart { part, started_at }) => {
                 self.refute(now, *part, *started_at);
             }
+            PartNotice::Tried(TriedPart { part, tried_at }) => {
+                let until = *tried_at + self.trial_timeout(*part);
+                let known = self.trials.entry(*part).or_insert(until);
+                *known = until.max(*known);
+            }
         }
     }
 
@@ -313,14 +317,18 @@
         }
     }
 
-    /// Starts the trial of a part. Later requests with it wait for the result.
+    /// Starts the trial of a part. Later requests with it wait for the result, at all routers.
     pub fn start_trial(&mut self, now: Timestamp, part: PartKey) {
+        self.trials.insert(part, now + self.trial_timeout(part));
+        self.queue(PartNotice::Tried(TriedPart { part, tried_at: now }));
+    }
+
+    fn trial_timeout(&self, part: PartKey) -> Duration {
         let blamed = self.blamed.iter().find(|blamed| blamed.part == part);
-        let timeout = match blamed.is_some_and(|blamed| !blamed.has_contrast) {
+        match blamed.is_some_and(|blamed| !blamed.has_contrast) {
             true => UNCONTRASTED_TRIAL_TIMEOUT,
             false => TRIAL_TIMEOUT,
-        };
-        self.trials.insert(part, now + timeout);
+        }
     }
 
     /// Cancels the trial of a part whose request was not sent.
--- a/crates/dogwoodway_routing/src/part_blame/notice.rs
+++ b/crates/dogwoodway_routing/src/part_blame/notice.rs
@@ -20,6 +20,8 @@
     },
     /// A prompt was answered completely.
     Answered(AnsweredPart),
+    /// A request tries a part in quarantine, so that the others wait for its result.
+    Tried(TriedPart),
 }
 
 /// A complete answer to a prompt with a part.
@@ -31,6 +33,15 @@
     pub started_at: Timestamp,
 }
 
+/// A trial of a part in quarantine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TriedPart {
+    /// The part.
+    pub part: PartKey,
+    /// When the request was sent.
+    pub tried_at: Timestamp,
+}
+
 impl PartNotice {
     /// Converts the times from the clock of the sender to that of the receiver, who takes `sent_at`
     /// of the sender's clock for `received_at` of its own.
@@ -64,6 +75,7 @@
         match self {
             PartNotice::Crashed { crash, .. } => &mut crash.crashed_at,
             PartNotice::Answered(answered) => &mut answered.started_at,
+            PartNotice::Tried(tried) => &mut tried.tried_at,
         }
     }
 
@@ -71,7 +83,7 @@
     pub fn part_count(&self) -> usize {
         match self {
             PartNotice::Crashed { crash, contrasted } => 1 + crash.runs.len() + contrasted.len(),
-            PartNotice::Answered(_) => 1,
+            PartNotice::Answered(_) | PartNotice::Tried(_) => 1,
         }
     }
 
@@ -82,6 +94,10 @@
                 known.started_at = known.started_at.max(new.started_at);
                 true
             }
+            (PartNotice::Tried(known), PartNotice::Tried(new)) if known.part == new.part => {
+                known.tried_at = known.tried_at.max(new.tried_at);
+                true
+            }
             (
                 PartNotice::Crashed { crash, contrasted },
                 PartNotice::Crashed { crash: other, contrasted: others },
--- a/crates/dogwoodway_routing/tests/part_blame.rs
+++ b/crates/dogwoodway_routing/tests/part_blame.rs
@@ -9,6 +9,7 @@
 };
 use dogwoodway_types::{EngineIncarnation, ModelName, RequestFingerprint, TeamName, Timestamp};
 use proptest::prelude::*;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 fn part(name: &str) -> PartKey {
     PartKey::new(&ModelName::try_from("m").unwrap(), None, name)
@@ -500,3 +501,62 @@
     assert_eq!(notice, crashed(crash(1, 100, &["a", "b"]), vec![part("b")]));
     assert!(!notice.merge(&crashed(crash(2, 100, &["a"]), vec![])));
 }
+
+/// Time that a notice takes to the other routers.
+const NOTICE_MS: u64 = 150;
+
+/// Requests with a part that may reach engines once it is known.
+const MOST_TRIALS: usize = 3;
+
+/// Returns the most requests with a part that any of 20 fleets lets through at the end of its
+/// quarantine until the others know the result of the first one, `result_ms` after its start.
+fn most_trials(routers: u32, requests_per_s: u64, result_ms: u64) -> usize {
+    let mut most = 0;
+    for fleet in 0..20_u64 {
+        let mut blames: Vec<_> = (0..u64::from(routers))
+            .map(|router| {
+                let mut blame = PartBlame::new((fleet << 32) + router, routers);
+                for n in 1..=3 {
+                    blame.record_crash(at(100 * n), crash(n, 100 * n, &["a", "bad"]));
+                }
+                answer_others(&mut blame, 310);
+                blame.take_notices();
+                blame
+            })
+            .collect();
+        let (mut trials, mut known_at) = (0, u64::MAX);
+        let mut notices = Vec::new();
+        // Requests reach routers in no particular order.
+        let mut rng = StdRng::seed_from_u64(fleet);
+        let mut ms = 60_300;
+        while ms < known_at && ms < 400_000 {
+            for (_, notice) in notices.extract_if(.., |(due_ms, _)| *due_ms <= ms) {
+                blames.iter_mut().for_each(|blame| blame.apply(at(ms), &notice));
+            }
+            let blame = &mut blames[rng.random_range(0..routers as usize)];
+            if let PartStatus::Trial(tried) = blame.status(at(ms), &[part("a"), part("bad")]) {
+                blame.start_trial(at(ms), tried);
+                notices.extend(blame.take_notices().into_iter().map(|it| (ms + NOTICE_MS, it)));
+                trials += 1;
+                known_at = known_at.min(ms + result_ms);
+            }
+            ms += 1_000 / requests_per_s;
+        }
+        most = most.max(trials);
+    }
+    most
+}
+
+// Each of them may crash an engine.
+#[test]
+fn few_routers_try_a_part_before_the_first_result_is_known() {
+    for routers in [4, 23, 380] {
+        for requests_per_s in [10, 100] {
+            for result_ms in [300, 800, 4_000] {
+                let trials = most_trials(routers, requests_per_s, result_ms);
+                let case = format!("{routers} routers, {requests_per_s}/s, {result_ms} ms");
+                assert!(trials <= MOST_TRIALS, "{case}: {trials} trials");
+            }
+        }
+    }
+}
--- a/src/entry/quarantine.rs
+++ b/src/entry/quarantine.rs
@@ -132,6 +132,7 @@
             PartStatus::Trial(part) => {
                 log::info!(part:% = part; "trial of a message in quarantine");
                 self.part_blame.start_trial(now, part);
+                self.append_notices();
                 QuarantineStatus::Suspect
             }
             PartStatus::Quarantined { part, until } => {
