Weigh both the series and the number of crashes when several parts may be blamed

Since the part in most crashes went first, so that a popular part which had been queued in one crash more was quarantined instead of the cause (found in the review; the test fails on that code).

--- a/crates/dogwoodway_routing/src/part_blame/evidence.rs
+++ b/crates/dogwoodway_routing/src/part_blame/evidence.rs
@@ -216,7 +216,10 @@
 
     /// Returns how well the part explains crashes, for comparison. Of two parts that always occur
     /// together the later one is blamed, which refuses fewer requests.
-    pub(super) fn strength(&self) -> (usize, usize, u8, Reverse<PartKey>) {
-        (self.all_indices.len(), self.indices.len(), self.position, Reverse(self.part))
+    pub(super) fn strength(&self) -> (usize, u8, Reverse<PartKey>) {
+        // Runs that overlap shorten the series of a cause more than that of what accompanies it now and
+        // then; what is popular was in crashes of other causes as well.
+        let crashes = 2 * self.indices.len() + self.all_indices.len();
+        (crashes, self.position, Reverse(self.part))
     }
 }
--- a/crates/dogwoodway_routing/tests/part_blame.rs
+++ b/crates/dogwoodway_routing/tests/part_blame.rs
@@ -144,6 +144,28 @@
     assert_eq!(quarantined(&mut blame, 2_800), []);
 }
 
+// A popular part that was queued in another crash as well was taken for the cause.
+#[test]
+fn cause_of_all_its_crashes_goes_before_a_part_in_one_more() {
+    let mut blame = PartBlame::new(1, 1);
+    let run = |name, position, lead_ms| PartRun {
+        part: part(name),
+        position,
+        lead: Duration::from_millis(lead_ms),
+    };
+    for n in 0..7 {
+        let runs = vec![run("a", 0, 250), run("bad", 1, 30)];
+        let crashed_at = at(1_000 + 100 * n);
+        let engine = EngineIncarnation(n);
+        blame.record_crash(crashed_at, EngineCrash { engine, crashed_at, runs });
+    }
+    blame.record_crash(at(1_750), crash(50, 1_750, &["a", "x"]));
+    for n in 0..5 {
+        blame.record_answer(at(1_900 + n), &[part("c"), part("d")], at(1_800 + n));
+    }
+    assert_eq!(quarantined(&mut blame, 2_000), [part("bad")]);
+}
+
 #[test]
 fn part_of_long_answers_is_not_blamed_when_engines_crash_faster_than_they_end() {
     let parts = [part("a"), part("b")];
