Refuse a part after five crashes in two bursts

From the fifth crash on three crashes one after the other were still asked for, so that bursts of four requests, five seconds apart, crashed twelve engines and more (found in the review; the new test fails on that code for bursts of four: 4 late prompts). Two bursts are enough now, if their runs ended after similar times.

--- a/crates/dogwoodway_routing/src/part_blame/search.rs
+++ b/crates/dogwoodway_routing/src/part_blame/search.rs
@@ -19,10 +19,14 @@
 /// Largest number of further crashes. With several causes, most crashes are without each of them.
 const MAX_FURTHER_CRASHES: usize = 3;
 
-/// Crashes, one after the other or not, from which on crashes of other engines no longer protect a part
-/// whose runs all ended after similar times. Without a complete answer to it so many are hardly chance.
+/// Crashes, one after the other or not, from which on a part whose runs all ended after similar times is
+/// refused, however many engines crashed without it. Without a complete answer so many are hardly chance.
 const MAX_CRASHES_BEFORE_BLAME: usize = 5;
 
+/// Least crashes one after the other from which on such a part is refused: a zone may have been lost at
+/// one moment.
+const MIN_DANGEROUS_SERIES: usize = 2;
+
 /// Time before the first crash of a part from which on crashes without it count.
 const BACKGROUND_PERIOD: Duration = Duration::from_secs(10);
 
@@ -106,6 +110,9 @@
     ) -> Option<(Series, bool)> {
         let series = counted.keys().map(|part| series_of(counted, *part, explained));
         let strong = series.filter(|series| {
+            if series.is_dangerous() {
+                return true;
+            }
             let is_reported = |i: &&usize| now - self.crashes[**i].crashed_at >= REPORT_PERIOD;
             let reported = series.indices.iter().filter(is_reported).count();
             let threshold = self.threshold(series, explained);
@@ -121,9 +128,6 @@
     /// Returns the crashes in series from which on a part is blamed: the more engines crashed without
     /// it meanwhile and shortly before, the likelier it is that the part was there by chance.
     fn threshold(&self, series: &Series, explained: &HashSet<usize>) -> usize {
-        if series.all_indices.len() >= MAX_CRASHES_BEFORE_BLAME && series.has_similar_leads() {
-            return BLAME_THRESHOLD;
-        }
         // Later crashes do not count: a part that is refused cannot be in them.
         let from = series.first_crash_at.earlier_by(BACKGROUND_PERIOD);
         let period = from..=series.last_crash_at;
@@ -188,13 +192,22 @@
     Series::longest(part, crashes.iter().filter(|crash| !explained.contains(&crash.index)).copied())
 }
 
+impl Series {
+    /// Returns whether the part is refused whatever else crashes.
+    fn is_dangerous(&self) -> bool {
+        self.all_indices.len() >= MAX_CRASHES_BEFORE_BLAME
+            && self.indices.len() >= MIN_DANGEROUS_SERIES
+            && self.has_similar_leads()
+    }
+}
+
 fn quarantine(series: &Series, has_contrast: bool) -> QuarantinedPart {
     let (part, crashes) = (series.part, series.indices.len());
     if !has_contrast {
         let until = series.last_crash_at + UNCONTRASTED_PAUSE;
         return QuarantinedPart { part, crashes, until, has_contrast };
     }
-    let doublings = (crashes - BLAME_THRESHOLD).min(MAX_DOUBLINGS) as u32;
+    let doublings = crashes.saturating_sub(BLAME_THRESHOLD).min(MAX_DOUBLINGS) as u32;
     let until = series.last_crash_at + INITIAL_QUARANTINE * (1 << doublings);
     QuarantinedPart { part, crashes, until, has_contrast }
 }
--- a/crates/dogwoodway_routing/tests/part_blame.rs
+++ b/crates/dogwoodway_routing/tests/part_blame.rs
@@ -166,6 +166,49 @@
     assert_eq!(quarantined(&mut blame, 2_000), [part("bad")]);
 }
 
+/// Returns how many prompts with a part are sent after the first of four bursts, five seconds apart.
+fn sent_after_first_burst(prompts: u64) -> u64 {
+    let mut blame = PartBlame::new(1, 4);
+    let (mut late, mut crashes) = (0, 0);
+    let mut fifth_crash_ms = None;
+    for burst in 0..4 {
+        let ms = 1_000 + 5_000 * burst;
+        let mut sent = 0;
+        for _ in 0..prompts {
+            match blame.status(at(ms), &[part("a"), part("bad")]) {
+                PartStatus::Quarantined { .. } => continue,
+                PartStatus::Trial(tried) => blame.start_trial(at(ms), tried),
+                PartStatus::Clear | PartStatus::Suspect => {}
+            }
+            sent += 1;
+        }
+        late += if fifth_crash_ms.is_some_and(|fifth| ms > fifth + 3_000) { sent } else { 0 };
+        for n in 0..sent {
+            crashes += 1;
+            blame.record_crash(at(ms + 30 + n), crash(crashes, ms + 30 + n, &["a", "bad"]));
+            fifth_crash_ms = fifth_crash_ms.or((crashes == 5).then_some(ms + 30 + n));
+        }
+        answer_others(&mut blame, ms + 1_000);
+    }
+    late
+}
+
+// Crashes of one moment count once, so that bursts of requests crashed engines without end.
+#[test]
+fn part_is_refused_though_its_requests_come_in_bursts() {
+    for prompts in 2..=4 {
+        let late = sent_after_first_burst(prompts);
+        assert!(late <= 3, "bursts of {prompts}: {late} late prompts");
+    }
+}
+
+// A single burst looks like the loss of a zone, in which no part is at fault.
+#[test]
+fn part_is_refused_though_six_of_its_requests_come_at_once() {
+    let late = sent_after_first_burst(6);
+    assert!(late <= 3, "{late} late prompts");
+}
+
 #[test]
 fn part_of_long_answers_is_not_blamed_when_engines_crash_faster_than_they_end() {
     let parts = [part("a"), part("b")];
