Take every answer to another prompt as a contrast

Prompts without shared parts now count by their model, also on the own path, and an answer counts once it has gone on for a second.

--- a/crates/dogwoodway_gateway/src/attempt_guard.rs
+++ b/crates/dogwoodway_gateway/src/attempt_guard.rs
@@ -8,7 +8,7 @@
         health::HealthSignal,
         software::SoftwareTag,
     },
-    part_blame::AnswerProgress,
+    part_blame::{AnswerProgress, PartKey},
 };
 use dogwoodway_types::{BackendServerName, RequestFingerprint, Timestamp, WeightsVersion};
 use kameo::actor::ActorRef;
@@ -80,6 +80,7 @@
             request: AttemptedRequest {
                 id: request.head.id.clone(),
                 shared_parts: request.shared_parts.clone(),
+                model: request.head.prompt.as_ref().map(|prompt| PartKey::of_model(&prompt.model)),
                 sent_at: clock::now(),
                 answer_started_at: None,
                 was_abandoned: false,
--- a/crates/dogwoodway_gateway/src/fleet_actor/attempts.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/attempts.rs
@@ -199,6 +199,8 @@
     pub(crate) id: String,
     /// Parts of the prompt that other requests may share, in order.
     pub(crate) shared_parts: Arc<[PartKey]>,
+    /// Key of the model; absent if there is no prompt.
+    pub(crate) model: Option<PartKey>,
     /// When it was sent to the server.
     pub(crate) sent_at: Timestamp,
     /// When the server began to answer; absent if it did not.
@@ -276,10 +278,11 @@
             }
             Some(signal @ (HealthSignal::Answered | HealthSignal::Failed)) => {
                 self.crash_tracker.record_service(msg.server);
-                let AttemptedRequest { shared_parts, answer_started_at, .. } = msg.request;
+                let AttemptedRequest { shared_parts, model, answer_started_at, .. } = msg.request;
                 if let (HealthSignal::Answered, Some(started_at)) = (signal, answer_started_at) {
                     let mut parts = shared_parts.to_vec();
                     let whole = shared_parts.first().zip(msg.fingerprint);
+                    parts.extend(model.filter(|_| shared_parts.is_empty()));
                     parts.extend(whole.map(|(part, request)| part.of_request(request)));
                     self.part_evidence.record_answer(now, &parts, started_at);
                 }
--- a/crates/dogwoodway_routing/src/part_blame.rs
+++ b/crates/dogwoodway_routing/src/part_blame.rs
@@ -83,6 +83,9 @@
 /// Number of complete answers that are remembered as contrast.
 const MAX_RECENT_ANSWERS: usize = 64;
 
+/// Time for which an answer must have gone on to show that its prompt is answered, if it is not complete.
+const CONTRAST_AFTER: Duration = Duration::from_secs(1);
+
 /// Time between the trials of two routers. One that has started is known to the others by then.
 const TRIAL_SPACING: Duration = Duration::from_millis(500);
 
@@ -233,19 +236,15 @@
         }
     }
 
-    /// Records a complete answer that began at `started_at`, to a prompt with these shared parts. The
-    /// key of the whole request may be among them.
+    /// Records a complete answer that began at `started_at`, to a prompt with these shared parts, or with
+    /// the key of its model if it has none. The key of the whole request may be among them.
     pub fn record_answer(&mut self, now: Timestamp, parts: &[PartKey], started_at: Timestamp) {
         for part in parts {
             if self.refute(now, *part, started_at) {
                 self.queue(PartNotice::Answered(AnsweredPart { part: *part, started_at }));
             }
         }
-        if self.recent_answers.len() >= MAX_RECENT_ANSWERS {
-            self.recent_answers.pop_front();
-        }
-        self.recent_answers.push_back((started_at, parts.to_vec()));
-        self.is_outdated |= self.awaits_contrast;
+        self.add_contrast(parts, started_at);
     }
 
     /// Records that an answer that began at `started_at` was going on at `alive_at`, to a prompt with these
@@ -257,6 +256,9 @@
         parts: &[PartKey],
         started_at: Timestamp,
     ) {
+        if self.awaits_contrast && alive_at - started_at >= CONTRAST_AFTER {
+            self.add_contrast(parts, started_at);
+        }
         for part in parts {
             let counted = self.counted_crashes_of(*part);
             if !counted.iter().any(|crash| crash.crashed_at <= started_at) {
@@ -459,6 +461,20 @@
         self.answered.retain(|_, started_at| now - *started_at < median);
     }
 
+    /// Adds an answer that shows, once for each, that prompts with other parts are answered.
+    fn add_contrast(&mut self, parts: &[PartKey], started_at: Timestamp) {
+        let is_known =
+            |(at, known): &(Timestamp, Vec<PartKey>)| *at == started_at && known == parts;
+        if self.recent_answers.iter().any(is_known) {
+            return;
+        }
+        if self.recent_answers.len() >= MAX_RECENT_ANSWERS {
+            self.recent_answers.pop_front();
+        }
+        self.recent_answers.push_back((started_at, parts.to_vec()));
+        self.is_outdated |= self.awaits_contrast;
+    }
+
     fn queue(&mut self, notice: PartNotice) {
         if self.outgoing.len() >= MAX_OUTGOING {
             self.outgoing.pop_front();
--- a/crates/dogwoodway_routing/src/part_blame/key.rs
+++ b/crates/dogwoodway_routing/src/part_blame/key.rs
@@ -42,6 +42,12 @@
 }
 
 impl PartKey {
+    /// Returns the key that stands for all prompts for a model without parts that others share. Their
+    /// answers show that engines serve the model.
+    pub fn of_model(model: &ModelName) -> PartKey {
+        PartKey::new(model, None, "")
+    }
+
     /// Returns the key of a whole request whose prompt contains this part. It takes part in the
     /// search for the cause like a last part that other requests do not share.
     pub fn of_request(self, request: RequestFingerprint) -> PartKey {
--- a/crates/dogwoodway_routing/tests/part_blame.rs
+++ b/crates/dogwoodway_routing/tests/part_blame.rs
@@ -166,6 +166,57 @@
     assert_eq!(quarantined(&mut blame, 2_000), [part("bad")]);
 }
 
+/// Returns how many prompts with a part are sent later than 3 s after its fifth crash, in 30 s in which
+/// `answer` records what is answered meanwhile.
+fn late_prompts<F>(mut answer: F) -> usize
+where
+    F: FnMut(&mut PartBlame, u64),
+{
+    let mut blame = PartBlame::new(1, 1);
+    let (mut crashes, mut late) = (0, 0);
+    let (mut fifth_crash_ms, mut crash_ms) = (None, None);
+    for ms in (1_000..31_000).step_by(10) {
+        if crash_ms.take_if(|crash_ms| *crash_ms <= ms).is_some() {
+            crashes += 1;
+            blame.record_crash(at(ms), crash(crashes, ms, &["a", "bad"]));
+            fifth_crash_ms = fifth_crash_ms.or((crashes == 5).then_some(ms));
+        }
+        answer(&mut blame, ms);
+        if crash_ms.is_some() {
+            continue;
+        }
+        match blame.status(at(ms), &[part("a"), part("bad")]) {
+            PartStatus::Quarantined { .. } => continue,
+            PartStatus::Trial(tried) => blame.start_trial(at(ms), tried),
+            PartStatus::Clear | PartStatus::Suspect => {}
+        }
+        crash_ms = Some(ms + 40);
+        late += usize::from(fifth_crash_ms.is_some_and(|fifth| ms > fifth + 3_000));
+    }
+    late
+}
+
+// Only complete answers to prompts with shared parts were a contrast.
+#[test]
+fn part_is_refused_while_only_prompts_without_shared_parts_are_answered() {
+    let model = PartKey::of_model(&ModelName::try_from("m").unwrap());
+    let late = late_prompts(|blame, ms| blame.record_answer(at(ms), &[model], at(ms - 5)));
+    assert!(late <= 3, "{late} late prompts");
+}
+
+// Answers that go on for long were no contrast until they were complete.
+#[test]
+fn part_is_refused_while_other_prompts_get_long_answers() {
+    let late = late_prompts(|blame, ms| {
+        if ms >= 1_500 {
+            for started_at in [1_200, 1_300] {
+                blame.record_progress(at(ms), &[part("a"), part("other")], at(started_at));
+            }
+        }
+    });
+    assert!(late <= 3, "{late} late prompts");
+}
+
 /// Returns how many prompts with a part are sent after the first of four bursts, five seconds apart.
 fn sent_after_first_burst(prompts: u64) -> u64 {
     let mut blame = PartBlame::new(1, 4);
--- a/src/entry/dispatch/request_state.rs
+++ b/src/entry/dispatch/request_state.rs
@@ -44,6 +44,8 @@
     pub(super) fingerprint: RequestFingerprint,
     /// Messages of the prompt that other prompts may share, in order.
     pub(super) shared_parts: Arc<[PartKey]>,
+    /// Key of the model; absent if the request is no chat.
+    pub(super) model: Option<PartKey>,
     /// When the last attempt began.
     pub(super) attempt_started_at: Timestamp,
     /// When it was last reported that the answer goes on.
--- a/src/entry/dispatch/serve.rs
+++ b/src/entry/dispatch/serve.rs
@@ -86,6 +86,7 @@
             may_have_run: false,
             fingerprint: idempotency::fingerprint(&req.team, &req.work),
             shared_parts: shared_parts(&req),
+            model: model_key(&req),
             attempt_started_at: Timestamp::default(),
             progress_reported_at: Timestamp::default(),
             quarantine: self.quarantine.clone(),
@@ -180,10 +181,10 @@
             let cleared = QuarantineRecord::Answered(state.fingerprint);
             let _ = self.quarantine.tell(PublishRecord(cleared)).await;
         }
-        if !state.shared_parts.is_empty() {
+        if let Some(model) = state.model {
             let started_at = state.attempt_started_at;
             let (request, parts) = (state.fingerprint, state.shared_parts.clone());
-            let answer = RecordPartAnswer { started_at, request, parts };
+            let answer = RecordPartAnswer { started_at, request, model, parts };
             let _ = self.quarantine.tell(answer).await;
         }
     }
@@ -266,6 +267,14 @@
     shared.iter().map(|message| PartKey::new(model, Some(&req.team), &message.content)).collect()
 }
 
+/// Returns the key of the model of a chat.
+fn model_key(req: &CallerRequest) -> Option<PartKey> {
+    match &req.work {
+        CallerWork::Chat { model, .. } => Some(PartKey::of_model(model)),
+        _ => None,
+    }
+}
+
 /// Returns the outcome of a request that must not run before `until`.
 fn quarantined(state: &RequestState, until: Timestamp) -> Outcome {
     match state.may_have_run || state.stream.has_started() {
--- a/src/entry/quarantine.rs
+++ b/src/entry/quarantine.rs
@@ -237,6 +237,8 @@
     /// When the attempt began.
     pub(crate) started_at: Timestamp,
     pub(crate) request: RequestFingerprint,
+    /// Key of the model.
+    pub(crate) model: PartKey,
     /// Messages that other prompts may share, in order.
     pub(crate) parts: Arc<[PartKey]>,
 }
@@ -246,7 +248,8 @@
 
     async fn handle(&mut self, msg: RecordPartAnswer, _: &mut Context<Self, ()>) {
         let whole = msg.parts.first().map(|part| part.of_request(msg.request));
-        let parts: Vec<_> = msg.parts.iter().copied().chain(whole).collect();
+        let model = whole.is_none().then_some(msg.model);
+        let parts: Vec<_> = msg.parts.iter().copied().chain(whole).chain(model).collect();
         self.part_blame.record_answer(Timestamp::now(), &parts, msg.started_at);
         self.append_notices();
     }
