--- a/crates/dogwoodway_gateway/src/fleet_actor/attempts.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/attempts.rs
@@ -39,6 +39,15 @@
     pub(crate) fingerprint: Option<RequestFingerprint>,
 }
 
+impl PlaceRequest {
+    /// Returns the keys under which crashes count against the request.
+    fn parts(&self) -> Vec<PartKey> {
+        let whole = self.shared_parts.first().zip(self.fingerprint);
+        let whole = whole.map(|(part, request)| part.of_request(request));
+        self.shared_parts.iter().copied().chain(whole).collect()
+    }
+}
+
 /// Reply to [`PlaceRequest`].
 #[derive(Reply)]
 pub(crate) enum PlacementReply {
@@ -85,7 +94,7 @@
                 wait_ms: 0,
             });
         }
-        let part_status = self.part_evidence.status(now, &msg.shared_parts);
+        let part_status = self.part_evidence.status(now, &msg.parts());
         match part_status {
             PartStatus::Quarantined { part, until } => {
                 return PlacementReply::PartBlamed { part: Some(part), retry_at: until };
--- a/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
+++ b/crates/dogwoodway_gateway/src/fleet_actor/crash_tracker.rs
@@ -377,9 +377,16 @@
         let first = suspects.iter().min_by_key(|suspect| suspect.lost_at)?;
         let (engine, crashed_at) = (first.report.incarnation(), first.lost_at);
         let mut crash = EngineCrash { engine, crashed_at, runs: Vec::new() };
+        self.is_in_use.store(true, Ordering::Relaxed);
         for suspect in suspects {
             suspect.log();
-            crash.merge(&EngineCrash { engine, crashed_at, runs: suspect.runs(crashed_at) });
+            // It is not known when the server fell silent, so that any request may have been running
+            // since it was sent.
+            let AttemptedRequest { sent_at, answer_started_at, .. } = suspect.request;
+            let lead = crashed_at - answer_started_at.unwrap_or(sent_at);
+            let parts = &suspect.request.shared_parts;
+            let runs = PartRun::of_request(parts, suspect.report.fingerprint, lead);
+            crash.merge(&EngineCrash { engine, crashed_at, runs });
         }
         Some(crash)
     }
--- a/crates/dogwoodway_gateway/src/gossip/notice_board.rs
+++ b/crates/dogwoodway_gateway/src/gossip/notice_board.rs
@@ -76,7 +76,9 @@
 
     fn parts_to_send(&self) -> Vec<PartNotice> {
         let mut named = 0;
-        let fitting = self.parts.iter().take_while(|(notice, _)| {
+        let (trials, evidence): (Vec<_>, Vec<_>) =
+            self.parts.iter().partition(|(notice, _)| notice.is_about_trial());
+        let fitting = trials.into_iter().chain(evidence).take_while(|(notice, _)| {
             named += notice.part_count();
             named <= MAX_NOTICED_PARTS
         });
--- a/crates/dogwoodway_routing/src/part_blame.rs
+++ b/crates/dogwoodway_routing/src/part_blame.rs
@@ -145,6 +145,30 @@
     pub has_contrast: bool,
 }
 
+/// A request that tries a part in quarantine.
+#[derive(Clone, Copy, Debug)]
+struct Trial {
+    tried_at: Timestamp,
+    /// When it counts as without a result.
+    until: Timestamp,
+    /// Trials before it that brought no result. Each doubles the time for the next one, since a silent
+    /// engine takes long to be known.
+    timeouts: u32,
+    is_own: bool,
+}
+
+impl Trial {
+    fn until(&self) -> Timestamp {
+        self.until
+    }
+
+    /// Returns whether a notice with this time is about the trial. Clocks are converted only roughly.
+    fn is_of(&self, tried_at: Timestamp) -> bool {
+        let apart = tried_at.max(self.tried_at) - tried_at.min(self.tried_at);
+        apart < TRIAL_SPACING / 2
+    }
+}
+
 /// Evidence of which parts crash engines, and the parts that are blamed.
 ///
 /// ```
@@ -188,8 +212,8 @@
     blamed: Vec<QuarantinedPart>,
     /// Parts from [`NO_RETRY_THRESHOLD`] on.
     suspects: HashSet<PartKey>,
-    /// Trials of all routers, and when each counts as without a result.
-    trials: HashMap<PartKey, Timestamp>,
+    /// The last trial of each part, of this router or another one.
+    trials: HashMap<PartKey, Trial>,
     /// Whether a blamed part has no contrast.
     awaits_contrast: bool,
     is_outdated: bool,
@@ -265,7 +289,7 @@
                 continue;
             }
             let series = Series::longest(*part, counted.iter().copied());
-            let survival = survival_after(series.longest_lead);
+            let survival = survival_after(series.longest_lead());
             if alive_at - started_at >= survival && self.refute(alive_at, *part, started_at) {
                 self.queue(PartNotice::Answered(AnsweredPart { part: *part, started_at }));
             }
@@ -294,9 +318,12 @@
                 self.refute(now, *part, *started_at);
             }
             PartNotice::Tried(TriedPart { part, tried_at }) => {
-                let until = *tried_at + self.trial_timeout(*part);
-                let known = self.trials.entry(*part).or_insert(until);
-                *known = until.max(*known);
+                self.record_trial(*part, *tried_at, false);
+            }
+            PartNotice::TrialCancelled(TriedPart { part, tried_at }) => {
+                if self.trials.get(part).is_some_and(|trial| trial.is_of(*tried_at)) {
+                    self.trials.remove(part);
+                }
             }
         }
     }
@@ -307,7 +334,7 @@
         let blamed = self.blamed.iter().find(|blamed| parts.contains(&blamed.part));
         if let Some(QuarantinedPart { part, until, .. }) = blamed.copied() {
             let trial_at = until + self.trial_delay(part);
-            let until = trial_at.max(self.trials.get(&part).copied().unwrap_or_default());
+            let until = trial_at.max(self.trials.get(&part).map_or(trial_at, Trial::until));
             return match now < until {
                 true => PartStatus::Quarantined { part, until },
                 false => PartStatus::Trial(part),
@@ -321,19 +348,26 @@
 
     /// Starts the trial of a part. Later requests with it wait for the result, at all routers.
     pub fn start_trial(&mut self, now: Timestamp, part: PartKey) {
-        self.trials.insert(part, now + self.trial_timeout(part));
+        self.record_trial(part, now, true);
         self.queue(PartNotice::Tried(TriedPart { part, tried_at: now }));
     }
 
-    fn trial_timeout(&self, part: PartKey) -> Duration {
+    fn record_trial(&mut self, part: PartKey, tried_at: Timestamp, is_own: bool) {
         let blamed = self.blamed.iter().find(|blamed| blamed.part == part);
-        match blamed.is_some_and(|blamed| !blamed.has_contrast) {
+        let timeout = match blamed.is_some_and(|blamed| !blamed.has_contrast) {
             true => UNCONTRASTED_TRIAL_TIMEOUT,
             false => TRIAL_TIMEOUT,
+        };
+        let last = self.trials.get(&part).copied();
+        if last.is_some_and(|last| last.is_of(tried_at) || tried_at < last.tried_at) {
+            return;
         }
+        let timeouts = last.map_or(0, |last| (last.timeouts + 1).min(MAX_DOUBLINGS as u32));
+        let until = tried_at + timeout * (1 << timeouts);
+        self.trials.insert(part, Trial { tried_at, until, timeouts, is_own });
     }
 
-    /// Cancels the trial of a part whose request was not sent.
+    /// Cancels this router's trial of a part, whose request was not sent.
     ///
     /// ```
     /// use dogwoodway_routing::part_blame::{PartBlame, PartKey, PartStatus};
@@ -346,7 +380,12 @@
     /// assert_eq!(blame.status(Timestamp::from_millis(2), &[part]), PartStatus::Clear);
     /// ```
     pub fn cancel_trial(&mut self, part: PartKey) {
+        let Some(trial) = self.trials.get(&part).copied().filter(|trial| trial.is_own) else {
+            return;
+        };
         self.trials.remove(&part);
+        let tried_at = trial.tried_at;
+        self.queue(PartNotice::TrialCancelled(TriedPart { part, tried_at }));
     }
 
     /// Returns the parts in quarantine, those in most crashes first.
@@ -376,17 +415,26 @@
         self.refutations.drain(..).collect()
     }
 
-    /// Returns the evidence against all parts in quarantine, for routers that have just started.
+    /// Returns the evidence against all blamed parts, for routers that have just started.
     pub fn summary(&mut self, now: Timestamp) -> Vec<PartNotice> {
         self.evaluate(now);
         let counted = self.counted_crashes();
         let mut notices = Vec::new();
-        for QuarantinedPart { part, .. } in &self.blamed[..self.contrasted_count()] {
+        for QuarantinedPart { part, has_contrast, .. } in &self.blamed {
             let series = series_of(&counted, *part, &HashSet::new());
-            let newest = series.indices.iter().rev().take(BLAME_THRESHOLD + MAX_DOUBLINGS);
-            notices.extend(newest.map(|i| PartNotice::Crashed {
-                crash: self.crashes[*i].restricted_to(*part),
-                contrasted: vec![*part],
+            let newest = |indices: &[usize]| {
+                let newest = indices.iter().rev().take(BLAME_THRESHOLD + MAX_DOUBLINGS);
+                newest.copied().collect::<Vec<_>>()
+            };
+            let mut indices = newest(&series.indices);
+            // The decision may rest on crashes that overlap.
+            indices.extend(newest(&series.all_indices));
+            indices.sort_unstable();
+            indices.dedup();
+            let contrasted: Vec<_> = has_contrast.then_some(*part).into_iter().collect();
+            notices.extend(indices.into_iter().map(|i| PartNotice::Crashed {
+                crash: self.crashes[i].restricted_to(*part),
+                contrasted: contrasted.clone(),
             }));
         }
         notices
--- a/crates/dogwoodway_routing/src/part_blame/evidence.rs
+++ b/crates/dogwoodway_routing/src/part_blame/evidence.rs
@@ -123,18 +123,23 @@
 
     /// Adds another report of the same crash; returns whether it names further parts.
     pub fn merge(&mut self, other: &EngineCrash) -> bool {
-        let known = self.runs.len();
+        let known: Vec<_> = self.runs.iter().map(|run| run.part).collect();
         // A report that took longer to arrive makes the crash look later.
         self.crashed_at = self.crashed_at.min(other.crashed_at);
         for run in &other.runs {
             if let Some(known) = self.runs.iter_mut().find(|known| known.part == run.part) {
                 known.lead = known.lead.max(run.lead);
                 known.position = known.position.max(run.position);
-            } else if self.runs.len() < MAX_RUNS {
+            } else {
                 self.runs.push(*run);
             }
         }
-        self.runs.len() > known
+        // Whole requests go first, and then the later parts, in an order that all routers share.
+        if self.runs.len() > MAX_RUNS {
+            self.runs.sort_by_key(|run| (run.position, run.part));
+            self.runs.truncate(MAX_RUNS);
+        }
+        self.runs.iter().any(|run| !known.contains(&run.part))
     }
 }
 
@@ -166,8 +171,6 @@
     pub(super) all_indices: Vec<usize>,
     pub(super) first_crash_at: Timestamp,
     pub(super) last_crash_at: Timestamp,
-    /// Longest time from the beginning of an answer to a crash of the series.
-    pub(super) longest_lead: Duration,
     /// Shortest and longest time from the beginning of an answer to any of the crashes.
     lead_range: (Duration, Duration),
 }
@@ -185,7 +188,6 @@
             all_indices: Vec::new(),
             first_crash_at: Timestamp::default(),
             last_crash_at: Timestamp::default(),
-            longest_lead: Duration::ZERO,
             lead_range: (Duration::MAX, Duration::ZERO),
         };
         let mut previous_crash_at: Option<Timestamp> = None;
@@ -200,13 +202,17 @@
             series.last_crash_at = crash.crashed_at;
             if previous_crash_at.is_none_or(|previous| crash.started_at > previous) {
                 series.indices.push(crash.index);
-                series.longest_lead = series.longest_lead.max(lead);
                 previous_crash_at = Some(crash.crashed_at);
             }
         }
         series
     }
 
+    /// Returns the longest time from the beginning of an answer to any of the crashes.
+    pub(super) fn longest_lead(&self) -> Duration {
+        self.lead_range.1
+    }
+
     /// Returns whether no answer had gone on for clearly longer than the shortest one when its engine
     /// crashed. Engines that crash for other reasons end answers of any age.
     pub(super) fn has_similar_leads(&self) -> bool {
--- a/crates/dogwoodway_routing/src/part_blame/notice.rs
+++ b/crates/dogwoodway_routing/src/part_blame/notice.rs
@@ -22,6 +22,8 @@
     Answered(AnsweredPart),
     /// A request tries a part in quarantine, so that the others wait for its result.
     Tried(TriedPart),
+    /// The request of a trial was not sent.
+    TrialCancelled(TriedPart),
 }
 
 /// A complete answer to a prompt with a part.
@@ -75,15 +77,20 @@
         match self {
             PartNotice::Crashed { crash, .. } => &mut crash.crashed_at,
             PartNotice::Answered(answered) => &mut answered.started_at,
-            PartNotice::Tried(tried) => &mut tried.tried_at,
+            PartNotice::Tried(tried) | PartNotice::TrialCancelled(tried) => &mut tried.tried_at,
         }
     }
 
+    /// Returns whether the notice is short and others wait for it, so that it is sent before evidence.
+    pub fn is_about_trial(&self) -> bool {
+        matches!(self, PartNotice::Tried(_) | PartNotice::TrialCancelled(_))
+    }
+
     /// Returns the number of parts that the notice names, by which its size grows.
     pub fn part_count(&self) -> usize {
         match self {
             PartNotice::Crashed { crash, contrasted } => 1 + crash.runs.len() + contrasted.len(),
-            PartNotice::Answered(_) | PartNotice::Tried(_) => 1,
+            PartNotice::Answered(_) | PartNotice::Tried(_) | PartNotice::TrialCancelled(_) => 1,
         }
     }
 
@@ -94,7 +101,10 @@
                 known.started_at = known.started_at.max(new.started_at);
                 true
             }
-            (PartNotice::Tried(known), PartNotice::Tried(new)) if known.part == new.part => {
+            (PartNotice::Tried(known), PartNotice::Tried(new))
+            | (PartNotice::TrialCancelled(known), PartNotice::TrialCancelled(new))
+                if known.part == new.part =>
+            {
                 known.tried_at = known.tried_at.max(new.tried_at);
                 true
             }
--- a/crates/dogwoodway_routing/src/part_blame/search.rs
+++ b/crates/dogwoodway_routing/src/part_blame/search.rs
@@ -79,6 +79,7 @@
             explained.extend(series.all_indices.iter().copied());
             self.suspects.insert(series.part);
         }
+        self.trials.retain(|_, trial| now - trial.tried_at < EVIDENCE_TTL);
         self.contrasted.retain(|part| self.crashes.iter().any(|c| c.run_of(*part).is_some()));
         for QuarantinedPart { part, .. } in blamed.iter().filter(|blamed| blamed.has_contrast) {
             // The other routers may not have seen the contrast.
--- a/crates/dogwoodway_routing/tests/part_blame.rs
+++ b/crates/dogwoodway_routing/tests/part_blame.rs
@@ -217,6 +217,95 @@
     assert!(late <= 3, "{late} late prompts");
 }
 
+// The loss of a silent engine is known late, and the trial was repeated every two seconds.
+#[test]
+fn trials_without_a_result_become_rarer() {
+    let mut blame = PartBlame::new(1, 1);
+    for n in 1..=5 {
+        blame.record_crash(at(100 * n), crash(n, 100 * n, &["a", "bad"]));
+    }
+    let mut trials = 0;
+    for ms in (3_500..13_500).step_by(10) {
+        if let PartStatus::Trial(tried) = blame.status(at(ms), &[part("a"), part("bad")]) {
+            blame.start_trial(at(ms), tried);
+            trials += 1;
+        }
+    }
+    assert!(trials <= 3, "{trials} trials in 10 s");
+}
+
+// The runs of one crash are bounded, and the requests of a long queue displaced the cause.
+#[test]
+fn cause_is_found_on_engines_with_many_requests() {
+    let team = TeamName::try_from("desk").unwrap();
+    let mut blame = PartBlame::new(1, 1);
+    for n in 1..=8_u64 {
+        let mut crash = crash(n, 1_000 * n, &[]);
+        let mut add = |parts: &[PartKey], request: &str, lead_ms| {
+            let request = RequestFingerprint::new(&team, &[request.as_bytes()]);
+            let runs = PartRun::of_request(parts, request, Duration::from_millis(lead_ms));
+            crash.merge(&EngineCrash { runs, ..crash.clone() });
+        };
+        for other in 0..60 {
+            let document = part(&format!("document {}", (other + 60 * n) % 997));
+            add(&[part("a"), document], &format!("{n} {other}"), 200);
+        }
+        add(&[part("a"), part("bad")], &format!("{n} bad"), 30);
+        blame.record_crash(at(1_000 * n), crash);
+        answer_others(&mut blame, 1_000 * n + 200);
+    }
+    let status = blame.status(at(9_000), &[part("a"), part("bad")]);
+    assert_matches!(status, PartStatus::Quarantined { part: blamed, .. } if blamed == part("bad"));
+}
+
+// The summary had the crashes in series alone, so that a router that started late decided otherwise.
+#[test]
+fn router_that_starts_late_refuses_what_the_others_refuse() {
+    let crashed = |engine, ms| {
+        let lead = Duration::from_millis(40);
+        let runs = vec![PartRun { part: part("bad"), position: 1, lead }];
+        EngineCrash { engine: EngineIncarnation(engine), crashed_at: at(ms), runs }
+    };
+    let mut old = PartBlame::new(1, 1);
+    for (engine, ms) in [1_000, 1_010, 1_020, 2_000, 2_010].into_iter().enumerate() {
+        old.record_crash(at(ms), crashed(engine as u64, ms));
+    }
+    answer_others(&mut old, 3_100);
+    let mut late = PartBlame::new(2, 1);
+    for notice in old.summary(at(4_000)) {
+        late.apply(at(4_000), &notice);
+    }
+    for blame in [&mut old, &mut late] {
+        let status = blame.status(at(5_000), &[part("bad")]);
+        assert_matches!(status, PartStatus::Quarantined { .. });
+    }
+}
+
+// A trial whose request was not sent made all other routers wait for its result.
+#[test]
+fn cancelled_trial_is_told_and_leaves_that_of_another_router() {
+    let (tried_at, bad) = (at(60_400), [part("bad")]);
+    let mut routers = [blame_with_bad_part(), blame_with_bad_part()];
+    for blame in &mut routers {
+        blame.quarantined(at(600));
+        blame.take_notices();
+    }
+    let [x, y] = &mut routers;
+    x.start_trial(tried_at, part("bad"));
+    x.cancel_trial(part("bad"));
+    for notice in x.take_notices() {
+        y.apply(tried_at + Duration::from_millis(50), &notice);
+    }
+    let later = tried_at + Duration::from_millis(400);
+    assert_matches!(y.status(later, &bad), PartStatus::Trial(_));
+    y.start_trial(later, part("bad"));
+    for notice in y.take_notices() {
+        x.apply(later, &notice);
+    }
+    x.cancel_trial(part("bad"));
+    assert_matches!(x.status(later, &bad), PartStatus::Quarantined { .. });
+}
+
 /// Returns how many prompts with a part are sent after the first of four bursts, five seconds apart.
 fn sent_after_first_burst(prompts: u64) -> u64 {
     let mut blame = PartBlame::new(1, 4);
--- a/src/entry/quarantine.rs
+++ b/src/entry/quarantine.rs
@@ -118,7 +118,10 @@
 
     /// Appends new evidence of messages to the log.
     fn append_notices(&mut self) {
-        let notices = self.part_blame.take_notices();
+        // An entry asks before it knows whether an agent accepts the request, so that others do not wait
+        // for its trials.
+        let mut notices = self.part_blame.take_notices();
+        notices.retain(|notice| !notice.is_about_trial());
         if !notices.is_empty() {
             self.append(notices.into_iter().map(QuarantineRecord::Part).collect());
         }
@@ -132,7 +135,6 @@
             PartStatus::Trial(part) => {
                 log::info!(part:% = part; "trial of a message in quarantine");
                 self.part_blame.start_trial(now, part);
-                self.append_notices();
                 QuarantineStatus::Suspect
             }
             PartStatus::Quarantined { part, until } => {
