--- a/crates/dogwoodway_gateway/src/gossip.rs
+++ b/crates/dogwoodway_gateway/src/gossip.rs
@@ -9,6 +9,7 @@
 mod datagram;
 mod notice_board;
 mod origin_messages;
+mod quota_messages;
 mod receive;
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
@@ -19,6 +20,7 @@
     fleet::OriginPrompt,
     load::router_id,
     peers::{Peers, RouterInfo, ZoneTag, rank},
+    team_quota::QuotaLetter,
 };
 use dogwoodway_types::Timestamp;
 use kameo::actor::ActorRef;
@@ -36,6 +38,7 @@
     feeds::SharedFeeds,
     fleet_actor::{ClearPeerLoads, CollectRouterUpdate, FleetActor, SetRouters},
     metric,
+    quotas::SharedQuotas,
     software_surveys::{SharedSurveys, SoftwareQuestion},
     stream_origins::{OriginQuestion, SharedOrigins},
 };
@@ -66,7 +69,7 @@
 
 /// Time after the start in which a router takes no role at the store, in milliseconds. Routers that
 /// start together hear from each other within that time; otherwise each of them would take it.
-const ROLE_DELAY_MS: u64 = 1_000;
+pub(crate) const ROLE_DELAY_MS: u64 = 1_000;
 
 /// Time for which a router that the log has announced is introduced to the others, in milliseconds;
 /// long enough for several datagrams, of which some may be lost.
@@ -93,6 +96,8 @@
     pub(crate) surveys: SharedSurveys,
     /// Questions about the software of services, to be sent to all other routers.
     pub(crate) software_questions: mpsc::Receiver<SoftwareQuestion>,
+    /// Quotas whose tokens routers move.
+    pub(crate) quotas: Arc<SharedQuotas>,
 }
 
 /// Sends and receives until the process ends.
@@ -130,6 +135,9 @@
     routers_alive: Vec<u64>,
     /// Whether there is something new to send.
     has_changes: bool,
+    /// When messages about quotas are due, and those that are sent a second time then.
+    quotas_due: Timestamp,
+    letters_to_repeat: Vec<QuotaLetter>,
 }
 
 impl Gossip {
@@ -152,6 +160,8 @@
             router_count: 0,
             routers_alive: Vec::new(),
             has_changes: true,
+            quotas_due: clock::now(),
+            letters_to_repeat: Vec::new(),
         }
     }
 
@@ -167,6 +177,10 @@
             let loads_changed = self.config.loads_changed.clone();
             let entered_at = clock::now();
             self.arrivals.record_wakeup(entered_at);
+            let moves_tokens = self.config.quotas.is_in_use();
+            if moves_tokens && entered_at >= self.quotas_due {
+                self.send_quota_letters(entered_at);
+            }
             // Datagrams that never end keep the router from nothing.
             if entered_at > due + Duration::from_millis(MAX_PERIODIC_DELAY_MS) {
                 send_at = self.do_periodic_work(role_from, count_from).await;
@@ -190,6 +204,7 @@
                 Some(question) = self.config.software_questions.recv() => {
                     self.send_software_question(question);
                 }
+                () = clock::sleep_until(self.quotas_due), if moves_tokens => {}
                 () = loads_changed.notified(), if !self.has_changes => self.has_changes = true,
                 () = clock::sleep_until(due) => {
                     // Whatever waited in the socket would have come first.
@@ -207,6 +222,7 @@
             self.update_role(now);
         }
         self.peers.remove_expired(now);
+        self.update_quotas(now);
         self.publish_routers(now, now >= count_from).await;
         self.choose_aggregator(now).await;
         self.has_changes = false;
--- a/crates/dogwoodway_gateway/src/gossip/datagram.rs
+++ b/crates/dogwoodway_gateway/src/gossip/datagram.rs
@@ -10,6 +10,7 @@
         peers::RouterInfo,
         software::SoftwareTag,
         stream_origin::{HomeAnswer, OriginRecord, StreamKey},
+        team_quota::QuotaLetter,
     },
     part_blame::PartNotice,
 };
@@ -42,6 +43,8 @@
     FleetDigest { digest: Digest, notices: Notices, alive: Vec<RouterInfo> },
     /// About the origins of streams, between single routers.
     StreamOrigins(OriginMessage),
+    /// Tokens of teams' quotas, between single routers.
+    Quotas(Vec<QuotaLetter>),
 }
 
 /// A message between two routers. Further variants come last, as in [`Content`].
--- a/crates/dogwoodway_gateway/src/gossip/receive.rs
+++ b/crates/dogwoodway_gateway/src/gossip/receive.rs
@@ -68,6 +68,7 @@
             Content::StreamOrigins(message) => {
                 self.receive_origin_message(arrived_at, sender.address, message).await;
             }
+            Content::Quotas(letters) => self.config.quotas.apply(now, &letters),
             Content::FleetDigest { digest, notices, alive } => {
                 let notices = notices.received(arrived_at, now);
                 self.peers.record_digest(now, sender.address);
@@ -75,16 +76,21 @@
                 self.apply_notices(now, notices).await;
                 if sender.address == self.chosen {
                     self.chosen_heard_at = now;
-                    let loads = self.history.loads_of_others(&digest, self.config.address);
-                    let own = router_id(self.config.address);
-                    let mut prompts = digest.prompts;
-                    prompts.retain(|prompt| prompt.origin != own);
-                    self.apply(sender.address, loads, prompts).await;
+                    self.apply_digest_of_others(sender.address, digest).await;
                 }
             }
         }
     }
 
+    /// Applies a digest of the fleet, but for what it has from this router.
+    async fn apply_digest_of_others(&mut self, sender: SocketAddr, digest: Digest) {
+        let loads = self.history.loads_of_others(&digest, self.config.address);
+        let own = router_id(self.config.address);
+        let mut prompts = digest.prompts;
+        prompts.retain(|prompt| prompt.origin != own);
+        self.apply(sender, loads, prompts).await;
+    }
+
     /// Records the sender of a datagram, and returns when the datagram arrived.
     fn record_sender(&mut self, now: Timestamp, sender: RouterInfo) -> Timestamp {
         self.peers.record_info(now, sender);
--- a/crates/dogwoodway_gateway/src/lib.rs
+++ b/crates/dogwoodway_gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod kv_follower;
 mod leader;
 mod metric;
+mod quotas;
 mod relay;
 mod response_body;
 mod router;
--- a/crates/dogwoodway_gateway/src/metric.rs
+++ b/crates/dogwoodway_gateway/src/metric.rs
@@ -98,3 +98,10 @@
 
 /// Bytes of gossip datagrams sent to other routers.
 pub(crate) const GOSSIP_BYTES: &str = "dogwoodway_router_gossip_bytes_total";
+
+/// Tokens of requests of teams with a quota, by how they ended (label `end`: `spent`, `returned` or
+/// `refused`).
+pub(crate) const QUOTA_TOKENS: &str = "dogwoodway_router_quota_tokens_total";
+
+/// Datagrams sent to other routers about quotas.
+pub(crate) const QUOTA_DATAGRAMS: &str = "dogwoodway_router_quota_datagrams_total";
--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -47,6 +47,7 @@
     fleet_actor::{AssignedServer, FleetActor, FleetSignals, PlaceRequest, PlacementReply},
     metric,
     platform_api::{ForwardParams, RequestHead, RequestProtocol},
+    quotas::{QuotaCharge, SharedQuotas},
     relay::{
         deliver::Delivery,
         outcome::{log_attempt_end, log_placement, log_resumption},
@@ -68,6 +69,8 @@
     pub(crate) key_pepper: String,
     /// Memory for the bodies of all requests.
     pub(crate) bodies: Arc<BodyMemory>,
+    /// Quotas of teams over all routers.
+    pub(crate) quotas: Arc<SharedQuotas>,
     /// Present during a graceful shutdown; responses then carry `Connection: close`.
     pub(crate) drain: watch::Sender<Option<Drain>>,
     pub(crate) signals: Arc<FleetSignals>,
@@ -109,6 +112,8 @@
     /// Servers that the request was sent to so far.
     pub(crate) tried: Vec<BackendServerName>,
     pub(crate) table_version: u64,
+    /// What the request takes of its team's quota.
+    pub(crate) quota: QuotaCharge,
 }
 
 impl ClientRequest {
@@ -241,6 +246,9 @@
         if let Err(resp) = self.find_origin(&mut request).await {
             return *resp;
         }
+        if let Err(resp) = self.charge_quota(&mut request).await {
+            return *resp;
+        }
         loop {
             if let Err(resp) = self.apply_current_table(&mut request) {
                 return *resp;
@@ -281,6 +289,20 @@
         }
     }
 
+    /// Charges a request to its team's quota. `Err` holds the response to a request beyond it.
+    async fn charge_quota(&self, request: &mut ClientRequest) -> Result<(), Box<Response<Body>>> {
+        let prompt = request.head.prompt.as_ref();
+        let counts = prompt.map(|prompt| (prompt.input_tokens, prompt.output_tokens));
+        let admitted = self.quotas.admit(request.team.as_ref(), counts, request.deadline).await;
+        match admitted {
+            Ok(charge) => {
+                request.quota = charge;
+                Ok(())
+            }
+            Err(retry_at) => Err(Box::new(self.over_quota_response(request, retry_at))),
+        }
+    }
+
     /// Finds out where the stream began that a client takes up. `Err` holds the response that refuses
     /// to continue a stream of unknown origin.
     async fn find_origin(&self, request: &mut ClientRequest) -> Result<(), Box<Response<Body>>> {
@@ -380,6 +402,8 @@
     ) -> Attempt {
         let params = request.forward_params(&target, resume_after);
         let mut guard = AttemptGuard::new(&self.fleet, &target.placement, request);
+        let had_run = request.attempts.may_have_run > 0;
+        request.quota.begin_attempt();
         request.tried.push(target.placement.name.clone());
         log_placement(request, &target);
         let head = match self.protocol.backend_head(clock::now(), &request.http_head, &params) {
@@ -388,6 +412,7 @@
                 guard.end(None);
                 let (outcome, why) = (AttemptOutcome::Unreachable, error.to_string());
                 request.attempts.record(outcome);
+                request.quota.end_attempt(outcome, had_run);
                 return Attempt::Failed { outcome, why };
             }
         };
@@ -427,6 +452,7 @@
             Err(error) => end_without_response(guard, error, request),
         };
         request.attempts.record(outcome);
+        request.quota.end_attempt(outcome, had_run);
         log_attempt_end(request, &target, outcome, &why);
         Attempt::Failed { outcome, why }
     }
--- a/crates/dogwoodway_gateway/src/relay/admit.rs
+++ b/crates/dogwoodway_gateway/src/relay/admit.rs
@@ -14,6 +14,7 @@
 use crate::{
     clock, metric,
     platform_api::{HeadError, RequestHead},
+    quotas::QuotaCharge,
     relay::{
         ClientRequest, Relay, path,
         refusal::text_response,
@@ -98,6 +99,7 @@
             services: route.services(),
             shared_parts: shared_parts(head.prompt.as_ref(), routing.team.as_ref()),
             table_version: routing.table.version(),
+            quota: QuotaCharge::default(),
             team: routing.team,
             origin: None,
             attempts: AttemptCounts::default(),
--- a/crates/dogwoodway_gateway/src/relay/refusal.rs
+++ b/crates/dogwoodway_gateway/src/relay/refusal.rs
@@ -11,7 +11,7 @@
 use hyper::{Response, StatusCode};
 
 use crate::{
-    clock,
+    clock, metric,
     relay::{ClientRequest, Relay, outcome::log_outcome},
 };
 
@@ -60,6 +60,31 @@
         )
     }
 
+    /// Builds the response for a request beyond its team's quota.
+    pub(super) fn over_quota_response(
+        &self,
+        request: &ClientRequest,
+        retry_at: Timestamp,
+    ) -> Response<Body> {
+        let retry_after = admission::known_retry_after(clock::now(), retry_at, rand::random());
+        let reason = NotRunReason::TeamLimit;
+        let team = request.team.as_ref().map(|team| team.name.to_string()).unwrap_or_default();
+        let counts = request.head.prompt.as_ref().map(|p| (p.input_tokens, p.output_tokens));
+        let quota = request.team.as_ref().and_then(|team| team.quota);
+        let tokens = quota.map_or(0, |quota| quota.tokens(counts));
+        metrics::counter!(metric::QUOTA_TOKENS, "end" => "refused").increment(tokens);
+        log::info!(
+            request = request.head.id, why = reason.as_str(), team = team, tokens = tokens,
+            come_back_ms = retry_after.as_millis() as u64;
+            "request refused"
+        );
+        let status = StatusCode::TOO_MANY_REQUESTS;
+        log_outcome(request, status, "not-run", reason.as_str(), None);
+        let mut resp = text_response(status, &format!("not run: {reason}"));
+        resp.headers_mut().extend(self.protocol.retry_after_headers(retry_after));
+        resp
+    }
+
     pub(super) fn not_run_response(
         &self,
         reason: NotRunReason,
--- a/crates/dogwoodway_gateway/src/router.rs
+++ b/crates/dogwoodway_gateway/src/router.rs
@@ -4,7 +4,10 @@
 
 use dogwoodway_http::{Connections, ServerLimits, serve, serve_with_dynamic_limits};
 use dogwoodway_routing::{
-    direct::{distance::Regions, peers::ZoneTag},
+    direct::{
+        distance::Regions,
+        peers::{ZoneTag, rank},
+    },
     drain::Drain,
     process_limits::ProcessLimits,
 };
@@ -17,17 +20,20 @@
 use tokio::{
     net::TcpListener,
     sync::{Notify, mpsc, watch},
+    task::JoinHandle,
 };
 
 use crate::{
     checked_store::CheckedStore,
-    clock, directory,
+    clock,
+    directory::{self, TableWatch},
     feeds::SharedFeeds,
     fleet_actor::{FleetActor, FleetChannels, FleetSignals, Tick},
     gossip::{self, GossipConfig},
     ingress, kv_follower, leader,
     leader::LeaderConfig,
     platform_api::{Directory, EngineControl, KvEventSource, RequestProtocol, RouterLog},
+    quotas::SharedQuotas,
     relay::{BodyMemory, Relay},
     software_surveys::SharedSurveys,
     stream_origins::{OriginResolver, SharedOrigins},
@@ -131,23 +137,40 @@
     shutdown: ShutdownSignals,
 ) -> Result<(), RouterError> {
     let (clients, health_checks) = bind_listeners(&settings).await?;
+    let RouterTasks { relay, leader, leader_shutdown } = start_tasks(&settings, dependencies);
+    serve_listeners(clients, health_checks, settings.limits, relay, shutdown).await;
+    leader_shutdown.send_replace(true);
+    leader.await.unwrap_or_else(|e| log::error!("leader task failed: {e}"));
+    Ok(())
+}
+
+/// Tasks of a router whose end is awaited, and what serves its clients.
+struct RouterTasks {
+    relay: Arc<Relay>,
+    leader: JoinHandle<()>,
+    leader_shutdown: watch::Sender<bool>,
+}
+
+fn start_tasks(settings: &RouterSettings, dependencies: RouterDependencies) -> RouterTasks {
     let (fingerprint_tx, fingerprint_events) = mpsc::channel(FINGERPRINT_EVENT_QUEUE);
     let (discovered_tx, discovered) = mpsc::channel(DISCOVERED_QUEUE);
-    let (leader_shutdown_tx, leader_shutdown) = watch::channel(false);
-    let signals = Arc::<FleetSignals>::default();
-    let loads_changed = Arc::new(Notify::new());
+    let leader_shutdown = watch::Sender::new(false);
+    let (signals, loads_changed) = (Arc::<FleetSignals>::default(), Arc::new(Notify::new()));
     let feeds = SharedFeeds::new(loads_changed.clone());
     let (origins, origin_questions) = SharedOrigins::new(loads_changed.clone());
     let (surveys, software_questions) = SharedSurveys::new(&feeds);
-    let fleet_channels = FleetChannels {
-        fingerprint_events: fingerprint_tx,
-        control: dependencies.control.clone(),
-        signals: signals.clone(),
-        loads_changed: loads_changed.clone(),
-    };
-    let fleet = spawn_fleet(&settings, fleet_channels);
+    let fleet = spawn_fleet(
+        settings,
+        FleetChannels {
+            fingerprint_events: fingerprint_tx,
+            control: dependencies.control.clone(),
+            signals: signals.clone(),
+            loads_changed: loads_changed.clone(),
+        },
+    );
     let store = CheckedStore::new(dependencies.directory, dependencies.log);
     let tables = directory::follow(&store, &feeds, &fleet);
+    let quotas = new_quotas(settings, &tables);
     tokio::spawn(kv_follower::run(dependencies.kv_events, tables.subscribe(), fleet.clone()));
     tokio::spawn(run_gossip(GossipConfig {
         zone: ZoneTag::from(&settings.zone),
@@ -161,6 +184,7 @@
         origin_questions,
         surveys: surveys.clone(),
         software_questions,
+        quotas: quotas.clone(),
     }));
     let leader = tokio::spawn(leader::run(LeaderConfig {
         router: settings.name.clone(),
@@ -172,7 +196,7 @@
         fleet: fleet.clone(),
         fingerprint_events,
         discovered: discovered_tx,
-        shutdown: leader_shutdown,
+        shutdown: leader_shutdown.subscribe(),
     }));
     let relay = Arc::new(Relay {
         protocol: dependencies.protocol,
@@ -181,13 +205,17 @@
         tables,
         key_pepper: dependencies.key_pepper,
         bodies: BodyMemory::new(settings.limits.body_memory()),
+        quotas,
         drain: watch::Sender::new(None),
         signals,
     });
-    serve_listeners(clients, health_checks, settings.limits, relay, shutdown).await;
-    leader_shutdown_tx.send_replace(true);
-    leader.await.unwrap_or_else(|e| log::error!("leader task failed: {e}"));
-    Ok(())
+    RouterTasks { relay, leader, leader_shutdown }
+}
+
+/// Creates the quotas, which earn once this router knows the others.
+fn new_quotas(settings: &RouterSettings, tables: &TableWatch) -> Arc<SharedQuotas> {
+    let earns_from = clock::now() + Duration::from_millis(gossip::ROLE_DELAY_MS);
+    SharedQuotas::new(rank(settings.gossip_listen), earns_from, tables.clone())
 }
 
 fn spawn_fleet(settings: &RouterSettings, channels: FleetChannels) -> ActorRef<FleetActor> {
--- a/crates/dogwoodway_routing/src/direct.rs
+++ b/crates/dogwoodway_routing/src/direct.rs
@@ -33,4 +33,5 @@
 pub mod store_era;
 pub mod stream_origin;
 pub mod table;
+pub mod team_quota;
 pub mod token_lru;
--- a/crates/dogwoodway_routing/src/direct/table.rs
+++ b/crates/dogwoodway_routing/src/direct/table.rs
@@ -5,6 +5,8 @@
 use dogwoodway_types::{AvailabilityZone, KeyHash, ModelName, RouteName, ServiceName, TeamName};
 use serde::{Deserialize, Serialize};
 
+use crate::direct::team_quota::TeamQuota;
+
 /// Identifies a route of one [`RoutingTable`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct RouteKey(u32);
@@ -152,7 +154,7 @@
 }
 
 /// Rules for the requests of a team.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TeamRule {
     /// Unique name.
     pub name: TeamName,
@@ -161,6 +163,9 @@
     pub priority: Option<u8>,
     /// Whether the team's KV cache is shared with no other team.
     pub is_isolated: bool,
+    /// Limit on what the team may send over all routers; absent if there is none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub quota: Option<TeamQuota>,
 }
 
 /// Limits on the requests and connections of callers.
@@ -292,6 +297,11 @@
         &self.routes
     }
 
+    /// Returns all teams.
+    pub fn teams(&self) -> &[TeamRule] {
+        &self.teams
+    }
+
     /// Finds the team that a key belongs to.
     pub fn team_of(&self, key: &KeyHash) -> Option<TeamKey> {
         self.by_key.get(key).copied()
