Bound the memory of responses that clients have not taken

Cause: a response of up to 256 KB is buffered completely and then waits for its client, and a longer one keeps the buffers of two connections filled. Neither counted toward limits.memory_mb, nothing summed them up, and a client whose kernel answers was never cut off: a body that is not polled does not see its deadline.

A quarter of the memory for bodies is now for responses (12 MB of 110, 45 MB of 260). Bytes are charged from the read at the backend server until the client's connection has written them. A response without room is not read further, and one that is being buffered is passed on instead if its client can notice that it breaks off.

--- a/crates/dogwoodway_gateway/src/lib.rs
+++ b/crates/dogwoodway_gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod metric;
 mod relay;
 mod response_body;
+mod response_memory;
 mod router;
 mod server_check;
 mod software_surveys;
--- a/crates/dogwoodway_gateway/src/metric.rs
+++ b/crates/dogwoodway_gateway/src/metric.rs
@@ -56,6 +56,10 @@
 /// Retries that the retry budget denied.
 pub(crate) const RETRIES_DENIED: &str = "dogwoodway_router_retries_denied_total";
 
+/// Responses that were aborted because their clients read nothing and memory was short.
+pub(crate) const UNREAD_RESPONSES_ABORTED: &str =
+    "dogwoodway_router_unread_responses_aborted_total";
+
 /// Failed calls to the platform's store.
 pub(crate) const STORE_FAILURES: &str = "dogwoodway_router_store_failures_total";
 
--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -26,7 +26,7 @@
     stream_origin::{StreamKey, StreamOrigin},
     table::{RouteKind, TeamRule},
 };
-use dogwoodway_routing::{drain::Drain, part_blame::PartKey};
+use dogwoodway_routing::{drain::Drain, part_blame::PartKey, process_limits::ProcessLimits};
 use dogwoodway_types::{
     BackendServerName, NotRunReason, RequestFingerprint, RouteName, ServiceName, TeamName,
     Timestamp,
@@ -51,6 +51,7 @@
         deliver::Delivery,
         outcome::{log_attempt_end, log_placement, log_resumption},
     },
+    response_memory::ResponseMemory,
     stream_origins::{OriginResolver, TakenUpStream},
 };
 
@@ -58,6 +59,21 @@
 /// router may know it.
 const UNKNOWN_ORIGIN_RETRY_MS: u64 = 200;
 
+/// Memory that requests and responses share.
+pub(crate) struct RelayMemory {
+    /// Memory for the bodies of all requests.
+    pub(crate) bodies: Arc<BodyMemory>,
+    /// Memory for the responses that clients have not taken.
+    pub(crate) responses: Arc<ResponseMemory>,
+}
+
+impl RelayMemory {
+    pub(crate) fn new(limits: &ProcessLimits) -> RelayMemory {
+        let bodies = BodyMemory::new(limits.body_memory());
+        RelayMemory { bodies, responses: ResponseMemory::new(limits.response_memory()) }
+    }
+}
+
 /// Serves client requests. Shared by all connections.
 pub(crate) struct Relay {
     pub(crate) protocol: Arc<dyn RequestProtocol>,
@@ -66,8 +82,7 @@
     pub(crate) origins: OriginResolver,
     /// Secret that is hashed together with bearer keys.
     pub(crate) key_pepper: String,
-    /// Memory for the bodies of all requests.
-    pub(crate) bodies: Arc<BodyMemory>,
+    pub(crate) memory: RelayMemory,
     /// Present during a graceful shutdown; responses then carry `Connection: close`.
     pub(crate) drain: watch::Sender<Option<Drain>>,
     pub(crate) signals: Arc<FleetSignals>,
--- a/crates/dogwoodway_gateway/src/relay/admit.rs
+++ b/crates/dogwoodway_gateway/src/relay/admit.rs
@@ -195,7 +195,7 @@
     ) -> Result<RequestBody, Box<Response<Body>>> {
         let limits = table.limits();
         let max_bytes = limits.map_or(DEFAULT_BODY_BYTES, |l| l.max_body_bytes as usize);
-        match self.bodies.read(&mut body, max_bytes, deadline, kind.is_repeatable()).await {
+        match self.memory.bodies.read(&mut body, max_bytes, deadline, kind.is_repeatable()).await {
             Ok(body) => Ok(body),
             Err(BodyError::Rejected(status)) => {
                 Err(self.reject_with_status(head, http_head, status, table))
--- a/crates/dogwoodway_gateway/src/relay/deliver.rs
+++ b/crates/dogwoodway_gateway/src/relay/deliver.rs
@@ -1,9 +1,8 @@
 //! Delivery of a backend server's response to the client.
 
-use std::sync::Arc;
+use std::{collections::VecDeque, sync::Arc};
 
-use bytes::{Bytes, BytesMut};
-use dogwoodway_http::{Body, BodyFraming, full_body};
+use dogwoodway_http::{Body, BodyFraming, ClientConnection, pieces_body};
 use dogwoodway_routing::direct::{
     health::HealthSignal,
     retry::{AttemptOutcome, NextStep, next_step},
@@ -15,6 +14,7 @@
     clock, metric,
     relay::{AttemptResponse, ClientRequest, Relay, outcome::log_outcome},
     response_body::{BodyContent, BodyError, ResponseBody},
+    response_memory::ResponseBuffer,
     stream::{self, StreamHead, StreamedResponse},
 };
 
@@ -33,9 +33,9 @@
 /// What was read of a body before anything is sent to the client.
 enum Buffered {
     /// The body, which is complete.
-    Complete(Bytes),
+    Complete(ResponseBuffer),
     /// The first bytes, perhaps none, of a body that is not buffered.
-    Prefix(Bytes),
+    Prefix(ResponseBuffer),
     BrokenOff(BodyError),
     TimedOut,
 }
@@ -51,17 +51,25 @@
         is_error: bool,
     ) -> Delivery {
         let AttemptResponse { upstream, guard } = *response;
-        let keep_alive_ms = self.protocol.keep_alive_ms(&upstream.head.headers);
-        let status = upstream.head.status;
-        let stream_head = StreamHead::from(&upstream.head);
         let framing = upstream.framing();
         let mut resp = Response::new(());
-        *resp.status_mut() = status;
+        *resp.status_mut() = upstream.head.status;
         *resp.headers_mut() = self.protocol.client_headers(&upstream.head.headers);
         metrics::histogram!(metric::FIRST_BYTE_SECONDS)
             .record((clock::now() - request.arrived_at).as_secs_f64());
-        let content = BodyContent::of_response(request.kind, status, request.last_event_id());
-        let mut body = ResponseBody::new(upstream.body, framing, content, guard.server_check());
+        let content =
+            BodyContent::of_response(request.kind, upstream.head.status, request.last_event_id());
+        let client = request.http_head.extensions.get::<ClientConnection>().cloned();
+        let mut response = StreamedResponse {
+            head: StreamHead::from(&upstream.head),
+            prefix: VecDeque::new(),
+            reservation: self.memory.responses.open(&request.head.id, client),
+            body: ResponseBody::new(upstream.body, framing, content, guard.server_check()),
+            connection: upstream.connection,
+            guard,
+            keep_alive_ms: self.protocol.keep_alive_ms(&upstream.head.headers),
+        };
+        let body = &response.body;
         let is_long = body.length().is_some_and(|bytes| bytes > MAX_BUFFERED_RESPONSE_BYTES as u64);
         // The run that continues a stream may differ in length from the rest of the first one.
         let states_length = framing == BodyFraming::Length && !body.can_be_resumed();
@@ -70,47 +78,58 @@
         }
         let can_break_off = can_break_off(&request, states_length);
         let buffered = match can_break_off && (body.is_events() || is_long) {
-            true => Buffered::Prefix(Bytes::new()),
-            false => buffer_body(&mut body, &request).await,
+            true => Buffered::Prefix(ResponseBuffer::default()),
+            false => buffer_body(&mut response, &request, can_break_off).await,
         };
         match buffered {
             Buffered::Prefix(prefix) if can_break_off => {
-                let connection = upstream.connection;
-                let head = stream_head;
-                let response =
-                    StreamedResponse { head, prefix, body, connection, guard, keep_alive_ms };
+                response.prefix = prefix.hold(&mut response.reservation);
                 let body = stream::body(self, request, response);
                 Delivery::Respond(resp.map(|()| body))
             }
             Buffered::Prefix(_) => {
-                guard.end(None);
+                response.guard.end(None);
                 let why = "the response is too long to buffer for an HTTP/1.0 client";
                 Delivery::Respond(self.error_response(&request, StatusCode::BAD_GATEWAY, why))
             }
             Buffered::Complete(bytes) => {
-                let signal = if is_error { HealthSignal::Failed } else { HealthSignal::Answered };
-                let fingerprint = self.fingerprint_if_tracked(&request);
-                guard.complete(upstream.connection, keep_alive_ms, signal, fingerprint);
-                let outcome = AttemptOutcome::Answered { is_error };
-                let step = next_step(request.kind, request.max_attempts, request.attempts, outcome);
-                if step == NextStep::Retry && has_time_for_retry(clock::now(), &request) {
-                    return Delivery::Retry(Box::new(request));
-                }
-                let why = if is_error { "the server's own failure" } else { "" };
-                log_outcome(&request, status, "answered", why, Some(body.end()));
-                Delivery::Respond(resp.map(|()| full_body(bytes)))
+                self.deliver_complete(request, resp, response, bytes, is_error)
             }
             Buffered::TimedOut => {
-                guard.end(None);
+                response.guard.end(None);
                 Delivery::Respond(self.timeout_response(&request))
             }
             Buffered::BrokenOff(e) => {
-                guard.connection_lost(request.fingerprint());
+                response.guard.connection_lost(request.fingerprint());
                 self.retry_or_fail(request, &e)
             }
         }
     }
 
+    /// Delivers a response that was read completely, or decides on another attempt if it reports a
+    /// failure of the server.
+    fn deliver_complete(
+        &self,
+        request: ClientRequest,
+        resp: Response<()>,
+        mut response: StreamedResponse,
+        bytes: ResponseBuffer,
+        is_error: bool,
+    ) -> Delivery {
+        let signal = if is_error { HealthSignal::Failed } else { HealthSignal::Answered };
+        let fingerprint = self.fingerprint_if_tracked(&request);
+        response.guard.complete(response.connection, response.keep_alive_ms, signal, fingerprint);
+        let outcome = AttemptOutcome::Answered { is_error };
+        let step = next_step(request.kind, request.max_attempts, request.attempts, outcome);
+        if step == NextStep::Retry && has_time_for_retry(clock::now(), &request) {
+            return Delivery::Retry(Box::new(request));
+        }
+        let why = if is_error { "the server's own failure" } else { "" };
+        log_outcome(&request, resp.status(), "answered", why, Some(response.body.end()));
+        let pieces = bytes.hold(&mut response.reservation);
+        Delivery::Respond(resp.map(|()| pieces_body(pieces)))
+    }
+
     /// Decides what follows an attempt whose response broke off before anything was sent to the
     /// client.
     fn retry_or_fail(&self, request: ClientRequest, e: &BodyError) -> Delivery {
@@ -126,19 +145,35 @@
 }
 
 /// Reads a body to its end, within the request's deadline, unless it turns out to be longer than
-/// [`MAX_BUFFERED_RESPONSE_BYTES`].
-async fn buffer_body(body: &mut ResponseBody, request: &ClientRequest) -> Buffered {
+/// [`MAX_BUFFERED_RESPONSE_BYTES`] or, if it `can_break_off`, there is no memory for it.
+async fn buffer_body(
+    response: &mut StreamedResponse,
+    request: &ClientRequest,
+    can_break_off: bool,
+) -> Buffered {
+    let StreamedResponse { body, reservation, .. } = response;
     let limit = clock::timer_instant(request.deadline);
-    let mut buf = BytesMut::new();
+    let mut buf = ResponseBuffer::default();
     loop {
-        match tokio::time::timeout_at(limit, body.next()).await {
-            Ok(Some(Ok(bytes))) => buf.extend_from_slice(&bytes),
+        // Responses that are half buffered would otherwise wait for each other.
+        if can_break_off && !reservation.has_room() {
+            return Buffered::Prefix(buf);
+        }
+        let read = async {
+            reservation.room().await;
+            body.next().await
+        };
+        match tokio::time::timeout_at(limit, read).await {
+            Ok(Some(Ok(bytes))) => {
+                reservation.record_read(bytes.len());
+                buf.push(&bytes);
+            }
             Ok(Some(Err(e))) => return Buffered::BrokenOff(e),
-            Ok(None) => return Buffered::Complete(buf.freeze()),
+            Ok(None) => return Buffered::Complete(buf),
             Err(_) => return Buffered::TimedOut,
         }
         if buf.len() > MAX_BUFFERED_RESPONSE_BYTES {
-            return Buffered::Prefix(buf.freeze());
+            return Buffered::Prefix(buf);
         }
     }
 }
--- a/crates/dogwoodway_gateway/src/router.rs
+++ b/crates/dogwoodway_gateway/src/router.rs
@@ -28,7 +28,7 @@
     ingress, kv_follower, leader,
     leader::LeaderConfig,
     platform_api::{Directory, EngineControl, KvEventSource, RequestProtocol, RouterLog},
-    relay::{BodyMemory, Relay},
+    relay::{Relay, RelayMemory},
     software_surveys::SharedSurveys,
     stream_origins::{OriginResolver, SharedOrigins},
 };
@@ -180,7 +180,7 @@
         fleet,
         tables,
         key_pepper: dependencies.key_pepper,
-        bodies: BodyMemory::new(settings.limits.body_memory()),
+        memory: RelayMemory::new(&settings.limits),
         drain: watch::Sender::new(None),
         signals,
     });
--- a/crates/dogwoodway_gateway/src/stream.rs
+++ b/crates/dogwoodway_gateway/src/stream.rs
@@ -4,7 +4,7 @@
 //! sent to another one together with the id of the last complete event, and the client sees one
 //! uninterrupted stream.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use dogwoodway_http::{Body, BodyAborted, StreamPosition};
@@ -26,6 +26,7 @@
     metric,
     relay::{Attempt, AttemptResponse, ClientRequest, Relay, log_outcome, log_outdated_start},
     response_body::ResponseBody,
+    response_memory::ResponseReservation,
 };
 
 /// Time after its deadline for which a client may still take up a stream, in milliseconds; its clock
@@ -63,8 +64,9 @@
     relay: Arc<Relay>,
     request: ClientRequest,
     head: StreamHead,
-    /// Bytes that were read before the body is passed on.
-    prefix: Option<Bytes>,
+    /// Bytes that were read and not passed on yet.
+    pieces: VecDeque<Bytes>,
+    reservation: ResponseReservation,
     body: ResponseBody,
     connection: Option<Connection>,
     guard: Option<AttemptGuard>,
@@ -77,8 +79,9 @@
 /// A response whose body is passed on to the client as it arrives.
 pub(crate) struct StreamedResponse {
     pub(crate) head: StreamHead,
-    /// Bytes of the body that were already read; may be empty.
-    pub(crate) prefix: Bytes,
+    /// Pieces of the body that were already read; may be empty.
+    pub(crate) prefix: VecDeque<Bytes>,
+    pub(crate) reservation: ResponseReservation,
     pub(crate) body: ResponseBody,
     pub(crate) connection: Connection,
     pub(crate) guard: AttemptGuard,
@@ -91,7 +94,8 @@
         relay,
         request,
         head: response.head,
-        prefix: Some(response.prefix).filter(|prefix| !prefix.is_empty()),
+        pieces: response.prefix,
+        reservation: response.reservation,
         body: response.body,
         connection: Some(response.connection),
         guard: Some(response.guard),
@@ -109,16 +113,20 @@
 impl ResponseStream {
     /// Returns the next bytes for the client, or `None` at the end of the stream.
     async fn next(&mut self) -> Option<Result<Bytes, BodyAborted>> {
-        if let Some(prefix) = self.prefix.take() {
-            return Some(Ok(prefix));
+        if let Some(piece) = self.pieces.pop_front() {
+            return Some(Ok(piece));
         }
         while !self.is_ended {
             let limit = clock::timer_instant(self.request.deadline);
             let waiting = self.guard.as_ref().filter(|guard| !guard.has_output);
             let version = waiting.and_then(|guard| guard.version);
+            let read = async {
+                self.reservation.room().await;
+                self.body.next().await
+            };
             let bytes = tokio::select! {
                 biased;
-                bytes = tokio::time::timeout_at(limit, self.body.next()) => bytes,
+                bytes = tokio::time::timeout_at(limit, read) => bytes,
                 () = self.relay.start_overdue(&self.request, version), if waiting.is_some() => {
                     metrics::counter!(metric::WITHDRAWN_REQUESTS).increment(1);
                     return self.fail(&ExchangeError::Withdrawn.to_string(), None);
@@ -137,7 +145,9 @@
                 Ok(bytes) if bytes.is_empty() => {}
                 Ok(bytes) => {
                     self.record_origin();
-                    return Some(Ok(bytes));
+                    self.reservation.record_read(bytes.len());
+                    self.pieces = self.reservation.hold(bytes);
+                    return self.pieces.pop_front().map(Ok);
                 }
                 Err(e) => {
                     let why = e.to_string();
--- a/crates/dogwoodway_http/src/body.rs
+++ b/crates/dogwoodway_http/src/body.rs
@@ -1,10 +1,20 @@
 //! Response bodies, and functions that build responses.
 
-use std::{convert::Infallible, fmt};
+use std::{
+    collections::VecDeque,
+    convert::Infallible,
+    fmt,
+    pin::Pin,
+    task::{Context, Poll},
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
-use hyper::{Response, StatusCode, body::Frame, header};
+use hyper::{
+    Response, StatusCode,
+    body::{Body as HttpBody, Frame, SizeHint},
+    header,
+};
 use serde::Serialize;
 use tokio::sync::mpsc;
 
@@ -85,6 +95,43 @@
     Full::new(content.into()).map_err(|never: Infallible| match never {}).boxed_unsync()
 }
 
+/// Builds a body whose content is complete, in pieces that are dropped one by one when they are sent.
+///
+/// ```
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() {
+/// use http_body_util::BodyExt;
+///
+/// let body = dogwoodway_http::pieces_body(["who".into(), "le".into()].into());
+/// assert_eq!(body.collect().await.unwrap().to_bytes(), "whole");
+/// # }
+/// ```
+pub fn pieces_body(pieces: VecDeque<Bytes>) -> Body {
+    Pieces(pieces).boxed_unsync()
+}
+
+struct Pieces(VecDeque<Bytes>);
+
+impl HttpBody for Pieces {
+    type Data = Bytes;
+    type Error = BodyAborted;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
+        Poll::Ready(self.0.pop_front().map(|piece| Ok(Frame::data(piece))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.0.iter().map(|piece| piece.len() as u64).sum())
+    }
+}
+
 /// Builds a streamed body and the sender of its chunks.
 pub fn channel_body() -> (BodySender, Body) {
     let (tx, rx) = mpsc::channel(BUFFERED_CHUNKS);
--- a/crates/dogwoodway_http/src/client_connection.rs
+++ b/crates/dogwoodway_http/src/client_connection.rs
@@ -7,12 +7,14 @@
     pin::Pin,
     sync::{Arc, Weak},
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
 use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
+    sync::Notify,
 };
 
 use crate::silence::TcpSocketStream;
@@ -27,14 +29,17 @@
 /// assert!(!has_left);
 /// ```
 #[derive(Clone, Debug)]
-pub struct ClientConnection(pub(crate) Weak<TcpStream>);
+pub struct ClientConnection {
+    pub(crate) stream: Weak<TcpStream>,
+    pub(crate) aborted: Arc<Notify>,
+}
 
 impl ClientConnection {
     /// Returns whether the client has closed the connection, even if the server has not noticed yet.
     /// Bytes that it sent before and that were not read hide that.
     pub fn is_closed(&self) -> bool {
         use io::ErrorKind::{BrokenPipe, ConnectionAborted, ConnectionReset, NotConnected};
-        let Some(stream) = self.0.upgrade() else { return true };
+        let Some(stream) = self.stream.upgrade() else { return true };
         match SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]) {
             Ok(len) => len == 0,
             Err(e) => {
@@ -42,6 +47,26 @@
             }
         }
     }
+
+    /// Resets the connection, and discards everything that the client has not received. A response in
+    /// progress does not look complete to the client.
+    ///
+    /// ```
+    /// use dogwoodway_http::ClientConnection;
+    ///
+    /// let req = hyper::Request::new(());
+    /// if let Some(client) = req.extensions().get::<ClientConnection>() {
+    ///     client.abort();
+    /// }
+    /// ```
+    pub fn abort(&self) {
+        if let Some(stream) = self.stream.upgrade()
+            && let Err(e) = SockRef::from(&*stream).set_linger(Some(Duration::ZERO))
+        {
+            log::debug!("the connection of a client will be closed instead of reset: {e}");
+        }
+        self.aborted.notify_one();
+    }
 }
 
 /// Socket of a client's connection.
--- a/crates/dogwoodway_http/src/lib.rs
+++ b/crates/dogwoodway_http/src/lib.rs
@@ -15,7 +15,7 @@
 pub use crate::{
     body::{
         Body, BodyAborted, BodySender, ClientDisconnected, channel_body, full_body, json_response,
-        text_response,
+        pieces_body, text_response,
     },
     client::{ClientLimits, HttpClient, HttpError, HttpResponse},
     client_connection::ClientConnection,
--- a/crates/dogwoodway_http/src/server.rs
+++ b/crates/dogwoodway_http/src/server.rs
@@ -14,7 +14,10 @@
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
 };
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Notify,
+};
 
 use crate::{
     Body, WatchedStream,
@@ -96,7 +99,8 @@
             }
         };
         let limits = limits();
-        let client = ClientConnection(Arc::downgrade(&stream));
+        let aborted = Arc::new(Notify::new());
+        let client = ClientConnection { stream: Arc::downgrade(&stream), aborted: aborted.clone() };
         let stream = match watched(stream, &limits) {
             Ok(stream) => stream,
             Err(e) => {
@@ -111,7 +115,7 @@
             .header_read_timeout(Duration::from_millis(limits.header_read_timeout_ms))
             .max_buf_size(limits.max_header_bytes)
             .serve_connection(io, service(handler.clone(), client, open.clone()));
-        tokio::spawn(run_connection(graceful.watch(conn), open));
+        tokio::spawn(run_connection(graceful.watch(conn), open, aborted));
     }
     drop(listener);
     graceful.shutdown().await;
@@ -137,7 +141,7 @@
     })
 }
 
-async fn run_connection<C>(conn: C, open: Arc<OpenConnection>)
+async fn run_connection<C>(conn: C, open: Arc<OpenConnection>, aborted: Arc<Notify>)
 where
     C: Future<Output = hyper::Result<()>>,
 {
@@ -151,6 +155,7 @@
                 return;
             }
             () = open.changed() => {}
+            () = aborted.notified() => return,
         }
     }
 }
--- a/crates/dogwoodway_routing/src/lib.rs
+++ b/crates/dogwoodway_routing/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod quarantine;
 pub mod queue;
 pub mod rendezvous;
+pub mod response_budget;
 pub mod retry_budget;
 
 /// The types that most users of this crate import.
--- a/crates/dogwoodway_routing/src/process_limits.rs
+++ b/crates/dogwoodway_routing/src/process_limits.rs
@@ -23,7 +23,13 @@
 /// Share of the memory for bodies, as its reciprocal, that is left to the allocator.
 const ALLOCATOR_SHARE: u64 = 8;
 
-/// Least memory for bodies, in bytes, so that a process whose limit is unusable still serves.
+/// Share of the memory for bodies, as its reciprocal, that is for those of responses.
+const RESPONSE_SHARE: u64 = 4;
+
+/// Least memory for the bodies of responses, in bytes.
+const MIN_RESPONSE_MEMORY: u64 = 1 << 20;
+
+/// Least memory for the bodies of requests, in bytes, so that a process whose limit is unusable still serves.
 const MIN_BODY_MEMORY: u64 = 4 << 20;
 
 /// Limits that the machine sets for a process.
@@ -33,7 +39,8 @@
 ///
 /// let limits = ProcessLimits { max_descriptors: 4_100, max_memory: 260 << 20 };
 /// assert_eq!(limits.max_client_connections(), 1_900);
-/// assert_eq!(limits.body_memory() >> 20, 180);
+/// assert_eq!(limits.body_memory() >> 20, 135);
+/// assert_eq!(limits.response_memory() >> 20, 45);
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ProcessLimits {
@@ -58,8 +65,18 @@
 
     /// Returns how many bytes the bodies of all requests together may take.
     pub fn body_memory(&self) -> u64 {
+        let all = self.all_bodies_memory();
+        (all - all / RESPONSE_SHARE).max(MIN_BODY_MEMORY)
+    }
+
+    /// Returns how many bytes of responses may be held for clients that have not taken them.
+    pub fn response_memory(&self) -> u64 {
+        (self.all_bodies_memory() / RESPONSE_SHARE).max(MIN_RESPONSE_MEMORY)
+    }
+
+    fn all_bodies_memory(&self) -> u64 {
         let connections = self.max_client_connections() as u64 * MEMORY_PER_CLIENT;
         let free = self.max_memory.saturating_sub(BASE_MEMORY + connections);
-        (free - free / ALLOCATOR_SHARE).max(MIN_BODY_MEMORY)
+        free - free / ALLOCATOR_SHARE
     }
 }
--- a/crates/dogwoodway_routing/tests/body_budget.rs
+++ b/crates/dogwoodway_routing/tests/body_budget.rs
@@ -37,7 +37,8 @@
     for mb in [88, 110, 192, 260, 512] {
         let limits = ProcessLimits { max_descriptors: 4_100, max_memory: mb << 20 };
         let connections = limits.max_client_connections() as u64 * (16 << 10);
-        assert!(connections + limits.body_memory() < limits.max_memory, "{mb} MB");
+        let bodies = limits.body_memory() + limits.response_memory();
+        assert!(connections + bodies < limits.max_memory, "{mb} MB");
     }
 }
 
