Decide whether an engine's KV memory has room for a request, when routers see each other late

Pure and not wired into placement. Each router adds at most a fixed number of tokens to an engine within the time after which others know of them, and leaves room for as many of each other router; a request counts with twice its stated output. Equal shares of the room that is left were ruled out: of two routers that decide half a second apart, the second gives away room that the first has used.

--- a/crates/dogwoodway_routing/src/direct.rs
+++ b/crates/dogwoodway_routing/src/direct.rs
@@ -12,6 +12,7 @@
 pub mod arrival;
 pub mod cost;
 pub mod distance;
+pub mod engine_memory;
 pub mod feed;
 pub mod fleet;
 pub mod health;
