--- a/crates/dogwoodway_gateway/src/lib.rs
+++ b/crates/dogwoodway_gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod quotas;
 mod relay;
 mod response_body;
+mod response_memory;
 mod router;
 mod server_check;
 mod software_surveys;
--- a/crates/dogwoodway_gateway/src/router.rs
+++ b/crates/dogwoodway_gateway/src/router.rs
@@ -34,7 +34,7 @@
     leader::LeaderConfig,
     platform_api::{Directory, EngineControl, KvEventSource, RequestProtocol, RouterLog},
     quotas::SharedQuotas,
-    relay::{BodyMemory, Relay},
+    relay::{Relay, RelayMemory},
     software_surveys::SharedSurveys,
     stream_origins::{OriginResolver, SharedOrigins},
 };
@@ -204,7 +204,7 @@
         fleet,
         tables,
         key_pepper: dependencies.key_pepper,
-        bodies: BodyMemory::new(settings.limits.body_memory()),
+        memory: RelayMemory::new(&settings.limits),
         quotas,
         drain: watch::Sender::new(None),
         signals,
