Decide by shares of teams which prompts are refused under overload

Cause: the wait limit admits a team in proportion to what it sends, and lets a less urgent prompt with a long expected time queue longer than a more urgent one.

Tried and dropped: shares over 2 s (random differences between teams of equal load), the prompt's own tokens counted before the comparison (starves large prompts), shares enforced from 0.25 to 0.5 of the longest wait (refuses more short prompts).

Nothing uses the decision yet.

--- a/crates/dogwoodway_routing/src/direct.rs
+++ b/crates/dogwoodway_routing/src/direct.rs
@@ -12,6 +12,7 @@
 pub mod arrival;
 pub mod cost;
 pub mod distance;
+pub mod fair_admission;
 pub mod feed;
 pub mod fleet;
 pub mod health;
--- a/crates/dogwoodway_routing/src/direct/admission.rs
+++ b/crates/dogwoodway_routing/src/direct/admission.rs
@@ -52,7 +52,7 @@
 
 /// Divisor of the time left to the deadline that gives the longest delay for a refused caller.
 /// After a longer delay the answer would not be in time.
-const RETRY_AFTER_DIVISOR: u32 = 4;
+pub(crate) const RETRY_AFTER_DIVISOR: u32 = 4;
 
 /// Exponentially weighted mean of the queueing time at the best engine of a service.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -89,9 +89,13 @@
     /// Returns the share of the expected time that a prompt below the highest priority may spend in
     /// the queue.
     fn low_priority_wait_share(&self) -> f64 {
+        SHORT_QUEUE_WAIT_SHARE + (LONG_QUEUE_WAIT_SHARE - SHORT_QUEUE_WAIT_SHARE) * self.level()
+    }
+
+    /// Returns how long the queue is on average: 0 for a short one, 1 for a long one.
+    pub(crate) fn level(&self) -> f64 {
         let level = (self.mean_wait_ms - SHORT_QUEUE_MS) / (LONG_QUEUE_MS - SHORT_QUEUE_MS);
-        SHORT_QUEUE_WAIT_SHARE
-            + (LONG_QUEUE_WAIT_SHARE - SHORT_QUEUE_WAIT_SHARE) * level.clamp(0.0, 1.0)
+        level.clamp(0.0, 1.0)
     }
 }
 
