--- a/crates/dogwoodway_routing/src/direct/fair_admission.rs
+++ b/crates/dogwoodway_routing/src/direct/fair_admission.rs
@@ -37,9 +37,9 @@
 /// acceptable.
 const MAX_ROOM_REDUCTION: f64 = 0.25;
 
-/// Multiple of its share that a team may have accepted. The inverse of the smallest room, so that
-/// of teams that request the same, none is above its share.
-const SHARE_TOLERANCE: f64 = 1.0 / (1.0 - MAX_ROOM_REDUCTION);
+/// Multiple of an equal division between all teams that no team is refused below, so that random
+/// differences between teams of equal load do not matter.
+const EQUAL_SHARE_TOLERANCE: f64 = 4.0 / 3.0;
 
 /// Share of the tokens of a class that is accepted while its queue is not too long, even if more
 /// urgent classes take all the room.
@@ -162,10 +162,11 @@
     /// for _ in 0..8 {
     ///     assert_eq!(shares.decide(now, &request), Verdict::Accept);
     /// }
-    /// let long_queue = AdmissionRequest { wait_ms: 200.0, ..request };
-    /// assert!(matches!(shares.decide(now, &long_queue), Verdict::Refuse { .. }));
-    /// let other_team = AdmissionRequest { team: TeamKey(2), ..long_queue };
+    /// let other_team = AdmissionRequest { team: TeamKey(2), ..request };
     /// assert_eq!(shares.decide(now, &other_team), Verdict::Accept);
+    /// let long_queue = |request| AdmissionRequest { wait_ms: 300.0, ..request };
+    /// assert!(matches!(shares.decide(now, &long_queue(request)), Verdict::Refuse { .. }));
+    /// assert_eq!(shares.decide(now, &long_queue(other_team)), Verdict::Accept);
     /// ```
     pub fn decide(&mut self, now: Timestamp, request: &AdmissionRequest) -> Verdict {
         let tokens = f64::from(request.tokens);
@@ -188,7 +189,7 @@
             None => true,
             Some(_) if is_class_short => request.wait_ms <= limits.most_urgent_ms,
             Some(_) if fullness > 1.0 => false,
-            Some(share) => accepted - tokens <= share * SHARE_TOLERANCE,
+            Some(share) => accepted - tokens <= share,
         };
         if !is_accepted {
             let share = share.unwrap_or(accepted);
@@ -239,7 +240,8 @@
         let level = (fullness - SHORT_QUEUE_SHARE) / (1.0 - SHORT_QUEUE_SHARE);
         let room = accepted * (1.0 - MAX_ROOM_REDUCTION * level.min(1.0));
         let mut requested: Vec<_> = self.teams.values().map(|work| work.requested).collect();
-        max_min_share(&mut requested, room)
+        let equal_share = accepted / requested.len().max(1) as f64;
+        max_min_share(&mut requested, room).max(equal_share * EQUAL_SHARE_TOLERANCE)
     }
 
     /// Returns when a refused caller is asked to retry: after the queue has become short, spread
