--- a/crates/dogwoodway_routing/src/direct.rs
+++ b/crates/dogwoodway_routing/src/direct.rs
@@ -13,6 +13,7 @@
 pub mod cost;
 pub mod distance;
 pub mod engine_memory;
+pub mod fair_admission;
 pub mod feed;
 pub mod fleet;
 pub mod health;
