Close connections on which a head does not arrive in time

header_timeout_ms of the configuration was not used: the head limit was the idle limit, so heads that never end kept all connections for 15 s. The time now runs from the first bytes of a head. Bytes of a body that is discarded after a refusal are no head: such a request keeps its connection in use until its body is dropped.

--- a/crates/dogwoodway_gateway/src/ingress.rs
+++ b/crates/dogwoodway_gateway/src/ingress.rs
@@ -15,6 +15,10 @@
 /// long enough that clients close their idle connections first.
 const DEFAULT_IDLE_MS: u64 = 30_000;
 
+/// Time within which a head must arrive after its first bytes if the configuration sets none, in
+/// milliseconds. Heads usually arrive in one piece, or within a few repetitions of a lost packet.
+const DEFAULT_HEAD_TIMEOUT_MS: u64 = 10_000;
+
 /// Largest request head if the configuration sets no limit, in bytes.
 const DEFAULT_HEAD_BYTES: usize = 32 << 10;
 
@@ -25,7 +29,8 @@
 /// their [`Connections`].
 ///
 /// The time limit for reading a head equals the idle limit, because it also covers the wait for the
-/// next request. That bounds slow heads well enough, since a head usually arrives in one piece.
+/// next request. A head that has begun to arrive has a shorter one, so that clients that send heads
+/// without end do not keep all connections.
 pub(crate) fn client_limits(tables: &TableWatch) -> ServerLimits {
     let limits = tables.current().and_then(|table| table.limits());
     let max_header_bytes =
@@ -33,6 +38,9 @@
     ServerLimits {
         header_read_timeout_ms: limits
             .map_or(DEFAULT_IDLE_MS, |limits| u64::from(limits.idle_timeout_ms)),
+        head_timeout_ms: Some(
+            limits.map_or(DEFAULT_HEAD_TIMEOUT_MS, |limits| u64::from(limits.header_timeout_ms)),
+        ),
         max_header_bytes: max_header_bytes.max(MIN_HEAD_BYTES),
         silence_timeout_ms: Some(CLIENT_SILENCE_TIMEOUT_MS),
         ..ServerLimits::default()
--- a/crates/dogwoodway_gateway/src/relay/admit.rs
+++ b/crates/dogwoodway_gateway/src/relay/admit.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use dogwoodway_http::Body;
+use dogwoodway_http::{Body, RequestGuard};
 use dogwoodway_routing::direct::{
     admission,
     retry::AttemptCounts,
@@ -63,7 +63,7 @@
     pub(super) async fn admit(
         &self,
         arrived_at: Timestamp,
-        http_head: http::request::Parts,
+        mut http_head: http::request::Parts,
         body: Incoming,
     ) -> Result<ClientRequest, Box<Response<Body>>> {
         let head = match self.protocol.parse_head(arrived_at, &http_head) {
@@ -82,6 +82,8 @@
         let body =
             self.read_body(body, &http_head, &head, &routing.table, route.kind, deadline).await?;
         let deadline = self.deadline_during_shutdown(&head, deadline)?;
+        // The connection is idle once the response is delivered, whoever still holds the head.
+        http_head.extensions.remove::<Arc<RequestGuard>>();
         Ok(ClientRequest {
             http_head,
             body: body.bytes,
@@ -203,7 +205,8 @@
             Err(BodyError::NoRoom) => {
                 // A client that expects to be asked sends no body after a refusal.
                 if !http_head.headers.contains_key(header::EXPECT) {
-                    discard(body, deadline);
+                    let guard = http_head.extensions.get::<Arc<RequestGuard>>().cloned();
+                    discard(body, deadline, guard);
                 }
                 Err(self.no_memory_response(head, deadline))
             }
--- a/crates/dogwoodway_gateway/src/relay/request_body.rs
+++ b/crates/dogwoodway_gateway/src/relay/request_body.rs
@@ -7,6 +7,7 @@
 };
 
 use bytes::{Bytes, BytesMut};
+use dogwoodway_http::RequestGuard;
 use dogwoodway_routing::body_budget::{BodyAdmission, BodyBudget};
 use dogwoodway_types::Timestamp;
 use http_body_util::BodyExt;
@@ -105,9 +106,13 @@
 }
 
 /// Discards the rest of a body that is not read. A connection that is closed with unread bytes is
-/// reset, and the client may lose the response.
-pub(super) fn discard(mut body: Incoming, until: Timestamp) {
-    let read = async move { while let Some(Ok(_)) = body.frame().await {} };
+/// reset, and the client may lose the response. What arrives is not the head of another request, so the
+/// connection stays in use.
+pub(super) fn discard(mut body: Incoming, until: Timestamp, guard: Option<Arc<RequestGuard>>) {
+    let read = async move {
+        let _guard = guard;
+        while let Some(Ok(_)) = body.frame().await {}
+    };
     tokio::spawn(tokio::time::timeout_at(clock::timer_instant(until), read));
 }
 
--- a/crates/dogwoodway_http/src/connections.rs
+++ b/crates/dogwoodway_http/src/connections.rs
@@ -40,6 +40,9 @@
 /// [`ConnectionState::idle_since_ms`] of a connection on which a request has begun to arrive.
 const IN_USE: u64 = u64::MAX;
 
+/// [`ConnectionState::head_since_ms`] of a connection on which no head is arriving.
+const NO_HEAD: u64 = u64::MAX;
+
 /// Open connections of a server.
 ///
 /// Connections that a client keeps without using them give way to new ones: responses say
@@ -122,6 +125,8 @@
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
         let state = Arc::new(ConnectionState {
             idle_since_ms: AtomicU64::new(self.now_ms()),
+            head_since_ms: AtomicU64::new(NO_HEAD),
+            head_began: Notify::new(),
             is_unwanted: AtomicBool::new(false),
             changed: Notify::new(),
         });
@@ -150,6 +155,9 @@
 struct ConnectionState {
     /// When the connection became idle, in milliseconds, or [`IN_USE`].
     idle_since_ms: AtomicU64,
+    /// When the first bytes of a head arrived that is not complete, in milliseconds, or [`NO_HEAD`].
+    head_since_ms: AtomicU64,
+    head_began: Notify,
     /// Set if the connection should close unless a request has arrived.
     is_unwanted: AtomicBool,
     changed: Notify,
@@ -167,15 +175,33 @@
 impl OpenConnection {
     /// Wraps the connection's socket.
     pub(crate) fn stream(&self, stream: WatchedStream<ClientStream>) -> ServerStream {
-        ServerStream { stream, state: self.state.clone() }
+        ServerStream { stream, state: self.state.clone(), connections: self.connections.clone() }
     }
 
     /// Marks the connection as in use until the guard is dropped.
     pub(crate) fn begin_request(self: &Arc<Self>) -> RequestGuard {
         self.state.idle_since_ms.store(IN_USE, Ordering::Relaxed);
+        self.state.head_since_ms.store(NO_HEAD, Ordering::Relaxed);
         RequestGuard(self.clone())
     }
 
+    /// Resolves when a head has been arriving for longer than `timeout`.
+    pub(crate) async fn head_overdue(&self, timeout: Option<Duration>) {
+        let Some(timeout) = timeout else { return std::future::pending().await };
+        loop {
+            let since_ms = self.state.head_since_ms.load(Ordering::Relaxed);
+            if since_ms == NO_HEAD {
+                self.state.head_began.notified().await;
+                continue;
+            }
+            let due = self.connections.epoch + Duration::from_millis(since_ms) + timeout;
+            tokio::time::sleep_until(due.into()).await;
+            if self.state.head_since_ms.load(Ordering::Relaxed) == since_ms {
+                return;
+            }
+        }
+    }
+
     /// Returns whether the response should ask the client to close the connection.
     pub(crate) fn is_scarce(&self) -> bool {
         self.connections.is_scarce()
@@ -193,13 +219,26 @@
     }
 }
 
-/// A request that has not been answered completely.
+/// A request that has not been answered completely, or of which the body is still read. Its connection
+/// counts as in use until all clones of the guard are dropped.
+///
+/// The extensions of a request hold one in an [`Arc`].
+///
+/// ```
+/// use std::sync::Arc;
+///
+/// use dogwoodway_http::RequestGuard;
+///
+/// let req = hyper::Request::new(());
+/// assert!(req.extensions().get::<Arc<RequestGuard>>().is_none(), "not received by a server");
+/// ```
 #[derive(Debug)]
-pub(crate) struct RequestGuard(Arc<OpenConnection>);
+pub struct RequestGuard(Arc<OpenConnection>);
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         let now_ms = self.0.connections.now_ms();
+        self.0.state.head_since_ms.store(NO_HEAD, Ordering::Relaxed);
         self.0.state.idle_since_ms.store(now_ms, Ordering::Relaxed);
     }
 }
@@ -207,7 +246,7 @@
 /// Body of a response, with the guard of the request that it belongs to.
 pub(crate) struct ServerBody {
     pub(crate) body: Body,
-    pub(crate) _guard: RequestGuard,
+    pub(crate) _guard: Arc<RequestGuard>,
 }
 
 impl HttpBody for ServerBody {
@@ -235,6 +274,7 @@
 pub(crate) struct ServerStream {
     stream: WatchedStream<ClientStream>,
     state: Arc<ConnectionState>,
+    connections: Arc<Connections>,
 }
 
 impl ServerStream {
@@ -262,7 +302,12 @@
         let filled = buf.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
         if buf.filled().len() > filled {
-            self.state.idle_since_ms.store(IN_USE, Ordering::Relaxed);
+            let idle_since_ms = self.state.idle_since_ms.swap(IN_USE, Ordering::Relaxed);
+            if idle_since_ms != IN_USE {
+                let now_ms = self.connections.now_ms();
+                self.state.head_since_ms.store(now_ms, Ordering::Relaxed);
+                self.state.head_began.notify_one();
+            }
         }
         Poll::Ready(Ok(()))
     }
--- a/crates/dogwoodway_http/src/lib.rs
+++ b/crates/dogwoodway_http/src/lib.rs
@@ -19,7 +19,7 @@
     },
     client::{ClientLimits, HttpClient, HttpError, HttpResponse},
     client_connection::ClientConnection,
-    connections::Connections,
+    connections::{Connections, RequestGuard},
     framing::BodyFraming,
     server::{Handler, ServerLimits, serve, serve_with_dynamic_limits},
     silence::{TcpSocketStream, WatchedStream},
--- a/crates/dogwoodway_http/src/server.rs
+++ b/crates/dogwoodway_http/src/server.rs
@@ -22,8 +22,11 @@
     connections::{Connections, OpenConnection, ServerBody},
 };
 
+/// Metric of connections that were closed because the head of a request did not arrive in time.
+const OVERDUE_HEADS: &str = "dogwoodway_http_overdue_heads_total";
+
 /// Handles one request and returns its response. The request's extensions hold the
-/// [`ClientConnection`] that it arrived on.
+/// [`ClientConnection`] that it arrived on, and its [`RequestGuard`](crate::RequestGuard) in an `Arc`.
 pub type Handler =
     Arc<dyn Fn(Request<Incoming>) -> BoxFuture<'static, Response<Body>> + Send + Sync>;
 
@@ -33,8 +36,12 @@
     /// Maximum number of open connections. Idle ones are closed for further ones; if none is idle,
     /// those wait to be accepted.
     pub max_connections: usize,
-    /// Time within which a client must send the head of a request, in milliseconds.
+    /// Time within which a client must send the head of a request, in milliseconds. It includes the
+    /// time for which the connection is idle before.
     pub header_read_timeout_ms: u64,
+    /// Time within which the head of a request must arrive after its first bytes, in milliseconds;
+    /// `None` for no limit of its own. A connection on which it does not is closed.
+    pub head_timeout_ms: Option<u64>,
     /// Maximum size of the head of a request, in bytes.
     pub max_header_bytes: usize,
     /// Time without any packet from the client after which a connection is closed, in
@@ -47,6 +54,7 @@
         ServerLimits {
             max_connections: 4_096,
             header_read_timeout_ms: 10_000,
+            head_timeout_ms: None,
             max_header_bytes: 64 << 10,
             silence_timeout_ms: None,
         }
@@ -111,7 +119,8 @@
             .header_read_timeout(Duration::from_millis(limits.header_read_timeout_ms))
             .max_buf_size(limits.max_header_bytes)
             .serve_connection(io, service(handler.clone(), client, open.clone()));
-        tokio::spawn(run_connection(graceful.watch(conn), open));
+        let head_timeout = limits.head_timeout_ms.map(Duration::from_millis);
+        tokio::spawn(run_connection(graceful.watch(conn), open, head_timeout));
     }
     drop(listener);
     graceful.shutdown().await;
@@ -124,8 +133,10 @@
     open: Arc<OpenConnection>,
 ) -> impl HttpService<Incoming, ResBody = ServerBody, Error = Infallible, Future: Send> {
     service_fn(move |mut req: Request<Incoming>| {
+        let guard = Arc::new(open.begin_request());
         req.extensions_mut().insert(client.clone());
-        let (guard, response, open) = (open.begin_request(), handler(req), open.clone());
+        req.extensions_mut().insert(guard.clone());
+        let (response, open) = (handler(req), open.clone());
         async move {
             let mut resp = response.await;
             if open.is_scarce() {
@@ -137,13 +148,16 @@
     })
 }
 
-async fn run_connection<C>(conn: C, open: Arc<OpenConnection>)
+async fn run_connection<C>(conn: C, open: Arc<OpenConnection>, head_timeout: Option<Duration>)
 where
     C: Future<Output = hyper::Result<()>>,
 {
     let mut conn = std::pin::pin!(conn);
+    let mut head_overdue = std::pin::pin!(open.head_overdue(head_timeout));
     loop {
         tokio::select! {
+            // A head that has arrived is read before its time is checked.
+            biased;
             result = &mut conn => {
                 if let Err(e) = result {
                     log::debug!("connection ended with an error: {e}");
@@ -151,6 +165,11 @@
                 return;
             }
             () = open.changed() => {}
+            () = &mut head_overdue => {
+                metrics::counter!(OVERDUE_HEADS).increment(1);
+                log::info!("connection closed: the head of a request did not arrive in time");
+                return;
+            }
         }
     }
 }
