Keep request bodies in segments of the size that is reserved

A contiguous buffer of unknown final length doubled: it took up to twice its reservation, and the allocator kept the holes that it left. Segments of 64 KB are allocated one at a time after their reservation. The digest of a request's content does not change.

--- a/crates/dogwoodway_gateway/src/connection.rs
+++ b/crates/dogwoodway_gateway/src/connection.rs
@@ -13,11 +13,9 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use dogwoodway_http::WatchedStream;
 use dogwoodway_routing::direct::process_end::ProbeResult;
 use dogwoodway_types::Timestamp;
-use http_body_util::Full;
 use hyper::{
     Request, Response,
     body::Incoming,
@@ -33,7 +31,7 @@
     task::JoinHandle,
 };
 
-use crate::clock;
+use crate::{clock, segmented_bytes::SegmentedBody};
 
 /// Time limit for connecting, in milliseconds. Servers are a few milliseconds away; a lost SYN
 /// packet is retransmitted only after a second, by which time another server could have responded.
@@ -59,7 +57,7 @@
 /// withdrawn: what the server's machine has not received of it does not arrive later.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<SegmentedBody>,
     is_unanswered: Arc<AtomicBool>,
     idle_deadline: Timestamp,
     driver: JoinHandle<()>,
@@ -92,8 +90,8 @@
     /// if nothing of it was sent.
     pub(crate) async fn send(
         &mut self,
-        req: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        req: Request<SegmentedBody>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<SegmentedBody>>> {
         self.is_unanswered.store(true, Ordering::Relaxed);
         let result = self.sender.try_send_request(req).await;
         if result.is_ok() {
--- a/crates/dogwoodway_gateway/src/exchange.rs
+++ b/crates/dogwoodway_gateway/src/exchange.rs
@@ -2,12 +2,13 @@
 
 use std::{fmt, net::SocketAddr};
 
-use bytes::Bytes;
 use dogwoodway_http::BodyFraming;
-use http_body_util::Full;
 use hyper::{Request, body::Incoming, http};
 
-use crate::connection::{Connection, was_accepted};
+use crate::{
+    connection::{Connection, was_accepted},
+    segmented_bytes::{SegmentedBody, SegmentedBytes},
+};
 
 /// A response whose body has not been read yet.
 #[derive(Debug)]
@@ -62,9 +63,9 @@
     idle: Option<Connection>,
     address: SocketAddr,
     head: http::request::Parts,
-    body: Bytes,
+    body: SegmentedBytes,
 ) -> Result<BackendResponse, ExchangeError> {
-    let mut req = Request::from_parts(head, Full::new(body));
+    let mut req = Request::from_parts(head, SegmentedBody::new(body));
     if let Some(mut connection) = idle {
         match connection.send(req).await {
             Ok(resp) => return Ok(backend_response(resp, connection, false)),
--- a/crates/dogwoodway_gateway/src/lib.rs
+++ b/crates/dogwoodway_gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod relay;
 mod response_body;
 mod router;
+mod segmented_bytes;
 mod server_check;
 mod software_surveys;
 mod feeds;
--- a/crates/dogwoodway_gateway/src/relay.rs
+++ b/crates/dogwoodway_gateway/src/relay.rs
@@ -16,7 +16,6 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use dogwoodway_http::{Body, ClientConnection, text_response};
 use dogwoodway_routing::direct::{
     fleet::{PlacementRequest, Refusal},
@@ -51,6 +50,7 @@
         deliver::Delivery,
         outcome::{log_attempt_end, log_placement, log_resumption},
     },
+    segmented_bytes::SegmentedBytes,
     stream_origins::{OriginResolver, TakenUpStream},
 };
 
@@ -76,7 +76,7 @@
 /// An admitted client request and the state of its attempts.
 pub(crate) struct ClientRequest {
     pub(crate) http_head: http::request::Parts,
-    pub(crate) body: Bytes,
+    pub(crate) body: SegmentedBytes,
     /// Keeps the memory of `body` reserved.
     pub(crate) _reservation: BodyReservation,
     /// The fields that the router parsed from `http_head`.
@@ -117,12 +117,8 @@
     pub(crate) fn fingerprint(&self) -> Option<RequestFingerprint> {
         let anonymous = || TeamName::try_from("anonymous").ok();
         let team = self.team.as_ref().map(|team| team.name.clone()).or_else(anonymous)?;
-        let parts = [
-            self.http_head.method.as_str().as_bytes(),
-            path(&self.http_head).as_bytes(),
-            &self.body,
-        ];
-        Some(RequestFingerprint::new(&team, &parts))
+        let parts = [self.http_head.method.as_str().as_bytes(), path(&self.http_head).as_bytes()];
+        Some(RequestFingerprint::with_segments(&team, &parts, self.body.segments()))
     }
 
     /// Returns whether nobody awaits the response any more: the deadline has passed or the client has
--- a/crates/dogwoodway_gateway/src/relay/request_body.rs
+++ b/crates/dogwoodway_gateway/src/relay/request_body.rs
@@ -6,7 +6,6 @@
     time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
 use dogwoodway_http::RequestGuard;
 use dogwoodway_routing::body_budget::{BodyAdmission, BodyBudget};
 use dogwoodway_types::Timestamp;
@@ -17,7 +16,10 @@
 };
 use tokio::sync::Notify;
 
-use crate::clock;
+use crate::{
+    clock,
+    segmented_bytes::{SEGMENT_BYTES, SegmentedBuffer, SegmentedBytes},
+};
 
 /// Time for which a repeatable request waits for room, in milliseconds. Clients give up an attempt that
 /// was not read for a second.
@@ -27,7 +29,7 @@
 const WAIT_MS: u64 = 2_000;
 
 /// Bytes by which the reservation grows for a body that does not state its length.
-const GROWTH_BYTES: u64 = 64 << 10;
+const GROWTH_BYTES: u64 = SEGMENT_BYTES as u64;
 
 /// Why the body of a request was not read completely.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -69,7 +71,7 @@
         let wait_until = deadline.min(clock::now() + Duration::from_millis(wait_ms));
         let expected = length.unwrap_or(GROWTH_BYTES);
         let reservation = self.reserve(expected, wait_until).await.ok_or(BodyError::NoRoom)?;
-        let read = collect(body, expected as usize, max_bytes, reservation);
+        let read = collect(body, length.map(|length| length as usize), max_bytes, reservation);
         let timer = clock::timer_instant(deadline);
         let timed_out = |_| Err(BodyError::Rejected(StatusCode::REQUEST_TIMEOUT));
         tokio::time::timeout_at(timer, read).await.unwrap_or_else(timed_out)
@@ -119,7 +121,7 @@
 /// The body of a request and the memory that is reserved for it.
 #[derive(Debug)]
 pub(super) struct RequestBody {
-    pub(super) bytes: Bytes,
+    pub(super) bytes: SegmentedBytes,
     pub(super) reservation: BodyReservation,
 }
 
@@ -166,11 +168,11 @@
 
 async fn collect(
     body: &mut Incoming,
-    expected: usize,
+    expected_len: Option<usize>,
     max_bytes: usize,
     mut reservation: BodyReservation,
 ) -> Result<RequestBody, BodyError> {
-    let mut buf = BytesMut::with_capacity(expected);
+    let mut buf = SegmentedBuffer::default();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| BodyError::Rejected(StatusCode::BAD_REQUEST))?;
         let Ok(data) = frame.into_data() else { continue };
@@ -179,7 +181,7 @@
             return Err(BodyError::Rejected(StatusCode::PAYLOAD_TOO_LARGE));
         }
         reservation.cover(len as u64)?;
-        buf.extend_from_slice(&data);
+        buf.extend(&data, expected_len);
     }
-    Ok(RequestBody { bytes: buf.freeze(), reservation })
+    Ok(RequestBody { bytes: buf.finish(), reservation })
 }
--- a/crates/dogwoodway_types/src/idempotency.rs
+++ b/crates/dogwoodway_types/src/idempotency.rs
@@ -90,6 +90,32 @@
         RequestFingerprint(digest("dogwoodway request contents v1", &all))
     }
 
+    /// Computes the same digest as [`RequestFingerprint::new`] of `parts` and a last part that is given
+    /// in segments, without joining them.
+    ///
+    /// ```
+    /// use dogwoodway_types::{RequestFingerprint, TeamName};
+    ///
+    /// let team = TeamName::try_from("a").unwrap();
+    /// let segments: [&[u8]; 2] = [b"bo", b"dy"];
+    /// let digest = RequestFingerprint::with_segments(&team, &[b"POST"], &segments);
+    /// assert_eq!(digest, RequestFingerprint::new(&team, &[b"POST", b"body"]));
+    /// ```
+    pub fn with_segments<S>(team: &TeamName, parts: &[&[u8]], segments: &[S]) -> RequestFingerprint
+    where
+        S: AsRef<[u8]>,
+    {
+        let mut all = vec![team.as_str().as_bytes()];
+        all.extend(parts);
+        let mut hasher = hasher("dogwoodway request contents v1", &all);
+        let len: usize = segments.iter().map(|segment| segment.as_ref().len()).sum();
+        hasher.update(&(len as u64).to_le_bytes());
+        for segment in segments {
+            hasher.update(segment.as_ref());
+        }
+        RequestFingerprint(finish(&hasher))
+    }
+
     /// Returns the first half of the digest.
     pub fn short(self) -> u64 {
         (self.0 >> 64) as u64
@@ -102,11 +128,19 @@
 pub struct ClaimPartition(pub u8);
 
 fn digest(context: &str, parts: &[&[u8]]) -> u128 {
+    finish(&hasher(context, parts))
+}
+
+fn hasher(context: &str, parts: &[&[u8]]) -> blake3::Hasher {
     let mut hasher = blake3::Hasher::new_derive_key(context);
     for part in parts {
         hasher.update(&(part.len() as u64).to_le_bytes());
         hasher.update(part);
     }
+    hasher
+}
+
+fn finish(hasher: &blake3::Hasher) -> u128 {
     let mut bytes = [0; 16];
     bytes.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
     u128::from_le_bytes(bytes)
