Refuse stuck bodies with 408 while others lack memory or connections

A body that stopped kept its reservation and its connection until the deadline of its request, and others were refused or not accepted. A body of which less than 8 KB arrived in 2,000 ms now gives way while bodies wait for memory, within 1 s of a refusal for lack of memory, or while no further connection can be accepted. A client that sends 4,194,304 bytes within 15 s sends 70 times as many. The body has not been sent on, so that the request has not run. The rest of a refused body is discarded only as long as it makes such progress.

All bodies that are stuck give way at once rather than the one that holds most, since none of them can expect to be completed.

--- a/crates/dogwoodway_gateway/src/metric.rs
+++ b/crates/dogwoodway_gateway/src/metric.rs
@@ -1,5 +1,8 @@
 //! Names of the metrics that a router exports.
 
+/// Requests that were refused because their bodies were stuck while others lacked room.
+pub(crate) const STUCK_BODIES: &str = "dogwoodway_router_stuck_bodies_total";
+
 /// Client requests that have ended, by outcome.
 pub(crate) const REQUESTS: &str = "dogwoodway_router_requests_total";
 
--- a/crates/dogwoodway_gateway/src/relay/request_body.rs
+++ b/crates/dogwoodway_gateway/src/relay/request_body.rs
@@ -6,8 +6,11 @@
     time::Duration,
 };
 
-use dogwoodway_http::RequestGuard;
-use dogwoodway_routing::body_budget::{BodyAdmission, BodyBudget};
+use dogwoodway_http::{Connections, RequestGuard};
+use dogwoodway_routing::{
+    body_budget::{BodyAdmission, BodyBudget},
+    body_progress::{BodyProgress, Shortage},
+};
 use dogwoodway_types::Timestamp;
 use http_body_util::BodyExt;
 use hyper::{
@@ -17,7 +20,7 @@
 use tokio::sync::Notify;
 
 use crate::{
-    clock,
+    clock, metric,
     segmented_bytes::{SEGMENT_BYTES, SegmentedBuffer, SegmentedBytes},
 };
 
@@ -28,6 +31,9 @@
 /// Time for which another request waits for room, in milliseconds.
 const WAIT_MS: u64 = 2_000;
 
+/// Interval at which a body that is stuck finds out whether others lack room, in milliseconds.
+const STUCK_CHECK_MS: u64 = 100;
+
 /// Bytes by which the reservation grows for a body that does not state its length.
 const GROWTH_BYTES: u64 = SEGMENT_BYTES as u64;
 
@@ -44,17 +50,27 @@
 #[derive(Debug)]
 pub(crate) struct BodyMemory {
     budget: Mutex<BodyBudget>,
+    shortage: Mutex<Shortage>,
     released: Notify,
+    /// Connections of the clients, which bodies that are stuck keep in use.
+    connections: Arc<Connections>,
 }
 
 impl BodyMemory {
-    pub(crate) fn new(capacity: u64) -> Arc<BodyMemory> {
+    pub(crate) fn new(capacity: u64, connections: Arc<Connections>) -> Arc<BodyMemory> {
         Arc::new(BodyMemory {
             budget: Mutex::new(BodyBudget::new(capacity)),
+            shortage: Mutex::default(),
             released: Notify::new(),
+            connections,
         })
     }
 
+    /// Returns the connections of the clients.
+    pub(crate) fn connections(&self) -> &Arc<Connections> {
+        &self.connections
+    }
+
     /// Reads a body of at most `max_bytes` until `deadline`.
     pub(super) async fn read(
         self: &Arc<Self>,
@@ -85,7 +101,10 @@
         let admission = self.lock().admit(bytes);
         match admission {
             BodyAdmission::Read => return Some(BodyReservation { memory: self.clone(), bytes }),
-            BodyAdmission::Refuse => return None,
+            BodyAdmission::Refuse => {
+                self.note_shortage();
+                return None;
+            }
             BodyAdmission::Wait => {}
         }
         let _wait = Wait(self);
@@ -102,18 +121,50 @@
         tokio::time::timeout_at(clock::timer_instant(wait_until), admitted).await.ok()
     }
 
+    fn note_shortage(&self) {
+        let mut shortage = self.shortage.lock().unwrap_or_else(PoisonError::into_inner);
+        shortage.note(clock::now());
+    }
+
+    /// Returns whether requests lack memory, or connections, that bodies which are stuck keep.
+    fn is_short(&self) -> bool {
+        let shortage = *self.shortage.lock().unwrap_or_else(PoisonError::into_inner);
+        self.connections.is_full() || self.lock().has_waiting() || shortage.is_present(clock::now())
+    }
+
+    /// Resolves when a body is stuck and others lack room.
+    async fn must_give_way(&self, progress: BodyProgress) {
+        clock::sleep_until(progress.stuck_from()).await;
+        while !self.is_short() {
+            tokio::time::sleep(Duration::from_millis(STUCK_CHECK_MS)).await;
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, BodyBudget> {
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 /// Discards the rest of a body that is not read. A connection that is closed with unread bytes is
-/// reset, and the client may lose the response. What arrives is not the head of another request, so the
+/// reset, and the client may lose the response. A body that is stuck is not awaited. What arrives is not the head of another request, so the
 /// connection stays in use.
 pub(super) fn discard(mut body: Incoming, until: Timestamp, guard: Option<Arc<RequestGuard>>) {
     let read = async move {
         let _guard = guard;
-        while let Some(Ok(_)) = body.frame().await {}
+        let mut progress = BodyProgress::new(clock::now());
+        loop {
+            tokio::select! {
+                biased;
+                frame = body.frame() => match frame {
+                    Some(Ok(frame)) => {
+                        let bytes = frame.data_ref().map_or(0, |data| data.len() as u64);
+                        progress.received(bytes, clock::now());
+                    }
+                    Some(Err(_)) | None => return,
+                },
+                () = clock::sleep_until(progress.stuck_from()) => return,
+            }
+        }
     };
     tokio::spawn(tokio::time::timeout_at(clock::timer_instant(until), read));
 }
@@ -141,6 +192,7 @@
         }
         let growth = missing.next_multiple_of(GROWTH_BYTES);
         if !self.memory.lock().grow(self.bytes, growth) {
+            self.memory.note_shortage();
             return Err(BodyError::NoRoom);
         }
         self.bytes += growth;
@@ -173,13 +225,27 @@
     mut reservation: BodyReservation,
 ) -> Result<RequestBody, BodyError> {
     let mut buf = SegmentedBuffer::default();
-    while let Some(frame) = body.frame().await {
+    let mut progress = BodyProgress::new(clock::now());
+    let memory = reservation.memory.clone();
+    loop {
+        let frame = tokio::select! {
+            // Bytes that have arrived are read before the body counts as stuck.
+            biased;
+            frame = body.frame() => frame,
+            () = memory.must_give_way(progress) => {
+                metrics::counter!(metric::STUCK_BODIES).increment(1);
+                log::info!(held_bytes = reservation.bytes; "stuck body of a request gives way");
+                return Err(BodyError::Rejected(StatusCode::REQUEST_TIMEOUT));
+            }
+        };
+        let Some(frame) = frame else { break };
         let frame = frame.map_err(|_| BodyError::Rejected(StatusCode::BAD_REQUEST))?;
         let Ok(data) = frame.into_data() else { continue };
         let len = buf.len() + data.len();
         if len > max_bytes {
             return Err(BodyError::Rejected(StatusCode::PAYLOAD_TOO_LARGE));
         }
+        progress.received(data.len() as u64, clock::now());
         reservation.cover(len as u64)?;
         buf.extend(&data, expected_len);
     }
--- a/crates/dogwoodway_gateway/src/router.rs
+++ b/crates/dogwoodway_gateway/src/router.rs
@@ -180,11 +180,11 @@
         fleet,
         tables,
         key_pepper: dependencies.key_pepper,
-        bodies: BodyMemory::new(settings.limits.body_memory()),
+        bodies: body_memory(settings.limits),
         drain: watch::Sender::new(None),
         signals,
     });
-    serve_listeners(clients, health_checks, settings.limits, relay, shutdown).await;
+    serve_listeners(clients, health_checks, relay, shutdown).await;
     leader_shutdown_tx.send_replace(true);
     leader.await.unwrap_or_else(|e| log::error!("leader task failed: {e}"));
     Ok(())
@@ -198,15 +198,20 @@
     fleet
 }
 
+/// Shares out what the process may use among connections of clients and their requests' bodies.
+fn body_memory(limits: ProcessLimits) -> Arc<BodyMemory> {
+    let connections = Connections::new(limits.max_client_connections());
+    BodyMemory::new(limits.body_memory(), connections)
+}
+
 /// Serves clients until the router has shut down, and health checks.
 async fn serve_listeners(
     clients: TcpListener,
     health_checks: TcpListener,
-    limits: ProcessLimits,
     relay: Arc<Relay>,
     shutdown: ShutdownSignals,
 ) {
-    let connections = Connections::new(limits.max_client_connections());
+    let connections = relay.bodies.connections().clone();
     tokio::spawn(serve_health_checks(health_checks, relay.clone(), connections.clone()));
     serve_clients(clients, connections, relay, shutdown).await;
 }
--- a/crates/dogwoodway_routing/src/body_budget.rs
+++ b/crates/dogwoodway_routing/src/body_budget.rs
@@ -72,6 +72,11 @@
         self.waiting = self.waiting.saturating_sub(1);
     }
 
+    /// Returns whether a body waits for room.
+    pub fn has_waiting(&self) -> bool {
+        self.waiting > 0
+    }
+
     /// Reserves room for further bytes of a body whose length is not known, of which `held` bytes are
     /// reserved. Returns whether there is any.
     pub fn grow(&mut self, held: u64, bytes: u64) -> bool {
--- a/crates/dogwoodway_routing/src/lib.rs
+++ b/crates/dogwoodway_routing/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod answer_stream;
 pub mod attempt;
 pub mod body_budget;
+pub mod body_progress;
 pub mod kv_transfer;
 #[cfg(feature = "baselines")]
 pub mod baseline;
