--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -135,6 +135,15 @@
         self.child.wait().is_ok_and(|status| status.success())
     }
 
+    /// Returns the largest amount of memory that the process has used so far, in bytes; `None` if it has
+    /// exited.
+    pub(crate) fn peak_memory_bytes(&self) -> Option<u64> {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).ok()?;
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        Some(peak.split_whitespace().next()?.parse::<u64>().ok()? << 10)
+    }
+
     /// Returns the base URL of the process.
     pub(crate) fn url(&self) -> String {
         format!("http://{}", self.address)
