--- a/crates/dogwoodway_caller/src/api.rs
+++ b/crates/dogwoodway_caller/src/api.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use dogwoodway_http::{Body, Handler, full_body, json_response, text_response};
 use dogwoodway_types::{
     ClassName, IdempotencyKey, NotRunReason, Outcome, RequestId, ServiceWork, TeamName, Timestamp,
@@ -202,10 +202,10 @@
         if body.size_hint().lower() > limit as u64 {
             return Err(too_large());
         }
-        let read = Limited::new(body, limit).collect();
+        let read = join_frames(Limited::new(body, limit));
         let timeout_ms = self.limits.body_read_timeout_ms;
         match tokio::time::timeout(Duration::from_millis(timeout_ms), read).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Ok(body)) => Ok(body),
             Ok(Err(e)) if e.is::<LengthLimitError>() => Err(too_large()),
             Ok(Err(e)) => {
                 let message = format!("the body broke off: {e}");
@@ -242,6 +242,21 @@
     }
 }
 
+/// Reads a body into one buffer. Frames that are kept until the end take many times their size if a
+/// caller sends chunks of one byte.
+async fn join_frames<B>(mut body: B) -> Result<Bytes, B::Error>
+where
+    B: hyper::body::Body<Data = Bytes> + Unpin,
+{
+    let mut buf = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            buf.extend_from_slice(&data);
+        }
+    }
+    Ok(buf.freeze())
+}
+
 /// Adds a `retry-after` header to the response to a request with an idempotency key, which is safe
 /// to send again.
 fn with_retry_after(mut resp: Response<Body>) -> Response<Body> {
