--- a/crates/dogwoodway_gateway/src/lib.rs
+++ b/crates/dogwoodway_gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod response_body;
 mod response_memory;
 mod router;
+mod segmented_bytes;
 mod server_check;
 mod software_surveys;
 mod feeds;
--- a/crates/dogwoodway_gateway/src/router.rs
+++ b/crates/dogwoodway_gateway/src/router.rs
@@ -140,7 +140,7 @@
 ) -> Result<(), RouterError> {
     let (clients, health_checks) = bind_listeners(&settings).await?;
     let RouterTasks { relay, leader, leader_shutdown } = start_tasks(&settings, dependencies);
-    serve_listeners(clients, health_checks, settings.limits, relay, shutdown).await;
+    serve_listeners(clients, health_checks, relay, shutdown).await;
     leader_shutdown.send_replace(true);
     leader.await.unwrap_or_else(|e| log::error!("leader task failed: {e}"));
     Ok(())
@@ -232,11 +232,10 @@
 async fn serve_listeners(
     clients: TcpListener,
     health_checks: TcpListener,
-    limits: ProcessLimits,
     relay: Arc<Relay>,
     shutdown: ShutdownSignals,
 ) {
-    let connections = Connections::new(limits.max_client_connections());
+    let connections = relay.memory.bodies.connections().clone();
     tokio::spawn(serve_health_checks(health_checks, relay.clone(), connections.clone()));
     serve_clients(clients, connections, relay, shutdown).await;
 }
