--- a/crates/dogwoodway_routing/src/direct/engine_memory.rs
+++ b/crates/dogwoodway_routing/src/direct/engine_memory.rs
@@ -9,6 +9,8 @@
 //! the engine are at most those that it knows, its own, and that room, whatever the others do. Equal
 //! shares of the room that is left would not be safe: of two routers that decide half a second apart, the
 //! second takes its share of room that the first one has already given away.
+//!
+//! Placement does not use this yet: it has to limit each engine to a few routers first.
 
 use std::{collections::VecDeque, time::Duration};
 
--- a/crates/dogwoodway_routing/tests/direct_fair_admission.rs
+++ b/crates/dogwoodway_routing/tests/direct_fair_admission.rs
@@ -127,10 +127,12 @@
     assert!(calls.iter().all(|call| call.is_served));
 }
 
-/// Prints the table of `docs/design/admission.md`.
+/// Prints the table of `docs/design/admission.md` if `ADMISSION_TABLE` is set.
 #[test]
-#[ignore = "prints a table"]
 fn print_table() {
+    if std::env::var_os("ADMISSION_TABLE").is_none() {
+        return;
+    }
     for pattern in PATTERNS {
         for policy in POLICIES {
             let (calls, recovery_ms) = calls_under_load(pattern, policy);
