Count the grace for missing servers from the first answer of the store

The grace for entries that are written again after an outage began when the list of servers was read, 1.1 s after the configuration had been read.

--- a/crates/dogwoodway_gateway/src/directory.rs
+++ b/crates/dogwoodway_gateway/src/directory.rs
@@ -279,10 +279,12 @@
     }
 
     fn record_success(&mut self) {
+        // The other part may have reached the store earlier, from when on entries are written again.
+        let reached_at = self.shared_feeds.mark_reached(clock::now());
         if self.failures > 0 {
             log::info!(part:? = self.part, failures = self.failures; "store reached again");
             self.failures = 0;
-            self.grace_until = clock::now() + Duration::from_millis(RELIST_GRACE_MS);
+            self.grace_until = reached_at + Duration::from_millis(RELIST_GRACE_MS);
         }
     }
 
--- a/crates/dogwoodway_gateway/src/feeds.rs
+++ b/crates/dogwoodway_gateway/src/feeds.rs
@@ -8,13 +8,13 @@
 
 use std::{
     sync::{
-        Arc,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicU32, Ordering},
     },
     time::Duration,
 };
 
-use dogwoodway_routing::direct::feed::{Feed, FeedLimits, FeedReport, RevisionOrder};
+use dogwoodway_routing::direct::feed::{Feed, FeedLimits, FeedReport, RevisionOrder, StoreReach};
 use dogwoodway_types::Timestamp;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, watch};
@@ -141,6 +141,8 @@
     router_count: Arc<AtomicU32>,
     /// Notified when there is a new read to report to other routers.
     changed: Arc<Notify>,
+    /// Since when the store answers.
+    reach: Arc<Mutex<StoreReach>>,
 }
 
 impl SharedFeeds {
@@ -160,9 +162,15 @@
             server_list_needed_at: Arc::default(),
             router_count: Arc::new(AtomicU32::new(1)),
             changed,
+            reach: Arc::default(),
         }
     }
 
+    /// Records that the store has answered. Returns when it first did since the last failure.
+    pub(crate) fn mark_reached(&self, now: Timestamp) -> Timestamp {
+        self.reach.lock().unwrap_or_else(PoisonError::into_inner).record_success(now)
+    }
+
     /// Returns a receiver that is notified when a feed should be read earlier than scheduled.
     pub(crate) fn subscribe(&self) -> watch::Receiver<Feeds> {
         self.feeds.subscribe()
@@ -190,6 +198,7 @@
 
     /// Records that this router could not read a part of the directory.
     pub(crate) fn mark_failed(&self, part: DirectoryPart) {
+        self.reach.lock().unwrap_or_else(PoisonError::into_inner).record_failure();
         self.feeds.send_if_modified(|feeds| {
             feeds.failed[part as usize] = true;
             false
--- a/crates/dogwoodway_routing/src/direct/feed.rs
+++ b/crates/dogwoodway_routing/src/direct/feed.rs
@@ -163,3 +163,35 @@
         false => (sent_at + wait).min(received_at),
     }
 }
+
+/// Since when the platform's store answers again, by the reads of all parts of the directory.
+///
+/// Each part retries by itself after a failure, and one may do so a second later than another. Entries that
+/// expired during an outage are written again within a time that begins with the first answer.
+///
+/// ```
+/// use dogwoodway_routing::direct::feed::StoreReach;
+/// use dogwoodway_types::Timestamp;
+///
+/// let at = Timestamp::from_millis;
+/// let mut reach = StoreReach::default();
+/// reach.record_failure();
+/// assert_eq!(reach.record_success(at(10_660)), at(10_660));
+/// assert_eq!(reach.record_success(at(11_800)), at(10_660));
+/// ```
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StoreReach {
+    reached_at: Option<Timestamp>,
+}
+
+impl StoreReach {
+    /// Records a read that failed.
+    pub fn record_failure(&mut self) {
+        self.reached_at = None;
+    }
+
+    /// Records a read that succeeded. Returns when the first one succeeded since the last failure.
+    pub fn record_success(&mut self, now: Timestamp) -> Timestamp {
+        *self.reached_at.get_or_insert(now)
+    }
+}
