--- a/crates/dogwoodway_gateway/src/relay/request_body.rs
+++ b/crates/dogwoodway_gateway/src/relay/request_body.rs
@@ -146,8 +146,8 @@
 }
 
 /// Discards the rest of a body that is not read. A connection that is closed with unread bytes is
-/// reset, and the client may lose the response. A body that is stuck is not awaited. What arrives is not the head of another request, so the
-/// connection stays in use.
+/// reset, and the client may lose the response. A body that is stuck is not awaited. What arrives is
+/// not the head of another request, so the connection stays in use.
 pub(super) fn discard(mut body: Incoming, until: Timestamp, guard: Option<Arc<RequestGuard>>) {
     let read = async move {
         let _guard = guard;
--- a/crates/dogwoodway_routing/src/direct/fair_admission.rs
+++ b/crates/dogwoodway_routing/src/direct/fair_admission.rs
@@ -16,8 +16,8 @@
 //! report. Teams are assumed to send through all routers alike.
 //!
 //! Routers do not decide by this yet: it serves fewer prompts than
-//! [`refuse_for_wait`](crate::direct::admission::refuse_for_wait) where the queues are uneven. `docs/design/admission.md` has
-//! the measurements.
+//! [`refuse_for_wait`](crate::direct::admission::refuse_for_wait) where the queues are uneven.
+//! `docs/design/admission.md` has the measurements.
 
 use std::{collections::HashMap, time::Duration};
 
--- a/crates/dogwoodway_routing/src/part_blame.rs
+++ b/crates/dogwoodway_routing/src/part_blame.rs
@@ -1,9 +1,10 @@
 //! Blame of prompt parts for crashes of the engines that answer prompts with them.
 //!
 //! The load pattern behind this: a part that many requests share, such as a document, crashes each
-//! engine that runs a prompt with it, while it reads the prompt or once it has begun to answer. The requests differ in all else and arrive at
-//! every router, so counting crashes against whole requests never stops them. Each crash also takes
-//! down a batch of sound requests, which may share other parts with the cause.
+//! engine that runs a prompt with it, while it reads the prompt or once it has begun to answer. The
+//! requests differ in all else and arrive at every router, so counting crashes against whole requests
+//! never stops them. Each crash also takes down a batch of sound requests, which may share other parts
+//! with the cause.
 //!
 //! The evidence is counted against each shared part:
 //!
