--- a/review/kit-2.rs
+++ b/review/kit-2.rs
@@ -22,6 +22,8 @@
 
 #[path = "6/case.rs"]
 mod case_6;
+#[path = "7/case.rs"]
+mod case_7;
 
 pub(crate) const SIGKILL: i32 = 9;
 pub(crate) const SIGTERM: i32 = 15;
@@ -52,6 +54,7 @@
             };
             match *number {
                 "6" => case_6::run(&record, has_trouble),
+                "7" => case_7::run(&record, has_trouble),
                 _ => Verdict::CouldNotRun(format!("no case {number}")),
             }
         }
