--- a/review/kit-2.rs
+++ b/review/kit-2.rs
@@ -24,6 +24,8 @@
 mod case_6;
 #[path = "7/case.rs"]
 mod case_7;
+#[path = "8/case.rs"]
+mod case_8;
 
 pub(crate) const SIGKILL: i32 = 9;
 pub(crate) const SIGTERM: i32 = 15;
@@ -55,6 +57,7 @@
             match *number {
                 "6" => case_6::run(&record, has_trouble),
                 "7" => case_7::run(&record, has_trouble),
+                "8" => case_8::run(&record, has_trouble),
                 _ => Verdict::CouldNotRun(format!("no case {number}")),
             }
         }
