--- a/review/kit-2.rs
+++ b/review/kit-2.rs
@@ -26,6 +26,8 @@
 mod case_7;
 #[path = "8/case.rs"]
 mod case_8;
+#[path = "9/case.rs"]
+mod case_9;
 
 pub(crate) const SIGKILL: i32 = 9;
 pub(crate) const SIGTERM: i32 = 15;
@@ -58,6 +60,7 @@
                 "6" => case_6::run(&record, has_trouble),
                 "7" => case_7::run(&record, has_trouble),
                 "8" => case_8::run(&record, has_trouble),
+                "9" => case_9::run(&record, has_trouble),
                 _ => Verdict::CouldNotRun(format!("no case {number}")),
             }
         }
@@ -220,6 +223,15 @@
     read_response(&mut BufReader::new(stream)).unwrap_or_default()
 }
 
+/// Sends a request on a new connection, and leaves after some time without having read anything.
+pub(crate) fn call_and_leave(address: SocketAddr, request: &str, after: Duration) {
+    if let Ok(mut stream) = TcpStream::connect_timeout(&address, Duration::from_secs(1)) {
+        let _ = stream.set_nodelay(true);
+        let _ = stream.write_all(request.as_bytes());
+        thread::sleep(after);
+    }
+}
+
 fn read_response<R: BufRead>(reader: &mut R) -> Option<HttpResponse> {
     let line = read_line(reader)?;
     let status = line.split(' ').nth(1)?.parse().ok()?;
@@ -672,6 +684,9 @@
     pub(crate) const EVENTS: u32 = 76;
     const EVENT_INTERVAL: Duration = Duration::from_millis(60);
 
+    /// Time for which a request runs that crashes its worker later.
+    const CRASH_AFTER: Duration = Duration::from_millis(90);
+
     /// The same of a short stream.
     const SHORT_EVENTS: u32 = 5;
     const SHORT_EVENT_INTERVAL: Duration = Duration::from_millis(20);
@@ -725,7 +740,10 @@
                 continue;
             }
             say(&format!("runs {request_id} {} {}", req.method, req.target));
-            if req.body == b"crash" {
+            if req.body == b"crash later" {
+                thread::sleep(CRASH_AFTER);
+            }
+            if req.body.starts_with(b"crash") {
                 say(&format!("crashes {request_id}"));
                 std::process::abort();
             }
