--- a/review/kit-2.rs
+++ b/review/kit-2.rs
@@ -662,12 +662,6 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
-
-    /// Ends the process at once, whatever it runs.
-    pub(crate) fn terminate(&mut self) {
-        signal(&self.child, SIGTERM);
-        let _ = self.child.wait();
-    }
 }
 
 impl Drop for Worker {
