--- a/review/kit-2.rs
+++ b/review/kit-2.rs
@@ -20,6 +20,8 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
+#[path = "10/case.rs"]
+mod case_10;
 #[path = "6/case.rs"]
 mod case_6;
 #[path = "7/case.rs"]
@@ -32,10 +34,22 @@
 pub(crate) const SIGKILL: i32 = 9;
 pub(crate) const SIGTERM: i32 = 15;
 
+const SIGSTOP: i32 = 19;
+
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
+/// Ends a process that this one has started.
+pub(crate) fn kill_process(pid: u32) {
+    unsafe { kill(pid as i32, SIGKILL) };
+}
+
+/// Makes a process stand still: it closes nothing and answers nothing.
+fn stop_process(pid: u32) {
+    unsafe { kill(pid as i32, SIGSTOP) };
+}
+
 /// What a case has found.
 pub(crate) enum Verdict {
     Held,
@@ -61,6 +75,7 @@
                 "7" => case_7::run(&record, has_trouble),
                 "8" => case_8::run(&record, has_trouble),
                 "9" => case_9::run(&record, has_trouble),
+                "10" => case_10::run(&record, has_trouble),
                 _ => Verdict::CouldNotRun(format!("no case {number}")),
             }
         }
@@ -738,7 +753,11 @@
                 thread::sleep(CRASH_AFTER);
             }
             if req.body.starts_with(b"crash") {
-                say(&format!("crashes {request_id}"));
+                say(&format!("crashes {request_id} {}", std::process::id()));
+                if req.body == b"crash silently" {
+                    stop_process(std::process::id());
+                    thread::sleep(Duration::from_secs(60));
+                }
                 std::process::abort();
             }
             let head = format!(
