--- a/review/kit-2.rs
+++ b/review/kit-2.rs
@@ -624,7 +624,8 @@
         let wanted = address.map_or_else(|| "127.0.0.1:0".to_owned(), |at| at.to_string());
         let mut child = Command::new(std::env::current_exe()?)
             .args(["worker", &wanted, id, style])
-            .stdin(Stdio::null())
+            // Ends with this process, whose end of the pipe it watches.
+            .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn()?;
         let mut lines = BufReader::new(child.stdout.take().expect("piped")).lines();
@@ -706,6 +707,10 @@
             TcpListener::bind(address).map_err(|_| thread::sleep(Duration::from_millis(20))).ok()
         });
         let Some(listener) = listener else { return ExitCode::FAILURE };
+        thread::spawn(|| {
+            let _ = std::io::stdin().read(&mut [0]);
+            std::process::exit(0);
+        });
         say(&listener.local_addr().map_or(String::new(), |at| at.to_string()));
         for stream in listener.incoming().flatten() {
             let (id, style) = (id.to_owned(), style.to_owned());
