--- a/review/kit-2.rs
+++ b/review/kit-2.rs
@@ -61,9 +61,9 @@
     let args: Vec<String> = std::env::args().skip(1).collect();
     let verdict = match args.iter().map(String::as_str).collect::<Vec<_>>().as_slice() {
         ["worker", address, id, style] => return worker::run(address, id, style),
-        ["case", number, folder] => {
+        ["case", number, record] => {
             let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-            let record = match Record::create(PathBuf::from(folder).join("record.txt")) {
+            let record = match Record::create(PathBuf::from(record)) {
                 Ok(record) => record,
                 Err(e) => {
                     eprintln!("no record: {e}");
@@ -79,7 +79,7 @@
                 _ => Verdict::CouldNotRun(format!("no case {number}")),
             }
         }
-        _ => Verdict::CouldNotRun("usage: kit case NUMBER FOLDER".to_owned()),
+        _ => Verdict::CouldNotRun("usage: kit case NUMBER RECORD".to_owned()),
     };
     match verdict {
         Verdict::Held => {
@@ -900,12 +900,13 @@
 /// Sends short streams of `/lookup/` at the site's rate until `is_over`, so that routers and workers have the
 /// connections that they have under load.
 pub(crate) fn send_lookups(
+    record: &Record,
     fronts: Vec<SocketAddr>,
     is_over: Arc<AtomicBool>,
 ) -> Vec<thread::JoinHandle<()>> {
     const CLIENTS: usize = 8;
     let client = |c: usize| {
-        let (fronts, is_over) = (fronts.clone(), is_over.clone());
+        let (record, fronts, is_over) = (record.clone(), fronts.clone(), is_over.clone());
         thread::spawn(move || {
             let mut n = 0;
             while !is_over.load(Ordering::Relaxed) {
@@ -916,7 +917,9 @@
                 );
                 let id = format!("lookup-{c}-{n}");
                 let req = request("POST", "/lookup/1", &id, &extra, "question");
-                call(fronts[(c + n) % fronts.len()], &req, Duration::from_secs(4));
+                record.line(&format!("client sends {id}"));
+                let resp = call(fronts[(c + n) % fronts.len()], &req, Duration::from_secs(4));
+                record.line(&format!("client gets {id}: status {}", resp.status));
                 thread::sleep(Duration::from_millis(30));
             }
         })
